--- /dev/null
+++ b/crates/api/src/headers.rs
@@ -0,0 +1,19 @@
+//! Names of the headers that are not standard ones.
+
+/// One of `not_run`, `ran`, `unknown`.
+pub const OUTCOME_HEADER: &str = "iristhread-outcome";
+
+/// Id of the request, in answers; also what `iristhread explain` takes.
+pub const REQUEST_ID_HEADER: &str = "iristhread-request-id";
+
+/// A ticket for a call that may not be repeated.
+pub const TICKET_HEADER: &str = "iristhread-ticket";
+
+/// Milliseconds that the caller still waits; shrinks at each hop.
+pub const DEADLINE_HEADER: &str = "iristhread-deadline-ms";
+
+/// The idempotency key sent to a plain service (IETF draft of that name).
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
+/// The cursor that a caller holds (HTML standard, server-sent events).
+pub const LAST_EVENT_ID_HEADER: &str = "last-event-id";
--- /dev/null
+++ b/crates/cli/src/caller.rs
@@ -0,0 +1,294 @@
+//! What callers do: complete, chat, call a service.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use http::Method;
+use http::StatusCode;
+use iristhread_api::Completion;
+use iristhread_api::CompletionRequest;
+use iristhread_api::DONE_MARK;
+use iristhread_api::ErrorBody;
+use iristhread_api::HttpClient;
+use iristhread_api::HttpClientError;
+use iristhread_api::LAST_EVENT_ID_HEADER;
+use iristhread_api::OUTCOME_HEADER;
+use iristhread_api::REQUEST_ID_HEADER;
+use iristhread_api::Reply;
+use iristhread_api::TICKET_HEADER;
+use iristhread_core::Outcome;
+use serde::Serialize;
+
+use crate::cli_error::CliError;
+use crate::target::Target;
+
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Connections in a row that bring no new token before the tool gives up.
+const MAX_IDLE_TRIES: u32 = 8;
+
+/// Pause between two tries.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Tries of a call with the same ticket.
+const MAX_CALL_TRIES: usize = 3;
+
+/// A whole stream.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct CompletionOutcome {
+    /// Id to explain it by.
+    pub request: String,
+    /// Tokens in order.
+    pub tokens: Vec<String>,
+    /// Why it ended.
+    pub finish_reason: String,
+    /// Connections that it took.
+    pub connections: u32,
+}
+
+/// One call of a service.
+#[derive(Clone, Debug)]
+pub struct CallOrder {
+    /// Service.
+    pub service: String,
+    /// Path below it, without the leading slash.
+    pub path: String,
+    /// Body.
+    pub body: String,
+}
+
+/// Talks to the caller addresses of instances.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    target: Target,
+    client: HttpClient,
+}
+
+/// How one connection of a stream ended.
+enum Ending {
+    Done,
+    Broken(String),
+    Refused(CliError),
+}
+
+#[derive(Default)]
+struct Received {
+    outcome: CompletionOutcome,
+    cursor: Option<String>,
+}
+
+impl Caller {
+    /// A caller of a target.
+    pub fn new(target: Target) -> Self {
+        Caller {
+            target,
+            client: HttpClient::pooled(MAX_ANSWER_BYTES),
+        }
+    }
+
+    /// Streams a completion; when a connection breaks, goes on at the next
+    /// instance from what was received. `path` is that of the interface.
+    ///
+    /// # Errors
+    ///
+    /// [`CliError`]; a stream that is not whole is never an `Ok`.
+    pub async fn stream<Body: Serialize>(
+        &self,
+        path: &str,
+        body: impl Fn(Vec<String>) -> Body,
+        mut on_token: impl FnMut(&str),
+    ) -> Result<CompletionOutcome, CliError> {
+        let mut received = Received::default();
+        let mut idle_tries = 0;
+        let mut cause = String::new();
+        for server in self.target.servers.iter().cycle() {
+            let before = received.outcome.tokens.len();
+            received.outcome.connections += 1;
+            let tokens = received.outcome.tokens.clone();
+            let uri = format!("{server}{path}");
+            match self
+                .one_connection(&uri, &body(tokens), &mut received, &mut on_token)
+                .await
+            {
+                Ending::Done => return Ok(received.outcome),
+                Ending::Refused(error) if received.outcome.tokens.is_empty() => return Err(error),
+                Ending::Refused(error) => cause = error.to_string(),
+                Ending::Broken(text) => cause = text,
+            }
+            idle_tries = if received.outcome.tokens.len() > before {
+                0
+            } else {
+                idle_tries + 1
+            };
+            if idle_tries >= MAX_IDLE_TRIES {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        let received = received.outcome.tokens.len();
+        Err(CliError::Incomplete { received, cause })
+    }
+
+    async fn one_connection<Body: Serialize>(
+        &self,
+        uri: &str,
+        body: &Body,
+        received: &mut Received,
+        on_token: &mut impl FnMut(&str),
+    ) -> Ending {
+        let key = Some(self.target.key.as_str());
+        let request = HttpClient::request(Method::POST, uri, key, Some(body));
+        let mut request = match request {
+            Ok(request) => request,
+            Err(error) => return Ending::Refused(error.into()),
+        };
+        if let Some(Ok(cursor)) = received.cursor.as_ref().map(|c| c.parse()) {
+            request.headers_mut().insert(LAST_EVENT_ID_HEADER, cursor);
+        }
+        let (headers, mut events) = match self.client.events(request).await {
+            Ok(answer) => answer,
+            Err(HttpClientError::Status { body, status, .. }) => {
+                return Ending::Refused(refusal(status, &body));
+            }
+            Err(error) => return Ending::Broken(error.to_string()),
+        };
+        if let Some(Ok(id)) = headers.get(REQUEST_ID_HEADER).map(|id| id.to_str()) {
+            received.outcome.request = id.split('.').next().unwrap_or(id).to_owned();
+        }
+        while let Some(event) = events.next().await {
+            let event = match event {
+                Ok(event) => event,
+                Err(error) => return Ending::Broken(error.to_string()),
+            };
+            if event.data == DONE_MARK {
+                return Ending::Done;
+            }
+            if event.event == "error" {
+                return Ending::Broken(refusal(StatusCode::OK, &event.data).to_string());
+            }
+            received.take(&event.id, &event.data, on_token);
+        }
+        Ending::Broken("the connection ended before the end mark".to_owned())
+    }
+
+    /// Calls a service. A call that may not be repeated gets a ticket first and
+    /// is sent again only with the same one.
+    ///
+    /// # Errors
+    ///
+    /// [`CliError`] with the outcome.
+    pub async fn call(&self, order: &CallOrder) -> Result<Reply, CliError> {
+        let mut ticket: Option<String> = None;
+        let mut last = CliError::Unreachable("no server given".to_owned());
+        let servers = self.target.servers.iter().cycle();
+        for server in servers.take(self.target.servers.len() * MAX_CALL_TRIES) {
+            let reply = match self.one_call(server, order, ticket.as_deref()).await {
+                Ok(reply) => reply,
+                Err(error) => {
+                    last = lost_answer(error, ticket.is_some());
+                    tokio::time::sleep(PAUSE).await;
+                    continue;
+                }
+            };
+            if reply.status == StatusCode::PRECONDITION_REQUIRED {
+                ticket = header(&reply, TICKET_HEADER);
+                match self.one_call(server, order, ticket.as_deref()).await {
+                    Ok(reply) => return checked(reply),
+                    Err(error) => last = lost_answer(error, true),
+                }
+                continue;
+            }
+            return checked(reply);
+        }
+        Err(last)
+    }
+
+    async fn one_call(
+        &self,
+        server: &str,
+        order: &CallOrder,
+        ticket: Option<&str>,
+    ) -> Result<Reply, HttpClientError> {
+        let uri = format!("{server}/v1/services/{}/{}", order.service, order.path);
+        let key = Some(self.target.key.as_str());
+        let mut request = HttpClient::request(Method::POST, &uri, key, Some(&order.body))?;
+        *request.body_mut() = order.body.clone().into_bytes().into();
+        if let Some(Ok(ticket)) = ticket.map(str::parse) {
+            request.headers_mut().insert(TICKET_HEADER, ticket);
+        }
+        self.client.fetch(request).await
+    }
+
+    /// A completion that is not streamed.
+    ///
+    /// # Errors
+    ///
+    /// [`CliError`].
+    pub async fn whole(&self, body: &CompletionRequest) -> Result<Completion, CliError> {
+        let uri = format!("{}/v1/completions", self.target.servers[0]);
+        let key = Some(self.target.key.as_str());
+        let request = HttpClient::request(Method::POST, &uri, key, Some(body))?;
+        let reply = checked(self.client.fetch(request).await?)?;
+        serde_json::from_slice(&reply.body)
+            .map_err(|error| CliError::Unreachable(error.to_string()))
+    }
+}
+
+impl Received {
+    fn take(&mut self, id: &str, data: &str, on_token: &mut impl FnMut(&str)) {
+        let Ok(part) = serde_json::from_str::<Completion>(data) else {
+            return;
+        };
+        let Some(choice) = part.choices.into_iter().next() else {
+            return;
+        };
+        if let Some(reason) = choice.finish_reason {
+            self.outcome.finish_reason = reason;
+            return;
+        }
+        let text = choice.text.or(choice.delta.map(|delta| delta.content));
+        let text = text.unwrap_or_default();
+        on_token(&text);
+        self.outcome.tokens.push(text);
+        self.cursor = Some(id.to_owned());
+    }
+}
+
+fn lost_answer(error: HttpClientError, had_ticket: bool) -> CliError {
+    if had_ticket {
+        let message = error.to_string();
+        let outcome = Outcome::Unknown;
+        return CliError::Refused { message, outcome };
+    }
+    error.into()
+}
+
+fn header(reply: &Reply, name: &str) -> Option<String> {
+    let value = reply.headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
+
+fn checked(reply: Reply) -> Result<Reply, CliError> {
+    let outcome = header(&reply, OUTCOME_HEADER);
+    let ran = outcome.as_deref() == Some(Outcome::Ran.as_str());
+    if ran && reply.status.is_success() {
+        return Ok(reply);
+    }
+    Err(refusal(reply.status, &String::from_utf8_lossy(&reply.body)))
+}
+
+fn refusal(status: StatusCode, body: &str) -> CliError {
+    match serde_json::from_str::<ErrorBody>(body) {
+        Ok(body) => CliError::Refused {
+            message: match body.error.retry_after_s {
+                Some(seconds) => format!("{}; come back in {seconds} s", body.error.message),
+                None => body.error.message,
+            },
+            outcome: body.error.outcome,
+        },
+        Err(_) => CliError::Refused {
+            message: format!("the answer was {status}: {body}"),
+            outcome: Outcome::Unknown,
+        },
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,28 @@
+//! The program `iristhread`.
+
+use std::process::ExitCode;
+
+use iristhread_cli::CliError;
+
+use crate::flags::Iristhread;
+use crate::tool::Tool;
+
+mod flags;
+mod tool;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("iristhread: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+async fn run() -> Result<(), CliError> {
+    let flags = Iristhread::from_env_or_exit();
+    let tool = Tool::new(flags.server, flags.key, flags.output)?;
+    tool.run(flags.subcommand).await
+}
--- /dev/null
+++ b/crates/core/src/control.rs
@@ -0,0 +1,283 @@
+//! The state of all decisions of one instance, driven by events.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
+
+use crate::Admission;
+use crate::BackendId;
+use crate::BackendServer;
+use crate::Command;
+use crate::ConfigOrder;
+use crate::EngineBook;
+use crate::Event;
+use crate::FairQueue;
+use crate::HybridClock;
+use crate::HybridTime;
+use crate::Incarnation;
+use crate::InstanceId;
+use crate::LengthEstimator;
+use crate::Now;
+use crate::ReaderRota;
+use crate::Refusal;
+use crate::RequestId;
+use crate::RetryBudget;
+use crate::Roster;
+use crate::Router;
+use crate::RoutingPolicy;
+use crate::SpendVerdict;
+use crate::Ticket;
+use crate::TicketBook;
+use crate::Timeline;
+use crate::TimelineEvent;
+use crate::TimelineRecord;
+use crate::ZoneId;
+
+mod membership;
+mod placing;
+
+/// Settings of the decisions.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Life of this process.
+    pub incarnation: Incarnation,
+    /// Availability zone of this instance.
+    pub zone: ZoneId,
+    /// How engines are chosen.
+    pub policy: RoutingPolicy,
+    /// Requests of one workspace that may wait.
+    pub max_queued: usize,
+    /// Records of the time line.
+    pub timeline_records: usize,
+    /// How long a ticket may be spent.
+    pub ticket_lifetime: Duration,
+    /// Spent tickets remembered at once.
+    pub max_tickets: usize,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+/// A request that runs on an engine.
+#[derive(Clone, Debug)]
+struct Running {
+    engine: BackendId,
+    class: String,
+}
+
+/// All decisions of one instance. Every method is a function of state, its
+/// arguments and the seed given at the start.
+#[derive(Debug)]
+pub struct Control {
+    settings: ControlSettings,
+    config: ConfigOrder,
+    roster: Roster,
+    rota: ReaderRota,
+    reading: bool,
+    next_zone_exchange: Now,
+    next_far_exchange: Now,
+    book: EngineBook,
+    router: Router,
+    estimator: LengthEstimator,
+    queues: HashMap<String, FairQueue>,
+    running: HashMap<RequestId, Running>,
+    warm: HashMap<u64, BackendId>,
+    admission: Admission,
+    open: HashSet<RequestId>,
+    budget: RetryBudget,
+    tickets: TicketBook,
+    clock: HybridClock,
+    wall_ms: u64,
+    timeline: Timeline,
+    random: Pcg32,
+}
+
+impl Control {
+    /// The state at the start of a process.
+    pub fn new(settings: ControlSettings) -> Self {
+        let instance = settings.instance.clone();
+        let zone = settings.zone.clone();
+        Control {
+            config: ConfigOrder::default(),
+            roster: Roster::default(),
+            rota: ReaderRota::new(instance.clone(), zone.clone()),
+            reading: false,
+            next_zone_exchange: Now::ZERO,
+            next_far_exchange: Now::ZERO,
+            book: EngineBook::new(instance.clone(), zone.clone()),
+            router: Router::new(settings.policy, zone, settings.seed),
+            estimator: LengthEstimator::default(),
+            queues: HashMap::new(),
+            running: HashMap::new(),
+            warm: HashMap::new(),
+            admission: Admission::default(),
+            open: HashSet::new(),
+            budget: RetryBudget::default(),
+            tickets: TicketBook::new(
+                instance.clone(),
+                settings.incarnation.clone(),
+                settings.ticket_lifetime,
+                settings.max_tickets,
+            ),
+            clock: HybridClock::default(),
+            wall_ms: 0,
+            timeline: Timeline::new(instance, settings.timeline_records),
+            random: Pcg32::seed_from_u64(settings.seed),
+            settings,
+        }
+    }
+
+    /// Decides about one event. `wall_ms` (milliseconds since 1970) only
+    /// labels the time line.
+    pub fn handle(&mut self, now: Now, wall_ms: u64, event: Event) -> Vec<Command> {
+        self.wall_ms = wall_ms;
+        let mut commands = Vec::new();
+        match event {
+            Event::Submit(submission) => self.submit(now, submission, &mut commands),
+            Event::Adopt { submission, engine } => self.adopt(&submission, engine),
+            Event::Progress { request, generated } => self.progress(&request, generated),
+            Event::AttemptFinished { request, generated } => {
+                self.attempt_finished(now, &request, generated, &mut commands);
+            }
+            Event::AttemptLost {
+                request,
+                engine_failed,
+            } => self.attempt_lost(now, &request, engine_failed, &mut commands),
+            Event::Closed { request, workspace } => self.closed(&request, &workspace),
+            Event::Report { backend, report } => {
+                self.book.report(now, &backend, report);
+                self.drain_engine(now, &backend, &mut commands);
+            }
+            Event::BackendFailed { backend } => self.backend_failed(now, &backend),
+            Event::BackendAnswered { backend } => self.backend_answered(&backend),
+            Event::ConfigOffered {
+                version,
+                document,
+                source,
+            } => self.config_offered(now, version, document, source, &mut commands),
+            Event::ConfigUnreadable { version, reason } => self.config_unreadable(version, reason),
+            Event::ConfigConfirmed { version, ago } => {
+                self.config.confirm(now.saturating_sub(ago), version);
+            }
+            Event::RosterOffered { version, entries } => {
+                self.roster.offer(version, entries);
+            }
+            Event::PeerHeard {
+                instance,
+                incarnation,
+                config_version,
+                roster_version,
+                time,
+            } => {
+                self.clock.observe(wall_ms, time);
+                self.roster
+                    .hear(now, &instance, &incarnation, config_version);
+                let behind = config_version > self.config.version()
+                    || roster_version > self.roster.version();
+                if behind {
+                    self.exchange_with(&instance, &mut commands);
+                }
+            }
+            Event::Note { request, event } => self.note(request, event),
+            Event::Tick => self.tick(now, &mut commands),
+        }
+        commands
+    }
+
+    fn tick(&mut self, now: Now, commands: &mut Vec<Command>) {
+        self.expire(now, commands);
+        self.drain_all(now, commands);
+        self.tick_membership(now, commands);
+    }
+
+    /// Issues a ticket of this process under a unique number.
+    pub fn issue_ticket(&self, now: Now, number: String, service: &str) -> Ticket {
+        self.tickets.issue(now, number, service)
+    }
+
+    /// Spends a ticket whose signature was verified.
+    pub fn spend_ticket(&mut self, now: Now, ticket: &Ticket) -> SpendVerdict {
+        self.tickets.spend(now, ticket)
+    }
+
+    /// Runners of a plain service, the best first.
+    pub fn runners(&self, now: Now, service: &str) -> Vec<BackendServer> {
+        self.book
+            .runners(now, service)
+            .into_iter()
+            .cloned()
+            .collect()
+    }
+
+    /// Notes a call to a plain service against the limits of its workspace,
+    /// until [`Event::Closed`].
+    ///
+    /// # Errors
+    ///
+    /// A refusal that names the limit.
+    pub fn open_call(
+        &mut self,
+        now: Now,
+        request: RequestId,
+        workspace: &str,
+    ) -> Result<(), Refusal> {
+        let workspace = self.workspace(workspace)?;
+        self.admission.open(now, &workspace)?;
+        self.open.insert(request);
+        Ok(())
+    }
+
+    /// Records of the time line after a time, of one request or all.
+    pub fn timeline(&self, after: HybridTime, request: Option<&str>) -> Vec<TimelineRecord> {
+        self.timeline.since(after, request)
+    }
+
+    /// The hybrid time of a message to send.
+    pub fn stamp(&mut self, wall_ms: u64) -> HybridTime {
+        self.clock.tick(wall_ms)
+    }
+
+    /// The configuration order.
+    pub fn config(&self) -> &ConfigOrder {
+        &self.config
+    }
+
+    /// The instance list.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// The backend servers.
+    pub fn book(&self) -> &EngineBook {
+        &self.book
+    }
+
+    /// Requests that wait, of all models.
+    pub fn queued(&self) -> usize {
+        self.queues.values().map(FairQueue::len).sum()
+    }
+
+    /// Requests that run on engines.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Requests of a workspace that are open.
+    pub fn open_requests(&self, workspace: &str) -> u32 {
+        self.admission.open_requests(workspace)
+    }
+
+    /// The estimator of remaining lengths.
+    pub fn estimator(&self) -> &LengthEstimator {
+        &self.estimator
+    }
+
+    fn note(&mut self, request: Option<RequestId>, event: TimelineEvent) {
+        let time = self.clock.tick(self.wall_ms);
+        self.timeline.record(time, request, event);
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/membership.rs
@@ -0,0 +1,132 @@
+//! How a configuration spreads, and who reads the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand_core::Rng;
+
+use super::Control;
+use crate::Command;
+use crate::ConfigVersion;
+use crate::Document;
+use crate::DocumentFault;
+use crate::InstanceEntry;
+use crate::Now;
+use crate::Offer;
+use crate::OfferVerdict;
+use crate::TimelineEvent;
+
+/// Peers told at once about a new configuration.
+const FANOUT: usize = 3;
+
+/// Time between exchanges with a random peer of the own zone.
+const ZONE_EXCHANGE: Duration = Duration::from_secs(1);
+
+/// Time between exchanges with a random peer of any zone.
+const FAR_EXCHANGE: Duration = Duration::from_secs(5);
+
+/// Faults of a refused document that the time line names.
+const FAULTS_NAMED: usize = 3;
+
+impl Control {
+    pub(super) fn config_offered(
+        &mut self,
+        now: Now,
+        version: ConfigVersion,
+        document: Arc<Document>,
+        source: String,
+        commands: &mut Vec<Command>,
+    ) {
+        let offer = Offer {
+            version,
+            document: document.clone(),
+        };
+        match self.config.offer(offer) {
+            OfferVerdict::InForce => {
+                self.book.adopt(&document);
+                self.note(None, TimelineEvent::ConfigInForce { version, source });
+                commands.push(Command::ConfigInForce { version });
+                self.spread(commands);
+                self.drain_all(now, commands);
+            }
+            OfferVerdict::Refused(faults) => {
+                let named = faults.iter().take(FAULTS_NAMED).map(ToString::to_string);
+                let reason = named.collect::<Vec<_>>().join("; ");
+                self.note(None, TimelineEvent::ConfigRefused { version, reason });
+            }
+            OfferVerdict::Stale => {}
+        }
+    }
+
+    pub(super) fn config_unreadable(&mut self, version: ConfigVersion, reason: String) {
+        let fault = DocumentFault {
+            key: "document".to_owned(),
+            value: reason.clone(),
+            fix: "check it with `iristhread check FILE` before it is published".to_owned(),
+        };
+        if self.config.refuse(version, vec![fault]) {
+            self.note(None, TimelineEvent::ConfigRefused { version, reason });
+        }
+    }
+
+    fn spread(&mut self, commands: &mut Vec<Command>) {
+        let own_zone = self.settings.zone.clone();
+        for _ in 0..FANOUT {
+            self.exchange_with_random(Some(&own_zone), commands);
+        }
+        self.exchange_with_random(None, commands);
+    }
+
+    pub(super) fn tick_membership(&mut self, now: Now, commands: &mut Vec<Command>) {
+        let confirmed_at = self.config.confirmed_at().unwrap_or(Now::ZERO);
+        let age = now.saturating_sub(confirmed_at);
+        let reads = self.rota.reads(&self.roster, age);
+        if reads != self.reading {
+            self.reading = reads;
+            commands.push(Command::ReadPlatform { reads });
+        }
+        if now >= self.next_zone_exchange {
+            self.next_zone_exchange = now + self.jittered(ZONE_EXCHANGE);
+            let own_zone = self.settings.zone.clone();
+            self.exchange_with_random(Some(&own_zone), commands);
+        }
+        if now >= self.next_far_exchange {
+            self.next_far_exchange = now + self.jittered(FAR_EXCHANGE);
+            self.exchange_with_random(None, commands);
+        }
+    }
+
+    pub(super) fn exchange_with(&mut self, instance: &str, commands: &mut Vec<Command>) {
+        let Some(entry) = self.roster.entry(instance) else {
+            return;
+        };
+        let command = Command::ExchangeWith {
+            instance: entry.instance.clone(),
+            address: entry.peer_address,
+        };
+        if !commands.contains(&command) {
+            commands.push(command);
+        }
+    }
+
+    /// Draws a peer of `zone`, or of any.
+    fn exchange_with_random(&mut self, zone: Option<&str>, commands: &mut Vec<Command>) {
+        let own = self.settings.instance.clone();
+        let wanted = |entry: &&InstanceEntry| {
+            entry.instance != own && zone.is_none_or(|zone| entry.availability_zone == zone)
+        };
+        let peers: Vec<&InstanceEntry> = self.roster.entries().filter(wanted).collect();
+        if peers.is_empty() {
+            return;
+        }
+        let draw = self.random.next_u32() as usize % peers.len();
+        let instance = peers[draw].instance.clone();
+        self.exchange_with(&instance, commands);
+    }
+
+    /// Between 0.75 and 1.25 of the interval, so that instances drift apart.
+    fn jittered(&mut self, interval: Duration) -> Duration {
+        let share = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
+        interval.mul_f64(0.75 + share / 2.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/placing.rs
@@ -0,0 +1,382 @@
+//! Where requests run, when they start, who waits and who is told no.
+
+use std::time::Duration;
+
+use super::Control;
+use super::Running;
+use crate::BackendId;
+use crate::Command;
+use crate::Now;
+use crate::Placement;
+use crate::Queued;
+use crate::Refusal;
+use crate::RefusalKind;
+use crate::RequestId;
+use crate::RoutingNeed;
+use crate::Submission;
+use crate::TimelineEvent;
+use crate::Workspace;
+use crate::WorkspaceId;
+use crate::engine_view::OwnSession;
+use crate::router::Choice;
+
+/// Advice to a caller when no backend server is there at all.
+const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Advice when a queue is full or a deadline can't be met.
+const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Prefixes remembered; the oldest half goes when it is full.
+const MAX_WARM: usize = 8_192;
+
+/// Quantile of the length that a workspace is charged for at the start.
+const CHARGED_QUANTILE: f64 = 0.5;
+
+impl Control {
+    pub(super) fn submit(&mut self, now: Now, submission: Submission, commands: &mut Vec<Command>) {
+        let request = submission.request.clone();
+        if let Err(refusal) = self.try_submit(now, submission, commands) {
+            self.refuse(request, refusal, commands);
+        }
+    }
+
+    fn try_submit(
+        &mut self,
+        now: Now,
+        submission: Submission,
+        commands: &mut Vec<Command>,
+    ) -> Result<(), Refusal> {
+        let workspace = self.workspace(&submission.workspace)?;
+        self.note(
+            Some(submission.request.clone()),
+            TimelineEvent::Submitted {
+                workspace: submission.workspace.clone(),
+                model: submission.model.clone(),
+                attempt: submission.attempt,
+            },
+        );
+        self.admit(now, &workspace, &submission)?;
+        let waits = self
+            .queues
+            .get(&submission.model)
+            .is_some_and(|queue| !queue.is_empty());
+        if !waits || submission.attempt > 1 {
+            let choice = self.choose(now, &submission);
+            let nothing_there = choice.engine.is_none() && !choice.may_wait;
+            if choice.engine.is_some() {
+                self.charge(&workspace, &submission);
+                self.start(submission, choice, commands);
+                return Ok(());
+            }
+            if nothing_there && !submission.delivering {
+                return Err(no_backend(&submission.model));
+            }
+        }
+        self.enqueue(now, &workspace, submission)
+    }
+
+    /// A first attempt counts against the limits of the workspace; a further
+    /// one before the first token spends a retry; work that the caller holds a
+    /// part of is never refused here.
+    fn admit(
+        &mut self,
+        now: Now,
+        workspace: &Workspace,
+        submission: &Submission,
+    ) -> Result<(), Refusal> {
+        if submission.attempt <= 1 {
+            self.admission.open(now, workspace)?;
+            self.open.insert(submission.request.clone());
+            self.budget.earn(&workspace.name);
+            return Ok(());
+        }
+        if submission.delivering || self.budget.spend(&[&workspace.name]) {
+            return Ok(());
+        }
+        Err(Refusal::new(
+            RefusalKind::RetryBudget,
+            BUSY_RETRY_AFTER,
+            "the workspace has spent its budget of retries",
+        ))
+    }
+
+    fn enqueue(
+        &mut self,
+        now: Now,
+        workspace: &Workspace,
+        submission: Submission,
+    ) -> Result<(), Refusal> {
+        let max_queued = self.settings.max_queued;
+        let queue = self.queues.entry(submission.model.clone()).or_default();
+        let depth = queue.depth(&submission.workspace);
+        if depth >= max_queued && !submission.delivering {
+            let message =
+                format!("the workspace has {depth} requests waiting, the limit max_queued");
+            return Err(Refusal::new(
+                RefusalKind::QueueFull,
+                BUSY_RETRY_AFTER,
+                message,
+            ));
+        }
+        let request = submission.request.clone();
+        queue.push(
+            workspace.weight,
+            Queued {
+                submission,
+                since: now,
+            },
+        );
+        self.note(Some(request), TimelineEvent::Queued { depth: depth + 1 });
+        Ok(())
+    }
+
+    fn choose(&mut self, now: Now, submission: &Submission) -> Choice {
+        let need = RoutingNeed {
+            class: class_of(&submission.workspace, &submission.model),
+            model: submission.model.clone(),
+            adapter: submission.adapter.clone(),
+            prompt_tokens: submission.prompt_tokens,
+            generated: submission.generated,
+            exclude: submission.exclude.clone(),
+            warm: self.warm.get(&submission.prefix).cloned(),
+        };
+        let sharers = u32::try_from(self.roster.live_in(&self.settings.zone).len());
+        let sharers = sharers.unwrap_or(u32::MAX).max(1);
+        self.router
+            .choose(now, &self.book, &self.estimator, sharers, &need)
+    }
+
+    fn start(&mut self, submission: Submission, choice: Choice, commands: &mut Vec<Command>) {
+        let Some(engine) = choice.engine else {
+            return;
+        };
+        let Some(address) = self.book.view(&engine).map(|view| view.server.address) else {
+            return;
+        };
+        let request = submission.request.clone();
+        self.note(
+            Some(request.clone()),
+            TimelineEvent::Placed {
+                engine: engine.clone(),
+                attempt: submission.attempt,
+                candidates: choice.candidates,
+            },
+        );
+        self.adopt(&submission, engine.clone());
+        self.remember_warm(submission.prefix, &engine);
+        commands.push(Command::Start {
+            request,
+            placement: Placement {
+                engine,
+                address,
+                attempt: submission.attempt,
+            },
+        });
+    }
+
+    /// Counts an attempt as running on an engine.
+    pub(super) fn adopt(&mut self, submission: &Submission, engine: BackendId) {
+        let class = class_of(&submission.workspace, &submission.model);
+        let session = OwnSession {
+            class: class.clone(),
+            prompt_tokens: submission.prompt_tokens,
+            generated: submission.generated,
+        };
+        if let Some(view) = self.book.view_mut(&engine) {
+            view.sessions.insert(submission.request.clone(), session);
+        }
+        let running = Running { engine, class };
+        self.running.insert(submission.request.clone(), running);
+    }
+
+    pub(super) fn progress(&mut self, request: &RequestId, generated: u32) {
+        let Some(running) = self.running.get(request) else {
+            return;
+        };
+        let Some(view) = self.book.view_mut(&running.engine) else {
+            return;
+        };
+        view.succeed();
+        if let Some(session) = view.sessions.get_mut(request) {
+            session.generated = generated;
+        }
+    }
+
+    pub(super) fn attempt_finished(
+        &mut self,
+        now: Now,
+        request: &RequestId,
+        generated: u32,
+        commands: &mut Vec<Command>,
+    ) {
+        self.progress(request, generated);
+        let Some(running) = self.release(request) else {
+            return;
+        };
+        self.estimator.finished(&running.class, generated);
+        self.drain_engine(now, &running.engine, commands);
+    }
+
+    pub(super) fn attempt_lost(
+        &mut self,
+        now: Now,
+        request: &RequestId,
+        engine_failed: bool,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(running) = self.release(request) else {
+            return;
+        };
+        if engine_failed {
+            self.backend_failed(now, &running.engine);
+        } else {
+            self.drain_engine(now, &running.engine, commands);
+        }
+    }
+
+    pub(super) fn closed(&mut self, request: &RequestId, workspace: &WorkspaceId) {
+        self.release(request);
+        for queue in self.queues.values_mut() {
+            queue.remove(request);
+        }
+        if self.open.remove(request) {
+            self.admission.close(workspace);
+        }
+    }
+
+    fn release(&mut self, request: &RequestId) -> Option<Running> {
+        let running = self.running.remove(request)?;
+        if let Some(view) = self.book.view_mut(&running.engine) {
+            view.sessions.remove(request);
+        }
+        Some(running)
+    }
+
+    pub(super) fn backend_failed(&mut self, now: Now, backend: &str) {
+        if let Some(view) = self.book.view_mut(backend) {
+            view.fail(now);
+        }
+    }
+
+    pub(super) fn backend_answered(&mut self, backend: &str) {
+        if let Some(view) = self.book.view_mut(backend) {
+            view.succeed();
+        }
+    }
+
+    /// Starts what waits for the models of one engine.
+    pub(super) fn drain_engine(&mut self, now: Now, engine: &str, commands: &mut Vec<Command>) {
+        let Some(view) = self.book.view(engine) else {
+            return;
+        };
+        for model in view.server.models.clone() {
+            self.drain(now, &model, commands);
+        }
+    }
+
+    pub(super) fn drain_all(&mut self, now: Now, commands: &mut Vec<Command>) {
+        let models: Vec<String> = self.queues.keys().cloned().collect();
+        for model in models {
+            self.drain(now, &model, commands);
+        }
+        self.queues.retain(|_, queue| !queue.is_empty());
+    }
+
+    fn drain(&mut self, now: Now, model: &str, commands: &mut Vec<Command>) {
+        while let Some(next) = self.peek(model) {
+            let choice = self.choose(now, &next);
+            if choice.engine.is_none() {
+                return;
+            }
+            let cost = self.cost(&next);
+            if let Some(queue) = self.queues.get_mut(model) {
+                queue.pop(cost);
+            }
+            self.start(next, choice, commands);
+        }
+    }
+
+    fn peek(&self, model: &str) -> Option<Submission> {
+        let queued = self.queues.get(model)?.peek()?;
+        Some(queued.submission.clone())
+    }
+
+    /// Answers at once whatever can't start in time any more.
+    pub(super) fn expire(&mut self, now: Now, commands: &mut Vec<Command>) {
+        let mut expired = Vec::new();
+        for queue in self.queues.values_mut() {
+            expired.extend(queue.take_expired(now));
+        }
+        for queued in expired {
+            let refusal = Refusal::new(
+                RefusalKind::Deadline,
+                BUSY_RETRY_AFTER,
+                "no backend server had room before the deadline of the request",
+            );
+            self.refuse(queued.submission.request, refusal, commands);
+        }
+    }
+
+    fn refuse(&mut self, request: RequestId, refusal: Refusal, commands: &mut Vec<Command>) {
+        self.note(
+            Some(request.clone()),
+            TimelineEvent::Refused {
+                kind: refusal.kind,
+                retry_after_s: refusal.retry_after.as_secs().max(1),
+            },
+        );
+        commands.push(Command::Refuse { request, refusal });
+    }
+
+    fn charge(&mut self, workspace: &Workspace, submission: &Submission) {
+        let cost = self.cost(submission);
+        if let Some(queue) = self.queues.get_mut(&submission.model) {
+            queue.charge(&workspace.name, workspace.weight, cost);
+        }
+    }
+
+    fn cost(&self, submission: &Submission) -> f64 {
+        let class = class_of(&submission.workspace, &submission.model);
+        let further =
+            self.estimator
+                .remaining_quantile(&class, submission.generated, CHARGED_QUANTILE);
+        f64::from(submission.prompt_tokens) + f64::from(further)
+    }
+
+    fn remember_warm(&mut self, prefix: u64, engine: &BackendId) {
+        if self.warm.len() >= MAX_WARM {
+            let mut place = 0;
+            self.warm.retain(|_, _| {
+                place += 1;
+                place % 2 == 0
+            });
+        }
+        self.warm.insert(prefix, engine.clone());
+    }
+
+    pub(super) fn workspace(&self, name: &str) -> Result<Workspace, Refusal> {
+        let offer = self.config.in_force().ok_or_else(not_ready)?;
+        let workspace = offer.document.workspace(name);
+        workspace.cloned().ok_or_else(not_ready)
+    }
+}
+
+fn not_ready() -> Refusal {
+    Refusal::new(
+        RefusalKind::NotReady,
+        NO_BACKEND_RETRY_AFTER,
+        "no configuration that names the workspace is in force here",
+    )
+}
+
+fn no_backend(model: &str) -> Refusal {
+    Refusal::new(
+        RefusalKind::NoBackend,
+        NO_BACKEND_RETRY_AFTER,
+        format!("no backend server that serves {model} is available"),
+    )
+}
+
+fn class_of(workspace: &str, model: &str) -> String {
+    format!("{workspace}/{model}")
+}
--- /dev/null
+++ b/crates/core/src/length_estimator.rs
@@ -0,0 +1,144 @@
+//! Online estimate of the remaining length of a generation.
+
+use std::collections::HashMap;
+
+/// Ratio between neighbouring bucket bounds.
+const BUCKET_RATIO: f64 = 1.25;
+
+/// Buckets; the last bound is above 10 million tokens.
+const BUCKETS: usize = 73;
+
+/// Finished generations after which older ones count half.
+const HALF_LIFE: f64 = 2_000.0;
+
+/// Weight of the shared histogram inside that of one class.
+const PRIOR_WEIGHT: f64 = 20.0;
+
+/// Mean length assumed before anything has finished.
+const FIRST_GUESS_TOKENS: f64 = 256.0;
+
+/// Distribution of lengths by class (workspace and model), with a shared one
+/// as prior for classes that have finished few.
+#[derive(Debug, Default)]
+pub struct LengthEstimator {
+    shared: Histogram,
+    classes: HashMap<String, Histogram>,
+}
+
+impl LengthEstimator {
+    /// Learns the length of a finished generation.
+    pub fn finished(&mut self, class: &str, tokens: u32) {
+        self.shared.add(tokens);
+        if !self.classes.contains_key(class) {
+            self.classes.insert(class.to_owned(), Histogram::default());
+        }
+        if let Some(histogram) = self.classes.get_mut(class) {
+            histogram.add(tokens);
+        }
+    }
+
+    /// Probability that a generation which has `generated` tokens gets more
+    /// than `further` ones.
+    pub fn survival(&self, class: &str, generated: u32, further: u32) -> f64 {
+        let now = self.above(class, f64::from(generated));
+        let then = self.above(class, f64::from(generated) + f64::from(further));
+        if now <= 0.0 {
+            return exponential(f64::from(further));
+        }
+        (then / now).min(1.0)
+    }
+
+    /// Quantile `q` of the remaining length.
+    pub fn remaining_quantile(&self, class: &str, generated: u32, q: f64) -> u32 {
+        let mut low = 0_u32;
+        let mut high = bucket_bound(BUCKETS - 1) as u32;
+        while low < high {
+            let middle = low + (high - low) / 2;
+            if self.survival(class, generated, middle) <= 1.0 - q {
+                high = middle;
+            } else {
+                low = middle + 1;
+            }
+        }
+        low
+    }
+
+    /// Forgets the classes that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.classes.retain(|class, _| keep(class));
+    }
+
+    fn above(&self, class: &str, tokens: f64) -> f64 {
+        let shared = self.shared.share_above(tokens);
+        let Some(own) = self.classes.get(class) else {
+            return shared;
+        };
+        let weight = own.total / (own.total + PRIOR_WEIGHT);
+        weight * own.share_above(tokens) + (1.0 - weight) * shared
+    }
+}
+
+fn exponential(tokens: f64) -> f64 {
+    (-tokens / FIRST_GUESS_TOKENS).exp()
+}
+
+#[derive(Debug)]
+struct Histogram {
+    counts: [f64; BUCKETS],
+    total: f64,
+}
+
+impl Default for Histogram {
+    fn default() -> Self {
+        Histogram {
+            counts: [0.0; BUCKETS],
+            total: 0.0,
+        }
+    }
+}
+
+impl Histogram {
+    fn add(&mut self, tokens: u32) {
+        self.counts[bucket_of(tokens)] += 1.0;
+        self.total += 1.0;
+        if self.total >= HALF_LIFE * 2.0 {
+            self.halve();
+        }
+    }
+
+    fn halve(&mut self) {
+        for count in &mut self.counts {
+            *count /= 2.0;
+        }
+        self.total /= 2.0;
+    }
+
+    fn share_above(&self, tokens: f64) -> f64 {
+        if self.total <= 0.0 {
+            return exponential(tokens);
+        }
+        let bucket = bucket_of(tokens as u32);
+        let beyond: f64 = self.counts[bucket + 1..].iter().sum();
+        let low = if bucket == 0 {
+            0.0
+        } else {
+            bucket_bound(bucket - 1)
+        };
+        let high = bucket_bound(bucket);
+        let left = ((high - tokens) / (high - low)).clamp(0.0, 1.0);
+        (beyond + left * self.counts[bucket]) / self.total
+    }
+}
+
+fn bucket_bound(bucket: usize) -> f64 {
+    let exponent = i32::try_from(bucket).unwrap_or(i32::MAX);
+    BUCKET_RATIO.powi(exponent)
+}
+
+fn bucket_of(tokens: u32) -> usize {
+    if tokens == 0 {
+        return 0;
+    }
+    let exponent = f64::from(tokens).ln() / BUCKET_RATIO.ln();
+    (exponent.ceil().max(0.0) as usize).min(BUCKETS - 1)
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,103 @@
+//! The decisions of iristhread as pure functions of state, event, time and seed.
+//!
+//! Nothing in this crate reads a clock, opens a socket or draws from a global
+//! source of randomness: time is passed in as the [`Now`] of the process that
+//! drives it, randomness as a seed. Any driver (the daemon, a test, a bench)
+//! feeds [`Event`]s to [`Control::handle`] and carries out the [`Command`]s it
+//! returns.
+
+mod admission;
+mod command;
+mod config_order;
+mod control;
+mod cursor;
+mod document;
+mod document_check;
+mod engine_book;
+mod engine_view;
+mod event;
+mod fair_queue;
+mod hybrid_clock;
+mod ids;
+mod key_index;
+mod keyring;
+mod length_estimator;
+mod load_report;
+mod outcome;
+mod peer_guard;
+mod reader_rota;
+mod refusal;
+mod rendezvous;
+mod retry_budget;
+mod roster;
+mod router;
+mod session;
+mod stall_bound;
+mod ticket;
+mod ticket_book;
+mod timeline;
+mod token_bucket;
+
+pub use admission::Admission;
+pub use command::Command;
+pub use command::Placement;
+pub use config_order::ConfigOrder;
+pub use config_order::Offer;
+pub use config_order::OfferVerdict;
+pub use control::Control;
+pub use control::ControlSettings;
+pub use cursor::Cursor;
+pub use cursor::CursorError;
+pub use cursor::TextDigest;
+pub use document::Adapter;
+pub use document::BackendKind;
+pub use document::BackendServer;
+pub use document::Document;
+pub use document::EngineRole;
+pub use document::Model;
+pub use document::Operator;
+pub use document::Service;
+pub use document::Workspace;
+pub use document_check::DocumentFault;
+pub use engine_book::EngineBook;
+pub use engine_view::EngineView;
+pub use event::Event;
+pub use event::Submission;
+pub use fair_queue::FairQueue;
+pub use fair_queue::Queued;
+pub use hybrid_clock::HybridClock;
+pub use hybrid_clock::HybridTime;
+pub use ids::*;
+pub use key_index::KeyIndex;
+pub use key_index::KeyOwner;
+pub use keyring::Keyring;
+pub use keyring::KeyringError;
+pub use length_estimator::LengthEstimator;
+pub use load_report::LoadReport;
+pub use outcome::Outcome;
+pub use peer_guard::PeerGuard;
+pub use peer_guard::PeerRejection;
+pub use reader_rota::ReaderRota;
+pub use refusal::Refusal;
+pub use refusal::RefusalKind;
+pub use rendezvous::rendezvous_rank;
+pub use retry_budget::RetryBudget;
+pub use roster::InstanceEntry;
+pub use roster::InstanceState;
+pub use roster::Roster;
+pub use router::Candidate;
+pub use router::Router;
+pub use router::RoutingNeed;
+pub use router::RoutingPolicy;
+pub use session::EndVerdict;
+pub use session::Session;
+pub use session::TokenVerdict;
+pub use stall_bound::StallBound;
+pub use ticket::Ticket;
+pub use ticket::TicketError;
+pub use ticket_book::SpendVerdict;
+pub use ticket_book::TicketBook;
+pub use timeline::Timeline;
+pub use timeline::TimelineEvent;
+pub use timeline::TimelineRecord;
+pub use token_bucket::TokenBucket;
--- /dev/null
+++ b/crates/core/src/outcome.rs
@@ -0,0 +1,36 @@
+//! The three final outcomes of a request.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// What a caller is told about the execution of its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// No byte of the request reached a backend server, or the backend server
+    /// itself said that it did not run it.
+    NotRun,
+    /// The request ran and the answer is its own.
+    Ran,
+    /// Neither of the others can be proved.
+    Unknown,
+}
+
+impl Outcome {
+    /// The form used in headers and error bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::NotRun => "not_run",
+            Outcome::Ran => "ran",
+            Outcome::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/core/src/refusal.rs
@@ -0,0 +1,49 @@
+//! Why a request is refused, and when it may come back.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Reason of a refusal; each is proved `not_run` by construction, because it
+/// is decided before anything is sent to a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalKind {
+    /// The workspace has sent more requests a second than its limit.
+    RateLimit,
+    /// The workspace has as many requests open as its limit.
+    ConcurrencyLimit,
+    /// The entry queue of the workspace is full.
+    QueueFull,
+    /// The request can't start before its deadline.
+    Deadline,
+    /// No live backend server can serve the request.
+    NoBackend,
+    /// The retry budget of the workspace or the backend server is spent.
+    RetryBudget,
+    /// The instance has no configuration in force.
+    NotReady,
+}
+
+/// A refusal with the time after which a retry makes sense.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Why.
+    pub kind: RefusalKind,
+    /// When to come back.
+    pub retry_after: Duration,
+    /// A sentence for the caller that names the limit.
+    pub message: String,
+}
+
+impl Refusal {
+    /// Creates a refusal.
+    pub fn new(kind: RefusalKind, retry_after: Duration, message: impl Into<String>) -> Self {
+        Refusal {
+            kind,
+            retry_after,
+            message: message.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/rendezvous.rs
@@ -0,0 +1,21 @@
+//! Rendezvous hashing (highest random weight; Thaler and Ravishankar 1998).
+
+/// Orders `members` by their weight for `topic`, highest first.
+///
+/// Every process that holds the same members gets the same order, and a member
+/// that leaves changes no other member's place relative to the rest.
+pub fn rendezvous_rank<'a>(topic: &str, members: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut weighted: Vec<(u64, &str)> = members.map(|m| (weight(topic, m), m)).collect();
+    weighted.sort_by(|a, b| b.cmp(a));
+    weighted.into_iter().map(|(_, member)| member).collect()
+}
+
+fn weight(topic: &str, member: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(topic.len() as u64).to_le_bytes());
+    hasher.update(topic.as_bytes());
+    hasher.update(member.as_bytes());
+    let mut first = [0_u8; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/crates/core/src/ticket.rs
@@ -0,0 +1,89 @@
+//! A ticket names the one process that may run a call that may not be repeated.
+
+use thiserror::Error;
+
+use crate::Incarnation;
+use crate::InstanceId;
+use crate::Keyring;
+use crate::WorkspaceId;
+
+const PURPOSE: &str = "ticket";
+const FIELDS: usize = 6;
+
+/// Why a ticket is not accepted.
+#[derive(Debug, Error, Eq, PartialEq)]
+pub enum TicketError {
+    /// The text is not a ticket.
+    #[error("the ticket is malformed")]
+    Malformed,
+    /// The tag does not match, or the ticket is of another workspace or service.
+    #[error("the ticket was not issued to this workspace for this service")]
+    Forged,
+}
+
+/// Permission for one call, spent at most once in the memory of one process.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ticket {
+    /// Unique number of the ticket; also the idempotency key sent to the
+    /// backend server.
+    pub number: String,
+    /// The instance that alone may run the call.
+    pub instance: InstanceId,
+    /// The life of that instance's process.
+    pub incarnation: Incarnation,
+    /// Milliseconds on the issuer's own monotonic clock after which it refuses.
+    pub expires_ms: u64,
+    /// Service that the call goes to.
+    pub service: String,
+}
+
+impl Ticket {
+    /// The signed text form, bound to the workspace.
+    pub fn encode(&self, workspace: &WorkspaceId, keyring: &Keyring) -> String {
+        let body = self.body();
+        let tag = keyring.sign(PURPOSE, signed(&body, workspace).as_bytes());
+        format!("{body}~{tag}")
+    }
+
+    /// Reads a ticket back.
+    ///
+    /// # Errors
+    ///
+    /// [`TicketError`] when the text is no ticket, or not one for `workspace`
+    /// and `service`.
+    pub fn decode(
+        text: &str,
+        workspace: &WorkspaceId,
+        service: &str,
+        keyring: &Keyring,
+    ) -> Result<Self, TicketError> {
+        let fields: Vec<&str> = text.split('~').collect();
+        if fields.len() != FIELDS {
+            return Err(TicketError::Malformed);
+        }
+        let ticket = Ticket {
+            number: fields[0].to_owned(),
+            instance: fields[1].to_owned(),
+            incarnation: fields[2].to_owned(),
+            expires_ms: fields[3].parse().map_err(|_| TicketError::Malformed)?,
+            service: fields[4].to_owned(),
+        };
+        let message = signed(&ticket.body(), workspace);
+        let genuine = keyring.verify(PURPOSE, message.as_bytes(), fields[5]);
+        if !genuine || ticket.service != service {
+            return Err(TicketError::Forged);
+        }
+        Ok(ticket)
+    }
+
+    fn body(&self) -> String {
+        format!(
+            "{}~{}~{}~{}~{}",
+            self.number, self.instance, self.incarnation, self.expires_ms, self.service
+        )
+    }
+}
+
+fn signed(body: &str, workspace: &str) -> String {
+    format!("{body}~{workspace}")
+}
--- /dev/null
+++ b/crates/daemon/src/app.rs
@@ -0,0 +1,65 @@
+//! What the traffic tasks of one process share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use iristhread_api::HttpClient;
+use slog::Logger;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use crate::call_book::CallBook;
+use crate::clock::Clock;
+use crate::control_message::Identity;
+use crate::control_thread::ControlHandle;
+use crate::engine_port::EnginePort;
+use crate::metrics::Metrics;
+use crate::peer_port::PeerPort;
+use crate::resource_log::ResourceLog;
+use crate::settings::Settings;
+use crate::view::View;
+
+/// Shared by all tasks; every field is safe to use from any thread.
+pub struct App {
+    /// Settings.
+    pub settings: Settings,
+    /// Who this process is.
+    pub identity: Identity,
+    /// Clocks.
+    pub clock: Clock,
+    /// Decisions.
+    pub control: ControlHandle,
+    /// Configuration in force.
+    pub views: watch::Receiver<Arc<View>>,
+    /// Engines.
+    pub engines: Arc<dyn EnginePort>,
+    /// Other instances.
+    pub peers: Arc<dyn PeerPort>,
+    /// Client for plain services: a connection per call.
+    pub services: HttpClient,
+    /// Answers of calls with a ticket.
+    pub calls: CallBook,
+    /// Changes of resources.
+    pub resources: ResourceLog,
+    /// Places for streams and calls.
+    pub places: Arc<Semaphore>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Logger.
+    pub log: Logger,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+}
+
+impl App {
+    /// The configuration in force now.
+    pub fn view(&self) -> Arc<View> {
+        self.views.borrow().clone()
+    }
+
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.view().version > 0
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/call_book.rs
@@ -0,0 +1,47 @@
+//! Answers of calls with a ticket, for every delivery of the same ticket.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use iristhread_core::Now;
+use tokio::sync::watch;
+
+use crate::call_answer::CallAnswer;
+
+/// A place where the answer of a call appears.
+pub type AnswerSlot = watch::Sender<Option<CallAnswer>>;
+
+#[derive(Debug)]
+struct Slot {
+    answer: AnswerSlot,
+    keep_until: Now,
+}
+
+/// Slots by ticket number; they live as long as their tickets.
+#[derive(Debug, Default)]
+pub struct CallBook {
+    slots: Mutex<HashMap<String, Slot>>,
+}
+
+impl CallBook {
+    /// The slot of a ticket, made when it is first asked for.
+    pub fn slot(&self, number: &str, keep_until: Now) -> AnswerSlot {
+        let mut slots = self.lock();
+        let slot = slots.entry(number.to_owned()).or_insert_with(|| Slot {
+            answer: watch::channel(None).0,
+            keep_until,
+        });
+        slot.answer.clone()
+    }
+
+    /// Drops the slots of tickets that have expired.
+    pub fn forget_expired(&self, now: Now) {
+        self.lock().retain(|_, slot| slot.keep_until > now);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Slot>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller_api.rs
@@ -0,0 +1,236 @@
+//! The callers' interface over HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::stream;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header;
+use iristhread_api::ChatRequest;
+use iristhread_api::CompletionRequest;
+use iristhread_api::DEADLINE_HEADER;
+use iristhread_api::LAST_EVENT_ID_HEADER;
+use iristhread_api::ModelCard;
+use iristhread_api::ModelList;
+use iristhread_api::OUTCOME_HEADER;
+use iristhread_api::REQUEST_ID_HEADER;
+use iristhread_core::Outcome;
+use iristhread_core::WorkspaceId;
+use serde::Serialize;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use viz::Body;
+use viz::Request;
+use viz::RequestExt;
+use viz::Response;
+use viz::Router;
+
+use crate::api_error::ApiError;
+use crate::app::App;
+use crate::caller_sink::CallerSink;
+use crate::completion_order::CompletionOrder;
+use crate::completion_order::RequestContext;
+use crate::generation::Generation;
+use crate::request_guard;
+use crate::service_api;
+
+/// Frames that wait for a caller that reads slowly.
+const FRAMES_AHEAD: usize = 64;
+
+/// The routes.
+pub fn routes(app: &Arc<App>) -> Router {
+    let completions = app.clone();
+    let chat = app.clone();
+    let models = app.clone();
+    let services = app.clone();
+    let ready = app.clone();
+    Router::new()
+        .post("/v1/completions", move |r: Request| {
+            answered(complete(completions.clone(), r))
+        })
+        .post("/v1/chat/completions", move |r: Request| {
+            answered(converse(chat.clone(), r))
+        })
+        .get("/v1/models", move |r: Request| {
+            answered(list_models(models.clone(), r))
+        })
+        .any("/v1/services/*", move |r: Request| {
+            answered(service_api::call(services.clone(), r))
+        })
+        .get("/livez", |_: Request| async {
+            Ok::<_, viz::Error>(text("live\n"))
+        })
+        .get("/readyz", move |_: Request| {
+            let ready = ready.clone();
+            async move { Ok::<_, viz::Error>(readiness(&ready)) }
+        })
+        .any("/*", |_: Request| answered(async { Err(no_such_path()) }))
+}
+
+/// Turns an error into its answer.
+pub async fn answered(
+    answer: impl Future<Output = Result<Response, ApiError>>,
+) -> viz::Result<Response> {
+    Ok(answer.await.unwrap_or_else(ApiError::into_response))
+}
+
+async fn complete(app: Arc<App>, mut request: Request) -> Result<Response, ApiError> {
+    let workspace = request_guard::workspace(&app, &request)?;
+    let body = request_guard::json::<CompletionRequest>(&app, &mut request).await?;
+    generate(app, &request, workspace, body, false).await
+}
+
+async fn converse(app: Arc<App>, mut request: Request) -> Result<Response, ApiError> {
+    let workspace = request_guard::workspace(&app, &request)?;
+    let body = request_guard::json::<ChatRequest>(&app, &mut request).await?;
+    if body.messages.is_empty() {
+        let message = "give at least one message";
+        return Err(ApiError::invalid("no_messages", Some("messages"), message));
+    }
+    generate(app, &request, workspace, body.into_completion(), true).await
+}
+
+async fn generate(
+    app: Arc<App>,
+    request: &Request,
+    workspace: WorkspaceId,
+    body: CompletionRequest,
+    is_chat: bool,
+) -> Result<Response, ApiError> {
+    let place = take_place(&app)?;
+    let streams = body.stream;
+    let timeout = deadline(request, app.settings.limits.start_timeout);
+    let context = RequestContext {
+        request: new_request_id(),
+        workspace,
+        is_chat,
+        deadline: app.clock.now() + timeout,
+        last_event_id: request.header(LAST_EVENT_ID_HEADER),
+    };
+    let document = app.view().document.clone();
+    let keyring = &app.settings.keyring;
+    let order = CompletionOrder::check(context, body, &document, keyring)?;
+    let id = order.request.clone();
+    let generation = Generation::begin(app.clone(), order).await?;
+    let mut response = if streams {
+        stream_response(&app, generation, place)
+    } else {
+        whole_response(generation, place).await?
+    };
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(&id) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    let ran = HeaderValue::from_static(Outcome::Ran.as_str());
+    headers.insert(OUTCOME_HEADER, ran);
+    Ok(response)
+}
+
+fn stream_response(app: &App, generation: Generation, place: OwnedSemaphorePermit) -> Response {
+    let (frames, received) = mpsc::channel::<Bytes>(FRAMES_AHEAD);
+    let sink = CallerSink::Events {
+        frames,
+        write_timeout: app.settings.limits.write_timeout,
+    };
+    tokio::spawn(async move {
+        generation.run(sink).await;
+        drop(place);
+    });
+    let body = stream::unfold(received, |mut received| async move {
+        let frame = received.recv().await?;
+        Some((frame, received))
+    });
+    let mut response = Response::new(Body::from_stream(body.map(Ok::<_, std::io::Error>)));
+    let headers = response.headers_mut();
+    let events = HeaderValue::from_static("text/event-stream");
+    headers.insert(header::CONTENT_TYPE, events);
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    response
+}
+
+async fn whole_response(
+    generation: Generation,
+    place: OwnedSemaphorePermit,
+) -> Result<Response, ApiError> {
+    let (reply, answer) = oneshot::channel();
+    tokio::spawn(async move {
+        generation.run(CallerSink::Whole(Some(reply))).await;
+        drop(place);
+    });
+    let gone = || ApiError::unknown(StatusCode::BAD_GATEWAY, "lost", "the generation was lost");
+    let completion = answer.await.map_err(|_| gone())??;
+    Ok(json(&completion))
+}
+
+async fn list_models(app: Arc<App>, request: Request) -> Result<Response, ApiError> {
+    request_guard::workspace(&app, &request)?;
+    let view = app.view();
+    let card = |name: &String| ModelCard {
+        id: name.clone(),
+        object: "model".to_owned(),
+    };
+    let data = view.document.models.iter().map(|model| card(&model.name));
+    Ok(json(&ModelList {
+        object: "list".to_owned(),
+        data: data.collect(),
+    }))
+}
+
+fn readiness(app: &App) -> Response {
+    if app.is_ready() {
+        return text("ready\n");
+    }
+    let mut response = text("not ready: stopping, or no configuration is in force\n");
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
+
+/// A place among the streams and calls of this instance.
+///
+/// # Errors
+///
+/// When all are taken.
+pub fn take_place(app: &App) -> Result<OwnedSemaphorePermit, ApiError> {
+    let place = app.places.clone().try_acquire_owned();
+    place.map_err(|_| {
+        let limit = app.settings.limits.max_streams;
+        let message =
+            format!("the instance serves {limit} streams and calls, its limit max_streams");
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        ApiError::limit(status, "max_streams", message)
+            .with_retry_after(Some(Duration::from_secs(1)))
+    })
+}
+
+/// What the caller's deadline leaves, but at most `longest`.
+pub fn deadline(request: &Request, longest: Duration) -> Duration {
+    let asked: Option<u64> = request.header(DEADLINE_HEADER);
+    asked.map_or(longest, |ms| Duration::from_millis(ms).min(longest))
+}
+
+/// A new id; sorts by time.
+pub fn new_request_id() -> String {
+    uuid::Uuid::now_v7().simple().to_string()
+}
+
+/// An answer of 200 with JSON.
+pub fn json<Answer: Serialize>(answer: &Answer) -> Response {
+    let bytes = serde_json::to_vec(answer).unwrap_or_default();
+    let mut response = Response::new(Body::Full(bytes.into()));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
+
+/// The error for a path that leads nowhere.
+pub fn no_such_path() -> ApiError {
+    ApiError::not_found("no_such_path", None, "there is nothing at this path")
+}
+
+fn text(text: &'static str) -> Response {
+    Response::new(Body::Full(text.into()))
+}
--- /dev/null
+++ b/crates/daemon/src/completion_order.rs
@@ -0,0 +1,208 @@
+//! A completion request that was checked against the configuration.
+
+use iristhread_api::CompletionRequest;
+use iristhread_core::Cursor;
+use iristhread_core::Document;
+use iristhread_core::Keyring;
+use iristhread_core::Model;
+use iristhread_core::Now;
+use iristhread_core::RequestId;
+use iristhread_core::Workspace;
+use iristhread_core::WorkspaceId;
+
+use crate::api_error::ApiError;
+
+/// Words of a prompt that stand for its shared prefix.
+const PREFIX_WORDS: usize = 16;
+
+/// What a caller ordered.
+#[derive(Clone, Debug)]
+pub struct CompletionOrder {
+    /// Id of the request: of the generation, followed by `.` and an id of its
+    /// own when the caller has come back.
+    pub request: RequestId,
+    /// Whose it is.
+    pub workspace: WorkspaceId,
+    /// Model.
+    pub model: String,
+    /// Adapter.
+    pub adapter: Option<String>,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens of the prompt, estimated.
+    pub prompt_tokens: u32,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Higher goes first.
+    pub priority: u8,
+    /// Whether the answer is a chat message.
+    pub is_chat: bool,
+    /// When it must have started.
+    pub deadline: Now,
+    /// What the caller holds, if it comes back.
+    pub cursor: Option<Cursor>,
+    /// Tokens that it sent along.
+    pub received: Vec<String>,
+}
+
+/// Where a request came from, and by when it must start.
+#[derive(Clone, Debug)]
+pub struct RequestContext {
+    /// Id of the request.
+    pub request: RequestId,
+    /// Whose it is.
+    pub workspace: WorkspaceId,
+    /// Whether it came as a chat.
+    pub is_chat: bool,
+    /// When it must have started.
+    pub deadline: Now,
+    /// `Last-Event-ID`, if sent.
+    pub last_event_id: Option<String>,
+}
+
+impl CompletionOrder {
+    /// Checks a request.
+    ///
+    /// # Errors
+    ///
+    /// An [`ApiError`] that names the field at fault.
+    pub fn check(
+        context: RequestContext,
+        body: CompletionRequest,
+        document: &Document,
+        keyring: &Keyring,
+    ) -> Result<Self, ApiError> {
+        let model = find_model(document, &body.model)?;
+        check_adapter(document, &body)?;
+        let prompt_tokens = estimated_tokens(&body.prompt);
+        let max_tokens = check_max_tokens(model, prompt_tokens, body.max_tokens)?;
+        let workspace = document.workspace(&context.workspace);
+        let default_priority = workspace.map_or(0, |w: &Workspace| w.priority);
+        let mut order = CompletionOrder {
+            request: context.request,
+            workspace: context.workspace,
+            model: body.model,
+            adapter: body.adapter,
+            prompt: body.prompt,
+            prompt_tokens,
+            max_tokens,
+            priority: body.priority.unwrap_or(default_priority),
+            is_chat: context.is_chat,
+            deadline: context.deadline,
+            cursor: None,
+            received: body.received,
+        };
+        if let Some(text) = context.last_event_id {
+            let cursor = Cursor::decode(&text, &order.owner(), keyring);
+            let cursor = cursor.map_err(|error| {
+                let message = format!("{error}, or the body is not the one it was issued for");
+                ApiError::invalid("invalid_cursor", Some("Last-Event-ID"), message)
+            })?;
+            order.request = format!("{}.{}", cursor.generation, order.request);
+            order.cursor = Some(cursor);
+        }
+        Ok(order)
+    }
+
+    /// Whom a cursor belongs to: the workspace and the body.
+    pub fn owner(&self) -> String {
+        let mut hasher = blake3::Hasher::new();
+        let adapter = self.adapter.as_deref().unwrap_or_default();
+        for field in [self.workspace.as_str(), &self.model, adapter, &self.prompt] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        hasher.update(&self.max_tokens.to_le_bytes());
+        hasher.finalize().to_hex().to_string()
+    }
+
+    /// Identifies the prefix that prompts of the same kind share.
+    pub fn prefix(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.model.as_bytes());
+        for word in self.prompt.split_whitespace().take(PREFIX_WORDS) {
+            hasher.update(word.as_bytes());
+        }
+        let mut first = [0_u8; 8];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        u64::from_le_bytes(first)
+    }
+}
+
+fn find_model<'a>(document: &'a Document, name: &str) -> Result<&'a Model, ApiError> {
+    document.model(name).ok_or_else(|| {
+        let message =
+            format!("the model {name:?} is not offered; GET /v1/models lists those that are");
+        ApiError::not_found("model_not_found", Some("model"), message)
+    })
+}
+
+fn check_adapter(document: &Document, body: &CompletionRequest) -> Result<(), ApiError> {
+    let Some(name) = &body.adapter else {
+        return Ok(());
+    };
+    let adapter = document
+        .adapters
+        .iter()
+        .find(|adapter| adapter.name == *name);
+    let Some(adapter) = adapter else {
+        let message = format!("the adapter {name:?} is not offered");
+        return Err(ApiError::not_found(
+            "adapter_not_found",
+            Some("adapter"),
+            message,
+        ));
+    };
+    if adapter.model != body.model {
+        let message = format!(
+            "the adapter {name:?} belongs to the model {:?}",
+            adapter.model
+        );
+        return Err(ApiError::invalid(
+            "adapter_of_other_model",
+            Some("adapter"),
+            message,
+        ));
+    }
+    Ok(())
+}
+
+fn check_max_tokens(
+    model: &Model,
+    prompt_tokens: u32,
+    max_tokens: Option<i64>,
+) -> Result<u32, ApiError> {
+    let context = model.context_tokens;
+    let room = context.saturating_sub(prompt_tokens);
+    if room == 0 {
+        let message = format!(
+            "the prompt has about {prompt_tokens} tokens, the context of the model {context}"
+        );
+        return Err(ApiError::invalid(
+            "prompt_too_long",
+            Some("prompt"),
+            message,
+        ));
+    }
+    let Some(wanted) = max_tokens else {
+        return Ok(room);
+    };
+    match u32::try_from(wanted) {
+        Ok(wanted) if wanted > 0 && wanted <= context => Ok(wanted.min(room)),
+        _ => {
+            let message = format!("max_tokens is {wanted}; give a number from 1 to {context}");
+            Err(ApiError::invalid(
+                "invalid_max_tokens",
+                Some("max_tokens"),
+                message,
+            ))
+        }
+    }
+}
+
+/// Tokenizers belong to the engines; words are near enough for the forecasts,
+/// which are corrected by the engines' reports.
+fn estimated_tokens(prompt: &str) -> u32 {
+    let words = prompt.split_whitespace().count();
+    u32::try_from(words.max(1)).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/control_thread.rs
@@ -0,0 +1,293 @@
+//! The one thread that owns the state of all decisions.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use iristhread_core::Command;
+use iristhread_core::Control;
+use iristhread_core::ControlSettings;
+use iristhread_core::Event;
+use iristhread_core::InstanceId;
+use iristhread_core::Now;
+use iristhread_core::RequestId;
+use iristhread_core::TimelineEvent;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::control_message::BackendSnapshot;
+use crate::control_message::ControlMessage;
+use crate::control_message::Decision;
+use crate::control_message::InstanceSnapshot;
+use crate::control_message::Snapshot;
+use crate::view::View;
+
+/// Time between two ticks of the decisions.
+const TICK: Duration = Duration::from_millis(50);
+
+/// A peer to exchange versions with.
+pub type ExchangeTarget = (InstanceId, SocketAddr);
+
+/// What the control thread publishes to the traffic threads.
+pub struct ControlOutputs {
+    /// The configuration in force.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Whether this instance reads the platform.
+    pub reads_platform: watch::Receiver<bool>,
+    /// Peers to exchange versions with, as they come up.
+    pub exchanges: mpsc::UnboundedReceiver<ExchangeTarget>,
+}
+
+/// Sends messages to the control thread; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    messages: mpsc::UnboundedSender<ControlMessage>,
+}
+
+impl ControlHandle {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// When the system gives no thread or runtime.
+    pub fn start(
+        settings: ControlSettings,
+        clock: Clock,
+        log: Logger,
+    ) -> std::io::Result<(ControlHandle, ControlOutputs)> {
+        let (messages, inbox) = mpsc::unbounded_channel();
+        let (view, view_out) = watch::channel(Arc::new(View::default()));
+        let (reads, reads_out) = watch::channel(false);
+        let (exchanges, exchanges_out) = mpsc::unbounded_channel();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .build()?;
+        let thread = ControlThread {
+            control: Control::new(settings),
+            clock,
+            log,
+            waiting: HashMap::new(),
+            view,
+            reads,
+            exchanges,
+        };
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || runtime.block_on(thread.run(inbox)))?;
+        let outputs = ControlOutputs {
+            view: view_out,
+            reads_platform: reads_out,
+            exchanges: exchanges_out,
+        };
+        Ok((ControlHandle { messages }, outputs))
+    }
+
+    /// Tells of an event.
+    pub fn tell(&self, event: Event) {
+        // Fails only when the process is stopping.
+        let _ = self.messages.send(ControlMessage::Event(event));
+    }
+
+    /// Adds to the time line.
+    pub fn note(&self, request: &str, event: TimelineEvent) {
+        self.tell(Event::Note {
+            request: Some(request.to_owned()),
+            event,
+        });
+    }
+
+    /// Asks for an answer; `None` when the process is stopping.
+    pub async fn ask<Answer>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<Answer>) -> ControlMessage,
+    ) -> Option<Answer> {
+        let (reply, answer) = oneshot::channel();
+        self.messages.send(message(reply)).ok()?;
+        answer.await.ok()
+    }
+}
+
+struct ControlThread {
+    control: Control,
+    clock: Clock,
+    log: Logger,
+    waiting: HashMap<RequestId, oneshot::Sender<Decision>>,
+    view: watch::Sender<Arc<View>>,
+    reads: watch::Sender<bool>,
+    exchanges: mpsc::UnboundedSender<ExchangeTarget>,
+}
+
+impl ControlThread {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<ControlMessage>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.decide(Event::Tick),
+            }
+        }
+    }
+
+    fn take(&mut self, message: ControlMessage) {
+        let now = self.clock.now();
+        // A caller that no longer waits for its answer is no fault.
+        match message {
+            ControlMessage::Event(event) => self.decide(event),
+            ControlMessage::Submit { submission, reply } => {
+                self.waiting.insert(submission.request.clone(), reply);
+                self.decide(Event::Submit(submission));
+            }
+            ControlMessage::IssueTicket {
+                number,
+                service,
+                reply,
+            } => {
+                let _ = reply.send(self.control.issue_ticket(now, number, &service));
+            }
+            ControlMessage::SpendTicket { ticket, reply } => {
+                let _ = reply.send(self.control.spend_ticket(now, &ticket));
+            }
+            ControlMessage::OpenCall {
+                request,
+                workspace,
+                reply,
+            } => {
+                let _ = reply.send(self.control.open_call(now, request, &workspace));
+            }
+            ControlMessage::Runners { service, reply } => {
+                let _ = reply.send(self.control.runners(now, &service));
+            }
+            ControlMessage::Timeline {
+                after,
+                request,
+                reply,
+            } => {
+                let _ = reply.send(self.control.timeline(after, request.as_deref()));
+            }
+            ControlMessage::Snapshot { reply } => {
+                let _ = reply.send(self.snapshot(now));
+            }
+        }
+    }
+
+    fn decide(&mut self, event: Event) {
+        self.log_event(&event);
+        let commands = self
+            .control
+            .handle(self.clock.now(), self.clock.wall_ms(), event);
+        for command in commands {
+            self.carry_out(command);
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::Start { request, placement } => self.answer(&request, Ok(placement)),
+            Command::Refuse { request, refusal } => {
+                info!(self.log, "refused"; "request" => &request, "kind" => ?refusal.kind);
+                self.answer(&request, Err(refusal));
+            }
+            Command::ConfigInForce { version } => self.publish(version),
+            Command::ExchangeWith { instance, address } => {
+                // Fails only when the process is stopping.
+                let _ = self.exchanges.send((instance, address));
+            }
+            Command::ReadPlatform { reads } => {
+                info!(self.log, "reading the platform"; "reads" => reads);
+                self.reads.send_replace(reads);
+            }
+        }
+    }
+
+    fn answer(&mut self, request: &RequestId, decision: Decision) {
+        let Some(reply) = self.waiting.remove(request) else {
+            return;
+        };
+        if reply.send(decision).is_err() {
+            // The caller left while it waited: give the place back.
+            self.decide(Event::AttemptLost {
+                request: request.clone(),
+                engine_failed: false,
+            });
+        }
+    }
+
+    fn publish(&self, version: u64) {
+        info!(self.log, "configuration in force"; "version" => version);
+        if let Some(offer) = self.control.config().in_force() {
+            let view = View::new(version, offer.document.clone());
+            self.view.send_replace(Arc::new(view));
+        }
+    }
+
+    fn log_event(&self, event: &Event) {
+        match event {
+            Event::BackendFailed { backend } => {
+                warn!(self.log, "backend server failed"; "backend_server" => backend);
+            }
+            Event::ConfigUnreadable { version, reason } => {
+                warn!(self.log, "configuration unreadable"; "version" => version, "reason" => reason);
+            }
+            _ => {}
+        }
+    }
+
+    fn snapshot(&mut self, now: Now) -> Snapshot {
+        let time = self.control.stamp(self.clock.wall_ms());
+        let config = self.control.config();
+        let document = config.in_force().map(|offer| offer.document.clone());
+        let age = config.confirmed_at().map(|at| now.saturating_sub(at));
+        let workspaces = document.iter().flat_map(|d| &d.workspaces);
+        let open = |name: &String| (name.clone(), self.control.open_requests(name));
+        Snapshot {
+            config_version: config.version(),
+            config_age_ms: age.map(millis),
+            refused: config.refused().cloned(),
+            roster_version: self.control.roster().version(),
+            instances: self.instances(now),
+            backends: self.backends(now),
+            open_requests: workspaces.map(|w| open(&w.name)).collect(),
+            queued: self.control.queued(),
+            running: self.control.running(),
+            document,
+            time,
+        }
+    }
+
+    fn instances(&self, now: Now) -> Vec<InstanceSnapshot> {
+        let roster = self.control.roster();
+        let line = |entry: &iristhread_core::InstanceEntry| InstanceSnapshot {
+            silence_ms: roster.silence(now, &entry.instance).map(millis),
+            last_said: roster
+                .last_said(&entry.instance)
+                .map(|(incarnation, version)| (incarnation.clone(), version)),
+            entry: entry.clone(),
+        };
+        roster.entries().map(line).collect()
+    }
+
+    fn backends(&self, now: Now) -> Vec<BackendSnapshot> {
+        let views = self.control.book().views();
+        let line = |(name, view): (&String, &iristhread_core::EngineView)| BackendSnapshot {
+            name: name.clone(),
+            report: view.last_report().cloned(),
+            ruled_out: view.why_ruled_out(now).map(str::to_owned),
+            own_requests: view.own_requests(),
+        };
+        views.map(line).collect()
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,220 @@
+//! Starts the parts of an instance and stops them in order.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use iristhread_api::HttpClient;
+use iristhread_core::ControlSettings;
+use iristhread_core::Event;
+use serde::Deserialize;
+use serde::Serialize;
+use slog::Logger;
+use slog::info;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::app::App;
+use crate::call_book::CallBook;
+use crate::caller_api;
+use crate::clock::Clock;
+use crate::control_message::Identity;
+use crate::control_thread::ControlHandle;
+use crate::engine_port::HttpEngines;
+use crate::http_server;
+use crate::http_server::ConnectionLimits;
+use crate::load_poller;
+use crate::metrics::Metrics;
+use crate::operator_api;
+use crate::peer_exchanger;
+use crate::peer_port::JsonRpcPeers;
+use crate::peer_server;
+use crate::platform_port::HttpPlatform;
+use crate::platform_reader::PlatformReader;
+use crate::resource_builder;
+use crate::resource_log::ResourceLog;
+use crate::settings::Settings;
+
+/// Most bytes of an answer of a plain service.
+const MAX_SERVICE_ANSWER_BYTES: usize = 4 << 20;
+
+/// Why an instance could not start.
+#[derive(Debug, Error)]
+pub enum DaemonError {
+    /// An address can't be listened on.
+    #[error("can't listen on {key} = {address}: {cause}; is another process there?")]
+    Listen {
+        /// Key of the setting.
+        key: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The system gave no thread or socket.
+    #[error("can't start: {0}")]
+    System(#[from] std::io::Error),
+}
+
+/// Where an instance listens, with the ports that the system chose for 0.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct ListenAddresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Operators.
+    pub operators: SocketAddr,
+    /// Peers.
+    pub peers: SocketAddr,
+}
+
+/// A running instance.
+pub struct Daemon {
+    addresses: ListenAddresses,
+    app: Arc<App>,
+    stop: watch::Sender<bool>,
+    callers: JoinHandle<()>,
+    operators: JoinHandle<()>,
+    peers: jsonrpsee::server::ServerHandle,
+}
+
+impl Daemon {
+    /// Starts everything; call it within the runtime for traffic.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] that names the setting at fault.
+    pub async fn start(settings: Settings, log: Logger) -> Result<Daemon, DaemonError> {
+        let clock = Clock::start();
+        let identity = Identity {
+            instance: settings.instance.clone(),
+            incarnation: uuid::Uuid::new_v4().simple().to_string(),
+        };
+        let caller_listener = listen("caller_address", settings.caller_address).await?;
+        let operator_listener = listen("operator_address", settings.operator_address).await?;
+        let control_settings = control_settings(&settings, &identity);
+        let (control, outputs) = ControlHandle::start(control_settings, clock, log.clone())?;
+        let platform = Arc::new(HttpPlatform::new(settings.platform_address));
+        let keyring = settings.keyring.clone();
+        let (metrics_to, zone) = (settings.metrics_address, &settings.zone);
+        let app = Arc::new(App {
+            metrics: Metrics::new(metrics_to, &settings.instance, zone)?,
+            peers: Arc::new(JsonRpcPeers::new(identity.clone(), keyring)),
+            engines: Arc::new(HttpEngines::default()),
+            services: HttpClient::unpooled(MAX_SERVICE_ANSWER_BYTES),
+            calls: CallBook::default(),
+            resources: ResourceLog::default(),
+            places: Arc::new(Semaphore::new(settings.limits.max_streams)),
+            views: outputs.view,
+            control: control.clone(),
+            stopping: AtomicBool::new(false),
+            log: log.clone(),
+            identity,
+            clock,
+            settings,
+        });
+        let peer_address = app.settings.peer_address;
+        let (peers, peer_address) = peer_server::serve_peers(app.clone())
+            .await
+            .map_err(|cause| listen_error("peer_address", peer_address, cause))?;
+        let reader = PlatformReader::new(platform, control, outputs.reads_platform, log);
+        tokio::spawn(reader.run());
+        tokio::spawn(peer_exchanger::run_exchanges(
+            app.clone(),
+            outputs.exchanges,
+        ));
+        tokio::spawn(peer_exchanger::run_seeds(app.clone()));
+        tokio::spawn(load_poller::run_polls(app.clone()));
+        tokio::spawn(resource_builder::run_resources(app.clone()));
+        let addresses = ListenAddresses {
+            callers: caller_listener.local_addr()?,
+            operators: operator_listener.local_addr()?,
+            peers: peer_address,
+        };
+        let (stop, stopped) = watch::channel(false);
+        let limits = connection_limits(&app.settings);
+        let callers = caller_api::routes(&app);
+        let operators = operator_api::routes(&app);
+        Ok(Daemon {
+            addresses,
+            callers: tokio::spawn(http_server::serve(
+                caller_listener,
+                callers,
+                limits,
+                stopped.clone(),
+            )),
+            operators: tokio::spawn(http_server::serve(
+                operator_listener,
+                operators,
+                limits,
+                stopped,
+            )),
+            app,
+            stop,
+            peers,
+        })
+    }
+
+    /// Where it listens.
+    pub fn addresses(&self) -> ListenAddresses {
+        self.addresses
+    }
+
+    /// A planned stop: not ready at once, then no new connections, then wait
+    /// for every stream and call. Returns whether all of them finished.
+    pub async fn stop(self) -> bool {
+        let log = &self.app.log;
+        info!(log, "planned stop begins");
+        self.app.stopping.store(true, Ordering::Relaxed);
+        tokio::time::sleep(self.app.settings.stop_linger).await;
+        self.stop.send_replace(true);
+        // Watches of operators have no end of their own.
+        self.operators.abort();
+        let finished = tokio::time::timeout(self.app.settings.stop_timeout, self.callers).await;
+        let places = self.app.settings.limits.max_streams;
+        let all_free = self.app.places.available_permits() == places;
+        self.app.control.tell(Event::Tick);
+        // Stopped already is as good.
+        let _ = self.peers.stop();
+        info!(log, "planned stop ends"; "finished" => finished.is_ok() && all_free);
+        finished.is_ok()
+    }
+}
+
+async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|cause| listen_error(key, address, cause))
+}
+
+fn listen_error(key: &'static str, address: SocketAddr, cause: std::io::Error) -> DaemonError {
+    DaemonError::Listen {
+        key,
+        address,
+        cause,
+    }
+}
+
+fn control_settings(settings: &Settings, identity: &Identity) -> ControlSettings {
+    ControlSettings {
+        instance: identity.instance.clone(),
+        incarnation: identity.incarnation.clone(),
+        zone: settings.zone.clone(),
+        policy: settings.routing_policy,
+        max_queued: settings.max_queued,
+        timeline_records: settings.timeline_records,
+        ticket_lifetime: settings.ticket_lifetime,
+        max_tickets: settings.max_tickets,
+        seed: rand::random(),
+    }
+}
+
+fn connection_limits(settings: &Settings) -> ConnectionLimits {
+    ConnectionLimits {
+        max_connections: settings.limits.max_connections,
+        max_header_bytes: settings.limits.max_header_bytes,
+        header_timeout: settings.limits.header_timeout,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet.rs
@@ -0,0 +1,99 @@
+//! Asks all instances on behalf of an operator.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream;
+use iristhread_api::FleetTimeline;
+use iristhread_api::InstanceStatus;
+use iristhread_core::HybridTime;
+use iristhread_core::InstanceEntry;
+
+use crate::app::App;
+use crate::control_message::ControlMessage;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
+use crate::peer_server::versions_of;
+
+/// Longest wait for one instance.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Instances asked at once.
+const MAX_AT_ONCE: usize = 32;
+
+/// The time line over all instances that can be reached, in order.
+pub async fn timeline(app: &App, after: HybridTime, request: Option<String>) -> FleetTimeline {
+    let own = request.clone();
+    let ask = |reply| ControlMessage::Timeline {
+        after,
+        request: own,
+        reply,
+    };
+    let mut records = app.control.ask(ask).await.unwrap_or_default();
+    let mut unreachable = Vec::new();
+    let question = PeerRequest::Timeline { after, request };
+    for (instance, answer) in ask_all(app, question).await {
+        match answer {
+            Some(PeerReply::Timeline { records: theirs }) => records.extend(theirs),
+            _ => unreachable.push(instance),
+        }
+    }
+    records.sort_by(|a, b| (a.time, &a.instance).cmp(&(b.time, &b.instance)));
+    FleetTimeline {
+        records,
+        unreachable,
+    }
+}
+
+/// What every listed instance has in force.
+pub async fn status(app: &App) -> BTreeMap<String, InstanceStatus> {
+    let mut lines = BTreeMap::new();
+    let ask = |reply| ControlMessage::Snapshot { reply };
+    let Some(snapshot) = app.control.ask(ask).await else {
+        return lines;
+    };
+    let versions = versions_of(&app.identity, &snapshot);
+    let mut own = InstanceStatus::reached(versions.config_version, versions.config_age_ms);
+    own.refused = snapshot.refused.map(|(version, faults)| {
+        let named = faults.iter().map(ToString::to_string).collect::<Vec<_>>();
+        format!("version {version}: {}", named.join("; "))
+    });
+    lines.insert(app.identity.instance.clone(), own);
+    for (instance, answer) in ask_all(app, PeerRequest::Exchange(versions)).await {
+        let line = match answer {
+            Some(PeerReply::Exchange { versions, .. }) => {
+                InstanceStatus::reached(versions.config_version, versions.config_age_ms)
+            }
+            _ => InstanceStatus::default(),
+        };
+        lines.insert(instance, line);
+    }
+    lines
+}
+
+async fn ask_all(app: &App, question: PeerRequest) -> Vec<(String, Option<PeerReply>)> {
+    let ask = |reply| ControlMessage::Snapshot { reply };
+    let Some(snapshot) = app.control.ask(ask).await else {
+        return Vec::new();
+    };
+    let entries = snapshot.instances.into_iter().map(|line| line.entry);
+    let others = entries.filter(|entry| entry.instance != app.identity.instance);
+    let asked = others.map(|entry| ask_one(app, entry, question.clone()));
+    stream::iter(asked)
+        .buffer_unordered(MAX_AT_ONCE)
+        .collect()
+        .await
+}
+
+async fn ask_one(
+    app: &App,
+    entry: InstanceEntry,
+    question: PeerRequest,
+) -> (String, Option<PeerReply>) {
+    let instance = entry.instance.clone();
+    let answer = app
+        .peers
+        .ask(instance.clone(), entry.peer_address, question, TIMEOUT);
+    (instance, answer.await.ok())
+}
--- /dev/null
+++ b/crates/daemon/src/generation.rs
@@ -0,0 +1,493 @@
+//! Relays one generation: the driver of a [`Session`] over engines that may
+//! die, stall, reset or answer crossed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use http::StatusCode;
+use iristhread_api::EndReason;
+use iristhread_api::EngineEvent;
+use iristhread_api::GenerateRequest;
+use iristhread_core::Attempt;
+use iristhread_core::BackendId;
+use iristhread_core::Cursor;
+use iristhread_core::EndVerdict;
+use iristhread_core::Event;
+use iristhread_core::Outcome;
+use iristhread_core::Placement;
+use iristhread_core::Session;
+use iristhread_core::Submission;
+use iristhread_core::TimelineEvent;
+use iristhread_core::TokenVerdict;
+use slog::info;
+use tokio::time::sleep_until;
+
+use crate::api_error::ApiError;
+use crate::app::App;
+use crate::caller_sink::AnswerFormat;
+use crate::caller_sink::CallerSink;
+use crate::completion_order::CompletionOrder;
+use crate::control_message::ControlMessage;
+use crate::engine_port::EngineStream;
+
+/// Attempts of one generation before it ends with an error.
+const MAX_ATTEMPTS: Attempt = 12;
+
+/// Connections to the same attempt without a new token between them.
+const MAX_IDLE_ATTACHES: u32 = 2;
+
+/// Engines that failed it lately and are not tried again.
+const REMEMBERED_FAILURES: usize = 2;
+
+/// Longest wait for an engine of a stream that the caller holds a part of.
+const CONTINUE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Tokens between two progress events to the decisions.
+const PROGRESS_EVERY: u32 = 32;
+
+/// What a look at the engine's stream led to.
+enum Step {
+    Continue,
+    Whole(EndReason),
+    Lost(&'static str),
+    Stalled,
+    Diverged,
+    CallerGone,
+}
+
+/// One generation under way.
+pub struct Generation {
+    app: Arc<App>,
+    order: CompletionOrder,
+    owner: String,
+    reader: String,
+    session: Session,
+    format: AnswerFormat,
+    stream: EngineStream,
+    placement: Placement,
+    failed_engines: Vec<BackendId>,
+    idle_attaches: u32,
+    last_progress: iristhread_core::Now,
+    longest_gap: Duration,
+}
+
+impl Generation {
+    /// Starts or resumes a generation; returns once an engine has taken it.
+    ///
+    /// # Errors
+    ///
+    /// An [`ApiError`]; the request is then over and nothing is left running.
+    pub async fn begin(app: Arc<App>, order: CompletionOrder) -> Result<Self, ApiError> {
+        let now = app.clock.now();
+        let session = match &order.cursor {
+            None => Session::new(order.request.clone(), now),
+            Some(cursor) => resumed_session(&app, &order, cursor)?,
+        };
+        let nowhere = Placement {
+            engine: BackendId::new(),
+            address: app.settings.caller_address,
+            attempt: session.attempt(),
+        };
+        let mut generation = Generation {
+            owner: order.owner(),
+            reader: uuid::Uuid::new_v4().simple().to_string(),
+            format: AnswerFormat::new(session.generation(), &order.model, order.is_chat),
+            stream: futures::stream::empty().boxed(),
+            placement: nowhere,
+            failed_engines: Vec::new(),
+            idle_attaches: 0,
+            last_progress: now,
+            longest_gap: Duration::ZERO,
+            app,
+            order,
+            session,
+        };
+        let started = generation.start().await;
+        if let Err(error) = started {
+            generation.close(Outcome::NotRun, &error.detail.code);
+            return Err(error);
+        }
+        Ok(generation)
+    }
+
+    /// Relays to the caller until the end.
+    pub async fn run(mut self, mut sink: CallerSink) {
+        loop {
+            let step = self.step(&mut sink).await;
+            let next = match step {
+                Step::Continue => Ok(()),
+                Step::Whole(reason) => return self.end(sink, reason).await,
+                Step::CallerGone => return self.caller_gone().await,
+                Step::Diverged => Err(diverged()),
+                Step::Lost(cause) => self.reattach_or_move(cause).await,
+                Step::Stalled => self.move_on("stalled", true).await,
+            };
+            if let Err(error) = next {
+                return self.fail(sink, error).await;
+            }
+        }
+    }
+
+    async fn start(&mut self) -> Result<(), ApiError> {
+        let Some(cursor) = self.order.cursor.clone() else {
+            return self.place().await;
+        };
+        let delivered = cursor.delivered;
+        self.note(TimelineEvent::Reconnected { delivered });
+        if self.attach_to(&cursor).await {
+            return Ok(());
+        }
+        if !self.session.can_continue() {
+            return Err(stream_lost());
+        }
+        self.place().await
+    }
+
+    /// Goes on at the engine that the cursor names.
+    async fn attach_to(&mut self, cursor: &Cursor) -> bool {
+        let view = self.app.view();
+        let servers = view.document.backend_servers.iter();
+        let Some(server) = servers.into_iter().find(|s| s.name == cursor.engine) else {
+            return false;
+        };
+        self.placement = Placement {
+            engine: server.name.clone(),
+            address: server.address,
+            attempt: cursor.attempt,
+        };
+        let now = self.app.clock.now();
+        self.session
+            .begin_attempt(cursor.attempt, cursor.engine.clone(), now);
+        if !self.attach().await {
+            return false;
+        }
+        let submission = self.submission(cursor.attempt);
+        self.app.control.tell(Event::Adopt {
+            submission,
+            engine: cursor.engine.clone(),
+        });
+        true
+    }
+
+    async fn attach(&mut self) -> bool {
+        let attached = self.app.engines.attach(
+            self.placement.address,
+            self.session.generation(),
+            self.placement.attempt,
+            &self.reader,
+        );
+        match attached.await {
+            Ok(stream) => {
+                self.stream = stream;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Finds an engine for the next attempt, and tries until one takes it.
+    async fn place(&mut self) -> Result<(), ApiError> {
+        while self.session.attempt() < MAX_ATTEMPTS {
+            let submission = self.submission(self.session.attempt() + 1);
+            let ask = |reply| ControlMessage::Submit { submission, reply };
+            let decision = self.app.control.ask(ask).await.ok_or_else(stopping)?;
+            let placement = decision.map_err(|refusal| ApiError::refused(&refusal))?;
+            if self.begin_attempt(placement).await {
+                return Ok(());
+            }
+        }
+        Err(ApiError::unavailable(
+            "attempts_exhausted",
+            "no backend server took the request after several attempts",
+        ))
+    }
+
+    async fn begin_attempt(&mut self, placement: Placement) -> bool {
+        let now = self.app.clock.now();
+        let (attempt, engine) = (placement.attempt, placement.engine.clone());
+        self.session.begin_attempt(attempt, engine, now);
+        self.idle_attaches = 0;
+        self.placement = placement;
+        let request = GenerateRequest {
+            generation: self.session.generation().clone(),
+            attempt: self.placement.attempt,
+            model: self.order.model.clone(),
+            adapter: self.order.adapter.clone(),
+            prompt: self.order.prompt.clone(),
+            received: self.session.tokens().to_vec(),
+            max_tokens: self.order.max_tokens,
+            priority: self.order.priority,
+            reader: self.reader.clone(),
+        };
+        let address = self.placement.address;
+        match self.app.engines.generate(address, request).await {
+            Ok(stream) => {
+                self.stream = stream;
+                true
+            }
+            Err(error) => {
+                info!(self.app.log, "engine did not take an attempt";
+                    "request" => &self.order.request, "error" => %error);
+                self.lose("not taken", true);
+                false
+            }
+        }
+    }
+
+    async fn step(&mut self, sink: &mut CallerSink) -> Step {
+        let stalled_at = self.app.clock.instant(self.session.stall_deadline());
+        let event = tokio::select! {
+            biased;
+            event = self.stream.next() => event,
+            () = sink.closed() => return Step::CallerGone,
+            () = sleep_until(stalled_at) => return Step::Stalled,
+        };
+        match event {
+            Some(Ok(event)) => self.take(event, sink).await,
+            Some(Err(_)) => Step::Lost("connection broke"),
+            None => Step::Lost("connection closed before the end mark"),
+        }
+    }
+
+    async fn take(&mut self, event: EngineEvent, sink: &mut CallerSink) -> Step {
+        match event {
+            EngineEvent::Token {
+                generation,
+                attempt,
+                position,
+                text,
+            } => {
+                let now = self.app.clock.now();
+                let verdict = self
+                    .session
+                    .token(&generation, attempt, position, &text, now);
+                match verdict {
+                    TokenVerdict::Deliver => self.deliver(&text, sink).await,
+                    TokenVerdict::Duplicate | TokenVerdict::Foreign => Step::Continue,
+                    TokenVerdict::Gap => Step::Lost("tokens missing"),
+                    TokenVerdict::Diverged => Step::Diverged,
+                }
+            }
+            EngineEvent::Preempted { .. } => {
+                self.app.metrics.preempted();
+                self.note(TimelineEvent::Preempted {
+                    attempt: self.placement.attempt,
+                    engine: self.placement.engine.clone(),
+                });
+                Step::Continue
+            }
+            EngineEvent::End {
+                generation,
+                attempt,
+                total,
+                reason,
+            } => match self.session.end(&generation, attempt, total) {
+                EndVerdict::Whole => Step::Whole(reason),
+                EndVerdict::Foreign => Step::Continue,
+                EndVerdict::Gap => Step::Lost("end mark before the last token"),
+            },
+        }
+    }
+
+    async fn deliver(&mut self, text: &str, sink: &mut CallerSink) -> Step {
+        self.measure_gap();
+        self.idle_attaches = 0;
+        let known = self.session.known();
+        if known == 1 {
+            let attempt = self.placement.attempt;
+            self.note(TimelineEvent::FirstToken { attempt });
+        }
+        if known.is_multiple_of(PROGRESS_EVERY) {
+            self.app.control.tell(Event::Progress {
+                request: self.order.request.clone(),
+                generated: known,
+            });
+        }
+        let (session, owner) = (&self.session, &self.owner);
+        let keyring = &self.app.settings.keyring;
+        let cursor = || session.cursor().encode(owner, keyring);
+        match sink.token(&self.format, text, cursor).await {
+            Ok(()) => Step::Continue,
+            Err(_) => Step::CallerGone,
+        }
+    }
+
+    fn measure_gap(&mut self) {
+        let now = self.app.clock.now();
+        let gap = now.saturating_sub(self.last_progress);
+        if self.session.known() == 1 {
+            self.app.metrics.first_token(gap);
+        } else {
+            self.longest_gap = self.longest_gap.max(gap);
+        }
+        self.last_progress = now;
+    }
+
+    /// A link may have failed while the engine lives: the same attempt first.
+    async fn reattach_or_move(&mut self, cause: &'static str) -> Result<(), ApiError> {
+        while self.idle_attaches < MAX_IDLE_ATTACHES {
+            self.idle_attaches += 1;
+            if self.attach().await {
+                return Ok(());
+            }
+        }
+        self.move_on(cause, true).await
+    }
+
+    /// Gives the attempt up and goes on elsewhere from what is known.
+    async fn move_on(&mut self, cause: &str, engine_failed: bool) -> Result<(), ApiError> {
+        self.cancel();
+        self.lose(cause, engine_failed);
+        if !self.session.can_continue() {
+            return Err(stream_lost());
+        }
+        self.place().await
+    }
+
+    fn lose(&mut self, cause: &str, engine_failed: bool) {
+        self.app.metrics.attempt_lost(cause);
+        self.note(TimelineEvent::AttemptLost {
+            attempt: self.placement.attempt,
+            engine: self.placement.engine.clone(),
+            cause: cause.to_owned(),
+            delivered: self.session.delivered(),
+        });
+        self.failed_engines.push(self.placement.engine.clone());
+        if self.failed_engines.len() > REMEMBERED_FAILURES {
+            self.failed_engines.remove(0);
+        }
+        self.app.control.tell(Event::AttemptLost {
+            request: self.order.request.clone(),
+            engine_failed,
+        });
+    }
+
+    /// Frees the engine's memory; a newer reader elsewhere keeps its stream.
+    fn cancel(&self) {
+        let app = self.app.clone();
+        let (address, attempt) = (self.placement.address, self.placement.attempt);
+        let generation = self.session.generation().clone();
+        let reader = self.reader.clone();
+        tokio::spawn(async move {
+            // An engine that can't be reached drops what nobody reads.
+            let _ = app
+                .engines
+                .cancel(address, &generation, attempt, &reader)
+                .await;
+        });
+    }
+
+    async fn end(mut self, mut sink: CallerSink, reason: EndReason) {
+        self.app.control.tell(Event::AttemptFinished {
+            request: self.order.request.clone(),
+            generated: self.session.known(),
+        });
+        self.app.metrics.longest_gap(self.longest_gap);
+        let ended = sink.end(&self.format, self.session.tokens(), reason).await;
+        let text = if ended.is_ok() {
+            reason.as_str()
+        } else {
+            "caller left at the end"
+        };
+        self.close(Outcome::Ran, text);
+    }
+
+    async fn fail(mut self, mut sink: CallerSink, error: ApiError) {
+        self.cancel();
+        let mut error = error;
+        if self.session.delivered() > 0 {
+            error.detail.outcome = Outcome::Unknown;
+        }
+        let (outcome, code) = (error.detail.outcome, error.detail.code.clone());
+        // The caller may have left as well; there is nobody else to tell.
+        let _ = sink.error(error).await;
+        self.close(outcome, &code);
+    }
+
+    /// Leaves the caller a grace to come back elsewhere, then frees the engine.
+    async fn caller_gone(mut self) {
+        let delivered = self.session.delivered();
+        self.note(TimelineEvent::CallerLost { delivered });
+        tokio::time::sleep(self.app.settings.limits.caller_grace).await;
+        self.cancel();
+        self.app.control.tell(Event::AttemptLost {
+            request: self.order.request.clone(),
+            engine_failed: false,
+        });
+        self.close(Outcome::Unknown, "caller left");
+    }
+
+    fn close(&mut self, outcome: Outcome, reason: &str) {
+        self.note(TimelineEvent::Ended {
+            outcome,
+            delivered: self.session.delivered(),
+            reason: reason.to_owned(),
+        });
+        self.app.metrics.ended(&self.order.workspace, outcome);
+        self.app.control.tell(Event::Closed {
+            request: self.order.request.clone(),
+            workspace: self.order.workspace.clone(),
+        });
+    }
+
+    fn submission(&self, attempt: Attempt) -> Submission {
+        let delivering = self.session.delivered() > 0;
+        let now = self.app.clock.now();
+        let deadline = if delivering {
+            now + CONTINUE_TIMEOUT
+        } else {
+            self.order.deadline
+        };
+        Submission {
+            request: self.order.request.clone(),
+            workspace: self.order.workspace.clone(),
+            model: self.order.model.clone(),
+            adapter: self.order.adapter.clone(),
+            prompt_tokens: self.order.prompt_tokens,
+            prefix: self.order.prefix(),
+            generated: self.session.known(),
+            priority: self.order.priority,
+            deadline,
+            attempt,
+            exclude: self.failed_engines.clone(),
+            delivering,
+        }
+    }
+
+    fn note(&self, event: TimelineEvent) {
+        self.app.control.note(&self.order.request, event);
+    }
+}
+
+fn resumed_session(
+    app: &App,
+    order: &CompletionOrder,
+    cursor: &Cursor,
+) -> Result<Session, ApiError> {
+    let session = Session::resumed(cursor, order.received.clone(), app.clock.now());
+    session.ok_or_else(|| {
+        let message = "the tokens in `received` are not those that were delivered";
+        ApiError::invalid("received_mismatch", Some("received"), message)
+    })
+}
+
+fn stream_lost() -> ApiError {
+    ApiError::unknown(
+        StatusCode::CONFLICT,
+        "stream_lost",
+        "the engine of this stream is gone; send the tokens that you hold in `received` to go on",
+    )
+}
+
+fn diverged() -> ApiError {
+    ApiError::unknown(
+        StatusCode::CONFLICT,
+        "stream_diverged",
+        "the engine's text is not the one that you hold; start again without Last-Event-ID",
+    )
+}
+
+fn stopping() -> ApiError {
+    ApiError::unavailable("stopping", "the instance is stopping")
+}
--- /dev/null
+++ b/crates/daemon/src/http_server.rs
@@ -0,0 +1,71 @@
+//! Accepts HTTP connections within limits, and drains them at a planned stop.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use viz::Responder;
+use viz::Router;
+use viz::Tree;
+
+/// Room for headers above the limit, so that the refusal can name it.
+const HEADER_SLACK: usize = 4;
+
+/// Limits of connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionLimits {
+    /// Most connections.
+    pub max_connections: usize,
+    /// Most bytes of headers.
+    pub max_header_bytes: usize,
+    /// Longest time to send them.
+    pub header_timeout: Duration,
+}
+
+/// Serves until `stop` is true, then waits for what runs.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    limits: ConnectionLimits,
+    mut stop: watch::Receiver<bool>,
+) {
+    let tree = Arc::new(Tree::from(router));
+    let places = Arc::new(Semaphore::new(limits.max_connections));
+    let graceful = GracefulShutdown::new();
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new());
+    http.header_read_timeout(limits.header_timeout);
+    http.max_buf_size(limits.max_header_bytes * HEADER_SLACK);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, address)) = accepted else {
+            // Out of file numbers, or the peer has left already.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(place) = places.clone().try_acquire_owned() else {
+            continue;
+        };
+        // Fails only on a connection that is closed already.
+        let _ = stream.set_nodelay(true);
+        let responder = Responder::new(tree.clone(), Some(Arc::new(address)));
+        let connection = http.serve_connection(TokioIo::new(stream), responder);
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A connection that breaks is the caller's affair.
+            let _ = connection.await;
+            drop(place);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,83 @@
+//! The program `iristhreadd`.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use iristhread_daemon::Daemon;
+use iristhread_daemon::Settings;
+use iristhread_daemon::logger;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::flags::Iristhreadd;
+
+mod flags;
+
+const COULD_NOT_START: u8 = 1;
+const SETTINGS_FAULTS: u8 = 2;
+const STREAMS_LEFT: u8 = 3;
+
+fn main() -> ExitCode {
+    let flags = Iristhreadd::from_env_or_exit();
+    let settings = match read(&flags.settings) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            return ExitCode::from(SETTINGS_FAULTS);
+        }
+    };
+    if flags.check {
+        println!("{}: no faults", flags.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(STREAMS_LEFT),
+        Err(error) => {
+            eprintln!("{}: {error}", flags.settings.display());
+            ExitCode::from(COULD_NOT_START)
+        }
+    }
+}
+
+fn read(file: &Path) -> Result<Settings, Vec<String>> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file).map_err(|error| {
+        vec![format!(
+            "{name}: can't be read: {error}; give --settings FILE"
+        )]
+    })?;
+    let parsed = Settings::parse(&name, &text);
+    parsed.map_err(|faults| faults.iter().map(ToString::to_string).collect())
+}
+
+fn run(settings: Settings) -> Result<bool, iristhread_daemon::DaemonError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("traffic")
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let log = logger(&settings);
+        let daemon = Daemon::start(settings, log).await?;
+        announce(&daemon);
+        stop_signal().await?;
+        Ok(daemon.stop().await)
+    })
+}
+
+/// One JSON line with the addresses, for whoever started this with port 0.
+fn announce(daemon: &Daemon) {
+    let line = serde_json::to_string(&daemon.addresses()).unwrap_or_default();
+    println!("{line}");
+}
+
+async fn stop_signal() -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/peer_message.rs
@@ -0,0 +1,111 @@
+//! What instances say to each other.
+
+use iristhread_api::ConfigReply;
+use iristhread_api::InstancesReply;
+use iristhread_core::ConfigVersion;
+use iristhread_core::HybridTime;
+use iristhread_core::Incarnation;
+use iristhread_core::InstanceId;
+use iristhread_core::RequestId;
+use iristhread_core::TimelineRecord;
+use iristhread_core::WorkspaceId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::call_answer::CallAnswer;
+
+/// A message with its sender, receiver and tag; `body` is the JSON of a
+/// [`PeerRequest`] or [`PeerReply`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SignedMessage {
+    /// Sender.
+    pub from: InstanceId,
+    /// Process life of the sender.
+    pub incarnation: Incarnation,
+    /// Receiver.
+    pub to: InstanceId,
+    /// Counts the messages of the sender's process; a reply repeats the number
+    /// of its request.
+    pub sequence: u64,
+    /// Content.
+    pub body: String,
+    /// Tag over all of the above.
+    pub tag: String,
+}
+
+/// Versions that a process has.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PeerVersions {
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Version of the configuration in force.
+    pub config_version: ConfigVersion,
+    /// Milliseconds since the platform confirmed it, if ever.
+    pub config_age_ms: Option<u64>,
+    /// Version of the instance list.
+    pub roster_version: u64,
+    /// Hybrid time.
+    pub time: HybridTime,
+}
+
+/// A call to a plain service, for the instance of its ticket.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ForwardedCall {
+    /// Request that the caller made.
+    pub request: RequestId,
+    /// Its workspace.
+    pub workspace: WorkspaceId,
+    /// The service.
+    pub service: String,
+    /// Method of the call.
+    pub method: String,
+    /// Path below the service, with the query.
+    pub path: String,
+    /// Type of the body, if given.
+    pub content_type: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// The ticket as the caller sent it.
+    pub ticket: String,
+    /// Milliseconds left until the caller's deadline.
+    pub deadline_ms: u64,
+}
+
+/// Asked of a peer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum PeerRequest {
+    /// Compare versions; whoever is behind gets what is newer.
+    Exchange(PeerVersions),
+    /// Run a call whose ticket names the receiver.
+    RunCall(ForwardedCall),
+    /// Send the time line.
+    Timeline {
+        /// Records after this time.
+        after: HybridTime,
+        /// Of this request, or of all.
+        request: Option<RequestId>,
+    },
+}
+
+/// Answered by a peer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum PeerReply {
+    /// Versions of the receiver, and what the asker lacks.
+    Exchange {
+        /// Versions of the receiver.
+        versions: PeerVersions,
+        /// The configuration, if the asker's is older.
+        config: Option<ConfigReply>,
+        /// The instance list, if the asker's is older.
+        instances: Option<InstancesReply>,
+    },
+    /// What became of the call.
+    CallAnswer(CallAnswer),
+    /// The time line.
+    Timeline {
+        /// Records, oldest first.
+        records: Vec<TimelineRecord>,
+    },
+}
--- /dev/null
+++ b/crates/daemon/src/peer_port.rs
@@ -0,0 +1,181 @@
+//! How an instance asks another.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use iristhread_core::InstanceId;
+use iristhread_core::Keyring;
+use iristhread_core::PeerGuard;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
+use thiserror::Error;
+
+use crate::control_message::Identity;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
+use crate::peer_message::SignedMessage;
+
+/// The one method of the peer interface.
+pub const PEER_METHOD: &str = "iristhread_peer";
+
+/// Most bytes of a message: a configuration of a megabyte, quoted twice.
+pub const MAX_MESSAGE_BYTES: u32 = 8 << 20;
+
+/// Connections kept; one per peer that was asked lately.
+const MAX_CLIENTS: usize = 512;
+
+/// Why a peer gave no answer. The request may have been carried out.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// No answer, or a refusal.
+    #[error("instance {instance} can't be asked: {cause}")]
+    Unreachable {
+        /// The peer.
+        instance: InstanceId,
+        /// What was seen.
+        cause: String,
+    },
+    /// The answer is not from that peer.
+    #[error("the answer of instance {instance} is not signed by it")]
+    Forged {
+        /// The peer.
+        instance: InstanceId,
+    },
+}
+
+/// Asks peers.
+pub trait PeerPort: Send + Sync {
+    /// Sends a request and waits for the answer.
+    fn ask(
+        &self,
+        instance: InstanceId,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> BoxFuture<'_, Result<PeerReply, PeerError>>;
+}
+
+/// Peers over JSON-RPC.
+pub struct JsonRpcPeers {
+    identity: Identity,
+    keyring: Keyring,
+    sequence: AtomicU64,
+    clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
+}
+
+impl JsonRpcPeers {
+    /// Asks in the name of `identity`.
+    pub fn new(identity: Identity, keyring: Keyring) -> Self {
+        JsonRpcPeers {
+            identity,
+            keyring,
+            sequence: AtomicU64::new(1),
+            clients: Mutex::new(HashMap::new()),
+        }
+    }
+
+    fn client(&self, address: SocketAddr) -> Result<Arc<HttpClient>, String> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(&address) {
+            return Ok(client.clone());
+        }
+        if clients.len() >= MAX_CLIENTS {
+            clients.clear();
+        }
+        let client = HttpClientBuilder::default()
+            .max_request_size(MAX_MESSAGE_BYTES)
+            .max_response_size(MAX_MESSAGE_BYTES)
+            .request_timeout(Duration::from_secs(3_600))
+            .build(format!("http://{address}"))
+            .map_err(|error| error.to_string())?;
+        let client = Arc::new(client);
+        clients.insert(address, client.clone());
+        Ok(client)
+    }
+
+    fn signed(&self, to: &InstanceId, request: &PeerRequest) -> Result<SignedMessage, String> {
+        let body = serde_json::to_string(request).map_err(|error| error.to_string())?;
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        Ok(sign(&self.identity, &self.keyring, to, sequence, body))
+    }
+
+    async fn exchange(
+        &self,
+        to: &InstanceId,
+        address: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<(SignedMessage, u64), String> {
+        let message = self.signed(to, request)?;
+        let sequence = message.sequence;
+        let client = self.client(address)?;
+        let answer = client.request::<SignedMessage, _>(PEER_METHOD, rpc_params![message]);
+        match tokio::time::timeout(timeout, answer).await {
+            Ok(Ok(reply)) => Ok((reply, sequence)),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err("no answer in time".to_owned()),
+        }
+    }
+}
+
+impl PeerPort for JsonRpcPeers {
+    fn ask(
+        &self,
+        instance: InstanceId,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> BoxFuture<'_, Result<PeerReply, PeerError>> {
+        Box::pin(async move {
+            let answer = self.exchange(&instance, address, &request, timeout).await;
+            let (reply, sequence) = answer.map_err(|cause| PeerError::Unreachable {
+                instance: instance.clone(),
+                cause,
+            })?;
+            let own = &self.identity.instance;
+            let genuine = reply.from == instance
+                && reply.sequence == sequence
+                && PeerGuard::new(own.clone())
+                    .accept(
+                        &self.keyring,
+                        (&reply.from, &reply.incarnation),
+                        &reply.to,
+                        reply.sequence,
+                        &reply.body,
+                        &reply.tag,
+                    )
+                    .is_ok();
+            let parsed = serde_json::from_str(&reply.body).ok().filter(|_| genuine);
+            parsed.ok_or(PeerError::Forged { instance })
+        })
+    }
+}
+
+/// Signs a message in the name of `identity`.
+pub fn sign(
+    identity: &Identity,
+    keyring: &Keyring,
+    to: &InstanceId,
+    sequence: u64,
+    body: String,
+) -> SignedMessage {
+    let from = (&identity.instance, &identity.incarnation);
+    let tag = PeerGuard::sign(keyring, from, to, sequence, &body);
+    SignedMessage {
+        from: identity.instance.clone(),
+        incarnation: identity.incarnation.clone(),
+        to: to.clone(),
+        sequence,
+        body,
+        tag,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform_reader.rs
@@ -0,0 +1,147 @@
+//! Reads the platform while the rota says so.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use iristhread_api::ConfigReply;
+use iristhread_core::Document;
+use iristhread_core::Event;
+use rand::RngExt;
+use slog::Logger;
+use slog::warn;
+use tokio::sync::watch;
+
+use crate::control_thread::ControlHandle;
+use crate::platform_port::PlatformError;
+use crate::platform_port::PlatformPort;
+
+/// How long one watch waits at the platform.
+const WATCH: Duration = Duration::from_secs(3);
+
+/// Pause after a failed read, and the longest after several.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+
+/// Least time between two reads, whatever the platform answers.
+const LEAST_PAUSE: Duration = Duration::from_millis(50);
+
+/// Span over which first reads are spread.
+const START_SPREAD: Duration = Duration::from_millis(300);
+
+/// Source named in the time line for what comes from the platform.
+const SOURCE: &str = "platform";
+
+/// Feeds the control thread from the platform.
+pub struct PlatformReader {
+    platform: Arc<dyn PlatformPort>,
+    control: ControlHandle,
+    reads: watch::Receiver<bool>,
+    log: Logger,
+}
+
+impl PlatformReader {
+    /// A reader that waits for the rota.
+    pub fn new(
+        platform: Arc<dyn PlatformPort>,
+        control: ControlHandle,
+        reads: watch::Receiver<bool>,
+        log: Logger,
+    ) -> Self {
+        PlatformReader {
+            platform,
+            control,
+            reads,
+            log,
+        }
+    }
+
+    /// Reads for the life of the process.
+    pub async fn run(self) {
+        futures::join!(self.watch_config(), self.watch_instances());
+    }
+
+    async fn watch_config(&self) {
+        self.spread_start().await;
+        let mut seen = 0;
+        let mut pause = FIRST_PAUSE;
+        loop {
+            self.until_reading().await;
+            match self.platform.config(seen, WATCH).await {
+                Ok(answer) => {
+                    pause = FIRST_PAUSE;
+                    seen = answer.as_ref().map_or(seen, |config| config.version);
+                    self.take_config(seen, answer);
+                    tokio::time::sleep(LEAST_PAUSE).await;
+                }
+                Err(error) => pause = self.failed(&error, pause).await,
+            }
+        }
+    }
+
+    async fn watch_instances(&self) {
+        self.spread_start().await;
+        let mut seen = 0;
+        let mut pause = FIRST_PAUSE;
+        loop {
+            self.until_reading().await;
+            match self.platform.instances(seen, WATCH).await {
+                Ok(answer) => {
+                    pause = FIRST_PAUSE;
+                    if let Some(list) = answer {
+                        seen = list.version;
+                        self.control.tell(Event::RosterOffered {
+                            version: list.version,
+                            entries: list.entries,
+                        });
+                    }
+                    tokio::time::sleep(LEAST_PAUSE).await;
+                }
+                Err(error) => pause = self.failed(&error, pause).await,
+            }
+        }
+    }
+
+    fn take_config(&self, seen: u64, answer: Option<ConfigReply>) {
+        if let Some(config) = answer {
+            self.control.tell(offered(config, SOURCE));
+        }
+        self.control.tell(Event::ConfigConfirmed {
+            version: seen,
+            ago: Duration::ZERO,
+        });
+    }
+
+    async fn failed(&self, error: &PlatformError, pause: Duration) -> Duration {
+        warn!(self.log, "reading the platform failed"; "error" => %error);
+        let jitter = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(pause.mul_f64(jitter)).await;
+        (pause * 2).min(LONGEST_PAUSE)
+    }
+
+    /// Spreads the first reads of instances that all start at once.
+    async fn spread_start(&self) {
+        let share = rand::rng().random_range(0.0..1.0);
+        tokio::time::sleep(START_SPREAD.mul_f64(share)).await;
+    }
+
+    async fn until_reading(&self) {
+        let mut reads = self.reads.clone();
+        // Fails only when the process is stopping.
+        let _ = reads.wait_for(|reads| *reads).await;
+    }
+}
+
+/// The event for a configuration that was read, readable or not.
+pub fn offered(config: ConfigReply, source: &str) -> Event {
+    match serde_json::from_value::<Document>(config.document) {
+        Ok(document) => Event::ConfigOffered {
+            version: config.version,
+            document: Arc::new(document),
+            source: source.to_owned(),
+        },
+        Err(error) => Event::ConfigUnreadable {
+            version: config.version,
+            reason: error.to_string(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/resource_builder.rs
@@ -0,0 +1,203 @@
+//! Builds resources from a snapshot of what the instance knows.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use iristhread_api::Resource;
+use iristhread_core::BackendKind;
+use iristhread_core::Document;
+use serde::Serialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::app::App;
+use crate::control_message::BackendSnapshot;
+use crate::control_message::ControlMessage;
+use crate::control_message::InstanceSnapshot;
+use crate::control_message::Snapshot;
+use crate::resource_log::Resources;
+
+/// Time between two looks for changes.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Silence after which an instance is shown as silent.
+const SILENT_MS: u64 = 30_000;
+
+/// Runs for the life of the process.
+pub async fn run_resources(app: Arc<App>) {
+    loop {
+        let ask = |reply| ControlMessage::Snapshot { reply };
+        let Some(snapshot) = app.control.ask(ask).await else {
+            return;
+        };
+        app.metrics
+            .load(snapshot.queued as u64, snapshot.running as u64);
+        app.calls.forget_expired(app.clock.now());
+        app.resources.update(resources_of(&snapshot));
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Every resource by kind and name.
+pub fn resources_of(snapshot: &Snapshot) -> Resources {
+    let empty = Arc::new(Document::default());
+    let document = snapshot.document.as_ref().unwrap_or(&empty);
+    let mut resources = Resources::new();
+    resources.insert("models", models(document, snapshot));
+    resources.insert("adapters", adapters(document, snapshot));
+    resources.insert("versions", versions(document));
+    resources.insert("engine-roles", engine_roles(document));
+    resources.insert("workspaces", workspaces(document, snapshot));
+    resources.insert("backend-servers", backend_servers(document, snapshot));
+    resources.insert("instances", instances(snapshot));
+    resources
+}
+
+type Named = BTreeMap<String, Resource>;
+
+fn models(document: &Document, snapshot: &Snapshot) -> Named {
+    let served_by = |model: &str| -> Vec<&str> {
+        let serves = |s: &&iristhread_core::BackendServer| s.models.iter().any(|m| m == model);
+        let servers = document.backend_servers.iter().filter(serves);
+        let well = servers.filter(|s| ruled_out(snapshot, &s.name).is_none());
+        well.map(|s| s.name.as_str()).collect()
+    };
+    let models = document.models.iter();
+    named(
+        models,
+        |m| &m.name,
+        |m| json!({ "engines": served_by(&m.name) }),
+    )
+}
+
+fn adapters(document: &Document, snapshot: &Snapshot) -> Named {
+    let held_by = |adapter: &str| -> Vec<&str> {
+        let holds = |b: &&BackendSnapshot| {
+            let report = b.report.as_ref();
+            report.is_some_and(|r| r.adapters.iter().any(|a| a == adapter))
+        };
+        let holders = snapshot.backends.iter().filter(holds);
+        holders.map(|b| b.name.as_str()).collect()
+    };
+    let adapters = document.adapters.iter();
+    named(
+        adapters,
+        |a| &a.name,
+        |a| json!({ "engines": held_by(&a.name) }),
+    )
+}
+
+fn versions(document: &Document) -> Named {
+    let models = document.models.iter();
+    let lines = models.map(|model| {
+        let name = format!("{}@{}", model.name, model.version);
+        let declared = json!({ "model": model.name, "version": model.version });
+        (name.clone(), resource(name, declared, Value::Null))
+    });
+    lines.collect()
+}
+
+fn engine_roles(document: &Document) -> Named {
+    let servers = document.backend_servers.iter();
+    let engines = servers.filter(|server| server.kind == BackendKind::Engine);
+    let lines = engines.map(|engine| {
+        let declared = json!({ "role": engine.role });
+        let name = engine.name.clone();
+        (name.clone(), resource(name, declared, Value::Null))
+    });
+    lines.collect()
+}
+
+fn workspaces(document: &Document, snapshot: &Snapshot) -> Named {
+    let open: BTreeMap<&String, u32> = snapshot
+        .open_requests
+        .iter()
+        .map(|(name, n)| (name, *n))
+        .collect();
+    let lines = document.workspaces.iter().map(|workspace| {
+        let mut declared = declared(workspace);
+        if let Some(fields) = declared.as_object_mut() {
+            // Hashes of keys are nobody's business.
+            fields.remove("key_hashes");
+        }
+        let observed = json!({ "open_requests": open.get(&workspace.name) });
+        let name = workspace.name.clone();
+        (name.clone(), resource(name, declared, observed))
+    });
+    lines.collect()
+}
+
+fn backend_servers(document: &Document, snapshot: &Snapshot) -> Named {
+    let observed = |name: &str| {
+        let found = snapshot
+            .backends
+            .iter()
+            .find(|backend| backend.name == name);
+        found.map_or(Value::Null, observed_backend)
+    };
+    let servers = document.backend_servers.iter();
+    named(servers, |s| &s.name, |s| observed(&s.name))
+}
+
+/// The sequence number of a report changes all the time and is left out.
+fn observed_backend(backend: &BackendSnapshot) -> Value {
+    let mut observed = declared(backend);
+    if let Some(report) = observed.get_mut("report").and_then(Value::as_object_mut) {
+        report.remove("sequence");
+    }
+    observed
+}
+
+fn instances(snapshot: &Snapshot) -> Named {
+    let lines = snapshot.instances.iter().map(|line| {
+        let name = line.entry.instance.clone();
+        (
+            name.clone(),
+            resource(name, declared(&line.entry), observed_instance(line)),
+        )
+    });
+    lines.collect()
+}
+
+fn observed_instance(line: &InstanceSnapshot) -> Value {
+    let Some((incarnation, version)) = &line.last_said else {
+        return Value::Null;
+    };
+    let is_silent = line
+        .silence_ms
+        .is_none_or(|silence_ms| silence_ms > SILENT_MS);
+    json!({ "incarnation": incarnation, "config_version": version, "is_silent": is_silent })
+}
+
+fn ruled_out<'a>(snapshot: &'a Snapshot, name: &str) -> Option<&'a str> {
+    let found = snapshot
+        .backends
+        .iter()
+        .find(|backend| backend.name == name);
+    found?.ruled_out.as_deref()
+}
+
+fn named<'a, Item: Serialize + 'a>(
+    items: impl Iterator<Item = &'a Item>,
+    name: impl Fn(&Item) -> &String,
+    observed: impl Fn(&Item) -> Value,
+) -> Named {
+    let lines = items.map(|item| {
+        let name = name(item).clone();
+        (name.clone(), resource(name, declared(item), observed(item)))
+    });
+    lines.collect()
+}
+
+fn declared<Item: Serialize>(item: &Item) -> Value {
+    serde_json::to_value(item).unwrap_or_default()
+}
+
+fn resource(name: String, declared: Value, observed: Value) -> Resource {
+    Resource {
+        name,
+        declared,
+        observed,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/service_api.rs
@@ -0,0 +1,192 @@
+//! `/v1/services/NAME/…`: calls to plain services.
+
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::StatusCode;
+use http::header;
+use iristhread_api::OUTCOME_HEADER;
+use iristhread_api::REQUEST_ID_HEADER;
+use iristhread_api::TICKET_HEADER;
+use iristhread_core::Event;
+use iristhread_core::Outcome;
+use iristhread_core::Ticket;
+use iristhread_core::TimelineEvent;
+use iristhread_core::WorkspaceId;
+use viz::Body;
+use viz::Request;
+use viz::RequestExt;
+use viz::Response;
+
+use crate::api_error::ApiError;
+use crate::app::App;
+use crate::call_answer::CallAnswer;
+use crate::caller_api::deadline;
+use crate::caller_api::new_request_id;
+use crate::caller_api::take_place;
+use crate::control_message::ControlMessage;
+use crate::peer_message::ForwardedCall;
+use crate::request_guard;
+use crate::service_call;
+
+const PREFIX: &str = "/v1/services/";
+
+/// Answers one call.
+///
+/// # Errors
+///
+/// An [`ApiError`] with its outcome.
+pub async fn call(app: Arc<App>, mut request: Request) -> Result<Response, ApiError> {
+    let workspace = request_guard::workspace(&app, &request)?;
+    let (service, path) = target(&request)?;
+    let view = app.view();
+    let declared = view.document.service(&service).ok_or_else(|| {
+        let message = format!("the service {service:?} is not offered");
+        ApiError::not_found("service_not_found", None, message)
+    })?;
+    let place = take_place(&app)?;
+    let ticket_text: Option<String> = request.header(TICKET_HEADER);
+    if !declared.repeatable && ticket_text.is_none() {
+        return issue_ticket(&app, &workspace, &service).await;
+    }
+    let timeout = deadline(&request, app.settings.limits.call_timeout);
+    let body = request_guard::body(&app, &mut request).await?;
+    let call = ForwardedCall {
+        request: new_request_id(),
+        workspace,
+        service,
+        method: request.method().to_string(),
+        path,
+        content_type: request.header(header::CONTENT_TYPE),
+        body: body.to_vec(),
+        ticket: ticket_text.unwrap_or_default(),
+        deadline_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
+    };
+    open(&app, &call).await?;
+    let id = call.request.clone();
+    let workspace = call.workspace.clone();
+    let answer = run(&app, call, declared.repeatable).await;
+    close(&app, &id, workspace, &answer);
+    drop(place);
+    Ok(respond(&id, answer))
+}
+
+async fn run(app: &Arc<App>, call: ForwardedCall, repeatable: bool) -> CallAnswer {
+    if repeatable {
+        return service_call::run_repeatable(app, &call).await;
+    }
+    let keyring = &app.settings.keyring;
+    match Ticket::decode(&call.ticket, &call.workspace, &call.service, keyring) {
+        Ok(ticket) => service_call::run_ticketed(app, call, ticket).await,
+        Err(error) => CallAnswer::not_run(400, "invalid_ticket", error.to_string()),
+    }
+}
+
+async fn open(app: &App, call: &ForwardedCall) -> Result<(), ApiError> {
+    let ask = |reply| ControlMessage::OpenCall {
+        request: call.request.clone(),
+        workspace: call.workspace.clone(),
+        reply,
+    };
+    let opened = app.control.ask(ask).await;
+    let stopping = || ApiError::unavailable("stopping", "the instance is stopping");
+    let opened = opened.ok_or_else(stopping)?;
+    opened.map_err(|refusal| ApiError::refused(&refusal))
+}
+
+fn close(app: &App, request: &str, workspace: WorkspaceId, answer: &CallAnswer) {
+    let reason = answer
+        .code
+        .clone()
+        .unwrap_or_else(|| answer.status.to_string());
+    app.control.note(
+        request,
+        TimelineEvent::Ended {
+            outcome: answer.outcome,
+            delivered: 0,
+            reason,
+        },
+    );
+    app.metrics.ended(&workspace, answer.outcome);
+    app.control.tell(Event::Closed {
+        request: request.to_owned(),
+        workspace,
+    });
+}
+
+/// Answers 428 with a fresh ticket: the caller sends the same call with it, and
+/// again with the same ticket whenever it has no answer.
+async fn issue_ticket(
+    app: &App,
+    workspace: &WorkspaceId,
+    service: &str,
+) -> Result<Response, ApiError> {
+    let ask = |reply| ControlMessage::IssueTicket {
+        number: new_request_id(),
+        service: service.to_owned(),
+        reply,
+    };
+    let stopping = || ApiError::unavailable("stopping", "the instance is stopping");
+    let ticket = app.control.ask(ask).await.ok_or_else(stopping)?;
+    let ticket = ticket.encode(workspace, &app.settings.keyring);
+    let message = format!(
+        "the service {service:?} may not be repeated: send the call with the header {TICKET_HEADER} of this answer"
+    );
+    let error = ApiError::limit(StatusCode::PRECONDITION_REQUIRED, "ticket_needed", message);
+    let mut response = error.into_response();
+    if let Ok(ticket) = HeaderValue::from_str(&ticket) {
+        response.headers_mut().insert(TICKET_HEADER, ticket);
+    }
+    Ok(response)
+}
+
+fn target(request: &Request) -> Result<(String, String), ApiError> {
+    let uri = request.uri();
+    let rest = uri.path().strip_prefix(PREFIX).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if service.is_empty() {
+        let message = "name a service: /v1/services/NAME/…";
+        return Err(ApiError::not_found("service_not_found", None, message));
+    }
+    let query = uri.query().map(|query| format!("?{query}"));
+    Ok((
+        service.to_owned(),
+        format!("/{path}{}", query.unwrap_or_default()),
+    ))
+}
+
+fn respond(request: &str, answer: CallAnswer) -> Response {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = match (&answer.code, &answer.message) {
+        (Some(code), Some(message)) => own_error(status, code, message, &answer),
+        _ => passed_on(status, &answer),
+    };
+    let headers = response.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(request) {
+        headers.insert(REQUEST_ID_HEADER, id);
+    }
+    let outcome = HeaderValue::from_static(answer.outcome.as_str());
+    headers.insert(OUTCOME_HEADER, outcome);
+    response
+}
+
+fn own_error(status: StatusCode, code: &str, message: &str, answer: &CallAnswer) -> Response {
+    let mut error = match answer.outcome {
+        Outcome::NotRun | Outcome::Ran => ApiError::limit(status, code, message),
+        Outcome::Unknown => ApiError::unknown(status, code, message),
+    };
+    error.detail.retry_after_s = answer.retry_after_s;
+    error.into_response()
+}
+
+fn passed_on(status: StatusCode, answer: &CallAnswer) -> Response {
+    let mut response = Response::new(Body::Full(answer.body.clone().into()));
+    *response.status_mut() = status;
+    let content_type = answer.content_type.as_deref();
+    if let Some(Ok(content_type)) = content_type.map(HeaderValue::from_str) {
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, content_type);
+    }
+    response
+}
--- /dev/null
+++ b/crates/standin/src/service_server.rs
@@ -0,0 +1,144 @@
+//! The plain service stand-in; it counts each execution by key and by body.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use iristhread_api::Executions;
+use iristhread_api::IDEMPOTENCY_KEY_HEADER;
+use iristhread_api::ServiceAnswer;
+use iristhread_api::ServiceFaults;
+use tokio::net::TcpListener;
+use viz::Body;
+use viz::Request;
+use viz::RequestExt;
+use viz::Response;
+use viz::Result;
+use viz::Router;
+use viz::StatusCode;
+
+use crate::json_reply;
+
+/// Exit code of the fault that ends the process.
+const DIED: i32 = 86;
+
+/// Settings of one runner.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceSettings {
+    /// Whether a key that was executed before is answered without executing.
+    pub checks_keys: bool,
+}
+
+#[derive(Default)]
+struct State {
+    settings: ServiceSettings,
+    faults: ServiceFaults,
+    executions: Executions,
+    answers: BTreeMap<String, ServiceAnswer>,
+    count: u64,
+}
+
+type Shared = Arc<Mutex<State>>;
+
+/// Serves one runner until the process ends.
+///
+/// # Errors
+///
+/// When the listener fails.
+pub async fn serve_service(
+    listener: TcpListener,
+    settings: ServiceSettings,
+) -> std::io::Result<()> {
+    let state = Arc::new(Mutex::new(State {
+        settings,
+        ..State::default()
+    }));
+    let counted = state.clone();
+    let faulty = state.clone();
+    let router = Router::new()
+        .get("/executions", move |_: Request| {
+            let executions = lock(&counted).executions.clone();
+            async move { Ok::<_, viz::Error>(json_reply::json(&executions)) }
+        })
+        .post("/faults", move |request: Request| {
+            set_faults(faulty.clone(), request)
+        })
+        .any("/*", move |request: Request| call(state.clone(), request));
+    viz::serve(listener, router).await
+}
+
+fn lock(state: &Shared) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn set_faults(state: Shared, mut request: Request) -> Result<Response> {
+    match json_reply::parse(&mut request).await {
+        Ok(faults) => lock(&state).faults = faults,
+        Err(refusal) => return Ok(refusal),
+    }
+    Ok(json_reply::status(StatusCode::NO_CONTENT))
+}
+
+async fn call(state: Shared, mut request: Request) -> Result<Response> {
+    let key: String = request.header(IDEMPOTENCY_KEY_HEADER).unwrap_or_default();
+    let body = match json_reply::text(&mut request).await {
+        Ok(body) => body,
+        Err(refusal) => return Ok(refusal),
+    };
+    let faults = lock(&state).faults.clone();
+    if faults.refuse {
+        return Ok(json_reply::status(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    if take(&mut lock(&state).faults.drop_before) {
+        return Ok(broken());
+    }
+    let known = known_answer(&lock(&state), &key);
+    if let Some(answer) = known {
+        return Ok(json_reply::json(&answer));
+    }
+    let answer = execute(&mut lock(&state), key, body);
+    tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    if faults.die {
+        std::process::exit(DIED);
+    }
+    if take(&mut lock(&state).faults.drop_after) {
+        return Ok(broken());
+    }
+    Ok(json_reply::json(&answer))
+}
+
+fn take(left: &mut u32) -> bool {
+    let some = *left > 0;
+    *left = left.saturating_sub(1);
+    some
+}
+
+fn known_answer(state: &State, key: &str) -> Option<ServiceAnswer> {
+    if !state.settings.checks_keys {
+        return None;
+    }
+    state.answers.get(key).cloned()
+}
+
+fn execute(state: &mut State, key: String, body: String) -> ServiceAnswer {
+    state.count += 1;
+    *state.executions.by_key.entry(key.clone()).or_default() += 1;
+    *state.executions.by_body.entry(body.clone()).or_default() += 1;
+    let answer = ServiceAnswer {
+        execution: state.count,
+        key: key.clone(),
+        echo: body,
+    };
+    state.answers.insert(key, answer.clone());
+    answer
+}
+
+/// An answer whose body fails at once, so that the connection is cut before
+/// any byte of it is sent.
+fn broken() -> Response {
+    let cut = futures::stream::once(async { Err::<String, _>(std::io::Error::other("cut")) });
+    Response::new(Body::from_stream(cut))
+}
--- /dev/null
+++ b/crates/testbed/src/child.rs
@@ -0,0 +1,125 @@
+//! One process of a scene.
+
+use std::path::PathBuf;
+use std::process::Stdio;
+
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+use thiserror::Error;
+use tokio::io::AsyncBufReadExt;
+use tokio::io::BufReader;
+use tokio::process::Command;
+
+/// Why a scene could not be set up or changed.
+#[derive(Debug, Error)]
+pub enum SceneError {
+    /// A program could not be started, or said nothing.
+    #[error("can't start {program}: {cause}; build the workspace first")]
+    Start {
+        /// The program.
+        program: String,
+        /// What happened.
+        cause: String,
+    },
+    /// A stand-in did not take a request.
+    #[error("a stand-in refused: {0}")]
+    Standin(String),
+    /// A condition did not come true.
+    #[error("waited in vain for: {0}")]
+    Waited(String),
+}
+
+/// A running process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Child {
+    process: tokio::process::Child,
+    pid: Pid,
+    /// The first line that it printed.
+    pub first_line: String,
+}
+
+impl Child {
+    /// Starts a program of this workspace and waits for its first line.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Start`].
+    pub async fn start(program: &str, arguments: &[String]) -> Result<Child, SceneError> {
+        let failed = |cause: String| SceneError::Start {
+            program: program.to_owned(),
+            cause,
+        };
+        let path = path_of(program).map_err(|error| failed(error.to_string()))?;
+        let mut process = Command::new(path)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(stderr_for_logs())
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|error| failed(error.to_string()))?;
+        let pid = process.id().and_then(|id| i32::try_from(id).ok());
+        let pid = pid.ok_or_else(|| failed("it ended at once".to_owned()))?;
+        let stdout = process.stdout.take();
+        let stdout = stdout.ok_or_else(|| failed("no output".to_owned()))?;
+        let mut lines = BufReader::new(stdout).lines();
+        let first_line = lines.next_line().await.ok().flatten();
+        let first_line = first_line.ok_or_else(|| failed("it printed nothing".to_owned()))?;
+        Ok(Child {
+            process,
+            pid: Pid::from_raw(pid),
+            first_line,
+        })
+    }
+
+    /// SIGKILL, and waits for the end.
+    pub async fn kill(&mut self) {
+        self.signal(Signal::SIGKILL);
+        self.ended().await;
+    }
+
+    /// SIGSTOP.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// SIGCONT.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// SIGTERM: a planned stop.
+    pub fn stop(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits for the end; the exit code, if it was no signal.
+    pub async fn ended(&mut self) -> Option<i32> {
+        let status = self.process.wait().await.ok()?;
+        status.code()
+    }
+
+    fn signal(&self, signal: Signal) {
+        // A process that has ended already needs none.
+        let _ = kill(self.pid, signal);
+    }
+}
+
+/// Logs are shown when a person asks for them.
+fn stderr_for_logs() -> Stdio {
+    if std::env::var_os("IRISTHREAD_TEST_LOGS").is_some() {
+        return Stdio::inherit();
+    }
+    Stdio::null()
+}
+
+/// Programs stand beside the running one, or above it for tests.
+fn path_of(program: &str) -> std::io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folders = own.ancestors().skip(1).take(2);
+    let found = folders
+        .map(|folder| folder.join(program))
+        .find(|path| path.is_file());
+    found.ok_or_else(|| std::io::Error::other("no such program beside this one"))
+}
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,19 @@
+//! Starts the programs of this workspace as processes on loopback, for tests
+//! and the demo. Processes are ended by their own ids.
+
+mod child;
+mod scene;
+mod scene_document;
+
+pub use child::Child;
+pub use child::SceneError;
+pub use scene::CALLER_KEY;
+pub use scene::OPERATOR_KEY;
+pub use scene::OTHER_CALLER_KEY;
+pub use scene::Scene;
+pub use scene::SceneBuilder;
+pub use scene::eventually;
+pub use scene_document::CHAT_MODEL;
+pub use scene_document::QUOTE_MODEL;
+pub use scene_document::SLOT_SERVICE;
+pub use scene_document::STOCK_SERVICE;
--- /dev/null
+++ b/crates/testbed/src/scene.rs
@@ -0,0 +1,528 @@
+//! A platform, engines, services and instances as processes on loopback.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Method;
+use iristhread_api::Executions;
+use iristhread_api::HttpClient;
+use iristhread_api::InstanceStatus;
+use iristhread_cli::Caller;
+use iristhread_cli::Operator;
+use iristhread_cli::Target;
+use iristhread_core::Document;
+use iristhread_core::InstanceEntry;
+use iristhread_core::InstanceState;
+use iristhread_daemon::ListenAddresses;
+use serde_json::Value;
+use tempfile::NamedTempFile;
+
+use crate::child::Child;
+use crate::child::SceneError;
+use crate::scene_document::Placed;
+use crate::scene_document::document;
+
+/// Key of the workspace `quotes`.
+pub const CALLER_KEY: &str = "caller-key-of-quotes";
+
+/// Key of the workspace `showroom`.
+pub const OTHER_CALLER_KEY: &str = "caller-key-of-showroom";
+
+/// Key of the operator.
+pub const OPERATOR_KEY: &str = "key-of-the-operator";
+
+/// Longest wait for a condition; tests never fail for being slow before it.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+const POLL: Duration = Duration::from_millis(20);
+
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// What a scene is made of.
+#[derive(Clone, Debug)]
+pub struct SceneBuilder {
+    zones: usize,
+    instances_per_zone: usize,
+    engines_per_zone: usize,
+    services: usize,
+    engine_flags: Vec<String>,
+    service_flags: Vec<String>,
+    settings: String,
+}
+
+struct Instance {
+    child: Child,
+    addresses: ListenAddresses,
+    settings: NamedTempFile,
+}
+
+struct Standin {
+    child: Child,
+    address: SocketAddr,
+}
+
+/// Running processes; all are killed when it is dropped.
+pub struct Scene {
+    platform: Standin,
+    engines: BTreeMap<String, Standin>,
+    services: BTreeMap<String, Standin>,
+    instances: BTreeMap<String, Instance>,
+    zones: BTreeMap<String, String>,
+    client: HttpClient,
+    /// The configuration published last.
+    pub document: Document,
+}
+
+impl SceneBuilder {
+    /// Instances in each zone.
+    #[must_use]
+    pub fn instances_per_zone(mut self, count: usize) -> Self {
+        self.instances_per_zone = count;
+        self
+    }
+
+    /// Engines in each zone.
+    #[must_use]
+    pub fn engines_per_zone(mut self, count: usize) -> Self {
+        self.engines_per_zone = count;
+        self
+    }
+
+    /// Service runners in all.
+    #[must_use]
+    pub fn services(mut self, count: usize) -> Self {
+        self.services = count;
+        self
+    }
+
+    /// Flags of every engine.
+    #[must_use]
+    pub fn engine_flags(mut self, flags: &[&str]) -> Self {
+        self.engine_flags = flags.iter().map(|flag| (*flag).to_owned()).collect();
+        self
+    }
+
+    /// Flags of every service runner.
+    #[must_use]
+    pub fn service_flags(mut self, flags: &[&str]) -> Self {
+        self.service_flags = flags.iter().map(|flag| (*flag).to_owned()).collect();
+        self
+    }
+
+    /// Lines added to the settings of every instance.
+    #[must_use]
+    pub fn settings(mut self, lines: &str) -> Self {
+        self.settings = lines.to_owned();
+        self
+    }
+
+    /// Starts everything and waits until every instance is ready.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError`].
+    pub async fn start(self) -> Result<Scene, SceneError> {
+        let platform = Standin::start(&["platform".to_owned()]).await?;
+        let mut scene = Scene {
+            platform,
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            instances: BTreeMap::new(),
+            zones: BTreeMap::new(),
+            client: HttpClient::pooled(MAX_ANSWER_BYTES),
+            document: Document::default(),
+        };
+        for zone in 0..self.zones {
+            self.start_zone(&mut scene, &zone_name(zone)).await?;
+        }
+        for number in 1..=self.services {
+            let mut arguments = vec!["service".to_owned()];
+            arguments.extend(self.service_flags.clone());
+            let name = format!("orders-{number}");
+            scene
+                .zones
+                .insert(name.clone(), zone_name((number - 1) % self.zones));
+            scene
+                .services
+                .insert(name, Standin::start(&arguments).await?);
+        }
+        scene.publish_backends().await?;
+        scene.list_instances(&[]).await?;
+        scene.all_ready().await?;
+        Ok(scene)
+    }
+
+    async fn start_zone(&self, scene: &mut Scene, zone: &str) -> Result<(), SceneError> {
+        for number in 1..=self.engines_per_zone {
+            let mut arguments = vec!["engine".to_owned()];
+            arguments.extend(self.engine_flags.clone());
+            let name = format!("engine-{zone}{number}");
+            scene.zones.insert(name.clone(), zone.to_owned());
+            scene
+                .engines
+                .insert(name, Standin::start(&arguments).await?);
+        }
+        for number in 1..=self.instances_per_zone {
+            let name = format!("{zone}{number}");
+            let settings = settings_file(&name, zone, scene.platform.address, &self.settings);
+            let settings = settings.map_err(|error| SceneError::Standin(error.to_string()))?;
+            scene.zones.insert(name.clone(), zone.to_owned());
+            let instance = Instance::start(settings).await?;
+            scene.instances.insert(name, instance);
+        }
+        Ok(())
+    }
+}
+
+impl Scene {
+    /// A scene of two zones with one instance and one engine each and one
+    /// service runner, to be changed.
+    pub fn builder(zones: usize) -> SceneBuilder {
+        SceneBuilder {
+            zones,
+            instances_per_zone: 1,
+            engines_per_zone: 1,
+            services: 1,
+            engine_flags: Vec::new(),
+            service_flags: Vec::new(),
+            settings: String::new(),
+        }
+    }
+
+    /// A caller of the workspace `quotes` that tries these instances in turn.
+    pub fn caller(&self, instances: &[&str]) -> Caller {
+        Caller::new(Target {
+            servers: instances.iter().map(|name| self.caller_url(name)).collect(),
+            key: CALLER_KEY.to_owned(),
+        })
+    }
+
+    /// An operator at an instance.
+    pub fn operator(&self, instance: &str) -> Operator {
+        Operator::new(Target {
+            servers: vec![format!("http://{}", self.addresses(instance).operators)],
+            key: OPERATOR_KEY.to_owned(),
+        })
+    }
+
+    /// Base address for callers of an instance.
+    pub fn caller_url(&self, instance: &str) -> String {
+        format!("http://{}", self.addresses(instance).callers)
+    }
+
+    /// Where an instance listens.
+    ///
+    /// # Panics
+    ///
+    /// When there is none of that name: the test is wrong.
+    pub fn addresses(&self, instance: &str) -> ListenAddresses {
+        self.instances[instance].addresses
+    }
+
+    /// Names of the instances.
+    pub fn instance_names(&self) -> Vec<String> {
+        self.instances.keys().cloned().collect()
+    }
+
+    /// Names of the engines.
+    pub fn engine_names(&self) -> Vec<String> {
+        self.engines.keys().cloned().collect()
+    }
+
+    /// The process of an instance, engine or service runner.
+    ///
+    /// # Panics
+    ///
+    /// When there is none of that name: the test is wrong.
+    pub fn process(&mut self, name: &str) -> &mut Child {
+        if let Some(instance) = self.instances.get_mut(name) {
+            return &mut instance.child;
+        }
+        let standin = self.engines.get_mut(name).or(self.services.get_mut(name));
+        match standin {
+            Some(standin) => &mut standin.child,
+            None => panic!("the scene has no process {name}"),
+        }
+    }
+
+    /// Address of an engine or service runner.
+    ///
+    /// # Panics
+    ///
+    /// When there is none of that name: the test is wrong.
+    pub fn standin_address(&self, name: &str) -> SocketAddr {
+        let standin = self.engines.get(name).or(self.services.get(name));
+        match standin {
+            Some(standin) => standin.address,
+            None => panic!("the scene has no stand-in {name}"),
+        }
+    }
+
+    /// Switches faults of an engine or service runner on, and all others off.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub async fn fault(&self, name: &str, faults: Value) -> Result<(), SceneError> {
+        let uri = format!("http://{}/faults", self.standin_address(name));
+        self.send(Method::POST, &uri, &faults).await?;
+        Ok(())
+    }
+
+    /// Switches faults of the platform.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub async fn platform_fault(&self, faults: Value) -> Result<(), SceneError> {
+        let uri = format!("http://{}/faults", self.platform.address);
+        self.send(Method::POST, &uri, &faults).await?;
+        Ok(())
+    }
+
+    /// Publishes any document, faulty ones too; its version.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub async fn publish(&self, document: &Value) -> Result<u64, SceneError> {
+        let uri = format!("http://{}/config", self.platform.address);
+        let version = self.send(Method::PUT, &uri, document).await?;
+        version
+            .as_u64()
+            .ok_or_else(|| SceneError::Standin("no version".to_owned()))
+    }
+
+    /// Publishes the document of the scene after a change.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub async fn publish_document(&self) -> Result<u64, SceneError> {
+        let document = serde_json::to_value(&self.document);
+        self.publish(&document.unwrap_or_default()).await
+    }
+
+    /// Publishes the instance list; `leaving` names those that leave.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub async fn list_instances(&self, leaving: &[&str]) -> Result<(), SceneError> {
+        let entry = |(name, instance): (&String, &Instance)| InstanceEntry {
+            instance: name.clone(),
+            availability_zone: self.zones[name].clone(),
+            peer_address: instance.addresses.peers,
+            state: match leaving.contains(&name.as_str()) {
+                true => InstanceState::Leaving,
+                false => InstanceState::Live,
+            },
+        };
+        let entries: Vec<InstanceEntry> = self.instances.iter().map(entry).collect();
+        let uri = format!("http://{}/instances", self.platform.address);
+        let entries = serde_json::to_value(entries).unwrap_or_default();
+        self.send(Method::PUT, &uri, &entries).await?;
+        Ok(())
+    }
+
+    /// Reads that the platform has counted, as its stand-in tells.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub async fn platform_reads(&self) -> Result<u64, SceneError> {
+        let uri = format!("http://{}/reads", self.platform.address);
+        let request = HttpClient::get(&uri).map_err(refused)?;
+        let count = self.client.json::<iristhread_api::ReadCount>(request).await;
+        Ok(count.map_err(refused)?.unwrap_or_default().reads)
+    }
+
+    /// Executions of all service runners together.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub async fn executions(&self) -> Result<Executions, SceneError> {
+        let mut all = Executions::default();
+        for standin in self.services.values() {
+            let uri = format!("http://{}/executions", standin.address);
+            let request = HttpClient::get(&uri).map_err(refused)?;
+            let Some(one) = self
+                .client
+                .json::<Executions>(request)
+                .await
+                .map_err(refused)?
+            else {
+                continue;
+            };
+            for (key, count) in one.by_key {
+                *all.by_key.entry(key).or_default() += count;
+            }
+            for (body, count) in one.by_body {
+                *all.by_body.entry(body).or_default() += count;
+            }
+        }
+        Ok(all)
+    }
+
+    /// Starts an instance again under the same name, with new ports and a new
+    /// incarnation.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Start`].
+    pub async fn restart(&mut self, name: &str) -> Result<(), SceneError> {
+        let Some(mut old) = self.instances.remove(name) else {
+            return Err(SceneError::Standin(format!("no instance {name}")));
+        };
+        old.child.kill().await;
+        let instance = Instance::start(old.settings).await?;
+        self.instances.insert(name.to_owned(), instance);
+        Ok(())
+    }
+
+    /// What every instance says to be in force, asked one by one.
+    pub async fn versions(&self) -> BTreeMap<String, InstanceStatus> {
+        let mut all = BTreeMap::new();
+        for name in self.instances.keys() {
+            if let Ok(lines) = self.operator(name).status().await {
+                all.extend(lines.into_iter().filter(|(line, _)| line == name));
+            }
+        }
+        all
+    }
+
+    /// Waits until a version is in force on these instances.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Waited`].
+    pub async fn in_force(&self, version: u64, names: &[String]) -> Result<(), SceneError> {
+        eventually("a version in force everywhere", async || {
+            let all = self.versions().await;
+            let has = |name: &String| all.get(name).is_some_and(|s| s.config_version >= version);
+            names.iter().all(has)
+        })
+        .await
+    }
+
+    async fn all_ready(&self) -> Result<(), SceneError> {
+        let version = 1;
+        self.in_force(version, &self.instance_names()).await?;
+        eventually("a load report of every engine", async || {
+            for name in self.instances.keys() {
+                let list = self.operator(name).resources("backend-servers", None).await;
+                let Ok(list) = list else {
+                    return false;
+                };
+                let is_known = |item: &iristhread_api::Resource| {
+                    item.declared["kind"] != "engine" || !item.observed["report"].is_null()
+                };
+                if !list.items.iter().all(is_known) {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
+    async fn publish_backends(&mut self) -> Result<(), SceneError> {
+        let placed = |(name, standin): (&String, &Standin)| -> Placed {
+            (name.clone(), self.zones[name].clone(), standin.address)
+        };
+        let engines: Vec<Placed> = self.engines.iter().map(placed).collect();
+        let services: Vec<Placed> = self.services.iter().map(placed).collect();
+        let keys = [CALLER_KEY, OTHER_CALLER_KEY, OPERATOR_KEY];
+        self.document = document(&engines, &services, keys);
+        self.publish_document().await?;
+        Ok(())
+    }
+
+    async fn send(&self, method: Method, uri: &str, body: &Value) -> Result<Value, SceneError> {
+        let request = HttpClient::request(method, uri, None, Some(body)).map_err(refused)?;
+        let answer = self.client.json(request).await.map_err(refused)?;
+        Ok(answer.unwrap_or_default())
+    }
+}
+
+impl Instance {
+    async fn start(settings: NamedTempFile) -> Result<Self, SceneError> {
+        let path = settings.path().display().to_string();
+        let child = Child::start("iristhreadd", &["--settings".to_owned(), path]).await?;
+        let addresses = serde_json::from_str(&child.first_line);
+        let addresses = addresses.map_err(|error| SceneError::Start {
+            program: "iristhreadd".to_owned(),
+            cause: error.to_string(),
+        })?;
+        Ok(Instance {
+            child,
+            addresses,
+            settings,
+        })
+    }
+}
+
+impl Standin {
+    async fn start(arguments: &[String]) -> Result<Self, SceneError> {
+        let child = Child::start("iristhread-standin", arguments).await?;
+        let address = child.first_line.strip_prefix("listening ");
+        let address = address.and_then(|address| address.parse().ok());
+        let address = address.ok_or_else(|| SceneError::Start {
+            program: "iristhread-standin".to_owned(),
+            cause: format!("it printed {:?}", child.first_line),
+        })?;
+        Ok(Standin { child, address })
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// [`SceneError::Waited`] when it does not come true.
+pub async fn eventually(what: &str, condition: impl AsyncFn() -> bool) -> Result<(), SceneError> {
+    let start = Instant::now();
+    while start.elapsed() < PATIENCE {
+        if condition().await {
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+    Err(SceneError::Waited(what.to_owned()))
+}
+
+fn refused(error: iristhread_api::HttpClientError) -> SceneError {
+    SceneError::Standin(error.to_string())
+}
+
+fn zone_name(zone: usize) -> String {
+    let letters = ["a", "b", "c", "d"];
+    letters[zone % letters.len()].to_owned()
+}
+
+fn settings_file(
+    name: &str,
+    zone: &str,
+    platform: SocketAddr,
+    lines: &str,
+) -> std::io::Result<NamedTempFile> {
+    let mut file = NamedTempFile::new()?;
+    let peer_key = "5a".repeat(32);
+    write!(
+        file,
+        "instance = \"{name}\"\n\
+         availability_zone = \"{zone}\"\n\
+         caller_address = \"127.0.0.1:0\"\n\
+         operator_address = \"127.0.0.1:0\"\n\
+         peer_address = \"127.0.0.1:0\"\n\
+         platform_address = \"{platform}\"\n\
+         peer_keys = [\"{peer_key}\"]\n\
+         stop_linger_ms = 100\n\
+         {lines}\n"
+    )?;
+    Ok(file)
+}
