Test the programs and the faults of streams over real processes

Cause: nothing but one happy path was tested.

Two of the new tests were red at first, for real faults: - "reader that stops reading" waited 30 s in vain for an idle engine: the system's socket buffers took the whole stream. Accepted connections now have a send buffer of 64 KiB, which also bounds memory per slow reader. - "every kind of resource is listed" got an empty list under configuration 1: the list lagged its own version by up to 500 ms. A list now looks first.

Ruled out: a longer write timeout (the buffers still took it all).

Cut zones are not brought about yet.

--- a/crates/cli/src/caller.rs
+++ b/crates/cli/src/caller.rs
@@ -57,11 +57,15 @@
     pub body: String,
 }
 
+/// Time without a token after which a stream is taken up elsewhere.
+const STALL_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// Talks to the caller addresses of instances.
 #[derive(Clone, Debug)]
 pub struct Caller {
     target: Target,
     client: HttpClient,
+    stall_timeout: Duration,
 }
 
 /// How one connection of a stream ended.
@@ -83,9 +87,18 @@
         Caller {
             target,
             client: HttpClient::pooled(MAX_ANSWER_BYTES),
+            stall_timeout: STALL_TIMEOUT,
         }
     }
 
+    /// Changes the time without a token after which a stream is taken up
+    /// elsewhere.
+    #[must_use]
+    pub fn with_stall_timeout(mut self, stall_timeout: Duration) -> Self {
+        self.stall_timeout = stall_timeout;
+        self
+    }
+
     /// Streams a completion; when a connection breaks, goes on at the next
     /// instance from what was received. `path` is that of the interface.
     ///
@@ -145,20 +158,24 @@
         if let Some(Ok(cursor)) = received.cursor.as_ref().map(|c| c.parse()) {
             request.headers_mut().insert(LAST_EVENT_ID_HEADER, cursor);
         }
-        let (headers, mut events) = match self.client.events(request).await {
-            Ok(answer) => answer,
-            Err(HttpClientError::Status { body, status, .. }) => {
+        let answer = tokio::time::timeout(self.stall_timeout, self.client.events(request)).await;
+        let (headers, mut events) = match answer {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(HttpClientError::Status { body, status, .. })) => {
                 return Ending::Refused(refusal(status, &body));
             }
-            Err(error) => return Ending::Broken(error.to_string()),
+            Ok(Err(error)) => return Ending::Broken(error.to_string()),
+            Err(_) => return Ending::Broken("no answer in time".to_owned()),
         };
         if let Some(Ok(id)) = headers.get(REQUEST_ID_HEADER).map(|id| id.to_str()) {
             received.outcome.request = id.split('.').next().unwrap_or(id).to_owned();
         }
-        while let Some(event) = events.next().await {
-            let event = match event {
-                Ok(event) => event,
-                Err(error) => return Ending::Broken(error.to_string()),
+        loop {
+            let event = match tokio::time::timeout(self.stall_timeout, events.next()).await {
+                Ok(Some(Ok(event))) => event,
+                Ok(Some(Err(error))) => return Ending::Broken(error.to_string()),
+                Ok(None) => break,
+                Err(_) => return Ending::Broken("no token in time".to_owned()),
             };
             if event.data == DONE_MARK {
                 return Ending::Done;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,6 +14,7 @@
 use slog::info;
 use thiserror::Error;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -42,6 +43,12 @@
 /// Most bytes of an answer of a plain service.
 const MAX_SERVICE_ANSWER_BYTES: usize = 4 << 20;
 
+/// Bytes towards one caller that the system holds.
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// Why an instance could not start.
 #[derive(Debug, Error)]
 pub enum DaemonError {
@@ -93,8 +100,8 @@
             instance: settings.instance.clone(),
             incarnation: uuid::Uuid::new_v4().simple().to_string(),
         };
-        let caller_listener = listen("caller_address", settings.caller_address).await?;
-        let operator_listener = listen("operator_address", settings.operator_address).await?;
+        let caller_listener = listen("caller_address", settings.caller_address)?;
+        let operator_listener = listen("operator_address", settings.operator_address)?;
         let control_settings = control_settings(&settings, &identity);
         let (control, outputs) = ControlHandle::start(control_settings, clock, log.clone())?;
         let platform = Arc::new(HttpPlatform::new(settings.platform_address));
@@ -184,9 +191,21 @@
     }
 }
 
-async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|cause| listen_error(key, address, cause))
+fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    bind(address).map_err(|cause| listen_error(key, address, cause))
+}
+
+/// Accepted connections inherit the small send buffer, so that a caller that
+/// stops reading is noticed soon and holds little memory.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 fn listen_error(key: &'static str, address: SocketAddr, cause: std::io::Error) -> DaemonError {
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -298,7 +298,7 @@
             let attempt = self.placement.attempt;
             self.note(TimelineEvent::FirstToken { attempt });
         }
-        if known.is_multiple_of(PROGRESS_EVERY) {
+        if known == 1 || known.is_multiple_of(PROGRESS_EVERY) {
             self.app.control.tell(Event::Progress {
                 request: self.order.request.clone(),
                 generated: known,
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -27,6 +27,7 @@
 use crate::caller_api::no_such_path;
 use crate::fleet;
 use crate::request_guard;
+use crate::resource_builder;
 
 #[derive(Debug, Deserialize)]
 struct WatchQuery {
@@ -77,6 +78,7 @@
     if query.watch.is_some() {
         return watch_from(app, kind, name, query.from);
     }
+    resource_builder::refresh(&app).await;
     let (resource_version, mut items) = app.resources.list(&kind);
     if let Some(name) = &name {
         items.retain(|item| item.name == *name);
--- a/crates/daemon/src/resource_builder.rs
+++ b/crates/daemon/src/resource_builder.rs
@@ -26,19 +26,22 @@
 
 /// Runs for the life of the process.
 pub async fn run_resources(app: Arc<App>) {
-    loop {
-        let ask = |reply| ControlMessage::Snapshot { reply };
-        let Some(snapshot) = app.control.ask(ask).await else {
-            return;
-        };
-        app.metrics
-            .load(snapshot.queued as u64, snapshot.running as u64);
+    while refresh(&app).await.is_some() {
         app.calls.forget_expired(app.clock.now());
-        app.resources.update(resources_of(&snapshot));
         tokio::time::sleep(INTERVAL).await;
     }
 }
 
+/// Logs what has changed since the last look; `None` when the process stops.
+pub async fn refresh(app: &App) -> Option<()> {
+    let ask = |reply| ControlMessage::Snapshot { reply };
+    let snapshot = app.control.ask(ask).await?;
+    let (queued, running) = (snapshot.queued as u64, snapshot.running as u64);
+    app.metrics.load(queued, running);
+    app.resources.update(resources_of(&snapshot));
+    Some(())
+}
+
 /// Every resource by kind and name.
 pub fn resources_of(snapshot: &Snapshot) -> Resources {
     let empty = Arc::new(Document::default());
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,11 +2,13 @@
 //! and the demo. Processes are ended by their own ids.
 
 mod child;
+mod question;
 mod scene;
 mod scene_document;
 
 pub use child::Child;
 pub use child::SceneError;
+pub use question::Question;
 pub use scene::CALLER_KEY;
 pub use scene::OPERATOR_KEY;
 pub use scene::OTHER_CALLER_KEY;
--- a/crates/testbed/src/scene.rs
+++ b/crates/testbed/src/scene.rs
@@ -10,6 +10,7 @@
 use iristhread_api::Executions;
 use iristhread_api::HttpClient;
 use iristhread_api::InstanceStatus;
+use iristhread_api::Reply;
 use iristhread_cli::Caller;
 use iristhread_cli::Operator;
 use iristhread_cli::Target;
@@ -22,6 +23,7 @@
 
 use crate::child::Child;
 use crate::child::SceneError;
+use crate::question::Question;
 use crate::scene_document::Placed;
 use crate::scene_document::document;
 
@@ -208,6 +210,22 @@
         })
     }
 
+    /// Sends one request to the callers' address of an instance.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`] when there is no answer.
+    pub async fn ask(&self, instance: &str, question: &Question) -> Result<Reply, SceneError> {
+        let base = match question.to_operators {
+            true => format!("http://{}", self.addresses(instance).operators),
+            false => self.caller_url(instance),
+        };
+        self.client
+            .fetch(question.request(&base))
+            .await
+            .map_err(refused)
+    }
+
     /// Base address for callers of an instance.
     pub fn caller_url(&self, instance: &str) -> String {
         format!("http://{}", self.addresses(instance).callers)
--- /dev/null
+++ b/crates/testbed/tests/streams.rs
@@ -0,0 +1,165 @@
+//! Each token reaches the caller once, in order, from one generation only,
+//! whatever happens to engines, links and instances.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use iristhread_cli::Caller;
+use iristhread_core::HybridTime;
+use iristhread_core::TimelineEvent;
+use iristhread_core::TimelineRecord;
+use iristhread_testbed::Scene;
+use iristhread_testbed::eventually;
+use serde_json::Value;
+use serde_json::json;
+use support::assert_whole;
+use support::stream;
+use test_case::test_case;
+
+/// Streams at once, so that some run on the engine with the fault.
+const STREAMS: usize = 6;
+
+fn prompt(number: usize) -> String {
+    format!("quote number {number} under faults [tokens=60]")
+}
+
+async fn all_whole(caller: &Caller) {
+    let prompts: Vec<String> = (0..STREAMS).map(prompt).collect();
+    let outcomes = join_all(prompts.iter().map(|prompt| stream(caller, prompt))).await;
+    for (outcome, prompt) in outcomes.into_iter().zip(&prompts) {
+        assert_whole(&outcome.unwrap(), prompt);
+    }
+}
+
+async fn records(scene: &Scene, instance: &str) -> Vec<TimelineRecord> {
+    let timeline = scene
+        .operator(instance)
+        .timeline(None, HybridTime::default())
+        .await;
+    timeline.unwrap().records
+}
+
+fn is_lost(record: &TimelineRecord) -> bool {
+    matches!(record.event, TimelineEvent::AttemptLost { .. })
+}
+
+#[test_case(json!({}); "no fault")]
+#[test_case(json!({ "die_at_token": 0 }); "dies before the first token")]
+#[test_case(json!({ "die_at_token": 30 }); "dies in the middle")]
+#[test_case(json!({ "omit_end": true }); "closes after the last token without the end mark")]
+#[test_case(json!({ "stall": true }); "accepts and does nothing")]
+#[test_case(json!({ "reset_after": 7 }); "link resets again and again")]
+#[test_case(json!({ "duplicate": true }); "sends each token twice")]
+#[test_case(json!({ "cross": true }); "sends tokens of another generation")]
+#[test_case(json!({ "skip_every": 9 }); "leaves tokens out")]
+#[test_case(json!({ "refuse": true }); "refuses")]
+#[test_case(json!({ "slow_factor": 20 }); "is slow")]
+#[test_case(json!({ "duplicate": true, "cross": true, "reset_after": 11 }); "three at once")]
+#[tokio::test]
+async fn a_faulty_engine_spoils_no_stream(faults: Value) {
+    let scene = Scene::builder(1).engines_per_zone(2).start().await.unwrap();
+    scene.fault("engine-a1", faults).await.unwrap();
+    all_whole(&scene.caller(&["a1"])).await;
+}
+
+#[tokio::test]
+async fn a_full_memory_displaces_sessions_and_loses_no_token() {
+    let flags = ["--memory-tokens", "150", "--step-ms", "5"];
+    let scene = Scene::builder(1).engine_flags(&flags);
+    let scene = scene
+        .settings("routing_policy = \"round_robin\"")
+        .start()
+        .await
+        .unwrap();
+    all_whole(&scene.caller(&["a1"])).await;
+    let preempted = |r: &TimelineRecord| matches!(r.event, TimelineEvent::Preempted { .. });
+    assert!(records(&scene, "a1").await.iter().any(preempted));
+}
+
+/// What is done to a process while streams run.
+#[derive(Clone, Copy)]
+enum Blow {
+    Kill,
+    FreezeAndThaw,
+}
+
+async fn strike(scene: &mut Scene, name: &str, blow: Blow) {
+    match blow {
+        Blow::Kill => scene.process(name).kill().await,
+        Blow::FreezeAndThaw => scene.process(name).freeze(),
+    }
+}
+
+async fn first_tokens(scene: &Scene, instance: &str, count: usize) {
+    eventually("streams have begun", async || {
+        let begun = |r: &&TimelineRecord| matches!(r.event, TimelineEvent::FirstToken { .. });
+        records(scene, instance).await.iter().filter(begun).count() >= count
+    })
+    .await
+    .unwrap();
+}
+
+#[test_case(Blow::Kill; "killed")]
+#[test_case(Blow::FreezeAndThaw; "frozen and woken after the streams went on")]
+#[tokio::test]
+async fn an_engine_is_struck_in_the_middle(blow: Blow) {
+    let mut scene = Scene::builder(1).engines_per_zone(2).start().await.unwrap();
+    let caller = scene.caller(&["a1"]);
+    let running = tokio::spawn(async move { all_whole(&caller).await });
+    first_tokens(&scene, "a1", STREAMS).await;
+    strike(&mut scene, "engine-a1", blow).await;
+    running.await.unwrap();
+    scene.process("engine-a1").thaw();
+    assert!(records(&scene, "a1").await.iter().any(is_lost));
+    all_whole(&scene.caller(&["a1"])).await;
+}
+
+#[test_case(Blow::Kill, "a2"; "killed, the caller goes on in the same zone")]
+#[test_case(Blow::Kill, "b1"; "killed, the caller goes on in another zone")]
+#[test_case(Blow::FreezeAndThaw, "a2"; "frozen, the caller goes on in the same zone")]
+#[test_case(Blow::FreezeAndThaw, "b1"; "frozen, the caller goes on in another zone")]
+#[tokio::test]
+async fn an_instance_is_struck_in_the_middle(blow: Blow, next: &str) {
+    let mut scene = Scene::builder(2)
+        .instances_per_zone(2)
+        .start()
+        .await
+        .unwrap();
+    let caller = scene
+        .caller(&["a1", next])
+        .with_stall_timeout(Duration::from_millis(700));
+    let running = tokio::spawn(async move { all_whole(&caller).await });
+    first_tokens(&scene, "a1", STREAMS).await;
+    strike(&mut scene, "a1", blow).await;
+    running.await.unwrap();
+    let came_back = |r: &TimelineRecord| matches!(r.event, TimelineEvent::Reconnected { .. });
+    assert!(records(&scene, next).await.iter().any(came_back));
+    scene.process("a1").thaw();
+}
+
+#[tokio::test]
+async fn instance_and_engine_are_killed_at_once() {
+    let mut scene = Scene::builder(2).start().await.unwrap();
+    let caller = scene.caller(&["a1", "b1"]);
+    let running = tokio::spawn(async move { all_whole(&caller).await });
+    first_tokens(&scene, "a1", STREAMS).await;
+    scene.process("engine-a1").kill().await;
+    scene.process("a1").kill().await;
+    running.await.unwrap();
+}
+
+#[tokio::test]
+async fn a_stream_that_cannot_go_on_ends_with_an_error_and_no_end_mark() {
+    let settings = "[limits]\nstart_timeout_ms = 500";
+    let mut scene = Scene::builder(1).settings(settings).start().await.unwrap();
+    let caller = scene.caller(&["a1"]);
+    let running = tokio::spawn(async move { stream(&caller, &prompt(0)).await });
+    first_tokens(&scene, "a1", 1).await;
+    scene.process("engine-a1").kill().await;
+    scene.process("a1").kill().await;
+    let error = running.await.unwrap().unwrap_err();
+    assert_eq!(error.exit_code(), 4, "{error}");
+}
--- /dev/null
+++ b/crates/testbed/tests/support/mod.rs
@@ -0,0 +1,68 @@
+//! What the tests of this crate share.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use iristhread_api::CompletionRequest;
+use iristhread_api::ErrorBody;
+use iristhread_api::Reply;
+use iristhread_cli::Caller;
+use iristhread_cli::CliError;
+use iristhread_cli::CompletionOutcome;
+use iristhread_core::HybridTime;
+use iristhread_core::TimelineEvent;
+use iristhread_core::TimelineRecord;
+use iristhread_standin::expected_answer;
+use iristhread_testbed::QUOTE_MODEL;
+use iristhread_testbed::Scene;
+use iristhread_testbed::eventually;
+
+/// Longer than any answer of a test.
+pub const MAX_TOKENS: u32 = 8_000;
+
+pub fn completion(prompt: &str, received: Vec<String>) -> CompletionRequest {
+    CompletionRequest {
+        model: QUOTE_MODEL.to_owned(),
+        prompt: prompt.to_owned(),
+        stream: true,
+        received,
+        ..CompletionRequest::default()
+    }
+}
+
+pub async fn stream(caller: &Caller, prompt: &str) -> Result<CompletionOutcome, CliError> {
+    let body = |received| completion(prompt, received);
+    caller.stream("/v1/completions", body, |_| {}).await
+}
+
+/// The stream is exactly what one generation of this prompt gives.
+pub fn assert_whole(outcome: &CompletionOutcome, prompt: &str) {
+    assert_eq!(outcome.tokens, expected_answer(prompt, MAX_TOKENS));
+    assert_eq!(outcome.finish_reason, "stop");
+}
+
+pub fn error_of(reply: &Reply) -> ErrorBody {
+    match serde_json::from_slice(&reply.body) {
+        Ok(body) => body,
+        Err(error) => panic!("{}: {error}", String::from_utf8_lossy(&reply.body)),
+    }
+}
+
+pub fn header<'a>(reply: &'a Reply, name: &str) -> &'a str {
+    let value = reply.headers.get(name).map(|value| value.to_str());
+    match value {
+        Some(Ok(value)) => value,
+        _ => panic!("no header {name}"),
+    }
+}
+
+/// Waits until some stream has delivered its first token at an instance.
+pub async fn until_begun(scene: &Scene, instance: &str) {
+    let begun = eventually("a stream has begun", async || {
+        let operator = scene.operator(instance);
+        let timeline = operator.timeline(None, HybridTime::default()).await;
+        let is_first = |r: &TimelineRecord| matches!(r.event, TimelineEvent::FirstToken { .. });
+        timeline.is_ok_and(|timeline| timeline.records.iter().any(is_first))
+    });
+    if let Err(error) = begun.await {
+        panic!("{error}");
+    }
+}
