--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 //! returns.
 
 mod admission;
+mod call_run;
 mod command;
 mod config_order;
 mod control;
@@ -39,6 +40,10 @@
 mod token_bucket;
 
 pub use admission::Admission;
+pub use call_run::CallEnd;
+pub use call_run::CallRun;
+pub use call_run::CallStep;
+pub use call_run::SendResult;
 pub use command::Command;
 pub use command::Placement;
 pub use config_order::ConfigOrder;
--- a/crates/core/src/ticket_book.rs
+++ b/crates/core/src/ticket_book.rs
@@ -1,7 +1,7 @@
 //! The memory that makes a ticket spendable at most once.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use crate::Incarnation;
@@ -27,6 +27,8 @@
         /// That process's life.
         incarnation: Incarnation,
     },
+    /// It expired unspent in this life: it never ran and never will.
+    Expired,
     /// An earlier life of this instance, or this life beyond its memory, may
     /// have run it.
     Unknown,
@@ -36,16 +38,16 @@
 
 /// Issues tickets of this process and records those spent.
 ///
-/// A record lives as long as its ticket could be presented as fresh: spending
-/// and expiry are judged by the issuer's monotonic clock alone, so clocks of
-/// different machines play no part.
+/// A record outlives its ticket by another lifetime, in which a ticket without
+/// a record is proved never to have run. Spending and expiry are judged by the
+/// issuer's monotonic clock alone, so clocks of different machines play no part.
 #[derive(Debug)]
 pub struct TicketBook {
     instance: InstanceId,
     incarnation: Incarnation,
     lifetime: Duration,
     capacity: usize,
-    spent: HashMap<String, u64>,
+    spent: HashSet<String>,
     by_expiry: BTreeMap<u64, Vec<String>>,
 }
 
@@ -62,7 +64,7 @@
             incarnation,
             lifetime,
             capacity,
-            spent: HashMap::new(),
+            spent: HashSet::new(),
             by_expiry: BTreeMap::new(),
         }
     }
@@ -80,7 +82,7 @@
 
     /// Decides about a ticket whose signature was verified.
     pub fn spend(&mut self, now: Now, ticket: &Ticket) -> SpendVerdict {
-        self.forget_expired(now);
+        self.forget_old(now);
         if ticket.instance != self.instance {
             return SpendVerdict::Forward {
                 instance: ticket.instance.clone(),
@@ -90,11 +92,11 @@
         if ticket.incarnation != self.incarnation {
             return SpendVerdict::Unknown;
         }
-        if self.spent.contains_key(&ticket.number) {
+        if self.spent.contains(&ticket.number) {
             return SpendVerdict::SameRun;
         }
         if ticket.expires_ms <= millis(now) {
-            return SpendVerdict::Unknown;
+            return self.expired(now, ticket);
         }
         if self.spent.len() >= self.capacity {
             return SpendVerdict::Full;
@@ -115,15 +117,25 @@
         self.spent.is_empty()
     }
 
+    fn expired(&self, now: Now, ticket: &Ticket) -> SpendVerdict {
+        let forgotten_ms = ticket.expires_ms + millis(self.lifetime);
+        if millis(now) < forgotten_ms {
+            SpendVerdict::Expired
+        } else {
+            SpendVerdict::Unknown
+        }
+    }
+
     fn record(&mut self, ticket: &Ticket) {
-        self.spent.insert(ticket.number.clone(), ticket.expires_ms);
+        let forgotten_ms = ticket.expires_ms + millis(self.lifetime);
+        self.spent.insert(ticket.number.clone());
         self.by_expiry
-            .entry(ticket.expires_ms)
+            .entry(forgotten_ms)
             .or_default()
             .push(ticket.number.clone());
     }
 
-    fn forget_expired(&mut self, now: Now) {
+    fn forget_old(&mut self, now: Now) {
         let keep = self.by_expiry.split_off(&(millis(now) + 1));
         for number in std::mem::replace(&mut self.by_expiry, keep)
             .into_values()
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -12,11 +12,16 @@
 use iristhread_api::HttpClientError;
 use iristhread_api::IDEMPOTENCY_KEY_HEADER;
 use iristhread_api::OUTCOME_HEADER;
+use iristhread_api::Reply;
 use iristhread_core::BackendServer;
+use iristhread_core::CallEnd;
+use iristhread_core::CallRun;
+use iristhread_core::CallStep;
 use iristhread_core::Event;
 use iristhread_core::InstanceId;
 use iristhread_core::Now;
 use iristhread_core::Outcome;
+use iristhread_core::SendResult;
 use iristhread_core::SpendVerdict;
 use iristhread_core::Ticket;
 use iristhread_core::TimelineEvent;
@@ -29,36 +34,10 @@
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 
-/// Tries of a call that may be repeated.
-const MAX_TRIES: usize = 3;
-
-/// What became of one try.
-enum Try {
-    /// Final.
-    Answer(CallAnswer),
-    /// No byte was written: another runner may be tried.
-    NotSent,
-    /// It may have run.
-    Unknown(String),
-}
-
 /// Runs a call that may be repeated: tries again elsewhere after a failure.
 pub async fn run_repeatable(app: &App, call: &ForwardedCall) -> CallAnswer {
     let deadline = deadline_of(app, call);
-    let mut last = CallAnswer::not_run(503, "no_backend", "no runner of the service is available");
-    for runner in runners(app, &call.service)
-        .await
-        .into_iter()
-        .take(MAX_TRIES)
-    {
-        match try_runner(app, call, &runner, &call.request, deadline).await {
-            Try::Answer(answer) if answer.status < 500 => return answer,
-            Try::Answer(answer) => last = answer,
-            Try::NotSent => {}
-            Try::Unknown(cause) => last = CallAnswer::unknown("service_failed", cause),
-        }
-    }
-    last
+    run(app, call, true, &call.request, deadline).await
 }
 
 /// Runs, forwards or repeats the answer of a call whose ticket was verified.
@@ -85,6 +64,11 @@
         }
         (SpendVerdict::SameRun, Some(slot)) => answer_of(&slot, app, keep_until).await,
         (SpendVerdict::Forward { instance, .. }, _) => forward(app, call, instance).await,
+        (SpendVerdict::Expired, _) => CallAnswer::not_run(
+            410,
+            "ticket_expired",
+            "the ticket expired unused; ask for another",
+        ),
         (SpendVerdict::Full, _) => CallAnswer::not_run(
             503,
             "too_many_tickets",
@@ -116,59 +100,79 @@
     deadline: Now,
     slot: AnswerSlot,
 ) {
-    let mut answer = CallAnswer::not_run(
-        503,
-        "no_backend",
-        "no runner of the service could be connected to",
-    );
-    for runner in runners(&app, &call.service).await {
-        match try_runner(&app, &call, &runner, &number, deadline).await {
-            Try::Answer(final_answer) => answer = final_answer,
-            Try::NotSent => continue,
-            Try::Unknown(cause) => answer = CallAnswer::unknown("service_failed", cause),
+    let answer = run(&app, &call, false, &number, deadline).await;
+    slot.send_replace(Some(answer));
+}
+
+/// Drives the decisions of a [`CallRun`].
+async fn run(
+    app: &App,
+    call: &ForwardedCall,
+    repeatable: bool,
+    key: &str,
+    deadline: Now,
+) -> CallAnswer {
+    let runners = runners(app, &call.service).await;
+    let names = runners.iter().map(|runner| runner.name.clone()).collect();
+    let mut decisions = CallRun::new(repeatable, names, deadline);
+    let mut last = None;
+    loop {
+        match decisions.next(app.clock.now()) {
+            CallStep::Send(name) => {
+                let Some(runner) = runners.iter().find(|runner| runner.name == name) else {
+                    continue;
+                };
+                let (result, reply) = send(app, call, runner, key, deadline).await;
+                decisions.sent(result);
+                last = reply.or(last);
+            }
+            CallStep::End { outcome, end } => return answer_at_end(outcome, end, last),
         }
-        break;
     }
-    slot.send_replace(Some(answer));
 }
 
-async fn try_runner(
+fn answer_at_end(outcome: Outcome, end: CallEnd, reply: Option<Reply>) -> CallAnswer {
+    let mut answer = match (end, reply) {
+        (CallEnd::Answer, Some(reply)) => passed_on(&reply),
+        (CallEnd::Deadline, _) => {
+            let message = "the deadline or the ticket expired before the call was sent";
+            CallAnswer::not_run(504, "deadline", message)
+        }
+        (CallEnd::NoRunner, _) => {
+            let message = "no runner of the service could be connected to";
+            CallAnswer::not_run(503, "no_backend", message)
+        }
+        (CallEnd::Lost | CallEnd::Answer, _) => {
+            CallAnswer::unknown("service_failed", "the runner gave no answer")
+        }
+    };
+    answer.outcome = outcome;
+    answer
+}
+
+async fn send(
     app: &App,
     call: &ForwardedCall,
     runner: &BackendServer,
     key: &str,
     deadline: Now,
-) -> Try {
+) -> (SendResult, Option<Reply>) {
     let Some(request) = request_to(call, runner, key) else {
-        let message = "the call can't be sent as HTTP";
-        return Try::Answer(CallAnswer::not_run(400, "invalid_call", message));
+        return (SendResult::NotConnected, None);
     };
-    // Just before the bytes leave: a process that was paused must not send late.
-    let now = app.clock.now();
-    if now >= deadline {
-        let message = "the deadline or the ticket expired before the call was sent";
-        return Try::Answer(CallAnswer::not_run(504, "deadline", message));
-    }
-    let fetched = tokio::time::timeout(deadline - now, app.services.fetch(request)).await;
+    let left = deadline.saturating_sub(app.clock.now());
+    let fetched = tokio::time::timeout(left, app.services.fetch(request)).await;
     let backend = runner.name.clone();
-    match fetched {
-        Ok(Ok(reply)) => {
-            app.control.tell(Event::BackendAnswered { backend });
-            Try::Answer(answer_from(&reply))
-        }
-        Ok(Err(HttpClientError::Connect { .. })) => {
-            app.control.tell(Event::BackendFailed { backend });
-            Try::NotSent
-        }
-        Ok(Err(error)) => {
-            app.control.tell(Event::BackendFailed { backend });
-            Try::Unknown(format!("the runner gave no answer: {error}"))
-        }
-        Err(_) => {
-            app.control.tell(Event::BackendFailed { backend });
-            Try::Unknown("the runner gave no answer before the deadline".to_owned())
-        }
-    }
+    let (result, reply) = match fetched {
+        Ok(Ok(reply)) => (result_of(&reply), Some(reply)),
+        Ok(Err(HttpClientError::Connect { .. })) => (SendResult::NotConnected, None),
+        Ok(Err(_)) | Err(_) => (SendResult::Lost, None),
+    };
+    app.control.tell(match reply {
+        Some(_) => Event::BackendAnswered { backend },
+        None => Event::BackendFailed { backend },
+    });
+    (result, reply)
 }
 
 fn request_to(
@@ -188,22 +192,27 @@
     builder.body(Full::new(Bytes::from(call.body.clone()))).ok()
 }
 
-/// What the runner answered is its own answer, unless it says that it did not
-/// run the call, or failed with no word about that.
-fn answer_from(reply: &iristhread_api::Reply) -> CallAnswer {
-    let header = |name: &str| {
-        let value = reply.headers.get(name)?.to_str().ok()?;
-        Some(value.to_owned())
-    };
-    let content_type = header(header::CONTENT_TYPE.as_str());
-    let mut answer = CallAnswer::ran(reply.status.as_u16(), content_type, reply.body.to_vec());
-    let said_not_run = header(OUTCOME_HEADER).as_deref() == Some(Outcome::NotRun.as_str());
-    if said_not_run {
-        answer.outcome = Outcome::NotRun;
-    } else if reply.status.is_server_error() {
-        answer.outcome = Outcome::Unknown;
+/// An answer is the runner's own, unless it says that it did not run the call,
+/// or failed with no word about that.
+fn result_of(reply: &Reply) -> SendResult {
+    let said = header_of(reply, OUTCOME_HEADER);
+    if said.as_deref() == Some(Outcome::NotRun.as_str()) {
+        return SendResult::SaidNotRun;
     }
-    answer
+    if reply.status.is_server_error() {
+        return SendResult::Failed;
+    }
+    SendResult::Answered
+}
+
+fn passed_on(reply: &Reply) -> CallAnswer {
+    let content_type = header_of(reply, header::CONTENT_TYPE.as_str());
+    CallAnswer::ran(reply.status.as_u16(), content_type, reply.body.to_vec())
+}
+
+fn header_of(reply: &Reply, name: &str) -> Option<String> {
+    let value = reply.headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
 }
 
 async fn answer_of(slot: &AnswerSlot, app: &App, keep_until: Now) -> CallAnswer {
--- a/crates/standin/src/service_server.rs
+++ b/crates/standin/src/service_server.rs
@@ -9,8 +9,10 @@
 
 use iristhread_api::Executions;
 use iristhread_api::IDEMPOTENCY_KEY_HEADER;
+use iristhread_api::OUTCOME_HEADER;
 use iristhread_api::ServiceAnswer;
 use iristhread_api::ServiceFaults;
+use iristhread_core::Outcome;
 use tokio::net::TcpListener;
 use viz::Body;
 use viz::Request;
@@ -19,6 +21,7 @@
 use viz::Result;
 use viz::Router;
 use viz::StatusCode;
+use viz::header::HeaderValue;
 
 use crate::json_reply;
 
@@ -90,7 +93,7 @@
     };
     let faults = lock(&state).faults.clone();
     if faults.refuse {
-        return Ok(json_reply::status(StatusCode::SERVICE_UNAVAILABLE));
+        return Ok(refused());
     }
     if take(&mut lock(&state).faults.drop_before) {
         return Ok(broken());
@@ -110,6 +113,14 @@
     Ok(json_reply::json(&answer))
 }
 
+/// A refusal that says itself that nothing ran.
+fn refused() -> Response {
+    let mut response = json_reply::status(StatusCode::SERVICE_UNAVAILABLE);
+    let not_run = HeaderValue::from_static(Outcome::NotRun.as_str());
+    response.headers_mut().insert(OUTCOME_HEADER, not_run);
+    response
+}
+
 fn take(left: &mut u32) -> bool {
     let some = *left > 0;
     *left = left.saturating_sub(1);
--- a/crates/testbed/src/scene.rs
+++ b/crates/testbed/src/scene.rs
@@ -39,6 +39,9 @@
 /// Longest wait for a condition; tests never fail for being slow before it.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Longest wait for one instance that may be frozen.
+const ANSWER_PATIENCE: Duration = Duration::from_secs(4);
+
 const POLL: Duration = Duration::from_millis(20);
 
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -386,6 +389,18 @@
         Ok(all)
     }
 
+    /// Adds lines to the settings that an instance reads when it is restarted.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub fn change_settings(&mut self, name: &str, lines: &str) -> Result<(), SceneError> {
+        let file = self.instances[name].settings.path();
+        let failed = |error: std::io::Error| SceneError::Standin(error.to_string());
+        let text = std::fs::read_to_string(file).map_err(failed)?;
+        std::fs::write(file, format!("{lines}\n{text}")).map_err(failed)
+    }
+
     /// Starts an instance again under the same name, with new ports and a new
     /// incarnation.
     ///
@@ -402,11 +417,14 @@
         Ok(())
     }
 
-    /// What every instance says to be in force, asked one by one.
+    /// What every instance says to be in force, asked one by one; a frozen one
+    /// is left out.
     pub async fn versions(&self) -> BTreeMap<String, InstanceStatus> {
         let mut all = BTreeMap::new();
         for name in self.instances.keys() {
-            if let Ok(lines) = self.operator(name).status().await {
+            let operator = self.operator(name);
+            let answer = tokio::time::timeout(ANSWER_PATIENCE, operator.status()).await;
+            if let Ok(Ok(lines)) = answer {
                 all.extend(lines.into_iter().filter(|(line, _)| line == name));
             }
         }
--- a/crates/testbed/tests/support/mod.rs
+++ b/crates/testbed/tests/support/mod.rs
@@ -66,3 +66,19 @@
         panic!("{error}");
     }
 }
+
+/// Engines that a request was placed on, in order.
+pub async fn engines_of(scene: &Scene, instance: &str, request: &str) -> Vec<String> {
+    let operator = scene.operator(instance);
+    let timeline = operator
+        .timeline(Some(request), HybridTime::default())
+        .await;
+    let records = timeline
+        .map(|timeline| timeline.records)
+        .unwrap_or_default();
+    let placed = |record: TimelineRecord| match record.event {
+        TimelineEvent::Placed { engine, .. } => Some(engine),
+        _ => None,
+    };
+    records.into_iter().filter_map(placed).collect()
+}
