--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -71,10 +71,8 @@
 
     fn spread(&mut self, commands: &mut Vec<Command>) {
         let own_zone = self.settings.zone.clone();
-        for _ in 0..FANOUT {
-            self.exchange_with_random(Some(&own_zone), commands);
-        }
-        self.exchange_with_random(None, commands);
+        self.exchange_with_random(Some(&own_zone), FANOUT, commands);
+        self.exchange_with_random(None, 1, commands);
     }
 
     pub(super) fn tick_membership(&mut self, now: Now, commands: &mut Vec<Command>) {
@@ -88,11 +86,11 @@
         if now >= self.next_zone_exchange {
             self.next_zone_exchange = now + self.jittered(ZONE_EXCHANGE);
             let own_zone = self.settings.zone.clone();
-            self.exchange_with_random(Some(&own_zone), commands);
+            self.exchange_with_random(Some(&own_zone), 1, commands);
         }
         if now >= self.next_far_exchange {
             self.next_far_exchange = now + self.jittered(FAR_EXCHANGE);
-            self.exchange_with_random(None, commands);
+            self.exchange_with_random(None, 1, commands);
         }
     }
 
@@ -109,19 +107,24 @@
         }
     }
 
-    /// Draws a peer of `zone`, or of any.
-    fn exchange_with_random(&mut self, zone: Option<&str>, commands: &mut Vec<Command>) {
+    /// Draws `count` different peers of `zone`, or of any.
+    fn exchange_with_random(
+        &mut self,
+        zone: Option<&str>,
+        count: usize,
+        commands: &mut Vec<Command>,
+    ) {
         let own = self.settings.instance.clone();
         let wanted = |entry: &&InstanceEntry| {
             entry.instance != own && zone.is_none_or(|zone| entry.availability_zone == zone)
         };
-        let peers: Vec<&InstanceEntry> = self.roster.entries().filter(wanted).collect();
-        if peers.is_empty() {
-            return;
+        let peers = self.roster.entries().filter(wanted);
+        let mut peers: Vec<String> = peers.map(|entry| entry.instance.clone()).collect();
+        for _ in 0..count.min(peers.len()) {
+            let draw = self.random.next_u32() as usize % peers.len();
+            let instance = peers.swap_remove(draw);
+            self.exchange_with(&instance, commands);
         }
-        let draw = self.random.next_u32() as usize % peers.len();
-        let instance = peers[draw].instance.clone();
-        self.exchange_with(&instance, commands);
     }
 
     /// Between 0.75 and 1.25 of the interval, so that instances drift apart.
