--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,19 @@
+//! Measurements: each program under `src/bin` prints the figures that the docs
+//! quote, with the conditions of the run.
+
+mod figures;
+mod policy_world;
+mod process_cost;
+mod virtual_engine;
+mod workload;
+
+pub use figures::Figures;
+pub use figures::interval;
+pub use policy_world::PolicyWorld;
+pub use policy_world::Trial;
+pub use process_cost::ProcessCost;
+pub use virtual_engine::EngineEventKind;
+pub use virtual_engine::VirtualEngine;
+pub use workload::Deployment;
+pub use workload::Session;
+pub use workload::Workload;
