Let others' sessions grow between their report and the decision

Cause: a load report is up to 0.8 s old when it is used (lag and interval); 35 sessions grow by 20 to 30 tokens each in that time, an eighth of the memory, and the forecast took them as they were.

Change: sessions of other instances grow by the steps since the report, with 300 ms for its lag.

Not the main cause.

--- a/crates/bench/src/bin/policies.rs
+++ b/crates/bench/src/bin/policies.rs
@@ -20,6 +20,8 @@
             optional --span-s seconds: u64
             /// Loads as shares of capacity, separated by commas.
             optional --loads loads: String
+            /// Only the policy of this name.
+            optional --only name: String
             /// Engines that die in the middle of the span.
             optional --engines-lost count: usize
         }
@@ -76,6 +78,9 @@
             println!("\n### {:.0}% of capacity\n", load * 100.0);
             print_header();
             for (name, policy) in POLICIES {
+                if flags.only.as_deref().is_some_and(|only| only != name) {
+                    continue;
+                }
                 let trial = |seed| Trial {
                     deployment,
                     policy,
--- a/crates/core/src/engine_view.rs
+++ b/crates/core/src/engine_view.rs
@@ -12,6 +12,9 @@
 /// Steps ahead at which memory is predicted, in tokens per session.
 const HORIZONS: [u32; 6] = [0, 64, 256, 1_024, 4_096, 16_384];
 
+/// Lag that reports are taken to have when they arrive.
+const REPORT_LAG: Duration = Duration::from_millis(300);
+
 /// First pause after a failure; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 
@@ -147,6 +150,7 @@
     /// added. `margin` counts standard deviations.
     pub(crate) fn forecast(
         &self,
+        now: Now,
         estimator: &LengthEstimator,
         need: Option<&OwnSession>,
         margin: f64,
@@ -162,7 +166,7 @@
                 let survives = estimator.survival(&session.class, session.generated, horizon);
                 sum.add(1.0, session.size() + f64::from(horizon), survives);
             }
-            self.add_others(&mut sum, estimator, horizon, report);
+            self.add_others(now, &mut sum, estimator, horizon, report);
             let expected = sum.mean / capacity;
             let guarded = (sum.mean + margin * sum.variance.sqrt()) / capacity;
             if guarded > worst.guarded {
@@ -172,8 +176,19 @@
         worst
     }
 
+    /// Tokens that a session has grown by since the state that the report shows.
+    fn steps_since_report(&self, now: Now, report: &LoadReport) -> f64 {
+        let age = now.saturating_sub(self.reported_at) + REPORT_LAG;
+        if report.step_ms > 0.0 {
+            age.as_secs_f64() * 1e3 / report.step_ms
+        } else {
+            0.0
+        }
+    }
+
     fn add_others(
         &self,
+        now: Now,
         sum: &mut MomentSum,
         estimator: &LengthEstimator,
         horizon: u32,
@@ -185,7 +200,8 @@
         if others < 1.0 || others_tokens <= 0.0 {
             return;
         }
-        let mean_size = others_tokens / others;
+        let grown = self.steps_since_report(now, report);
+        let mean_size = others_tokens / others + grown;
         let generated = (mean_size / 2.0) as u32;
         let survives = estimator.survival("", generated, horizon);
         sum.add(others, mean_size + f64::from(horizon), survives);
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -189,8 +189,10 @@
             RoutingPolicy::RoundRobin => self.score_turn(place),
             RoutingPolicy::LeastOutstanding => score_outstanding(view),
             RoutingPolicy::TwoChoices => self.score_two_choices(view, place),
-            RoutingPolicy::Predictive => self.score(view, estimator, sharers, need, true),
-            RoutingPolicy::PredictiveNoHold => self.score(view, estimator, sharers, need, false),
+            RoutingPolicy::Predictive => self.score(now, view, estimator, sharers, need, true),
+            RoutingPolicy::PredictiveNoHold => {
+                self.score(now, view, estimator, sharers, need, false)
+            }
         }
     }
 
@@ -209,6 +211,7 @@
 
     fn score(
         &mut self,
+        now: Now,
         view: &EngineView,
         estimator: &LengthEstimator,
         sharers: u32,
@@ -220,7 +223,7 @@
             prompt_tokens: need.prompt_tokens,
             generated: need.generated,
         };
-        let forecast = view.forecast(estimator, Some(&session), MEMORY_MARGIN);
+        let forecast = view.forecast(now, estimator, Some(&session), MEMORY_MARGIN);
         let all = view.sessions_of_all(sharers);
         let idle = view.own_sessions() == 0 && all < 1.0;
         if hold && forecast.guarded > MEMORY_TARGET && !idle {
