Hold requests back while sessions wait inside an engine

Cause: a displaced session waits at the head of its engine's own queue; new ones that the forecast found room for queued up behind it, out of reach of deadlines and fair shares (start p95 17 s at 150%, deadline 5 s).

Change: an engine that reports waiting sessions has no room.

Still not the main cause.

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -223,6 +223,10 @@
             prompt_tokens: need.prompt_tokens,
             generated: need.generated,
         };
+        if hold && view.waiting() > 0 {
+            let waiting = view.waiting();
+            return Verdict::NoRoom(format!("{waiting} sessions wait inside the engine"));
+        }
         let forecast = view.forecast(now, estimator, Some(&session), MEMORY_MARGIN);
         let all = view.sessions_of_all(sharers);
         let idle = view.own_sessions() == 0 && all < 1.0;
