Take the others to start what this instance starts

Cause: within one report interval every instance saw the same engine as the best and sent there; each knew only its own starts, so several instances together overfilled it.

Change: until the next report, the forecast counts each own start once more for every other live instance of the zone.

--- a/crates/core/src/control/placing.rs
+++ b/crates/core/src/control/placing.rs
@@ -183,7 +183,7 @@
             generated: submission.generated,
         };
         if let Some(view) = self.book.view_mut(&engine) {
-            view.sessions.insert(submission.request.clone(), session);
+            view.start(submission.request.clone(), session);
         }
         let running = Running { engine, class };
         self.running.insert(submission.request.clone(), running);
--- a/crates/core/src/engine_view.rs
+++ b/crates/core/src/engine_view.rs
@@ -52,6 +52,7 @@
     pub(crate) report: Option<LoadReport>,
     reported_at: Now,
     own_at_report: (u32, f64),
+    started_since: Vec<OwnSession>,
     pub(crate) sessions: HashMap<RequestId, OwnSession>,
     failures: u32,
     paused_until: Now,
@@ -65,6 +66,7 @@
             report: None,
             reported_at: Now::ZERO,
             own_at_report: (0, 0.0),
+            started_since: Vec::new(),
             sessions: HashMap::new(),
             failures: 0,
             paused_until: Now::ZERO,
@@ -84,6 +86,13 @@
         self.own_at_report = (self.own_sessions(), own_tokens);
         self.report = Some(report);
         self.reported_at = now;
+        self.started_since.clear();
+    }
+
+    /// Counts a session of this instance.
+    pub(crate) fn start(&mut self, request: RequestId, session: OwnSession) {
+        self.started_since.push(session.clone());
+        self.sessions.insert(request, session);
     }
 
     /// Notes a failure of a request or report; pauses the backend server with
@@ -152,7 +161,8 @@
         &self,
         now: Now,
         estimator: &LengthEstimator,
-        need: Option<&OwnSession>,
+        need: &OwnSession,
+        sharers: u32,
         margin: f64,
     ) -> MemoryForecast {
         let Some(report) = &self.report else {
@@ -162,9 +172,14 @@
         let mut worst = MemoryForecast::default();
         for horizon in HORIZONS {
             let mut sum = MomentSum::default();
-            for session in self.sessions.values().chain(need) {
-                let survives = estimator.survival(&session.class, session.generated, horizon);
-                sum.add(1.0, session.size() + f64::from(horizon), survives);
+            for session in self.sessions.values().chain([need]) {
+                sum.add_session(1.0, session, estimator, horizon);
+            }
+            // The others do as this instance: what it started since the report,
+            // each of them started as well.
+            let others = f64::from(sharers.saturating_sub(1));
+            for session in &self.started_since {
+                sum.add_session(others, session, estimator, horizon);
             }
             self.add_others(now, &mut sum, estimator, horizon, report);
             let expected = sum.mean / capacity;
@@ -217,6 +232,17 @@
 }
 
 impl MomentSum {
+    fn add_session(
+        &mut self,
+        count: f64,
+        session: &OwnSession,
+        estimator: &LengthEstimator,
+        horizon: u32,
+    ) {
+        let survives = estimator.survival(&session.class, session.generated, horizon);
+        self.add(count, session.size() + f64::from(horizon), survives);
+    }
+
     fn add(&mut self, count: f64, size: f64, survives: f64) {
         self.mean += count * size * survives;
         self.variance += count * size * size * survives * (1.0 - survives);
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -227,7 +227,7 @@
             let waiting = view.waiting();
             return Verdict::NoRoom(format!("{waiting} sessions wait inside the engine"));
         }
-        let forecast = view.forecast(now, estimator, Some(&session), MEMORY_MARGIN);
+        let forecast = view.forecast(now, estimator, &session, sharers, MEMORY_MARGIN);
         let all = view.sessions_of_all(sharers);
         let idle = view.own_sessions() == 0 && all < 1.0;
         if hold && forecast.guarded > MEMORY_TARGET && !idle {
