--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -37,7 +37,7 @@
 const AFFINITY_SCORE: f64 = 0.05;
 
 /// Differences in score below this are left to chance, which breaks herds.
-const NOISE_SCORE: f64 = 0.1;
+const NOISE_SCORE: f64 = 0.01;
 
 /// How an engine is chosen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
