Count as sharers all instances that send to the same engines

Cause: with few engines in a zone every instance uses engines of all zones, but one own start was taken to stand only for the instances of the own zone (2 of 6), so two thirds of the others' starts were still missing.

Change: sharers are all listed instances unless the zone alone fills the subset of engines; at most 8, since beyond that one own start says too little about the others (docs/CAPACITY.md names the mechanism that is to follow).

--- a/crates/core/src/control/placing.rs
+++ b/crates/core/src/control/placing.rs
@@ -6,6 +6,7 @@
 use super::Running;
 use crate::BackendId;
 use crate::Command;
+use crate::EngineView;
 use crate::Now;
 use crate::Placement;
 use crate::Queued;
@@ -26,6 +27,10 @@
 /// Advice when a queue is full or a deadline can't be met.
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Most instances for which one own start is taken to stand: with more, the
+/// guess would be noise (docs/CAPACITY.md).
+const MAX_SHARERS: u32 = 8;
+
 /// Prefixes remembered; the oldest half goes when it is full.
 const MAX_WARM: usize = 8_192;
 
@@ -140,12 +145,24 @@
             exclude: submission.exclude.clone(),
             warm: self.warm.get(&submission.prefix).cloned(),
         };
-        let sharers = u32::try_from(self.roster.live_in(&self.settings.zone).len());
-        let sharers = sharers.unwrap_or(u32::MAX).max(1);
+        let sharers = self.sharers(&submission.model);
         self.router
             .choose(now, &self.book, &self.estimator, sharers, &need)
     }
 
+    /// Instances that send to the engines of this instance's subset, itself
+    /// included: those of the zone where the zone has engines enough, else all.
+    fn sharers(&self, model: &str) -> u32 {
+        let own_zone = self.settings.zone.as_str();
+        let is_near = |view: &EngineView| view.server.availability_zone == own_zone;
+        let instances = match self.book.subset(model).all(is_near) {
+            true => self.roster.live_in(own_zone).len(),
+            false => self.roster.entries().count(),
+        };
+        let sharers = u32::try_from(instances).unwrap_or(MAX_SHARERS);
+        sharers.clamp(1, MAX_SHARERS)
+    }
+
     fn start(&mut self, submission: Submission, choice: Choice, commands: &mut Vec<Command>) {
         let Some(engine) = choice.engine else {
             return;
