--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -19,7 +19,7 @@
 
 /// Standard deviations added to the expected memory; about 2% of placements
 /// are then followed by an overflow if lengths are independent.
-const MEMORY_MARGIN: f64 = 3.0;
+const MEMORY_MARGIN: f64 = 2.0;
 
 /// Score added for an engine in another availability zone.
 const OTHER_ZONE_SCORE: f64 = 0.25;
