--- a/crates/testbed/src/child.rs
+++ b/crates/testbed/src/child.rs
@@ -73,6 +73,11 @@
         })
     }
 
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.pid.as_raw().unsigned_abs()
+    }
+
     /// SIGKILL, and waits for the end.
     pub async fn kill(&mut self) {
         self.signal(Signal::SIGKILL);
