Spend a ticket and run its call in one task

Cause: when a forwarding instance gives up at its deadline, its connection closes and the server drops the handler. Dropped between the spending of the ticket and the start of the call, it left the ticket spent and never run: each later delivery waited for an answer that could not come, and was told `unknown`. At most once held; the call was lost.

Ruled out: the frozen process sending late (no execution was seen).

Change: a task of its own spends and runs; who leaves cuts nothing.

--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -41,29 +41,38 @@
 }
 
 /// Runs, forwards or repeats the answer of a call whose ticket was verified.
+///
+/// The whole is a task of its own: a caller or peer that leaves between the
+/// spending of the ticket and the call must not leave the ticket spent for
+/// nothing.
 pub async fn run_ticketed(app: &Arc<App>, call: ForwardedCall, ticket: Ticket) -> CallAnswer {
-    let number = ticket.number.clone();
+    let task = tokio::spawn(spend_and_run(app.clone(), call, ticket));
+    task.await.unwrap_or_else(|_| {
+        CallAnswer::unknown("lost", "the instance failed while it ran the call")
+    })
+}
+
+async fn spend_and_run(app: Arc<App>, call: ForwardedCall, ticket: Ticket) -> CallAnswer {
     let keep_until = Duration::from_millis(ticket.expires_ms);
     let ask = |reply| ControlMessage::SpendTicket {
         ticket: ticket.clone(),
         reply,
     };
-    // Subscribe before spending, so that a second delivery finds the slot.
+    // Before spending, so that a second delivery finds the slot.
     let is_own = ticket.instance == app.identity.instance;
-    let slot = is_own.then(|| app.calls.slot(&number, keep_until));
+    let slot = is_own.then(|| app.calls.slot(&ticket.number, keep_until));
     let Some(verdict) = app.control.ask(ask).await else {
         return CallAnswer::not_run(503, "stopping", "the instance is stopping");
     };
     match (verdict, slot) {
         (SpendVerdict::Run { send_before }, Some(slot)) => {
-            let deadline = deadline_of(app, &call).min(send_before);
-            let running = run_once(app.clone(), call, number, deadline, slot.clone());
-            // A task of its own: the caller's departure must not cut it.
-            tokio::spawn(running);
-            answer_of(&slot, app, keep_until).await
+            let deadline = deadline_of(&app, &call).min(send_before);
+            let answer = run(&app, &call, false, &ticket.number, deadline).await;
+            slot.send_replace(Some(answer.clone()));
+            answer
         }
-        (SpendVerdict::SameRun, Some(slot)) => answer_of(&slot, app, keep_until).await,
-        (SpendVerdict::Forward { instance, .. }, _) => forward(app, call, instance).await,
+        (SpendVerdict::SameRun, Some(slot)) => answer_of(&slot, &app, keep_until).await,
+        (SpendVerdict::Forward { instance, .. }, _) => forward(&app, call, instance).await,
         (SpendVerdict::Expired, _) => CallAnswer::not_run(
             410,
             "ticket_expired",
@@ -93,17 +102,6 @@
     }
 }
 
-async fn run_once(
-    app: Arc<App>,
-    call: ForwardedCall,
-    number: String,
-    deadline: Now,
-    slot: AnswerSlot,
-) {
-    let answer = run(&app, &call, false, &number, deadline).await;
-    slot.send_replace(Some(answer));
-}
-
 /// Drives the decisions of a [`CallRun`].
 async fn run(
     app: &App,
