--- a/crates/daemon/src/control_message.rs
+++ b/crates/daemon/src/control_message.rs
@@ -80,38 +80,55 @@
         /// Gets them.
         reply: oneshot::Sender<Vec<TimelineRecord>>,
     },
-    /// The observed state is wanted.
+    /// The versions are wanted: cheap at any size of the fleet.
+    Versions {
+        /// Gets them.
+        reply: oneshot::Sender<Versions>,
+    },
+    /// The instance list is wanted.
+    Roster {
+        /// Gets it.
+        reply: oneshot::Sender<Vec<InstanceEntry>>,
+    },
+    /// The whole observed state is wanted, for operators.
     Snapshot {
         /// Gets it.
         reply: oneshot::Sender<Snapshot>,
     },
 }
 
-/// What an instance knows, at one moment.
+/// What an instance has, at one moment.
 #[derive(Clone, Debug)]
-pub struct Snapshot {
+pub struct Versions {
     /// Version in force, 0 for none.
     pub config_version: ConfigVersion,
     /// The configuration in force.
     pub document: Option<Arc<Document>>,
     /// Milliseconds since the platform confirmed it, if ever.
     pub config_age_ms: Option<u64>,
-    /// The newest refused version with its faults.
-    pub refused: Option<(ConfigVersion, Vec<DocumentFault>)>,
     /// Version of the instance list.
     pub roster_version: u64,
+    /// Requests that wait.
+    pub queued: usize,
+    /// Requests that run.
+    pub running: usize,
+    /// Hybrid time of this moment.
+    pub time: HybridTime,
+}
+
+/// What an instance knows, at one moment.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    /// What it has.
+    pub versions: Versions,
+    /// The newest refused version with its faults.
+    pub refused: Option<(ConfigVersion, Vec<DocumentFault>)>,
     /// The instance list, joined with what peers said.
     pub instances: Vec<InstanceSnapshot>,
     /// Backend servers as this instance sees them.
     pub backends: Vec<BackendSnapshot>,
     /// Requests open by workspace.
     pub open_requests: Vec<(WorkspaceId, u32)>,
-    /// Requests that wait.
-    pub queued: usize,
-    /// Requests that run.
-    pub running: usize,
-    /// Hybrid time of the snapshot.
-    pub time: HybridTime,
 }
 
 /// One line of the instance list.
--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -26,6 +26,7 @@
 use crate::control_message::Decision;
 use crate::control_message::InstanceSnapshot;
 use crate::control_message::Snapshot;
+use crate::control_message::Versions;
 use crate::view::View;
 
 /// Time between two ticks of the decisions.
@@ -174,6 +175,13 @@
             } => {
                 let _ = reply.send(self.control.timeline(after, request.as_deref()));
             }
+            ControlMessage::Versions { reply } => {
+                let _ = reply.send(self.versions(now));
+            }
+            ControlMessage::Roster { reply } => {
+                let entries = self.control.roster().entries();
+                let _ = reply.send(entries.cloned().collect());
+            }
             ControlMessage::Snapshot { reply } => {
                 let _ = reply.send(self.snapshot(now));
             }
@@ -242,28 +250,34 @@
         }
     }
 
-    fn snapshot(&mut self, now: Now) -> Snapshot {
+    fn versions(&mut self, now: Now) -> Versions {
         let time = self.control.stamp(self.clock.wall_ms());
         let config = self.control.config();
-        let document = config.in_force().map(|offer| offer.document.clone());
         let age = config.confirmed_at().map(|at| now.saturating_sub(at));
-        let workspaces = document.iter().flat_map(|d| &d.workspaces);
-        let open = |name: &String| (name.clone(), self.control.open_requests(name));
-        Snapshot {
+        Versions {
             config_version: config.version(),
+            document: config.in_force().map(|offer| offer.document.clone()),
             config_age_ms: age.map(millis),
-            refused: config.refused().cloned(),
             roster_version: self.control.roster().version(),
-            instances: self.instances(now),
-            backends: self.backends(now),
-            open_requests: workspaces.map(|w| open(&w.name)).collect(),
             queued: self.control.queued(),
             running: self.control.running(),
-            document,
             time,
         }
     }
 
+    fn snapshot(&mut self, now: Now) -> Snapshot {
+        let versions = self.versions(now);
+        let workspaces = versions.document.iter().flat_map(|d| &d.workspaces);
+        let open = |name: &String| (name.clone(), self.control.open_requests(name));
+        Snapshot {
+            refused: self.control.config().refused().cloned(),
+            instances: self.instances(now),
+            backends: self.backends(now),
+            open_requests: workspaces.map(|w| open(&w.name)).collect(),
+            versions,
+        }
+    }
+
     fn instances(&self, now: Now) -> Vec<InstanceSnapshot> {
         let roster = self.control.roster();
         let line = |entry: &iristhread_core::InstanceEntry| InstanceSnapshot {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -53,7 +53,7 @@
     let Some(snapshot) = app.control.ask(ask).await else {
         return lines;
     };
-    let versions = versions_of(&app.identity, &snapshot);
+    let versions = versions_of(&app.identity, &snapshot.versions);
     let mut own = InstanceStatus::reached(versions.config_version, versions.config_age_ms);
     own.refused = snapshot.refused.map(|(version, faults)| {
         let named = faults.iter().map(ToString::to_string).collect::<Vec<_>>();
@@ -73,11 +73,8 @@
 }
 
 async fn ask_all(app: &App, question: PeerRequest) -> Vec<(String, Option<PeerReply>)> {
-    let ask = |reply| ControlMessage::Snapshot { reply };
-    let Some(snapshot) = app.control.ask(ask).await else {
-        return Vec::new();
-    };
-    let entries = snapshot.instances.into_iter().map(|line| line.entry);
+    let ask = |reply| ControlMessage::Roster { reply };
+    let entries = app.control.ask(ask).await.unwrap_or_default().into_iter();
     let others = entries.filter(|entry| entry.instance != app.identity.instance);
     let asked = others.map(|entry| ask_one(app, entry, question.clone()));
     stream::iter(asked)
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operator_api.rs
@@ -76,6 +76,7 @@
         .query()
         .map_err(|error| ApiError::invalid("invalid_query", Some("from"), error.to_string()))?;
     if query.watch.is_some() {
+        resource_builder::refresh(&app).await;
         return watch_from(app, kind, name, query.from);
     }
     resource_builder::refresh(&app).await;
--- a/crates/daemon/src/peer_exchanger.rs
+++ b/crates/daemon/src/peer_exchanger.rs
@@ -9,7 +9,7 @@
 
 use crate::app::App;
 use crate::control_message::ControlMessage;
-use crate::control_message::Snapshot;
+use crate::control_message::Versions;
 use crate::control_thread::ExchangeTarget;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
@@ -33,10 +33,10 @@
             exchange(&app, (seed.instance.clone(), seed.address)).await;
         }
         tokio::time::sleep(SEED_INTERVAL).await;
-        let ask = |reply| ControlMessage::Snapshot { reply };
-        let snapshot = app.control.ask(ask).await;
-        let is_complete = |s: &Snapshot| s.config_version > 0 && s.roster_version > 0;
-        if snapshot.as_ref().is_none_or(is_complete) {
+        let ask = |reply| ControlMessage::Versions { reply };
+        let versions = app.control.ask(ask).await;
+        let is_complete = |own: &Versions| own.config_version > 0 && own.roster_version > 0;
+        if versions.as_ref().is_none_or(is_complete) {
             return;
         }
     }
@@ -58,11 +58,11 @@
 }
 
 async fn exchange(app: &App, (instance, address): ExchangeTarget) {
-    let ask = |reply| ControlMessage::Snapshot { reply };
-    let Some(snapshot) = app.control.ask(ask).await else {
+    let ask = |reply| ControlMessage::Versions { reply };
+    let Some(own) = app.control.ask(ask).await else {
         return;
     };
-    let request = PeerRequest::Exchange(versions_of(&app.identity, &snapshot));
+    let request = PeerRequest::Exchange(versions_of(&app.identity, &own));
     let answer = app
         .peers
         .ask(instance.clone(), address, request, TIMEOUT)
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -22,7 +22,7 @@
 use crate::app::App;
 use crate::control_message::ControlMessage;
 use crate::control_message::Identity;
-use crate::control_message::Snapshot;
+use crate::control_message::Versions;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 use crate::peer_message::PeerVersions;
@@ -120,19 +120,30 @@
     }
 
     async fn exchange(&self, message: &SignedMessage, theirs: PeerVersions) -> Option<PeerReply> {
-        let ask = |reply| ControlMessage::Snapshot { reply };
-        let snapshot = self.app.control.ask(ask).await?;
-        tell_versions(&self.app, message.from.clone(), &theirs);
-        let config = config_for(&snapshot, theirs.config_version);
-        let instances = instances_for(&snapshot, theirs.roster_version);
+        let app = &self.app;
+        let own = app
+            .control
+            .ask(|reply| ControlMessage::Versions { reply })
+            .await?;
+        tell_versions(app, message.from.clone(), &theirs);
+        let instances = match theirs.roster_version < own.roster_version {
+            true => Some(instances_of(app, own.roster_version).await?),
+            false => None,
+        };
         Some(PeerReply::Exchange {
-            versions: versions_of(&self.app.identity, &snapshot),
-            config,
+            versions: versions_of(&app.identity, &own),
+            config: config_for(&own, theirs.config_version),
             instances,
         })
     }
 }
 
+async fn instances_of(app: &App, version: u64) -> Option<InstancesReply> {
+    let ask = |reply| ControlMessage::Roster { reply };
+    let entries = app.control.ask(ask).await?;
+    Some(InstancesReply { version, entries })
+}
+
 /// Tells the decisions what a peer has.
 pub fn tell_versions(app: &App, instance: InstanceId, versions: &PeerVersions) {
     app.control.tell(Event::PeerHeard {
@@ -150,35 +161,28 @@
     }
 }
 
-/// The versions that a snapshot shows.
-pub fn versions_of(identity: &Identity, snapshot: &Snapshot) -> PeerVersions {
+/// What a process has, as its peers are told.
+pub fn versions_of(identity: &Identity, versions: &Versions) -> PeerVersions {
     PeerVersions {
         incarnation: identity.incarnation.clone(),
-        config_version: snapshot.config_version,
-        config_age_ms: snapshot.config_age_ms,
-        roster_version: snapshot.roster_version,
-        time: snapshot.time,
+        config_version: versions.config_version,
+        config_age_ms: versions.config_age_ms,
+        roster_version: versions.roster_version,
+        time: versions.time,
     }
 }
 
-fn config_for(snapshot: &Snapshot, theirs: u64) -> Option<ConfigReply> {
-    if theirs >= snapshot.config_version {
+fn config_for(own: &Versions, theirs: u64) -> Option<ConfigReply> {
+    if theirs >= own.config_version {
         return None;
     }
-    let document = snapshot.document.as_deref()?;
+    let document = own.document.as_deref()?;
     Some(ConfigReply {
-        version: snapshot.config_version,
+        version: own.config_version,
         document: serde_json::to_value(document).ok()?,
     })
 }
 
-fn instances_for(snapshot: &Snapshot, theirs: u64) -> Option<InstancesReply> {
-    (theirs < snapshot.roster_version).then(|| InstancesReply {
-        version: snapshot.roster_version,
-        entries: snapshot.instances.iter().map(|i| i.entry.clone()).collect(),
-    })
-}
-
 fn refusal(code: i32, message: &str) -> ErrorObjectOwned {
     ErrorObjectOwned::owned(code, message.to_owned(), None::<()>)
 }
--- a/crates/daemon/src/resource_builder.rs
+++ b/crates/daemon/src/resource_builder.rs
@@ -24,28 +24,32 @@
 /// Silence after which an instance is shown as silent.
 const SILENT_MS: u64 = 30_000;
 
-/// Runs for the life of the process.
+/// Runs for the life of the process. Resources are compared only while somebody
+/// watches: at the target size that takes longer than all else that is periodic.
 pub async fn run_resources(app: Arc<App>) {
-    while refresh(&app).await.is_some() {
+    let ask = |reply| ControlMessage::Versions { reply };
+    while let Some(own) = app.control.ask(ask).await {
+        app.metrics.load(own.queued as u64, own.running as u64);
         app.calls.forget_expired(app.clock.now());
+        if app.resources.is_watched() {
+            refresh(&app).await;
+        }
         tokio::time::sleep(INTERVAL).await;
     }
 }
 
-/// Logs what has changed since the last look; `None` when the process stops.
-pub async fn refresh(app: &App) -> Option<()> {
+/// Logs what has changed since the last look.
+pub async fn refresh(app: &App) {
     let ask = |reply| ControlMessage::Snapshot { reply };
-    let snapshot = app.control.ask(ask).await?;
-    let (queued, running) = (snapshot.queued as u64, snapshot.running as u64);
-    app.metrics.load(queued, running);
-    app.resources.update(resources_of(&snapshot));
-    Some(())
+    if let Some(snapshot) = app.control.ask(ask).await {
+        app.resources.update(resources_of(&snapshot));
+    }
 }
 
 /// Every resource by kind and name.
 pub fn resources_of(snapshot: &Snapshot) -> Resources {
     let empty = Arc::new(Document::default());
-    let document = snapshot.document.as_ref().unwrap_or(&empty);
+    let document = snapshot.versions.document.as_ref().unwrap_or(&empty);
     let mut resources = Resources::new();
     resources.insert("models", models(document, snapshot));
     resources.insert("adapters", adapters(document, snapshot));
--- a/crates/daemon/src/resource_log.rs
+++ b/crates/daemon/src/resource_log.rs
@@ -97,6 +97,11 @@
         self.versions.subscribe()
     }
 
+    /// Whether anybody waits for a change.
+    pub fn is_watched(&self) -> bool {
+        self.versions.receiver_count() > 0
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -239,10 +239,9 @@
             instance: instance.clone(),
         },
     );
-    let ask = |reply| ControlMessage::Snapshot { reply };
-    let snapshot = app.control.ask(ask).await;
-    let entries = snapshot.into_iter().flat_map(|s| s.instances);
-    let mut entries = entries.map(|line| line.entry);
+    let ask = |reply| ControlMessage::Roster { reply };
+    let entries = app.control.ask(ask).await.unwrap_or_default();
+    let mut entries = entries.into_iter();
     let Some(entry) = entries.find(|entry| entry.instance == instance) else {
         return unreachable("it is not on the instance list".to_owned());
     };
