Bring news to peers, and read while nothing is in force

Cause: two faults, found when all of nine instances restarted at once and some had no configuration after 30 s. 1. A process that had the instance list before the configuration fell silent when its rank made it no reader, with nothing to serve. 2. An instance with an outdated list asks peers at addresses that are gone, and a peer that reaches it brought nothing: the one behind had to ask.

Change: without a configuration an instance reads whatever its rank; an exchange that shows the peer to lack something is followed by an offer of it.

Seen to fail first: membership::an_instance_without_a_configuration_reads (assertion failed on ReadPlatform), configuration::news_reaches_a_cut_zone_ whose_list_is_out_of_date (waited in vain for 30 s). Both pass now.

--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -90,7 +90,8 @@
     pub(super) fn tick_membership(&mut self, now: Now, commands: &mut Vec<Command>) {
         let confirmed_at = self.config.confirmed_at().unwrap_or(Now::ZERO);
         let age = now.saturating_sub(confirmed_at);
-        let reads = self.rota.reads(&self.roster, age);
+        let has_nothing = self.config.version() == 0;
+        let reads = has_nothing || self.rota.reads(&self.roster, age);
         if reads != self.reading {
             self.reading = reads;
             commands.push(Command::ReadPlatform { reads });
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -109,6 +109,38 @@
     assert!(rota.reads(&Roster::default(), Duration::ZERO));
 }
 
+/// Its rank does not matter: it has nothing to serve with.
+#[test]
+fn an_instance_without_a_configuration_reads() {
+    let fleet = roster(9);
+    let is_reader = |number: &usize| {
+        let rota = ReaderRota::new(format!("i{number}"), "a".to_owned());
+        rota.reads(&fleet, Duration::ZERO)
+    };
+    let number = (0..9).find(|number| !is_reader(number)).unwrap();
+    let mut control = Control::new(settings(&format!("i{number}")));
+    let entries = (0..9).map(entry).collect();
+    let now = Duration::from_secs(1);
+    control.handle(
+        now,
+        0,
+        Event::RosterOffered {
+            version: 1,
+            entries,
+        },
+    );
+    let reads = Command::ReadPlatform { reads: true };
+    assert!(control.handle(now, 0, Event::Tick).contains(&reads));
+    let offered = Event::ConfigOffered {
+        version: 1,
+        document: Arc::new(Document::default()),
+        source: "peer".to_owned(),
+    };
+    control.handle(now, 0, offered);
+    let reads = Command::ReadPlatform { reads: false };
+    assert!(control.handle(now, 0, Event::Tick).contains(&reads));
+}
+
 fn settings(instance: &str) -> ControlSettings {
     ControlSettings {
         instance: instance.to_owned(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -45,6 +45,7 @@
 pub use engine_port::EnginePort;
 pub use engine_port::EngineStream;
 pub use logging::logger;
+pub use peer_message::News;
 pub use peer_message::PeerReply;
 pub use peer_message::PeerRequest;
 pub use peer_message::PeerVersions;
--- a/crates/daemon/src/peer_exchanger.rs
+++ b/crates/daemon/src/peer_exchanger.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use iristhread_core::Event;
 use slog::debug;
 use tokio::sync::mpsc;
 
@@ -11,11 +10,13 @@
 use crate::control_message::ControlMessage;
 use crate::control_message::Versions;
 use crate::control_thread::ExchangeTarget;
+use crate::peer_message::News;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
+use crate::peer_server::news_for;
+use crate::peer_server::tell_news;
 use crate::peer_server::tell_versions;
 use crate::peer_server::versions_of;
-use crate::platform_reader::offered;
 
 /// Longest wait for a peer's versions.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -57,34 +58,35 @@
     }
 }
 
+/// Compares versions with a peer; whoever is behind gets what is newer. The
+/// asker brings what the peer lacks: the peer may not know where to ask.
 async fn exchange(app: &App, (instance, address): ExchangeTarget) {
     let ask = |reply| ControlMessage::Versions { reply };
     let Some(own) = app.control.ask(ask).await else {
         return;
     };
     let request = PeerRequest::Exchange(versions_of(&app.identity, &own));
-    let answer = app
-        .peers
-        .ask(instance.clone(), address, request, TIMEOUT)
-        .await;
-    match answer {
-        Ok(PeerReply::Exchange {
-            versions,
-            config,
-            instances,
-        }) => {
-            if let Some(instances) = instances {
-                app.control.tell(Event::RosterOffered {
-                    version: instances.version,
-                    entries: instances.entries,
-                });
+    let answer = app.peers.ask(instance.clone(), address, request, TIMEOUT);
+    match answer.await {
+        Ok(PeerReply::Exchange { versions, news }) => {
+            tell_news(app, &instance, news);
+            let lacking = news_for(app, &own, &versions).await;
+            debug!(app.log, "exchanged"; "peer" => &instance, "own" => own.config_version,
+                "theirs" => versions.config_version, "offers" => !lacking.is_empty());
+            tell_versions(app, instance.clone(), &versions);
+            if !lacking.is_empty() {
+                offer(app, (instance, address), lacking).await;
             }
-            if let Some(config) = config {
-                app.control.tell(offered(config, &instance));
-            }
-            tell_versions(app, instance, &versions);
         }
         Ok(_) => debug!(app.log, "a peer answered something else"; "peer" => &instance),
         Err(error) => debug!(app.log, "exchange failed"; "error" => %error),
     }
 }
+
+async fn offer(app: &App, (instance, address): ExchangeTarget, news: News) {
+    let request = PeerRequest::Offer(news);
+    let answer = app.peers.ask(instance, address, request, TIMEOUT);
+    if let Err(error) = answer.await {
+        debug!(app.log, "offer failed"; "error" => %error);
+    }
+}
--- a/crates/daemon/src/peer_message.rs
+++ b/crates/daemon/src/peer_message.rs
@@ -71,12 +71,30 @@
     pub deadline_ms: u64,
 }
 
+/// What one process has and another lacks.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// The configuration, if the other's is older.
+    pub config: Option<ConfigReply>,
+    /// The instance list, if the other's is older.
+    pub instances: Option<InstancesReply>,
+}
+
+impl News {
+    /// Whether the other lacks nothing.
+    pub fn is_empty(&self) -> bool {
+        self.config.is_none() && self.instances.is_none()
+    }
+}
+
 /// Asked of a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum PeerRequest {
     /// Compare versions; whoever is behind gets what is newer.
     Exchange(PeerVersions),
+    /// Here is what an exchange has shown the receiver to lack.
+    Offer(News),
     /// Run a call whose ticket names the receiver.
     RunCall(ForwardedCall),
     /// Send the time line.
@@ -96,11 +114,11 @@
     Exchange {
         /// Versions of the receiver.
         versions: PeerVersions,
-        /// The configuration, if the asker's is older.
-        config: Option<ConfigReply>,
-        /// The instance list, if the asker's is older.
-        instances: Option<InstancesReply>,
+        /// What the asker lacks.
+        news: News,
     },
+    /// The offer was looked at.
+    Taken,
     /// What became of the call.
     CallAnswer(CallAnswer),
     /// The time line.
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -23,6 +23,7 @@
 use crate::control_message::ControlMessage;
 use crate::control_message::Identity;
 use crate::control_message::Versions;
+use crate::peer_message::News;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 use crate::peer_message::PeerVersions;
@@ -30,6 +31,7 @@
 use crate::peer_port::MAX_MESSAGE_BYTES;
 use crate::peer_port::PEER_METHOD;
 use crate::peer_port::sign;
+use crate::platform_reader::offered;
 use crate::service_call;
 
 /// JSON-RPC codes of refusals.
@@ -76,6 +78,10 @@
             .map_err(|error| refusal(UNREADABLE, &error.to_string()))?;
         let reply = match request {
             PeerRequest::Exchange(versions) => self.exchange(&message, versions).await,
+            PeerRequest::Offer(news) => {
+                tell_news(&self.app, &message.from, news);
+                Some(PeerReply::Taken)
+            }
             PeerRequest::RunCall(call) => {
                 let answer = service_call::run_forwarded(&self.app, call).await;
                 Some(PeerReply::CallAnswer(answer))
@@ -126,18 +132,36 @@
             .ask(|reply| ControlMessage::Versions { reply })
             .await?;
         tell_versions(app, message.from.clone(), &theirs);
-        let instances = match theirs.roster_version < own.roster_version {
-            true => Some(instances_of(app, own.roster_version).await?),
-            false => None,
-        };
         Some(PeerReply::Exchange {
             versions: versions_of(&app.identity, &own),
-            config: config_for(&own, theirs.config_version),
-            instances,
+            news: news_for(app, &own, &theirs).await,
         })
     }
 }
 
+/// What this process has and a peer lacks.
+pub async fn news_for(app: &App, own: &Versions, theirs: &PeerVersions) -> News {
+    let instances = match theirs.roster_version < own.roster_version {
+        true => instances_of(app, own.roster_version).await,
+        false => None,
+    };
+    let config = config_for(own, theirs.config_version);
+    News { config, instances }
+}
+
+/// Tells the decisions what a peer has sent.
+pub fn tell_news(app: &App, source: &str, news: News) {
+    if let Some(instances) = news.instances {
+        app.control.tell(Event::RosterOffered {
+            version: instances.version,
+            entries: instances.entries,
+        });
+    }
+    if let Some(config) = news.config {
+        app.control.tell(offered(config, source));
+    }
+}
+
 async fn instances_of(app: &App, version: u64) -> Option<InstancesReply> {
     let ask = |reply| ControlMessage::Roster { reply };
     let entries = app.control.ask(ask).await?;
--- a/crates/testbed/tests/configuration.rs
+++ b/crates/testbed/tests/configuration.rs
@@ -241,3 +241,18 @@
         PROMPT,
     );
 }
+
+/// The peer that has the news listens elsewhere than the old list says, so the
+/// cut zone can't ask it: the peer has to bring the news.
+#[tokio::test]
+async fn news_reaches_a_cut_zone_whose_list_is_out_of_date() {
+    let mut scene = Scene::builder(2).with_links().start().await.unwrap();
+    scene.set_link("a", LinkState::Cut);
+    scene.restart("b1").await.unwrap();
+    scene.list_instances(&[]).await.unwrap();
+    let version = scene.publish_document().await.unwrap();
+    scene
+        .in_force(version, &scene.instance_names())
+        .await
+        .unwrap();
+}
