Split large files, poll the engines that decisions look at

Reading them as a newcomer also showed that the poller chose its engines by itself, at most 64 by name, and not those of the subsets that decisions use: beyond 64 engines some would be decided about without any report.

--- a/crates/bench/src/bin/capacity.rs
+++ b/crates/bench/src/bin/capacity.rs
@@ -50,11 +50,11 @@
     }
     println!("\n## Instances as processes, idle and in a burst of changes\n");
     println!(
-        "| instances (one zone) | reads/s idle | µs of a core per s idle | bytes/s in+out idle | reads/s in {BURST} changes | bytes/s in the burst | restart of all: reads | resident KiB |"
+        "| instances, engines (one zone) | reads/s idle | µs of a core per s idle | bytes/s in+out idle | reads/s in {BURST} changes | bytes/s in the burst | restart of all: reads | resident KiB |"
     );
     println!("|---|---|---|---|---|---|---|---|");
-    for instances in [1, 3, 9] {
-        instances_at_rest(instances).await?;
+    for (instances, engines) in [(1, 1), (3, 1), (9, 1), (3, 8)] {
+        instances_at_rest(instances, engines).await?;
     }
     Ok(())
 }
@@ -111,10 +111,10 @@
     times[runs / 2]
 }
 
-async fn instances_at_rest(instances: usize) -> Result<(), Failure> {
+async fn instances_at_rest(instances: usize, engines: usize) -> Result<(), Failure> {
     let builder = Scene::builder(1)
         .instances_per_zone(instances)
-        .engines_per_zone(1);
+        .engines_per_zone(engines);
     let mut scene = builder.start().await?;
     let names = scene.instance_names();
     let pids: Vec<u32> = names.iter().map(|name| scene.process(name).id()).collect();
@@ -140,7 +140,7 @@
     scene.in_force(1, &names).await?;
     let restart_reads = scene.platform_reads().await? - reads;
     println!(
-        "| {instances} | {:.2} | {:.0} | {:.0} | {burst_reads:.1} | {burst_bytes:.0} (with the watching) | {restart_reads} | {} |",
+        "| {instances}, {engines} | {:.2} | {:.0} | {:.0} | {burst_reads:.1} | {burst_bytes:.0} (with the watching) | {restart_reads} | {} |",
         idle.0,
         idle.1 / instances as f64,
         idle.2 / instances as f64,
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -23,7 +23,12 @@
 use iristhread_core::ReaderRota;
 use iristhread_core::Roster;
 use iristhread_core::RoutingPolicy;
-use proptest::prelude::*;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prelude::prop_assert;
+use proptest::prelude::prop_assert_eq;
+use proptest::prelude::proptest;
 use test_case::test_case;
 
 fn offer(version: u64, faulty: bool) -> Offer {
--- a/crates/core/tests/session.rs
+++ b/crates/core/tests/session.rs
@@ -10,7 +10,14 @@
 use iristhread_core::StallBound;
 use iristhread_core::TextDigest;
 use iristhread_core::TokenVerdict;
-use proptest::prelude::*;
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop;
+use proptest::prelude::prop_assert;
+use proptest::prelude::prop_assert_eq;
+use proptest::prelude::prop_oneof;
+use proptest::prelude::proptest;
 use test_case::test_case;
 
 const START: Duration = Duration::ZERO;
--- a/crates/daemon/src/control_message.rs
+++ b/crates/daemon/src/control_message.rs
@@ -1,7 +1,9 @@
 //! What other threads ask of the control thread.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use iristhread_core::BackendId;
 use iristhread_core::BackendServer;
 use iristhread_core::ConfigVersion;
 use iristhread_core::Document;
@@ -85,6 +87,11 @@
         /// Gets them.
         reply: oneshot::Sender<Versions>,
     },
+    /// The engines that decisions look at are wanted.
+    Watched {
+        /// Gets their names and addresses.
+        reply: oneshot::Sender<Vec<(BackendId, SocketAddr)>>,
+    },
     /// The instance list is wanted.
     Roster {
         /// Gets it.
--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -178,6 +178,9 @@
             ControlMessage::Versions { reply } => {
                 let _ = reply.send(self.versions(now));
             }
+            ControlMessage::Watched { reply } => {
+                let _ = reply.send(self.control.book().watched());
+            }
             ControlMessage::Roster { reply } => {
                 let entries = self.control.roster().entries();
                 let _ = reply.send(entries.cloned().collect());
--- /dev/null
+++ b/crates/daemon/src/generation/attempts.rs
@@ -0,0 +1,231 @@
+//! The attempts of a generation: where it starts, resumes, and goes on.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use iristhread_api::GenerateRequest;
+use iristhread_core::Attempt;
+use iristhread_core::Cursor;
+use iristhread_core::Event;
+use iristhread_core::Placement;
+use iristhread_core::Submission;
+use iristhread_core::TimelineEvent;
+use slog::info;
+
+use super::Generation;
+use crate::api_error::ApiError;
+use crate::control_message::ControlMessage;
+
+/// Attempts of one generation before it ends with an error.
+const MAX_ATTEMPTS: Attempt = 12;
+
+/// Connections to the same attempt without a new token between them.
+const MAX_IDLE_ATTACHES: u32 = 2;
+
+/// Engines that failed it lately and are not tried again.
+const REMEMBERED_FAILURES: usize = 2;
+
+/// Longest wait for an engine of a stream that the caller holds a part of.
+const CONTINUE_TIMEOUT: Duration = Duration::from_secs(30);
+
+impl Generation {
+    pub(super) async fn start(&mut self) -> Result<(), ApiError> {
+        let Some(cursor) = self.order.cursor.clone() else {
+            return self.place().await;
+        };
+        let delivered = cursor.delivered;
+        self.note(TimelineEvent::Reconnected { delivered });
+        if self.attach_to(&cursor).await {
+            return Ok(());
+        }
+        if !self.session.can_continue() {
+            return Err(stream_lost());
+        }
+        self.place().await
+    }
+
+    /// Goes on at the engine that the cursor names.
+    async fn attach_to(&mut self, cursor: &Cursor) -> bool {
+        let view = self.app.view();
+        let servers = view.document.backend_servers.iter();
+        let Some(server) = servers.into_iter().find(|s| s.name == cursor.engine) else {
+            return false;
+        };
+        self.placement = Placement {
+            engine: server.name.clone(),
+            address: server.address,
+            attempt: cursor.attempt,
+        };
+        let now = self.app.clock.now();
+        self.session
+            .begin_attempt(cursor.attempt, cursor.engine.clone(), now);
+        if !self.attach().await {
+            return false;
+        }
+        let submission = self.submission(cursor.attempt);
+        self.app.control.tell(Event::Adopt {
+            submission,
+            engine: cursor.engine.clone(),
+        });
+        true
+    }
+
+    async fn attach(&mut self) -> bool {
+        let attached = self.app.engines.attach(
+            self.placement.address,
+            self.session.generation(),
+            self.placement.attempt,
+            &self.reader,
+        );
+        match attached.await {
+            Ok(stream) => {
+                self.stream = stream;
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Finds an engine for the next attempt, and tries until one takes it.
+    pub(super) async fn place(&mut self) -> Result<(), ApiError> {
+        while self.session.attempt() < MAX_ATTEMPTS {
+            let submission = self.submission(self.session.attempt() + 1);
+            let ask = |reply| ControlMessage::Submit { submission, reply };
+            let decision = self.app.control.ask(ask).await.ok_or_else(stopping)?;
+            let placement = decision.map_err(|refusal| ApiError::refused(&refusal))?;
+            if self.begin_attempt(placement).await {
+                return Ok(());
+            }
+        }
+        Err(ApiError::unavailable(
+            "attempts_exhausted",
+            "no backend server took the request after several attempts",
+        ))
+    }
+
+    async fn begin_attempt(&mut self, placement: Placement) -> bool {
+        let now = self.app.clock.now();
+        let (attempt, engine) = (placement.attempt, placement.engine.clone());
+        self.session.begin_attempt(attempt, engine, now);
+        self.idle_attaches = 0;
+        self.placement = placement;
+        let request = GenerateRequest {
+            generation: self.session.generation().clone(),
+            attempt: self.placement.attempt,
+            model: self.order.model.clone(),
+            adapter: self.order.adapter.clone(),
+            prompt: self.order.prompt.clone(),
+            received: self.session.tokens().to_vec(),
+            max_tokens: self.order.max_tokens,
+            priority: self.order.priority,
+            reader: self.reader.clone(),
+        };
+        let address = self.placement.address;
+        match self.app.engines.generate(address, request).await {
+            Ok(stream) => {
+                self.stream = stream;
+                true
+            }
+            Err(error) => {
+                info!(self.app.log, "engine did not take an attempt";
+                    "request" => &self.order.request, "error" => %error);
+                self.lose("not taken", true);
+                false
+            }
+        }
+    }
+
+    /// A link may have failed while the engine lives: the same attempt first.
+    pub(super) async fn reattach_or_move(&mut self, cause: &'static str) -> Result<(), ApiError> {
+        while self.idle_attaches < MAX_IDLE_ATTACHES {
+            self.idle_attaches += 1;
+            if self.attach().await {
+                return Ok(());
+            }
+        }
+        self.move_on(cause, true).await
+    }
+
+    /// Gives the attempt up and goes on elsewhere from what is known.
+    pub(super) async fn move_on(
+        &mut self,
+        cause: &str,
+        engine_failed: bool,
+    ) -> Result<(), ApiError> {
+        self.cancel();
+        self.lose(cause, engine_failed);
+        if !self.session.can_continue() {
+            return Err(stream_lost());
+        }
+        self.place().await
+    }
+
+    pub(super) fn lose(&mut self, cause: &str, engine_failed: bool) {
+        self.app.metrics.attempt_lost(cause);
+        self.note(TimelineEvent::AttemptLost {
+            attempt: self.placement.attempt,
+            engine: self.placement.engine.clone(),
+            cause: cause.to_owned(),
+            delivered: self.session.delivered(),
+        });
+        self.failed_engines.push(self.placement.engine.clone());
+        if self.failed_engines.len() > REMEMBERED_FAILURES {
+            self.failed_engines.remove(0);
+        }
+        self.app.control.tell(Event::AttemptLost {
+            request: self.order.request.clone(),
+            engine_failed,
+        });
+    }
+
+    /// Frees the engine's memory; a newer reader elsewhere keeps its stream.
+    pub(super) fn cancel(&self) {
+        let app = self.app.clone();
+        let (address, attempt) = (self.placement.address, self.placement.attempt);
+        let generation = self.session.generation().clone();
+        let reader = self.reader.clone();
+        tokio::spawn(async move {
+            // An engine that can't be reached drops what nobody reads.
+            let _ = app
+                .engines
+                .cancel(address, &generation, attempt, &reader)
+                .await;
+        });
+    }
+
+    pub(super) fn submission(&self, attempt: Attempt) -> Submission {
+        let delivering = self.session.delivered() > 0;
+        let now = self.app.clock.now();
+        let deadline = if delivering {
+            now + CONTINUE_TIMEOUT
+        } else {
+            self.order.deadline
+        };
+        Submission {
+            request: self.order.request.clone(),
+            workspace: self.order.workspace.clone(),
+            model: self.order.model.clone(),
+            adapter: self.order.adapter.clone(),
+            prompt_tokens: self.order.prompt_tokens,
+            prefix: self.order.prefix(),
+            generated: self.session.known(),
+            priority: self.order.priority,
+            deadline,
+            attempt,
+            exclude: self.failed_engines.clone(),
+            delivering,
+        }
+    }
+}
+
+fn stream_lost() -> ApiError {
+    ApiError::unknown(
+        StatusCode::CONFLICT,
+        "stream_lost",
+        "the engine of this stream is gone; send the tokens that you hold in `received` to go on",
+    )
+}
+
+fn stopping() -> ApiError {
+    ApiError::unavailable("stopping", "the instance is stopping")
+}
--- a/crates/testbed/src/scene.rs
+++ b/crates/testbed/src/scene.rs
@@ -1,7 +1,6 @@
 //! A platform, engines, services and instances as processes on loopback.
 
 use std::collections::BTreeMap;
-use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,15 +18,17 @@
 use iristhread_core::InstanceState;
 use iristhread_daemon::ListenAddresses;
 use serde_json::Value;
-use tempfile::NamedTempFile;
 
 use crate::child::Child;
 use crate::child::SceneError;
 use crate::link::Link;
 use crate::link::LinkState;
 use crate::question::Question;
+use crate::scene_builder::SceneBuilder;
 use crate::scene_document::Placed;
 use crate::scene_document::document;
+use crate::scene_process::Instance;
+use crate::scene_process::Standin;
 
 /// Key of the workspace `quotes`.
 pub const CALLER_KEY: &str = "caller-key-of-quotes";
@@ -48,103 +49,29 @@
 
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
-/// What a scene is made of.
-#[derive(Clone, Debug)]
-pub struct SceneBuilder {
-    zones: usize,
-    instances_per_zone: usize,
-    engines_per_zone: usize,
-    services: usize,
-    engine_flags: Vec<String>,
-    service_flags: Vec<String>,
-    settings: String,
-    links: bool,
-}
-
-struct Instance {
-    child: Child,
-    addresses: ListenAddresses,
-    settings: NamedTempFile,
-}
-
-struct Standin {
-    child: Child,
-    address: SocketAddr,
-}
-
 /// Running processes; all are killed when it is dropped.
 pub struct Scene {
-    platform: Standin,
-    engines: BTreeMap<String, Standin>,
-    services: BTreeMap<String, Standin>,
-    instances: BTreeMap<String, Instance>,
-    zones: BTreeMap<String, String>,
+    pub(crate) platform: Standin,
+    pub(crate) engines: BTreeMap<String, Standin>,
+    pub(crate) services: BTreeMap<String, Standin>,
+    pub(crate) instances: BTreeMap<String, Instance>,
+    pub(crate) zones: BTreeMap<String, String>,
     /// Links to engines, by name, and to the platform, by zone.
-    links: BTreeMap<String, Link>,
+    pub(crate) links: BTreeMap<String, Link>,
     client: HttpClient,
     /// The configuration published last.
     pub document: Document,
 }
 
-impl SceneBuilder {
-    /// Instances in each zone.
-    #[must_use]
-    pub fn instances_per_zone(mut self, count: usize) -> Self {
-        self.instances_per_zone = count;
-        self
-    }
-
-    /// Engines in each zone.
-    #[must_use]
-    pub fn engines_per_zone(mut self, count: usize) -> Self {
-        self.engines_per_zone = count;
-        self
-    }
-
-    /// Service runners in all.
-    #[must_use]
-    pub fn services(mut self, count: usize) -> Self {
-        self.services = count;
-        self
-    }
-
-    /// Flags of every engine.
-    #[must_use]
-    pub fn engine_flags(mut self, flags: &[&str]) -> Self {
-        self.engine_flags = flags.iter().map(|flag| (*flag).to_owned()).collect();
-        self
-    }
-
-    /// Flags of every service runner.
-    #[must_use]
-    pub fn service_flags(mut self, flags: &[&str]) -> Self {
-        self.service_flags = flags.iter().map(|flag| (*flag).to_owned()).collect();
-        self
-    }
-
-    /// Lines added to the settings of every instance.
-    #[must_use]
-    pub fn settings(mut self, lines: &str) -> Self {
-        self.settings = lines.to_owned();
-        self
-    }
-
-    /// Puts a link before every engine, and before the platform for each zone,
-    /// which [`Scene::set_link`] can stall or cut.
-    #[must_use]
-    pub fn with_links(mut self) -> Self {
-        self.links = true;
-        self
+impl Scene {
+    /// A scene of that many zones, with one instance and one engine each and one
+    /// service runner in all, to be changed.
+    pub fn builder(zones: usize) -> SceneBuilder {
+        SceneBuilder::new(zones)
     }
 
-    /// Starts everything and waits until every instance is ready.
-    ///
-    /// # Errors
-    ///
-    /// [`SceneError`].
-    pub async fn start(self) -> Result<Scene, SceneError> {
-        let platform = Standin::start(&["platform".to_owned()]).await?;
-        let mut scene = Scene {
+    pub(crate) fn with_platform(platform: Standin) -> Self {
+        Scene {
             platform,
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
@@ -153,68 +80,6 @@
             links: BTreeMap::new(),
             client: HttpClient::pooled(MAX_ANSWER_BYTES),
             document: Document::default(),
-        };
-        for zone in 0..self.zones {
-            self.start_zone(&mut scene, &zone_name(zone)).await?;
-        }
-        for number in 1..=self.services {
-            let mut arguments = vec!["service".to_owned()];
-            arguments.extend(self.service_flags.clone());
-            let name = format!("orders-{number}");
-            scene
-                .zones
-                .insert(name.clone(), zone_name((number - 1) % self.zones));
-            scene
-                .services
-                .insert(name, Standin::start(&arguments).await?);
-        }
-        scene.publish_backends().await?;
-        scene.list_instances(&[]).await?;
-        scene.all_ready().await?;
-        Ok(scene)
-    }
-
-    async fn start_zone(&self, scene: &mut Scene, zone: &str) -> Result<(), SceneError> {
-        let mut platform = scene.platform.address;
-        if self.links {
-            platform = scene.link(zone, platform).await?;
-        }
-        for number in 1..=self.engines_per_zone {
-            let mut arguments = vec!["engine".to_owned()];
-            arguments.extend(self.engine_flags.clone());
-            let name = format!("engine-{zone}{number}");
-            scene.zones.insert(name.clone(), zone.to_owned());
-            let standin = Standin::start(&arguments).await?;
-            if self.links {
-                scene.link(&name, standin.address).await?;
-            }
-            scene.engines.insert(name, standin);
-        }
-        for number in 1..=self.instances_per_zone {
-            let name = format!("{zone}{number}");
-            let settings = settings_file(&name, zone, platform, &self.settings);
-            let settings = settings.map_err(|error| SceneError::Standin(error.to_string()))?;
-            scene.zones.insert(name.clone(), zone.to_owned());
-            let instance = Instance::start(settings).await?;
-            scene.instances.insert(name, instance);
-        }
-        Ok(())
-    }
-}
-
-impl Scene {
-    /// A scene of two zones with one instance and one engine each and one
-    /// service runner, to be changed.
-    pub fn builder(zones: usize) -> SceneBuilder {
-        SceneBuilder {
-            zones,
-            instances_per_zone: 1,
-            engines_per_zone: 1,
-            services: 1,
-            engine_flags: Vec::new(),
-            service_flags: Vec::new(),
-            settings: String::new(),
-            links: false,
         }
     }
 
@@ -243,7 +108,11 @@
         self.links[name].set(state);
     }
 
-    async fn link(&mut self, name: &str, target: SocketAddr) -> Result<SocketAddr, SceneError> {
+    pub(crate) async fn link(
+        &mut self,
+        name: &str,
+        target: SocketAddr,
+    ) -> Result<SocketAddr, SceneError> {
         let link = Link::to(target).await;
         let link = link.map_err(|error| SceneError::Standin(error.to_string()))?;
         let address = link.address;
@@ -483,7 +352,7 @@
         .await
     }
 
-    async fn all_ready(&self) -> Result<(), SceneError> {
+    pub(crate) async fn all_ready(&self) -> Result<(), SceneError> {
         let version = 1;
         self.in_force(version, &self.instance_names()).await?;
         eventually("a load report of every engine", async || {
@@ -504,7 +373,7 @@
         .await
     }
 
-    async fn publish_backends(&mut self) -> Result<(), SceneError> {
+    pub(crate) async fn publish_backends(&mut self) -> Result<(), SceneError> {
         let placed = |(name, standin): (&String, &Standin)| -> Placed {
             (name.clone(), self.zones[name].clone(), standin.address)
         };
@@ -528,36 +397,6 @@
     }
 }
 
-impl Instance {
-    async fn start(settings: NamedTempFile) -> Result<Self, SceneError> {
-        let path = settings.path().display().to_string();
-        let child = Child::start("iristhreadd", &["--settings".to_owned(), path]).await?;
-        let addresses = serde_json::from_str(&child.first_line);
-        let addresses = addresses.map_err(|error| SceneError::Start {
-            program: "iristhreadd".to_owned(),
-            cause: error.to_string(),
-        })?;
-        Ok(Instance {
-            child,
-            addresses,
-            settings,
-        })
-    }
-}
-
-impl Standin {
-    async fn start(arguments: &[String]) -> Result<Self, SceneError> {
-        let child = Child::start("iristhread-standin", arguments).await?;
-        let address = child.first_line.strip_prefix("listening ");
-        let address = address.and_then(|address| address.parse().ok());
-        let address = address.ok_or_else(|| SceneError::Start {
-            program: "iristhread-standin".to_owned(),
-            cause: format!("it printed {:?}", child.first_line),
-        })?;
-        Ok(Standin { child, address })
-    }
-}
-
 /// Waits until a condition holds.
 ///
 /// # Errors
@@ -577,31 +416,3 @@
 fn refused(error: iristhread_api::HttpClientError) -> SceneError {
     SceneError::Standin(error.to_string())
 }
-
-fn zone_name(zone: usize) -> String {
-    let letters = ["a", "b", "c", "d"];
-    letters[zone % letters.len()].to_owned()
-}
-
-fn settings_file(
-    name: &str,
-    zone: &str,
-    platform: SocketAddr,
-    lines: &str,
-) -> std::io::Result<NamedTempFile> {
-    let mut file = NamedTempFile::new()?;
-    let peer_key = "5a".repeat(32);
-    write!(
-        file,
-        "instance = \"{name}\"\n\
-         availability_zone = \"{zone}\"\n\
-         caller_address = \"127.0.0.1:0\"\n\
-         operator_address = \"127.0.0.1:0\"\n\
-         peer_address = \"127.0.0.1:0\"\n\
-         platform_address = \"{platform}\"\n\
-         peer_keys = [\"{peer_key}\"]\n\
-         stop_linger_ms = 100\n\
-         {lines}\n"
-    )?;
-    Ok(file)
-}
