Finish forwarded calls before a planned stop ends

Cause: a stop waited for the callers' connections only. A call that a peer had forwarded was cut with the process, and its caller was told `unknown`.

Seen to fail first: stopping::a_call_under_way_is_answered, forwarded by another instance (left "unknown", right "ran"); the same call sent to the instance itself passed before. Both pass now, and the stop of all instances in turn.

Change: the peers' server is stopped after the callers', and waited for.

Conclusion: a planned stop cuts no call; watches of operators are ended.

--- a/crates/bench/src/bin/policies.rs
+++ b/crates/bench/src/bin/policies.rs
@@ -4,6 +4,7 @@
 
 use iristhread_bench::Deployment;
 use iristhread_bench::Figures;
+use iristhread_bench::OUTAGE;
 use iristhread_bench::PolicyWorld;
 use iristhread_bench::Trial;
 use iristhread_bench::interval;
@@ -89,16 +90,22 @@
                     seed,
                     engines_lost,
                 };
-                print_row(name, &run_all((1..=seeds).map(trial).collect()));
+                let runs = run_all((1..=seeds).map(trial).collect());
+                print_row(name, &runs);
+                if engines_lost > 0 {
+                    print_recovery(span, &runs);
+                }
             }
         }
     }
 }
 
-fn run_all(trials: Vec<Trial>) -> Vec<Figures> {
+type Run = (Figures, Vec<f64>);
+
+fn run_all(trials: Vec<Trial>) -> Vec<Run> {
     let threads: Vec<_> = trials
         .into_iter()
-        .map(|trial| std::thread::spawn(move || PolicyWorld::new(trial).run().0))
+        .map(|trial| std::thread::spawn(move || PolicyWorld::new(trial).run()))
         .collect();
     threads
         .into_iter()
@@ -112,9 +119,9 @@
     println!("|---{}|", "|---".repeat(COLUMNS.len()));
 }
 
-fn print_row(name: &str, runs: &[Figures]) {
+fn print_row(name: &str, runs: &[Run]) {
     let cell = |(_, figure): &Column| {
-        let values: Vec<f64> = runs.iter().map(figure).collect();
+        let values: Vec<f64> = runs.iter().map(|(figures, _)| figure(figures)).collect();
         let (mean, half) = interval(&values);
         if mean < 10.0 {
             format!("{mean:.2} ± {half:.2}")
@@ -125,3 +132,23 @@
     let cells: Vec<String> = COLUMNS.iter().map(cell).collect();
     println!("| {name} | {} |", cells.join(" | "));
 }
+
+/// Worth served a second before the loss, during it, and in spans after it.
+fn print_recovery(span: Duration, runs: &[Run]) {
+    let outage = OUTAGE.as_secs() as usize;
+    let lost_at = span.as_secs() as usize / 2;
+    let mean = |from: usize| {
+        let of_run = |(_, seconds): &Run| seconds.iter().skip(from).take(outage).sum::<f64>();
+        runs.iter().map(of_run).sum::<f64>() / (runs.len() * outage) as f64
+    };
+    let spans = [
+        lost_at - outage,
+        lost_at,
+        lost_at + outage,
+        lost_at + 2 * outage,
+    ];
+    let [before, during, after, later] = spans.map(mean);
+    println!(
+        "|  worth/s: {before:.1} before, {during:.1} in the {outage} s of the loss, {after:.1} in the {outage} s after, {later:.1} in the next |"
+    );
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -12,6 +12,7 @@
 pub use figures::interval;
 pub use fleet::FleetSize;
 pub use fleet::NOW;
+pub use policy_world::OUTAGE;
 pub use policy_world::PolicyWorld;
 pub use policy_world::Trial;
 pub use process_cost::ProcessCost;
--- a/crates/bench/src/policy_world.rs
+++ b/crates/bench/src/policy_world.rs
@@ -56,6 +56,9 @@
 /// engines fill up first.
 const WARM_UP: Duration = Duration::from_secs(30);
 
+/// How long lost engines stay away.
+pub const OUTAGE: Duration = Duration::from_secs(20);
+
 /// One run to make.
 #[derive(Clone, Copy, Debug)]
 pub struct Trial {
@@ -69,7 +72,8 @@
     pub span: Duration,
     /// Seed of arrivals and decisions.
     pub seed: u64,
-    /// Engines that die at the middle of the span and are back after 20 s.
+    /// Engines that die at the middle of the span and are back, empty, after
+    /// [`OUTAGE`].
     pub engines_lost: usize,
 }
 
@@ -89,6 +93,8 @@
     step_count: u32,
     controls: Vec<Control>,
     engines: Vec<VirtualEngine>,
+    /// Lost engines are the first ones, until this time.
+    down_until: Duration,
     names: HashMap<String, usize>,
     live: HashMap<usize, Live>,
     figures: Figures,
@@ -127,6 +133,7 @@
             step_count: 0,
             controls,
             engines: vec![VirtualEngine::new(MEMORY_TOKENS); engines],
+            down_until: Duration::ZERO,
             names: names.collect(),
             live: HashMap::new(),
             figures: Figures::new(workload.workspaces().len()),
@@ -216,7 +223,14 @@
         }
     }
 
+    fn is_down(&self, engine: usize) -> bool {
+        engine < self.trial.engines_lost && self.now < self.down_until
+    }
+
     fn start(&mut self, id: usize, engine: usize) {
+        if self.is_down(engine) {
+            return self.move_on(id);
+        }
         if let Some(live) = self.live.get(&id) {
             let (prompt, length) = (live.session.prompt_tokens, live.session.length);
             self.engines[engine].start(id, prompt, live.generated, length);
@@ -302,6 +316,13 @@
     }
 
     fn tell_report(&mut self, engine: usize) {
+        if self.is_down(engine) {
+            for instance in 0..INSTANCES {
+                let backend = engine_name(engine);
+                self.decide(instance, Event::BackendFailed { backend });
+            }
+            return;
+        }
         let Some(report) = self.engines[engine].load(self.now, REPORT_LAG) else {
             return;
         };
@@ -318,6 +339,7 @@
         if self.now < middle || self.now >= middle + STEP {
             return;
         }
+        self.down_until = self.now + OUTAGE;
         for engine in 0..self.trial.engines_lost {
             let fresh = VirtualEngine::new(MEMORY_TOKENS);
             let dead = std::mem::replace(&mut self.engines[engine], fresh);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,7 +7,6 @@
 
 use iristhread_api::HttpClient;
 use iristhread_core::ControlSettings;
-use iristhread_core::Event;
 use serde::Deserialize;
 use serde::Serialize;
 use slog::Logger;
@@ -180,13 +179,15 @@
         self.stop.send_replace(true);
         // Watches of operators have no end of their own.
         self.operators.abort();
-        let finished = tokio::time::timeout(self.app.settings.stop_timeout, self.callers).await;
-        let places = self.app.settings.limits.max_streams;
-        let all_free = self.app.places.available_permits() == places;
-        self.app.control.tell(Event::Tick);
-        // Stopped already is as good.
-        let _ = self.peers.stop();
-        info!(log, "planned stop ends"; "finished" => finished.is_ok() && all_free);
+        let drained = async {
+            // A caller's task that failed has ended as well.
+            let _ = self.callers.await;
+            // Calls that peers have forwarded are callers' calls, too.
+            let _ = self.peers.stop();
+            self.peers.stopped().await;
+        };
+        let finished = tokio::time::timeout(self.app.settings.stop_timeout, drained).await;
+        info!(log, "planned stop ends"; "finished" => finished.is_ok());
         finished.is_ok()
     }
 }
--- a/crates/testbed/src/scene.rs
+++ b/crates/testbed/src/scene.rs
@@ -176,6 +176,15 @@
         }
     }
 
+    /// SIGTERM to an instance, while others borrow the scene.
+    ///
+    /// # Panics
+    ///
+    /// When there is none of that name: the test is wrong.
+    pub fn signal_stop(&self, instance: &str) {
+        self.instances[instance].child.stop();
+    }
+
     /// Address of an engine or service runner.
     ///
     /// # Panics
--- /dev/null
+++ b/crates/testbed/tests/stopping.rs
@@ -0,0 +1,82 @@
+//! A planned stop cuts nothing: not a stream, not a call.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod support;
+
+use futures::future::join_all;
+use iristhread_testbed::Question;
+use iristhread_testbed::Scene;
+use iristhread_testbed::eventually;
+use serde_json::json;
+use support::assert_whole;
+use support::header;
+use support::stream;
+use test_case::test_case;
+
+const PATH: &str = "/v1/services/delivery-slots/book";
+const BODY: &str = "friday 10:00";
+
+async fn ticket(scene: &Scene, instance: &str) -> String {
+    let reply = scene
+        .ask(instance, &Question::post(PATH, BODY))
+        .await
+        .unwrap();
+    header(&reply, "iristhread-ticket").to_owned()
+}
+
+async fn until_executed(scene: &Scene) {
+    eventually("the call is being executed", async || {
+        let executions = scene.executions().await;
+        executions.is_ok_and(|e| e.by_body.contains_key(BODY))
+    })
+    .await
+    .unwrap();
+}
+
+/// The ticket's instance stops while the call runs, whichever got the call.
+#[test_case("a1"; "sent to the instance itself")]
+#[test_case("b1"; "forwarded by another instance")]
+#[tokio::test]
+async fn a_call_under_way_is_answered(sent_to: &str) {
+    let mut scene = Scene::builder(2).start().await.unwrap();
+    scene
+        .fault("orders-1", json!({ "delay_ms": 1_000 }))
+        .await
+        .unwrap();
+    let ticket = ticket(&scene, "a1").await;
+    let call = Question::post(PATH, BODY).header("iristhread-ticket", &ticket);
+    let answer = async { scene.ask(sent_to, &call).await.unwrap() };
+    let stopped = async {
+        until_executed(&scene).await;
+        scene.signal_stop("a1");
+    };
+    let (reply, ()) = tokio::join!(answer, stopped);
+    assert_eq!(header(&reply, "iristhread-outcome"), "ran");
+    assert_eq!(scene.process("a1").ended().await, Some(0));
+}
+
+#[tokio::test]
+async fn all_instances_one_after_the_other_under_load() {
+    let mut scene = Scene::builder(2).start().await.unwrap();
+    for name in ["a1", "b1"] {
+        let prompts: Vec<String> = (0..6)
+            .map(|n| format!("stream {n} at {name} [tokens=80]"))
+            .collect();
+        let caller = scene.caller(&[name]);
+        let streams = join_all(prompts.iter().map(|prompt| stream(&caller, prompt)));
+        let stopped = async {
+            support::until_begun(&scene, name).await;
+            scene.signal_stop(name);
+        };
+        let (outcomes, ()) = tokio::join!(streams, stopped);
+        for (outcome, prompt) in outcomes.into_iter().zip(&prompts) {
+            let outcome = outcome.unwrap();
+            assert_whole(&outcome, prompt);
+            assert_eq!(outcome.connections, 1);
+        }
+        assert_eq!(scene.process(name).ended().await, Some(0));
+        scene.restart(name).await.unwrap();
+        scene.list_instances(&[]).await.unwrap();
+        scene.in_force(1, &scene.instance_names()).await.unwrap();
+    }
+}
