Keep bodies of refusals out of logged errors

Cause: the error of a refused request showed the body of the answer, and errors are logged; an engine's refusal may repeat the prompt.

Change: the error names the status only; the command-line tool shows the body to its own user.

--- a/crates/api/src/http_client.rs
+++ b/crates/api/src/http_client.rs
@@ -57,14 +57,15 @@
         /// What is wrong.
         cause: String,
     },
-    /// The server refused.
-    #[error("{uri} answered {status}: {body}")]
+    /// The server refused. The body is not shown: errors are logged, and it may
+    /// hold a prompt or an answer.
+    #[error("{uri} answered {status}")]
     Status {
         /// Target.
         uri: String,
         /// Its status.
         status: StatusCode,
-        /// Its body, for the log of the reader.
+        /// Its body.
         body: String,
     },
     /// The request can't be built.
--- a/crates/cli/src/cli_error.rs
+++ b/crates/cli/src/cli_error.rs
@@ -69,6 +69,11 @@
 
 impl From<HttpClientError> for CliError {
     fn from(error: HttpClientError) -> Self {
-        CliError::Unreachable(error.to_string())
+        match error {
+            HttpClientError::Status { body, status, .. } => {
+                CliError::Unreachable(format!("{status}: {body}"))
+            }
+            other => CliError::Unreachable(other.to_string()),
+        }
     }
 }
