Give everything back when a caller leaves before its answer begins

Cause: the server drops the handler of a request whose caller has left. Dropped while it waited for an engine or for a service, it never closed the request: the workspace lost one of max_open_requests for ever, and an attempt that had just been placed stayed counted. Found by reading the code as a newcomer.

Seen to fail first: both tests of leaving_callers waited in vain for 30 s for no request to be open. Both pass now, in 5 s together.

Ruled out: the relay itself, which notices lost callers (bad_input).

Change: a generation and an open call close themselves when dropped; a request that is closed is no longer waited for.

--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -143,7 +143,12 @@
         let now = self.clock.now();
         // A caller that no longer waits for its answer is no fault.
         match message {
-            ControlMessage::Event(event) => self.decide(event),
+            ControlMessage::Event(event) => {
+                if let Event::Closed { request, .. } = &event {
+                    self.waiting.remove(request);
+                }
+                self.decide(event);
+            }
             ControlMessage::Submit { submission, reply } => {
                 self.waiting.insert(submission.request.clone(), reply);
                 self.decide(Event::Submit(submission));
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -56,6 +56,7 @@
     /// Whether the caller has its answer's headers: from then on the deadline of
     /// the start no longer counts.
     is_relaying: bool,
+    is_closed: bool,
     last_progress: iristhread_core::Now,
     longest_gap: Duration,
 }
@@ -86,6 +87,7 @@
             failed_engines: Vec::new(),
             idle_attaches: 0,
             is_relaying: false,
+            is_closed: false,
             last_progress: now,
             longest_gap: Duration::ZERO,
             app,
@@ -256,6 +258,7 @@
     }
 
     fn close(&mut self, outcome: Outcome, reason: &str) {
+        self.is_closed = true;
         self.note(TimelineEvent::Ended {
             outcome,
             delivered: self.session.delivered(),
@@ -273,6 +276,16 @@
     }
 }
 
+/// The server drops a request whose caller leaves before the answer begins.
+impl Drop for Generation {
+    fn drop(&mut self) {
+        if !self.is_closed {
+            self.cancel();
+            self.close(Outcome::Unknown, "caller left before the start");
+        }
+    }
+}
+
 fn resumed_session(
     app: &App,
     order: &CompletionOrder,
--- a/crates/daemon/src/service_api.rs
+++ b/crates/daemon/src/service_api.rs
@@ -10,6 +10,7 @@
 use iristhread_api::TICKET_HEADER;
 use iristhread_core::Event;
 use iristhread_core::Outcome;
+use iristhread_core::RequestId;
 use iristhread_core::Ticket;
 use iristhread_core::TimelineEvent;
 use iristhread_core::WorkspaceId;
@@ -62,11 +63,10 @@
         ticket: ticket_text.unwrap_or_default(),
         deadline_ms: u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX),
     };
-    open(&app, &call).await?;
+    let opened = OpenCall::new(&app, &call).await?;
     let id = call.request.clone();
-    let workspace = call.workspace.clone();
     let answer = run(&app, call, declared.repeatable).await;
-    close(&app, &id, workspace, &answer);
+    opened.end(&answer);
     drop(place);
     Ok(respond(&id, answer))
 }
@@ -82,36 +82,56 @@
     }
 }
 
-async fn open(app: &App, call: &ForwardedCall) -> Result<(), ApiError> {
-    let ask = |reply| ControlMessage::OpenCall {
-        request: call.request.clone(),
-        workspace: call.workspace.clone(),
-        reply,
-    };
-    let opened = app.control.ask(ask).await;
-    let stopping = || ApiError::unavailable("stopping", "the instance is stopping");
-    let opened = opened.ok_or_else(stopping)?;
-    opened.map_err(|refusal| ApiError::refused(&refusal))
+/// A call that counts against the limits of its workspace until this is
+/// dropped, also when its caller leaves in the middle.
+struct OpenCall<'a> {
+    app: &'a App,
+    request: RequestId,
+    workspace: WorkspaceId,
 }
 
-fn close(app: &App, request: &str, workspace: WorkspaceId, answer: &CallAnswer) {
-    let reason = answer
-        .code
-        .clone()
-        .unwrap_or_else(|| answer.status.to_string());
-    app.control.note(
-        request,
-        TimelineEvent::Ended {
-            outcome: answer.outcome,
-            delivered: 0,
-            reason,
-        },
-    );
-    app.metrics.ended(&workspace, answer.outcome);
-    app.control.tell(Event::Closed {
-        request: request.to_owned(),
-        workspace,
-    });
+impl<'a> OpenCall<'a> {
+    async fn new(app: &'a App, call: &ForwardedCall) -> Result<Self, ApiError> {
+        let ask = |reply| ControlMessage::OpenCall {
+            request: call.request.clone(),
+            workspace: call.workspace.clone(),
+            reply,
+        };
+        let opened = app.control.ask(ask).await;
+        let stopping = || ApiError::unavailable("stopping", "the instance is stopping");
+        let opened = opened.ok_or_else(stopping)?;
+        opened.map_err(|refusal| ApiError::refused(&refusal))?;
+        Ok(OpenCall {
+            app,
+            request: call.request.clone(),
+            workspace: call.workspace.clone(),
+        })
+    }
+
+    fn end(self, answer: &CallAnswer) {
+        let status = || answer.status.to_string();
+        let reason = answer.code.clone().unwrap_or_else(status);
+        let outcome = answer.outcome;
+        let delivered = 0;
+        self.app.control.note(
+            &self.request,
+            TimelineEvent::Ended {
+                outcome,
+                delivered,
+                reason,
+            },
+        );
+        self.app.metrics.ended(&self.workspace, outcome);
+    }
+}
+
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        self.app.control.tell(Event::Closed {
+            request: self.request.clone(),
+            workspace: self.workspace.clone(),
+        });
+    }
 }
 
 /// Answers 428 with a fresh ticket: the caller sends the same call with it, and
