Hand routing one context in place of five arguments

Change: RoutingContext holds time, estimate, sharers and need; the refusals for no configuration and no backend server are made by Refusal. No decision changes.

--- a/crates/core/src/backend_view.rs
+++ b/crates/core/src/backend_view.rs
@@ -11,6 +11,7 @@
 use crate::Now;
 use crate::OwnSession;
 use crate::RequestId;
+use crate::RoutingContext;
 
 /// Lag that reports are taken to have when they arrive.
 const REPORT_LAG: Duration = Duration::from_millis(300);
@@ -187,22 +188,20 @@
     /// the number of sessions: their sums are kept up to date.
     pub(crate) fn forecast(
         &self,
-        now: Now,
-        estimator: &LengthEstimator,
+        context: &RoutingContext<'_>,
         need: &OwnSession,
-        sharers: u32,
         margin: f64,
     ) -> MemoryForecast {
         let Some(report) = &self.report else {
             return MemoryForecast::default();
         };
         let mut sum = self.own.clone();
-        sum.add(&need.demand(estimator), 1.0);
+        sum.add(&need.demand(context.estimator), 1.0);
         // The others do as this instance: what it started since the report,
         // each of them started as well.
-        let others = f64::from(sharers.saturating_sub(1));
+        let others = f64::from(context.sharers.saturating_sub(1));
         sum.add(&self.started_since, others);
-        sum.add(&self.others(now, estimator, report), 1.0);
+        sum.add(&self.others(context.now, context.estimator, report), 1.0);
         sum.forecast(report.memory_tokens, margin)
     }
 
--- a/crates/core/src/control/placing.rs
+++ b/crates/core/src/control/placing.rs
@@ -14,6 +14,7 @@
 use crate::Refusal;
 use crate::RefusalKind;
 use crate::RequestId;
+use crate::RoutingContext;
 use crate::RoutingNeed;
 use crate::Submission;
 use crate::TimelineEvent;
@@ -21,9 +22,6 @@
 use crate::WorkspaceId;
 use crate::router::Choice;
 
-/// Advice to a caller when no backend server is there at all.
-const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_secs(2);
-
 /// Advice when a queue is full or a deadline can't be met.
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -74,7 +72,7 @@
                 return Ok(());
             }
             if nothing_there && !submission.delivering {
-                return Err(no_backend(&submission.model));
+                return Err(Refusal::no_backend(&submission.model));
             }
         }
         self.enqueue(now, &workspace, submission)
@@ -146,8 +144,13 @@
             warm: self.warm.get(&submission.prefix).cloned(),
         };
         let sharers = self.sharers(&submission.model);
-        self.router
-            .choose(now, &self.book, &self.estimator, sharers, &need)
+        let context = RoutingContext {
+            now,
+            estimator: &self.estimator,
+            sharers,
+            need: &need,
+        };
+        self.router.choose(&self.book, &context)
     }
 
     /// Instances that send to the engines of this instance's subset, itself
@@ -371,28 +374,12 @@
     }
 
     pub(super) fn workspace(&self, name: &str) -> Result<Workspace, Refusal> {
-        let offer = self.config.in_force().ok_or_else(not_ready)?;
+        let offer = self.config.in_force().ok_or_else(Refusal::not_ready)?;
         let workspace = offer.document.workspace(name);
-        workspace.cloned().ok_or_else(not_ready)
+        workspace.cloned().ok_or_else(Refusal::not_ready)
     }
 }
 
-fn not_ready() -> Refusal {
-    Refusal::new(
-        RefusalKind::NotReady,
-        NO_BACKEND_RETRY_AFTER,
-        "no configuration that names the workspace is in force here",
-    )
-}
-
-fn no_backend(model: &str) -> Refusal {
-    Refusal::new(
-        RefusalKind::NoBackend,
-        NO_BACKEND_RETRY_AFTER,
-        format!("no backend server that serves {model} is available"),
-    )
-}
-
 fn class_of(workspace: &str, model: &str) -> String {
     format!("{workspace}/{model}")
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -105,6 +105,7 @@
 pub use roster::Roster;
 pub use router::Candidate;
 pub use router::Router;
+pub(crate) use router::RoutingContext;
 pub use router::RoutingNeed;
 pub use router::RoutingPolicy;
 pub use session::EndVerdict;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -26,6 +26,9 @@
     NotReady,
 }
 
+/// Advice to a caller when nothing is there that could serve it.
+const NOTHING_THERE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// A refusal with the time after which a retry makes sense.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -46,4 +49,22 @@
             message: message.into(),
         }
     }
+
+    /// No configuration that names the workspace is in force.
+    pub fn not_ready() -> Self {
+        Refusal::new(
+            RefusalKind::NotReady,
+            NOTHING_THERE_RETRY_AFTER,
+            "no configuration that names the workspace is in force here",
+        )
+    }
+
+    /// No backend server can serve a model now.
+    pub fn no_backend(model: &str) -> Self {
+        Refusal::new(
+            RefusalKind::NoBackend,
+            NOTHING_THERE_RETRY_AFTER,
+            format!("no backend server that serves {model} is available"),
+        )
+    }
 }
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -76,6 +76,18 @@
     pub warm: Option<BackendId>,
 }
 
+/// What a decision knows besides the engines.
+pub(crate) struct RoutingContext<'a> {
+    /// Time of the decision.
+    pub now: Now,
+    /// Lengths learnt so far.
+    pub estimator: &'a LengthEstimator,
+    /// Instances that send to the same engines, this one included.
+    pub sharers: u32,
+    /// What the attempt needs.
+    pub need: &'a RoutingNeed,
+}
+
 /// One engine that was looked at.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Candidate {
@@ -124,22 +136,15 @@
         }
     }
 
-    pub(crate) fn choose(
-        &mut self,
-        now: Now,
-        book: &BackendBook,
-        estimator: &LengthEstimator,
-        sharers: u32,
-        need: &RoutingNeed,
-    ) -> Choice {
+    pub(crate) fn choose(&mut self, book: &BackendBook, context: &RoutingContext<'_>) -> Choice {
         let mut candidates = Vec::new();
         let mut best: Option<(f64, BackendId)> = None;
         let mut may_wait = false;
         self.turn += 1;
-        let views: Vec<&BackendView> = book.subset(&need.model).collect();
+        let views: Vec<&BackendView> = book.subset(&context.need.model).collect();
         for (place, view) in views.iter().enumerate() {
             let place = (place, views.len());
-            let verdict = self.judge(now, view, estimator, sharers, need, place);
+            let verdict = self.judge(view, context, place);
             let (score, reason) = match verdict {
                 Verdict::RuledOut(reason) => (None, reason.to_owned()),
                 Verdict::NoRoom(reason) => {
@@ -169,17 +174,14 @@
 
     fn judge(
         &mut self,
-        now: Now,
         view: &BackendView,
-        estimator: &LengthEstimator,
-        sharers: u32,
-        need: &RoutingNeed,
+        context: &RoutingContext<'_>,
         place: (usize, usize),
     ) -> Verdict {
-        if need.exclude.contains(&view.server.name) {
+        if context.need.exclude.contains(&view.server.name) {
             return Verdict::RuledOut("failed this request before");
         }
-        if let Some(reason) = view.ruled_out(now) {
+        if let Some(reason) = view.ruled_out(context.now) {
             return Verdict::RuledOut(reason);
         }
         if view.on_probation() && view.own_sessions() > 0 {
@@ -189,10 +191,8 @@
             RoutingPolicy::RoundRobin => self.score_turn(place),
             RoutingPolicy::LeastOutstanding => score_outstanding(view),
             RoutingPolicy::TwoChoices => self.score_two_choices(view, place),
-            RoutingPolicy::Predictive => self.score(now, view, estimator, sharers, need, true),
-            RoutingPolicy::PredictiveNoHold => {
-                self.score(now, view, estimator, sharers, need, false)
-            }
+            RoutingPolicy::Predictive => self.score(view, context, true),
+            RoutingPolicy::PredictiveNoHold => self.score(view, context, false),
         }
     }
 
@@ -209,15 +209,8 @@
         Verdict::Scored(score, format!("drawn {drawn}, load {load:.0}"))
     }
 
-    fn score(
-        &mut self,
-        now: Now,
-        view: &BackendView,
-        estimator: &LengthEstimator,
-        sharers: u32,
-        need: &RoutingNeed,
-        hold: bool,
-    ) -> Verdict {
+    fn score(&mut self, view: &BackendView, context: &RoutingContext<'_>, hold: bool) -> Verdict {
+        let (need, sharers) = (context.need, context.sharers);
         let session = OwnSession {
             class: need.class.clone(),
             prompt_tokens: need.prompt_tokens,
@@ -228,7 +221,7 @@
             let waiting = view.waiting();
             return Verdict::NoRoom(format!("{waiting} sessions wait inside the engine"));
         }
-        let forecast = view.forecast(now, estimator, &session, sharers, MEMORY_MARGIN);
+        let forecast = view.forecast(context, &session, MEMORY_MARGIN);
         let all = view.sessions_of_all(sharers);
         let idle = view.own_sessions() == 0 && all < 1.0;
         if hold && forecast.guarded > MEMORY_TARGET && !idle {
