--- a/crates/core/src/backend_view.rs
+++ b/crates/core/src/backend_view.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::BackendServer;
+use crate::FailurePause;
 use crate::LengthEstimator;
 use crate::LoadReport;
 use crate::MemoryDemand;
@@ -19,12 +20,6 @@
 /// Stands for the class of sessions about which only their number is known.
 const ANY_CLASS: &str = "";
 
-/// First pause after a failure; doubles with each further one.
-const FIRST_PAUSE: Duration = Duration::from_millis(250);
-
-/// Longest pause of a backend server that keeps failing.
-const LONGEST_PAUSE: Duration = Duration::from_secs(8);
-
 /// Belief about one backend server, corrected by what was sent to it since its
 /// last report.
 #[derive(Clone, Debug)]
@@ -36,8 +31,7 @@
     own: MemoryDemand,
     started_since: MemoryDemand,
     sessions: HashMap<RequestId, OwnSession>,
-    failures: u32,
-    paused_until: Now,
+    pause: FailurePause,
 }
 
 impl BackendView {
@@ -51,8 +45,7 @@
             own: MemoryDemand::default(),
             started_since: MemoryDemand::default(),
             sessions: HashMap::new(),
-            failures: 0,
-            paused_until: Now::ZERO,
+            pause: FailurePause::default(),
         }
     }
 
@@ -126,16 +119,12 @@
     /// Notes a failure of a request or report; pauses the backend server with
     /// exponential backoff.
     pub(crate) fn fail(&mut self, now: Now) {
-        let doublings = self.failures.min(5);
-        let pause = FIRST_PAUSE * 2_u32.pow(doublings);
-        self.failures += 1;
-        self.paused_until = now + pause.min(LONGEST_PAUSE);
+        self.pause.fail(now);
     }
 
     /// Notes success: the backend server counts as well again.
     pub(crate) fn succeed(&mut self) {
-        self.failures = 0;
-        self.paused_until = Now::ZERO;
+        self.pause.succeed();
     }
 
     /// Why no new work may go there now, if so.
@@ -146,7 +135,7 @@
         if self.report.as_ref().is_some_and(|report| report.leaving) {
             return Some("leaving by its own notice");
         }
-        if self.paused_until > now {
+        if self.pause.is_paused(now) {
             return Some("paused after failures");
         }
         None
@@ -154,7 +143,7 @@
 
     /// Whether it is on probation: the pause is over, and one request may try.
     pub(crate) fn on_probation(&self) -> bool {
-        self.failures > 0
+        self.pause.on_probation()
     }
 
     /// Sessions of this instance there.
--- a/crates/core/src/call_run.rs
+++ b/crates/core/src/call_run.rs
@@ -79,6 +79,12 @@
         }
     }
 
+    /// The same with another number of tries.
+    pub fn with_tries(mut self, tries: u32) -> Self {
+        self.tries_left = tries;
+        self
+    }
+
     /// Notes what became of the try under way.
     pub fn sent(&mut self, result: SendResult) {
         let is_doubtful = matches!(result, SendResult::Lost | SendResult::Failed);
@@ -107,6 +113,14 @@
         }
     }
 
+    /// Ends the run where it stands, when no further try may be paid for.
+    pub fn give_up(&self) -> CallStep {
+        match self.last {
+            Some(result) => self.end_after(result),
+            None => self.end(CallEnd::NoRunner),
+        }
+    }
+
     fn may_try_again(&self, result: SendResult) -> bool {
         match result {
             SendResult::Answered => false,
--- /dev/null
+++ b/crates/core/src/gateway_control.rs
@@ -0,0 +1,456 @@
+//! All decisions of the gateway side of one instance.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand_core::Rng;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
+
+use crate::BackendId;
+use crate::CarryTarget;
+use crate::ConfigVersion;
+use crate::FailurePause;
+use crate::GatewayConfig;
+use crate::Incarnation;
+use crate::InstanceId;
+use crate::ListedState;
+use crate::LoadShare;
+use crate::LoadShares;
+use crate::Now;
+use crate::OwnRun;
+use crate::PeerLoads;
+use crate::PlacementAsk;
+use crate::Ranking;
+use crate::Refusal;
+use crate::RefusalKind;
+use crate::Replica;
+use crate::ReplicaChange;
+use crate::ReplicaList;
+use crate::ReplicaScore;
+use crate::RequestClass;
+use crate::RequestId;
+use crate::RetryBudget;
+use crate::RouteTable;
+use crate::RunEnd;
+use crate::ScoreContext;
+use crate::ZoneId;
+use crate::own_shares;
+use crate::score;
+
+/// Replicas offered to one request, the best first.
+const RANKED: usize = 4;
+
+/// Advice to a caller when every replica is full.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Advice to a caller when no replica is known: the time in which a lost list
+/// is read again.
+const NOTHING_THERE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Settings of the gateway's decisions.
+#[derive(Clone, Debug)]
+pub struct GatewayTerms {
+    /// Name of this instance.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Further sends that each request earns, over all instances.
+    pub retry_ratio: f64,
+    /// Further sends that may come on top within the operators' window, over
+    /// all instances.
+    pub retry_extra: f64,
+    /// Instances among which the extra is shared at least, for as long as an
+    /// instance does not know how many there are.
+    pub least_sharers: u32,
+    /// Share of an engine's memory up to which new sessions start.
+    pub memory_limit: f64,
+    /// Share of an engine's memory up to which it takes new copies.
+    pub copy_limit: f64,
+    /// Fewest likely tokens of a session that is worth a copy.
+    pub least_copied_tokens: u32,
+    /// Seed of every random choice.
+    pub seed: u64,
+}
+
+/// What became of an offered configuration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ConfigVerdict {
+    /// It is in force now.
+    InForce,
+    /// Not newer than what is in force.
+    Stale,
+    /// It failed its check; what was in force stays so.
+    Refused(Vec<String>),
+}
+
+/// What has to be done for a session under way.
+#[derive(Clone, Debug)]
+pub struct Evacuation {
+    /// The session.
+    pub request: RequestId,
+    /// Where it should move.
+    pub target: Replica,
+}
+
+/// The decisions of the gateway side: a function of events, time and a seed.
+#[derive(Debug)]
+pub struct GatewayControl {
+    terms: GatewayTerms,
+    table: Option<Arc<RouteTable>>,
+    list: ReplicaList,
+    pauses: BTreeMap<BackendId, FailurePause>,
+    runs: HashMap<RequestId, OwnRun>,
+    peers: PeerLoads,
+    budget: RetryBudget,
+    random: Pcg32,
+}
+
+impl GatewayControl {
+    /// The state at the start of a process.
+    pub fn new(terms: GatewayTerms) -> Self {
+        let random = Pcg32::seed_from_u64(terms.seed);
+        let mut control = GatewayControl {
+            table: None,
+            list: ReplicaList::default(),
+            pauses: BTreeMap::new(),
+            runs: HashMap::new(),
+            peers: PeerLoads::default(),
+            budget: RetryBudget::with_terms(terms.retry_ratio, 0.0),
+            random,
+            terms,
+        };
+        control.share_budget();
+        control
+    }
+
+    /// Takes a configuration if it is newer and sound.
+    pub fn offer_config(&mut self, config: Arc<GatewayConfig>) -> ConfigVerdict {
+        if config.version <= self.config_version() {
+            return ConfigVerdict::Stale;
+        }
+        let faults = config.faults();
+        if !faults.is_empty() {
+            return ConfigVerdict::Refused(faults);
+        }
+        self.table = Some(Arc::new(RouteTable::new(config)));
+        ConfigVerdict::InForce
+    }
+
+    /// Version in force, 0 for none.
+    pub fn config_version(&self) -> ConfigVersion {
+        self.table.as_ref().map_or(0, |table| table.version())
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<&Arc<RouteTable>> {
+        self.table.as_ref()
+    }
+
+    /// The list of replicas.
+    pub fn list(&self) -> &ReplicaList {
+        &self.list
+    }
+
+    /// Takes a whole list of replicas; returns what sessions must do.
+    pub fn offer_replicas(
+        &mut self,
+        now: Now,
+        revision: u64,
+        replicas: Vec<Replica>,
+    ) -> Vec<Evacuation> {
+        self.list.snapshot(now, revision, replicas);
+        self.replicas_changed(now)
+    }
+
+    /// Takes changes of the list; returns what sessions must do.
+    pub fn change_replicas(
+        &mut self,
+        now: Now,
+        revision: u64,
+        changes: Vec<ReplicaChange>,
+    ) -> Vec<Evacuation> {
+        if !self.list.change(now, revision, changes) {
+            return Vec::new();
+        }
+        self.replicas_changed(now)
+    }
+
+    /// Notes that the platform answers again after an outage.
+    pub fn outage_ended(&mut self, now: Now) {
+        self.list.outage_ended(now);
+    }
+
+    /// Notes what a peer has put on the replicas.
+    pub fn hear_peer(
+        &mut self,
+        now: Now,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        sequence: u64,
+        shares: LoadShares,
+    ) {
+        self.peers.hear(now, instance, incarnation, sequence, shares);
+        self.share_budget();
+    }
+
+    /// What this instance has put on the replicas.
+    pub fn shares(&self) -> LoadShares {
+        own_shares(&self.runs)
+    }
+
+    /// Lets time pass: forgets silent peers and lapsed entries. Returns what
+    /// sessions must do and which peers fell silent.
+    pub fn tick(&mut self, now: Now) -> (Vec<Evacuation>, Vec<InstanceId>) {
+        let silent = self.peers.expire(now);
+        let gone = self.list.expire(now);
+        let evacuations = match gone.is_empty() {
+            true => Vec::new(),
+            false => self.replicas_changed(now),
+        };
+        (evacuations, silent)
+    }
+
+    /// Ranks the replicas for a request and counts it as sent to the first.
+    ///
+    /// # Errors
+    ///
+    /// A refusal; nothing was sent.
+    pub fn place(&mut self, now: Now, ask: PlacementAsk) -> Result<Ranking, Refusal> {
+        let scores = self.scores(now, &ask, None);
+        if scores.is_empty() {
+            return Err(Refusal::new(
+                RefusalKind::NoBackend,
+                NOTHING_THERE_RETRY_AFTER,
+                format!("no backend server of {} takes requests now", ask.service),
+            ));
+        }
+        let limit = self.terms.memory_limit;
+        let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
+        let Some(first) = fitting.first() else {
+            return Err(Refusal::new(
+                RefusalKind::QueueFull,
+                FULL_RETRY_AFTER,
+                format!("the engines of {} have no memory left", ask.service),
+            ));
+        };
+        let first = first.replica.clone();
+        let backup = self.choose_backup(now, &ask, &first);
+        self.budget.earn(&ask.service);
+        self.runs.insert(
+            ask.request.clone(),
+            OwnRun {
+                replica: first.id,
+                backup: backup.as_ref().map(|replica| replica.id.clone()),
+                ask,
+                generated: 0,
+                has_begun: false,
+            },
+        );
+        let ranked = fitting.into_iter().take(RANKED);
+        Ok(Ranking {
+            replicas: ranked.map(|score| score.replica).collect(),
+            backup,
+        })
+    }
+
+    /// Counts a request as sent to another replica than the first of its
+    /// ranking.
+    pub fn moved(&mut self, request: &str, replica: BackendId) {
+        if let Some(run) = self.runs.get_mut(request) {
+            run.replica = replica;
+            run.has_begun = false;
+        }
+    }
+
+    /// Spends a further send of a service, if one is left.
+    pub fn spend_retry(&mut self, service: &str) -> bool {
+        self.budget.spend(&[service])
+    }
+
+    /// Notes how far a session is.
+    pub fn progress(&mut self, request: &str, generated: u32) {
+        let Some(run) = self.runs.get_mut(request) else {
+            return;
+        };
+        run.generated = generated;
+        run.has_begun = true;
+        if let Some(pause) = self.pauses.get_mut(&run.replica) {
+            pause.succeed();
+        }
+    }
+
+    /// Decides where a session goes on whose engine broke off; `None` when no
+    /// copy of it is usable.
+    pub fn carry(&mut self, now: Now, request: &str) -> Option<CarryTarget> {
+        let run = self.runs.get(request)?;
+        let backup = self.list.replica(run.backup.as_deref()?)?.clone();
+        self.carry_to(now, request, backup)
+    }
+
+    /// Counts a session as running at `replica` and chooses where its next
+    /// copy is kept.
+    pub fn carry_to(&mut self, now: Now, request: &str, replica: Replica) -> Option<CarryTarget> {
+        let run = self.runs.get(request)?;
+        let from = run.replica.clone();
+        let mut ask = run.ask.clone();
+        ask.prompt_tokens += run.generated;
+        ask.max_tokens = ask.max_tokens.saturating_sub(run.generated);
+        let next = self.choose_backup_besides(now, &ask, &replica, Some(&from));
+        let run = self.runs.get_mut(request)?;
+        run.replica = replica.id.clone();
+        run.backup = next.as_ref().map(|replica| replica.id.clone());
+        Some(CarryTarget {
+            replica,
+            backup: next,
+            from,
+        })
+    }
+
+    /// Forgets the copy of a session, which turned out to be unusable.
+    pub fn backup_lost(&mut self, request: &str) {
+        if let Some(run) = self.runs.get_mut(request) {
+            run.backup = None;
+        }
+    }
+
+    /// Notes that a replica failed a try of a request that goes on elsewhere.
+    pub fn failed(&mut self, now: Now, replica: &str) {
+        self.pauses
+            .entry(replica.to_owned())
+            .or_default()
+            .fail(now);
+    }
+
+    /// Notes the end of a request.
+    pub fn ended(&mut self, now: Now, request: &str, end: RunEnd) {
+        let Some(run) = self.runs.remove(request) else {
+            return;
+        };
+        match end {
+            RunEnd::Answered => {
+                self.pauses.remove(&run.replica);
+            }
+            RunEnd::Failed => self.failed(now, &run.replica),
+            RunEnd::Refused | RunEnd::Withdrawn => {}
+        }
+    }
+
+    /// Requests of this instance under way.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    fn scores(&mut self, now: Now, ask: &PlacementAsk, besides: Option<&str>) -> Vec<ReplicaScore> {
+        let Some(table) = self.table.clone() else {
+            return Vec::new();
+        };
+        let engine = table.config().service(&ask.service);
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        let own = self.shares();
+        let mut scores = Vec::new();
+        let replicas: Vec<Replica> = self
+            .list
+            .replicas()
+            .filter(|replica| replica.service == ask.service && !replica.leaving)
+            .filter(|replica| Some(replica.id.as_str()) != besides)
+            .cloned()
+            .collect();
+        for replica in replicas {
+            let pause = self.pauses.get(&replica.id).copied().unwrap_or_default();
+            if pause.is_paused(now) {
+                continue;
+            }
+            let context = ScoreContext {
+                now,
+                zone: &self.terms.zone,
+                engine,
+                ask,
+                noise: f64::from(self.random.next_u32()) / f64::from(u32::MAX),
+            };
+            let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
+            load.add(&self.peers.on(&replica.id));
+            scores.push(score(&replica, load, &pause, &context));
+        }
+        scores.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        scores
+    }
+
+    fn choose_backup(&mut self, now: Now, ask: &PlacementAsk, first: &Replica) -> Option<Replica> {
+        self.choose_backup_besides(now, ask, first, None)
+    }
+
+    /// The engine with the most memory to spare, `first` and `also` excluded.
+    fn choose_backup_besides(
+        &mut self,
+        now: Now,
+        ask: &PlacementAsk,
+        first: &Replica,
+        also: Option<&str>,
+    ) -> Option<Replica> {
+        let table = self.table.as_ref()?;
+        let service = table.config().service(&ask.service)?;
+        let can_back_up = service.engine.as_ref().is_some_and(|e| e.can_back_up);
+        let is_stream = ask.class == RequestClass::Stream;
+        if !is_stream || !can_back_up || ask.likely_tokens() < self.terms.least_copied_tokens {
+            return None;
+        }
+        let limit = self.terms.copy_limit;
+        let scores = self.scores(now, ask, Some(&first.id));
+        let mut fitting = scores
+            .into_iter()
+            .filter(|s| s.memory <= limit && Some(s.replica.id.as_str()) != also);
+        fitting.next().map(|score| score.replica)
+    }
+
+    /// Sessions whose engine leaves and that have no usable copy have to move.
+    fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
+        self.pauses
+            .retain(|id, _| self.list.state(id) != ListedState::Removed);
+        let is_leaving = |list: &ReplicaList, id: &str| {
+            matches!(list.state(id), ListedState::Leaving | ListedState::Removed)
+        };
+        let mut to_move = Vec::new();
+        for (request, run) in &mut self.runs {
+            let backup_leaves = run.backup.as_deref().map(|id| is_leaving(&self.list, id));
+            if backup_leaves == Some(true) {
+                run.backup = None;
+            }
+            let is_session = run.ask.class == RequestClass::Stream;
+            if is_session && run.backup.is_none() && is_leaving(&self.list, &run.replica) {
+                to_move.push(request.clone());
+            }
+        }
+        to_move.sort();
+        to_move
+            .into_iter()
+            .filter_map(|request| self.evacuate(now, request))
+            .collect()
+    }
+
+    fn evacuate(&mut self, now: Now, request: RequestId) -> Option<Evacuation> {
+        let run = self.runs.get(&request)?;
+        let from = run.replica.clone();
+        let mut ask = run.ask.clone();
+        ask.prompt_tokens += run.generated;
+        let target = self.scores(now, &ask, Some(&from)).into_iter().next()?;
+        let run = self.runs.get_mut(&request)?;
+        // Counts there from now on, so that not all sessions choose the same.
+        run.backup = Some(target.replica.id.clone());
+        Some(Evacuation {
+            request,
+            target: target.replica,
+        })
+    }
+
+    /// Each instance gets the same part of the extra; instances that are cut
+    /// off from the others count on no more than that.
+    fn share_budget(&mut self) {
+        let known = u32::try_from(self.peers.count() + 1).unwrap_or(u32::MAX);
+        let sharers = f64::from(known.max(self.terms.least_sharers));
+        self.budget
+            .set_max_saved(self.terms.retry_extra / sharers);
+    }
+}
--- a/crates/core/src/key_index.rs
+++ b/crates/core/src/key_index.rs
@@ -39,6 +39,15 @@
         index
     }
 
+    /// Indexes hashes (hex) of the keys of workspaces.
+    pub fn of_workspaces<'a>(hashes: impl Iterator<Item = (&'a String, WorkspaceId)>) -> Self {
+        let mut index = KeyIndex::default();
+        for (hash, workspace) in hashes {
+            index.add(hash, KeyOwner::Workspace(workspace));
+        }
+        index
+    }
+
     /// The owner of a key.
     pub fn owner(&self, key: &str) -> Option<&KeyOwner> {
         let given = blake3::hash(key.as_bytes());
--- /dev/null
+++ b/crates/core/src/placement_ask.rs
@@ -0,0 +1,74 @@
+//! What one request asks of the backend servers of a service, and the answer.
+
+use crate::BackendId;
+use crate::Replica;
+use crate::RequestClass;
+use crate::RequestId;
+
+/// A request that wants a backend server.
+#[derive(Clone, Debug)]
+pub struct PlacementAsk {
+    /// The request.
+    pub request: RequestId,
+    /// Service that runs it.
+    pub service: String,
+    /// What may be done after a failure.
+    pub class: RequestClass,
+    /// Tokens of the prompt; 0 where the service is no engine.
+    pub prompt_tokens: u32,
+    /// Most tokens that the caller takes.
+    pub max_tokens: u32,
+    /// The caller's guess of the tokens that come out, if it gave one.
+    pub expected_tokens: Option<u32>,
+}
+
+impl PlacementAsk {
+    /// Tokens that are likely to come out: the caller's guess is right at the
+    /// median; without one, half of the most.
+    pub fn likely_tokens(&self) -> u32 {
+        let guess = self.expected_tokens.unwrap_or(self.max_tokens / 2);
+        guess.min(self.max_tokens)
+    }
+}
+
+/// Where a request may go.
+#[derive(Clone, Debug)]
+pub struct Ranking {
+    /// Backend servers, the best first. The request already counts as sent to
+    /// the first.
+    pub replicas: Vec<Replica>,
+    /// Engine that should keep a copy of the session.
+    pub backup: Option<Replica>,
+}
+
+/// What the decisions tell a session that is under way.
+#[derive(Clone, Debug)]
+pub enum SessionSignal {
+    /// Its engine is leaving and no usable copy exists: move to this engine.
+    MoveTo(Replica),
+}
+
+/// How a request left its backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// It was answered; an answer that reports an error of the service's own
+    /// counts as well.
+    Answered,
+    /// The backend server broke off, was silent or sent what is no answer.
+    Failed,
+    /// The backend server refused for lack of room.
+    Refused,
+    /// Neither side is to blame: the caller left or time was up.
+    Withdrawn,
+}
+
+/// A session as it moves from one engine to another.
+#[derive(Clone, Debug)]
+pub struct CarryTarget {
+    /// The engine to go on at.
+    pub replica: Replica,
+    /// Engine that should keep a copy from then on.
+    pub backup: Option<Replica>,
+    /// The engine that ran it so far.
+    pub from: BackendId,
+}
--- /dev/null
+++ b/crates/core/src/replica_list.rs
@@ -0,0 +1,162 @@
+//! The list of backend servers, joined from snapshots and changes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::BackendId;
+use crate::Now;
+use crate::Replica;
+
+/// How long an entry that is missing after an outage of the platform counts as
+/// present: a live server writes its entry again within two heartbeats of
+/// 1.2 s, and the users set the bound at about 2 s.
+const LAPSE_GRACE: Duration = Duration::from_secs(2);
+
+/// How long after an outage a removal may stem from that outage rather than
+/// from the end of the server: one heartbeat of the servers.
+const OUTAGE_SHADOW: Duration = Duration::from_millis(1_500);
+
+/// One change of the list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ReplicaChange {
+    /// An entry was written.
+    Listed(Replica),
+    /// An entry was removed.
+    Removed(BackendId),
+}
+
+/// What the list says of a replica.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListedState {
+    /// It takes work.
+    Serving,
+    /// It finishes what it has.
+    Leaving,
+    /// Its entry was lost while the platform was away; it counts as serving
+    /// for a short time.
+    Lapsed,
+    /// Its entry was removed; it finishes what it has.
+    Removed,
+}
+
+#[derive(Clone, Debug)]
+struct Line {
+    replica: Replica,
+    lapsed_at: Option<Now>,
+}
+
+/// Replicas by id, at a revision of the platform's list.
+#[derive(Debug, Default)]
+pub struct ReplicaList {
+    revision: u64,
+    lines: BTreeMap<BackendId, Line>,
+    outage_ended: Option<Now>,
+}
+
+impl ReplicaList {
+    /// Takes a whole list. Entries that are missing count as removed, or as
+    /// lapsed when the platform was away before.
+    pub fn snapshot(&mut self, now: Now, revision: u64, replicas: Vec<Replica>) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
+        let missing: Vec<BackendId> = self
+            .lines
+            .keys()
+            .filter(|id| !replicas.iter().any(|replica| replica.id == **id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(now, &id);
+        }
+        for replica in replicas {
+            self.insert(replica);
+        }
+        true
+    }
+
+    /// Takes changes up to a revision; older ones are ignored.
+    pub fn change(&mut self, now: Now, revision: u64, changes: Vec<ReplicaChange>) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        self.revision = revision;
+        for change in changes {
+            match change {
+                ReplicaChange::Listed(replica) => self.insert(replica),
+                ReplicaChange::Removed(id) => self.remove(now, &id),
+            }
+        }
+        true
+    }
+
+    /// Notes that the platform answers again after an outage.
+    pub fn outage_ended(&mut self, now: Now) {
+        self.outage_ended = Some(now);
+    }
+
+    /// Drops entries whose grace is over; returns them.
+    pub fn expire(&mut self, now: Now) -> Vec<BackendId> {
+        let is_over = |line: &Line| {
+            let lapsed = line.lapsed_at;
+            lapsed.is_some_and(|at| now.saturating_sub(at) >= LAPSE_GRACE)
+        };
+        let over = self.lines.iter().filter(|(_, line)| is_over(line));
+        let ids: Vec<BackendId> = over.map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.lines.remove(id);
+        }
+        ids
+    }
+
+    /// What is known of a replica that was listed at some time.
+    pub fn state(&self, id: &str) -> ListedState {
+        match self.lines.get(id) {
+            None => ListedState::Removed,
+            Some(line) if line.lapsed_at.is_some() => ListedState::Lapsed,
+            Some(line) if line.replica.leaving => ListedState::Leaving,
+            Some(_) => ListedState::Serving,
+        }
+    }
+
+    /// The revision reached.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The replicas, lapsed ones included.
+    pub fn replicas(&self) -> impl Iterator<Item = &Replica> {
+        self.lines.values().map(|line| &line.replica)
+    }
+
+    /// One replica.
+    pub fn replica(&self, id: &str) -> Option<&Replica> {
+        self.lines.get(id).map(|line| &line.replica)
+    }
+
+    fn insert(&mut self, replica: Replica) {
+        let line = Line {
+            replica,
+            lapsed_at: None,
+        };
+        self.lines.insert(line.replica.id.clone(), line);
+    }
+
+    fn remove(&mut self, now: Now, id: &str) {
+        let after_outage = self
+            .outage_ended
+            .is_some_and(|ended| now.saturating_sub(ended) < OUTAGE_SHADOW);
+        let Some(line) = self.lines.get_mut(id) else {
+            return;
+        };
+        if after_outage && !line.replica.leaving {
+            line.lapsed_at = line.lapsed_at.or(Some(now));
+        } else {
+            self.lines.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/replica_view.rs
@@ -0,0 +1,133 @@
+//! What one instance believes about one replica.
+
+use std::collections::HashMap;
+
+use crate::BackendId;
+use crate::EngineTraits;
+use crate::FailurePause;
+use crate::LoadShare;
+use crate::LoadShares;
+use crate::Now;
+use crate::PlacementAsk;
+use crate::Replica;
+use crate::RequestId;
+
+/// Cost of a replica in another availability zone, in shares of its capacity:
+/// a stream across zones costs about 0.2% of its worth, a delay of 1 ms; zones
+/// that are cut off from each other lose it.
+const OTHER_ZONE_COST: f64 = 0.15;
+
+/// Cost of a replica whose last request failed.
+const PROBATION_COST: f64 = 0.5;
+
+/// Cost per second of warm-up that is left.
+const WARM_UP_COST_PER_S: f64 = 0.2;
+
+/// Cost of a full set of slots, on top of the memory: each session slows the
+/// others' tokens.
+const SLOTS_COST: f64 = 0.5;
+
+/// Cost of prompts that wait to be read, per share of memory.
+const UNREAD_COST: f64 = 1.0;
+
+/// Share of the random part, which breaks ties between instances.
+const NOISE_COST: f64 = 0.02;
+
+/// One request of this instance that runs somewhere.
+#[derive(Clone, Debug)]
+pub struct OwnRun {
+    /// The replica that runs it.
+    pub replica: BackendId,
+    /// The engine that keeps a copy.
+    pub backup: Option<BackendId>,
+    /// What it asked for.
+    pub ask: PlacementAsk,
+    /// Tokens that came out.
+    pub generated: u32,
+    /// Whether its first event is there.
+    pub has_begun: bool,
+}
+
+impl OwnRun {
+    fn memory_tokens(&self) -> u64 {
+        let further = self.ask.likely_tokens().saturating_sub(self.generated) / 2;
+        u64::from(self.ask.prompt_tokens + self.generated + further)
+    }
+}
+
+/// Sums up what the requests of this instance put on each replica.
+pub fn own_shares(runs: &HashMap<RequestId, OwnRun>) -> LoadShares {
+    let mut shares = LoadShares::new();
+    for run in runs.values() {
+        let share = shares.entry(run.replica.clone()).or_default();
+        share.requests += 1;
+        share.session_tokens += run.memory_tokens();
+        if !run.has_begun {
+            share.unread_tokens += u64::from(run.ask.prompt_tokens);
+        }
+        if let Some(backup) = &run.backup {
+            let share = shares.entry(backup.clone()).or_default();
+            share.copy_tokens += run.memory_tokens();
+        }
+    }
+    shares
+}
+
+/// Figures that decide between replicas.
+#[derive(Clone, Debug)]
+pub struct ReplicaScore {
+    /// The replica.
+    pub replica: Replica,
+    /// What all instances have put on it, as far as known.
+    pub load: LoadShare,
+    /// Share of the memory that would be taken, 0 where there is none.
+    pub memory: f64,
+    /// The sum of all costs; the lowest is best.
+    pub cost: f64,
+}
+
+/// What scoring needs besides the replica.
+pub struct ScoreContext<'a> {
+    /// Now.
+    pub now: Now,
+    /// Zone of this instance.
+    pub zone: &'a str,
+    /// Traits of the engines, if they are engines.
+    pub engine: Option<&'a EngineTraits>,
+    /// The request.
+    pub ask: &'a PlacementAsk,
+    /// A number from 0 to 1 for the random part.
+    pub noise: f64,
+}
+
+/// Scores one replica under the load that all instances have put on it.
+pub fn score(
+    replica: &Replica,
+    load: LoadShare,
+    pause: &FailurePause,
+    context: &ScoreContext<'_>,
+) -> ReplicaScore {
+    let slots = f64::from(replica.slots.max(1));
+    let mut cost = f64::from(load.requests) / slots * SLOTS_COST;
+    let mut memory = 0.0;
+    if let Some(engine) = context.engine {
+        let capacity = engine.memory_tokens.max(1) as f64;
+        let prompt = f64::from(context.ask.prompt_tokens + context.ask.likely_tokens() / 2);
+        memory = (load.memory_tokens() as f64 + prompt) / capacity;
+        cost += memory + load.unread_tokens as f64 / capacity * UNREAD_COST;
+    }
+    if replica.availability_zone != context.zone {
+        cost += OTHER_ZONE_COST;
+    }
+    if pause.on_probation() {
+        cost += PROBATION_COST;
+    }
+    cost += replica.warm_up.as_secs_f64() * WARM_UP_COST_PER_S;
+    cost += context.noise * NOISE_COST;
+    ReplicaScore {
+        replica: replica.clone(),
+        load,
+        memory,
+        cost,
+    }
+}
--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -8,18 +8,46 @@
 /// Retries that may be saved up, and that a new key starts with.
 const MAX_SAVED: f64 = 10.0;
 
-/// A budget per key (workspace or backend server): each fresh request earns a
-/// tenth of a retry, so load is amplified by at most 1.1 in the long run.
-#[derive(Debug, Default)]
+/// A budget per key (workspace, service or backend server). By default each
+/// fresh request earns a tenth of a retry, so load is amplified by at most 1.1
+/// in the long run.
+#[derive(Debug)]
 pub struct RetryBudget {
+    per_request: f64,
+    max_saved: f64,
     saved: HashMap<String, f64>,
 }
 
+impl Default for RetryBudget {
+    fn default() -> Self {
+        RetryBudget::with_terms(RETRIES_PER_REQUEST, MAX_SAVED)
+    }
+}
+
 impl RetryBudget {
+    /// A budget in which each fresh request earns `per_request` retries and at
+    /// most `max_saved` are saved up.
+    pub fn with_terms(per_request: f64, max_saved: f64) -> Self {
+        RetryBudget {
+            per_request,
+            max_saved,
+            saved: HashMap::new(),
+        }
+    }
+
+    /// Changes how many retries may be saved up.
+    pub fn set_max_saved(&mut self, max_saved: f64) {
+        self.max_saved = max_saved;
+        for saved in self.saved.values_mut() {
+            *saved = saved.min(max_saved);
+        }
+    }
+
     /// Notes a fresh request.
     pub fn earn(&mut self, key: &str) {
+        let (per_request, max_saved) = (self.per_request, self.max_saved);
         let saved = self.entry(key);
-        *saved = (*saved + RETRIES_PER_REQUEST).min(MAX_SAVED);
+        *saved = (*saved + per_request).min(max_saved);
     }
 
     /// Spends one retry of every key, or of none when one has none left.
@@ -39,6 +67,6 @@
     }
 
     fn entry(&mut self, key: &str) -> &mut f64 {
-        self.saved.entry(key.to_owned()).or_insert(MAX_SAVED)
+        self.saved.entry(key.to_owned()).or_insert(self.max_saved)
     }
 }
--- /dev/null
+++ b/crates/core/src/route_table.rs
@@ -0,0 +1,117 @@
+//! Finds the route, the workspace and the service of a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::ConfigVersion;
+use crate::GatewayConfig;
+use crate::GatewayWorkspace;
+use crate::KeyIndex;
+use crate::KeyOwner;
+use crate::Route;
+
+/// Why a request leads nowhere. Decided before anything is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouteFault {
+    /// No route has this host and path.
+    NoRoute,
+    /// The route needs a key and the request has none, or an unknown one.
+    UnknownKey,
+}
+
+/// A configuration in force, indexed for lookups.
+#[derive(Debug)]
+pub struct RouteTable {
+    config: Arc<GatewayConfig>,
+    by_host: HashMap<String, Vec<usize>>,
+    keys: KeyIndex,
+}
+
+impl RouteTable {
+    /// Indexes a configuration.
+    pub fn new(config: Arc<GatewayConfig>) -> Self {
+        let mut by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (place, route) in config.routes.iter().enumerate() {
+            by_host.entry(route.host.clone()).or_default().push(place);
+        }
+        for places in by_host.values_mut() {
+            let length = |place: &usize| config.routes[*place].path_prefix.len();
+            places.sort_by_key(|place| std::cmp::Reverse(length(place)));
+        }
+        let workspaces = config.workspaces.iter().flatten();
+        let hashes = workspaces.flat_map(|w| w.key_hashes.iter().map(|h| (h, w.name.clone())));
+        let keys = KeyIndex::of_workspaces(hashes);
+        RouteTable {
+            config,
+            by_host,
+            keys,
+        }
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> &Arc<GatewayConfig> {
+        &self.config
+    }
+
+    /// Its version.
+    pub fn version(&self) -> ConfigVersion {
+        self.config.version
+    }
+
+    /// The route with the longest prefix of the path.
+    ///
+    /// # Errors
+    ///
+    /// [`RouteFault::NoRoute`].
+    pub fn route(&self, host: &str, path: &str) -> Result<&Route, RouteFault> {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let places = self.by_host.get(&host.to_ascii_lowercase());
+        let mut routes = places
+            .into_iter()
+            .flatten()
+            .map(|place| &self.config.routes[*place]);
+        let found = routes.find(|route| path.starts_with(&route.path_prefix));
+        found.ok_or(RouteFault::NoRoute)
+    }
+
+    /// The workspace of a caller, `None` for an anonymous one.
+    ///
+    /// # Errors
+    ///
+    /// [`RouteFault::UnknownKey`].
+    pub fn workspace(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<&GatewayWorkspace>, RouteFault> {
+        let Some(workspaces) = &self.config.workspaces else {
+            return Ok(None);
+        };
+        let owner = key.and_then(|key| self.keys.owner(key));
+        if let Some(KeyOwner::Workspace(name)) = owner {
+            return Ok(workspaces.iter().find(|workspace| workspace.name == *name));
+        }
+        if route.allow_anonymous {
+            return Ok(None);
+        }
+        Err(RouteFault::UnknownKey)
+    }
+
+    /// The service that runs a request: the same for the same request id, and
+    /// split by weight over many.
+    pub fn service<'a>(&self, route: &'a Route, request: &str) -> Option<&'a str> {
+        let sum: u64 = route.targets.iter().map(|t| u64::from(t.weight)).sum();
+        let digest = blake3::hash(request.as_bytes());
+        let mut first = [0_u8; 8];
+        first.copy_from_slice(&digest.as_bytes()[..8]);
+        let mut point = u64::from_le_bytes(first).checked_rem(sum)?;
+        for target in &route.targets {
+            let weight = u64::from(target.weight);
+            if point < weight {
+                return Some(&target.service);
+            }
+            point -= weight;
+        }
+        None
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -192,7 +192,8 @@
     }
 }
 
-fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+/// Listens on the address of a setting.
+pub fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
     bind(address).map_err(|cause| listen_error(key, address, cause))
 }
 
--- /dev/null
+++ b/crates/daemon/src/directory.rs
@@ -0,0 +1,66 @@
+//! The border to the platform's directory: the published configuration and the
+//! list of backend servers, which can be read and watched.
+
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use iristhread_core::GatewayConfig;
+use iristhread_core::Replica;
+use iristhread_core::ReplicaChange;
+use thiserror::Error;
+
+/// A revision of the directory.
+pub type Revision = u64;
+
+/// Why a read failed.
+#[derive(Clone, Debug, Error)]
+pub enum DirectoryError {
+    /// No connection, or it broke.
+    #[error("the directory can't be reached: {0}")]
+    Unreachable(String),
+    /// No answer in time.
+    #[error("the directory did not answer in time")]
+    Silent,
+    /// It asks for fewer calls, or serves nobody.
+    #[error("the directory refuses calls with status {0}")]
+    Busy(u16),
+    /// The changes after that revision are forgotten.
+    #[error("the directory has forgotten the changes since then")]
+    HistoryGone,
+    /// The answer makes no sense.
+    #[error("the answer of the directory can't be read: {0}")]
+    Unreadable(String),
+}
+
+/// A value together with the revision of the directory.
+#[derive(Clone, Debug)]
+pub struct Read<T> {
+    /// The value.
+    pub value: T,
+    /// The directory's revision when it answered.
+    pub revision: Revision,
+}
+
+/// Reads and watches; nothing can be written.
+pub trait Directory: Send + Sync {
+    /// The newest configuration, `None` when none is published.
+    fn config(&self) -> BoxFuture<'_, Result<Read<Option<GatewayConfig>>, DirectoryError>>;
+
+    /// Waits for configurations published after a revision; none when the time
+    /// is over.
+    fn config_after(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Read<Vec<GatewayConfig>>, DirectoryError>>;
+
+    /// The whole list of backend servers.
+    fn replicas(&self) -> BoxFuture<'_, Result<Read<Vec<Replica>>, DirectoryError>>;
+
+    /// Waits for changes of the list after a revision.
+    fn replicas_after(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Read<Vec<ReplicaChange>>, DirectoryError>>;
+}
--- /dev/null
+++ b/crates/daemon/src/exchange.rs
@@ -0,0 +1,225 @@
+//! One request of a caller, resolved, and the sending of it to one backend
+//! server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use iristhread_api::HttpClientError;
+use iristhread_core::Now;
+use iristhread_core::PlacementAsk;
+use iristhread_core::Replica;
+use iristhread_core::Route;
+use iristhread_core::RunEnd;
+
+use crate::dialect::AnswerHead;
+use crate::dialect::CallerHead;
+use crate::dialect::ResumePoint;
+use crate::dialect::SendOrder;
+use crate::front_answer::end_to_end;
+use crate::gateway::GatewayApp;
+use crate::gateway_message::GatewayMessage;
+
+/// Least urgent that an engine knows.
+const LEAST_URGENT: u8 = 9;
+
+/// Ranks of routes within one rank of workspaces.
+const ROUTE_RANKS: u8 = 3;
+
+/// A request whose route, service and workspace are known.
+pub struct Exchange {
+    /// What all tasks share.
+    pub app: Arc<GatewayApp>,
+    /// What its head says.
+    pub head: CallerHead,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Route,
+    /// The service that runs it.
+    pub service: String,
+    /// Whose it is.
+    pub workspace: Option<String>,
+    /// Whether callers have keys, which backend servers never see.
+    pub hides_key: bool,
+    /// Rank of the workspace, 0 is the most urgent.
+    pub workspace_rank: u8,
+    /// When it arrived.
+    pub arrived: Now,
+    /// When its final answer is due.
+    pub answer_by: Now,
+}
+
+/// An answer whose body is still to come.
+pub struct BackendAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Incoming,
+    /// What its head says.
+    pub head: AnswerHead,
+}
+
+/// What became of one send.
+pub enum Sent {
+    /// An answer of this request.
+    Answer(Box<BackendAnswer>),
+    /// No connection: no byte was written.
+    NotConnected(String),
+    /// The connection broke, or what came is no answer of this request.
+    Lost(String),
+    /// No answer in time.
+    TimedOut,
+}
+
+impl Exchange {
+    /// What the request asks of the backend servers.
+    pub fn ask(&self) -> PlacementAsk {
+        PlacementAsk {
+            request: self.head.request.clone(),
+            service: self.service.clone(),
+            class: self.route.class,
+            prompt_tokens: self.head.prompt_tokens,
+            max_tokens: self.head.max_tokens,
+            expected_tokens: self.head.expected_tokens,
+        }
+    }
+
+    /// Time left for the final answer.
+    pub fn time_left(&self) -> Duration {
+        self.answer_by.saturating_sub(self.app.clock.now())
+    }
+
+    /// Sends the request to a replica on a connection of its own, so that
+    /// nothing that belongs to another request can arrive on it.
+    pub async fn send(
+        &self,
+        replica: &Replica,
+        backup: Option<&Replica>,
+        resume: Option<ResumePoint>,
+        by: Now,
+    ) -> Sent {
+        let order = SendOrder {
+            request: self.head.request.clone(),
+            replica: replica.id.clone(),
+            time_left: self.time_left(),
+            workspace: self.workspace.clone(),
+            hides_key: self.hides_key,
+            urgency: Some(self.urgency()),
+            backup: backup.map(|replica| replica.address),
+            resume,
+        };
+        let request = match self.request_to(replica, &order) {
+            Ok(request) => request,
+            Err(error) => return Sent::NotConnected(error.to_string()),
+        };
+        let by = self.app.clock.instant(by);
+        match tokio::time::timeout_at(by, self.app.client.send(request)).await {
+            Err(_) => Sent::TimedOut,
+            Ok(Err(HttpClientError::Connect { cause, .. })) => Sent::NotConnected(cause),
+            Ok(Err(error)) => Sent::Lost(error.to_string()),
+            Ok(Ok(response)) => self.checked(response),
+        }
+    }
+
+    fn request_to(
+        &self,
+        replica: &Replica,
+        order: &SendOrder,
+    ) -> Result<Request<Full<Bytes>>, http::Error> {
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let uri = format!("http://{}{path}", replica.address);
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(uri)
+            .body(Full::new(self.body.clone()))?;
+        let headers = end_to_end(&self.headers);
+        *request.headers_mut() = self.app.dialect.write_order(&headers, order);
+        Ok(request)
+    }
+
+    fn checked(&self, response: http::Response<Incoming>) -> Sent {
+        let (parts, body) = response.into_parts();
+        let head = self.app.dialect.read_answer(parts.status, &parts.headers);
+        let is_ours = match &head.request {
+            Some(request) => *request == self.head.request,
+            None => head.is_not_run,
+        };
+        if !is_ours {
+            return Sent::Lost("the answer bears another request's id".to_owned());
+        }
+        if parts.status.is_success() && !head.is_stamped {
+            return Sent::Lost("the answer bears no mark of a backend server".to_owned());
+        }
+        Sent::Answer(Box::new(BackendAnswer {
+            status: parts.status,
+            headers: parts.headers,
+            body,
+            head,
+        }))
+    }
+
+    /// Workspaces go before routes; engines know ten ranks.
+    fn urgency(&self) -> u8 {
+        let rank = self.workspace_rank.saturating_mul(ROUTE_RANKS);
+        rank.saturating_add(self.route.rank.min(ROUTE_RANKS - 1))
+            .min(LEAST_URGENT)
+    }
+}
+
+impl BackendAnswer {
+    /// Whether its status promises that the request was not run although the
+    /// backend server did not say so: such an answer can't be passed on.
+    pub fn is_false_promise(&self) -> bool {
+        let promises = matches!(self.status.as_u16(), 408 | 421 | 429 | 503);
+        promises && !self.head.is_not_run
+    }
+}
+
+/// Tells the decisions of the end of a request, also when its task is dropped
+/// because the caller left.
+pub struct RunGuard {
+    app: Arc<GatewayApp>,
+    request: String,
+    end: RunEnd,
+}
+
+impl RunGuard {
+    /// Guards a request that was placed.
+    pub fn new(app: Arc<GatewayApp>, request: String) -> Self {
+        RunGuard {
+            app,
+            request,
+            end: RunEnd::Withdrawn,
+        }
+    }
+
+    /// Notes how it ends.
+    pub fn ends(&mut self, end: RunEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.app.control.tell(GatewayMessage::Ended {
+            request: self.request.clone(),
+            end: self.end,
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway.rs
@@ -0,0 +1,223 @@
+//! Starts the parts of a gateway instance and stops them in order.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use iristhread_api::HttpClient;
+use iristhread_core::RouteTable;
+use slog::Logger;
+use slog::info;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use viz::IntoResponse;
+use viz::Response;
+use viz::Router;
+use viz::StatusCode;
+
+use crate::clock::Clock;
+use crate::control_message::Identity;
+use crate::daemon::DaemonError;
+use crate::daemon::listen;
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::directory_reader;
+use crate::gateway_front;
+use crate::gateway_settings::GatewaySettings;
+use crate::gateway_thread::GatewayHandle;
+use crate::gateway_thread::TableView;
+use crate::http_server;
+use crate::http_server::ConnectionLimits;
+use crate::session_mover::SessionMover;
+
+/// Most bytes of an answer that the client reads whole.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// Longest rest of a caller's connection between two requests, until the
+/// configuration tells: the platform's today.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Most bytes of a request's headers before the configuration tells.
+const MAX_HEADER_BYTES: usize = 16_384;
+
+/// Time after the stop signal in which new connections are still taken: the
+/// platform's balancer asks each second and stops sending after two misses.
+const STOP_LINGER: Duration = Duration::from_millis(2_800);
+
+/// Part of the grace that is left when the process ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(150);
+
+/// The adapters to the outside world.
+pub struct GatewayPorts {
+    /// Headers of callers and backend servers.
+    pub dialect: Arc<dyn Dialect>,
+    /// The platform's directory.
+    pub directory: Arc<dyn Directory>,
+    /// Orders to engines.
+    pub mover: Arc<dyn SessionMover>,
+}
+
+/// Shared by all tasks.
+pub struct GatewayApp {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Who this process is.
+    pub identity: Identity,
+    /// Clocks.
+    pub clock: Clock,
+    /// Decisions.
+    pub control: GatewayHandle,
+    /// Headers of callers and backend servers.
+    pub dialect: Arc<dyn Dialect>,
+    /// Orders to engines.
+    pub mover: Arc<dyn SessionMover>,
+    /// Sends requests, each on a connection of its own.
+    pub client: HttpClient,
+    /// Logger.
+    pub log: Logger,
+    tables: TableView,
+    stopping: AtomicBool,
+}
+
+impl GatewayApp {
+    /// The configuration in force now.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.tables.borrow().clone()
+    }
+
+    /// Tokens of one event of a service's streams.
+    pub fn tokens_per_event(&self, service: &str) -> u32 {
+        let table = self.table();
+        let service = table
+            .as_ref()
+            .and_then(|table| table.config().service(service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(1, |engine| engine.tokens_per_event.max(1))
+    }
+
+    fn is_ready(&self) -> bool {
+        !self.stopping.load(Ordering::Relaxed) && self.tables.borrow().is_some()
+    }
+}
+
+/// A running gateway instance.
+pub struct Gateway {
+    app: Arc<GatewayApp>,
+    stop: watch::Sender<bool>,
+    callers: JoinHandle<()>,
+}
+
+impl Gateway {
+    /// Starts everything; call it within the runtime for traffic.
+    ///
+    /// # Errors
+    ///
+    /// [`DaemonError`] that names the setting at fault.
+    pub async fn start(
+        settings: GatewaySettings,
+        ports: GatewayPorts,
+        log: Logger,
+    ) -> Result<Gateway, DaemonError> {
+        let clock = Clock::start();
+        let identity = Identity {
+            instance: settings.instance.clone(),
+            incarnation: uuid::Uuid::new_v4().simple().to_string(),
+        };
+        info!(log, "starting"; "incarnation" => &identity.incarnation);
+        let caller_listener = listen("caller_address", settings.caller_address)?;
+        let operator_listener = listen("operator_address", settings.operator_address)?;
+        let terms = settings.terms(rand::random());
+        let (control, tables) = GatewayHandle::start(terms, clock, log.clone())?;
+        let app = Arc::new(GatewayApp {
+            settings,
+            identity,
+            clock,
+            control: control.clone(),
+            dialect: ports.dialect,
+            mover: ports.mover,
+            client: HttpClient::unpooled(MAX_ANSWER_BYTES),
+            log: log.clone(),
+            tables,
+            stopping: AtomicBool::new(false),
+        });
+        tokio::spawn(directory_reader::run_config(
+            ports.directory.clone(),
+            control.clone(),
+            log.clone(),
+        ));
+        tokio::spawn(directory_reader::run_replicas(
+            ports.directory,
+            control,
+            log,
+        ));
+        let (stop, stopped) = watch::channel(false);
+        let limits = connection_limits(&app.settings);
+        let front = app.clone();
+        let service = move |_| {
+            let app = front.clone();
+            service_fn(move |request: Request<Incoming>| {
+                let app = app.clone();
+                async move { Ok::<_, std::convert::Infallible>(gateway_front::answer(app, request).await) }
+            })
+        };
+        let callers = http_server::serve_with(caller_listener, service, limits, stopped);
+        // Asked until the process is gone.
+        let (keep, never) = watch::channel(false);
+        let operators = http_server::serve(operator_listener, operator_routes(&app), limits, never);
+        tokio::spawn(async move {
+            operators.await;
+            drop(keep);
+        });
+        Ok(Gateway {
+            callers: tokio::spawn(callers),
+            app,
+            stop,
+        })
+    }
+
+    /// A planned stop: not ready at once, then no new connections, then wait
+    /// for every request. Returns whether all of them finished in time.
+    pub async fn stop(self) -> bool {
+        let log = &self.app.log;
+        let began = self.app.clock.now();
+        info!(log, "planned stop begins");
+        self.app.stopping.store(true, Ordering::Relaxed);
+        let grace = self.app.settings.stop_grace;
+        tokio::time::sleep(STOP_LINGER.min(grace / 2)).await;
+        self.stop.send_replace(true);
+        let ends_at = began + grace.saturating_sub(STOP_MARGIN);
+        let finished = tokio::time::timeout_at(self.app.clock.instant(ends_at), self.callers).await;
+        info!(log, "planned stop ends"; "finished" => finished.is_ok());
+        finished.is_ok()
+    }
+}
+
+fn connection_limits(settings: &GatewaySettings) -> ConnectionLimits {
+    ConnectionLimits {
+        max_connections: settings.max_connections,
+        max_header_bytes: MAX_HEADER_BYTES,
+        // The library counts the rest between two requests as well.
+        header_timeout: IDLE_TIMEOUT,
+    }
+}
+
+fn operator_routes(app: &Arc<GatewayApp>) -> Router {
+    let app = app.clone();
+    let ready = move |_| {
+        let is_ready = app.is_ready();
+        async move { viz::Result::<Response>::Ok(readiness(is_ready)) }
+    };
+    Router::new().get("/ready", ready)
+}
+
+fn readiness(is_ready: bool) -> Response {
+    let status = match is_ready {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    status.into_response()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway_front.rs
@@ -0,0 +1,132 @@
+//! Answers callers: finds the route, the workspace and the service, reads the
+//! body, and hands the request on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use iristhread_core::RequestClass;
+use iristhread_core::RouteFault;
+use iristhread_core::RouteTable;
+use slog::info;
+
+use crate::exchange::Exchange;
+use crate::front_answer;
+use crate::front_answer::FrontAnswer;
+use crate::gateway::GatewayApp;
+use crate::plain_call;
+use crate::stream_call;
+
+/// Advice while no configuration is known: peers and the platform are asked
+/// again all the while.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Answers one request.
+pub async fn answer(app: Arc<GatewayApp>, request: Request<Incoming>) -> FrontAnswer {
+    let Some(table) = app.table() else {
+        let message = "no configuration is in force here yet";
+        return front_answer::not_run(NOT_READY_RETRY_AFTER, message);
+    };
+    match resolve(&app, &table, request).await {
+        Ok(exchange) => match exchange.route.class {
+            RequestClass::Stream => stream_call::run(exchange).await,
+            RequestClass::Repeatable | RequestClass::Once => plain_call::run(&exchange).await,
+        },
+        Err(answer) => answer,
+    }
+}
+
+async fn resolve(
+    app: &Arc<GatewayApp>,
+    table: &RouteTable,
+    request: Request<Incoming>,
+) -> Result<Exchange, FrontAnswer> {
+    let arrived = app.clock.now();
+    let (parts, body) = request.into_parts();
+    let limits = &table.config().limits;
+    if header_bytes(&parts.headers) > limits.max_header_bytes {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        return Err(front_answer::own(status, "the headers are too large"));
+    }
+    let head = app
+        .dialect
+        .read_caller(&parts.headers)
+        .map_err(|fault| front_answer::own(StatusCode::BAD_REQUEST, &fault.to_string()))?;
+    let host = parts.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+    let route = table
+        .route(host, parts.uri.path())
+        .map_err(|fault| refused(app, table, &head.request, fault))?;
+    let workspace = table
+        .workspace(route, head.key.as_deref())
+        .map_err(|fault| refused(app, table, &head.request, fault))?;
+    let service = table.service(route, &head.request).unwrap_or_default();
+    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let answer_by = arrived + patience;
+    let read = read_body(body, limits.max_body_bytes);
+    let body = tokio::time::timeout_at(app.clock.instant(answer_by), read)
+        .await
+        .unwrap_or_else(|_| {
+            let message = "the body did not arrive in time";
+            Err(front_answer::own(StatusCode::REQUEST_TIMEOUT, message))
+        })?;
+    Ok(Exchange {
+        app: app.clone(),
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        service: service.to_owned(),
+        workspace: workspace.map(|workspace| workspace.name.clone()),
+        hides_key: table.config().workspaces.is_some(),
+        workspace_rank: workspace.map_or(0, |workspace| workspace.rank),
+        route: route.clone(),
+        head,
+        arrived,
+        answer_by,
+    })
+}
+
+fn refused(
+    app: &GatewayApp,
+    table: &RouteTable,
+    request: &str,
+    fault: RouteFault,
+) -> FrontAnswer {
+    info!(app.log, "request leads nowhere";
+        "request" => request,
+        "fault" => format!("{fault:?}"),
+        "config_version" => table.version());
+    match fault {
+        RouteFault::NoRoute => front_answer::own(StatusCode::NOT_FOUND, "no such route"),
+        RouteFault::UnknownKey => front_answer::own(StatusCode::UNAUTHORIZED, "unknown key"),
+    }
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, FrontAnswer> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let message = "the body is too large";
+            Err(front_answer::own(StatusCode::PAYLOAD_TOO_LARGE, message))
+        }
+        Err(_) => {
+            let message = "the body can't be read";
+            Err(front_answer::own(StatusCode::BAD_REQUEST, message))
+        }
+    }
+}
+
+fn header_bytes(headers: &HeaderMap) -> usize {
+    // Each line has a colon, a blank and a line end besides.
+    let lines = headers.iter();
+    lines.map(|(name, value)| name.as_str().len() + value.len() + 4).sum()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway_message.rs
@@ -0,0 +1,158 @@
+//! What traffic tasks tell and ask the gateway's control thread.
+
+use std::sync::Arc;
+
+use iristhread_core::BackendId;
+use iristhread_core::CarryTarget;
+use iristhread_core::ConfigVersion;
+use iristhread_core::GatewayConfig;
+use iristhread_core::Incarnation;
+use iristhread_core::InstanceId;
+use iristhread_core::LoadShares;
+use iristhread_core::PlacementAsk;
+use iristhread_core::Ranking;
+use iristhread_core::Refusal;
+use iristhread_core::Replica;
+use iristhread_core::ReplicaChange;
+use iristhread_core::RequestId;
+use iristhread_core::RunEnd;
+use iristhread_core::SessionSignal;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::directory::Revision;
+
+/// What one instance tells the others of itself, several times a second.
+#[derive(Clone, Debug)]
+pub struct OwnState {
+    /// Version of the configuration in force, 0 for none.
+    pub config_version: ConfigVersion,
+    /// Revision of the list of replicas.
+    pub list_revision: Revision,
+    /// What it has put on the replicas.
+    pub shares: LoadShares,
+}
+
+/// What a peer can learn of the platform from this instance.
+#[derive(Clone, Debug)]
+pub struct KnownState {
+    /// The configuration in force.
+    pub config: Option<Arc<GatewayConfig>>,
+    /// Revision of the list of replicas.
+    pub list_revision: Revision,
+    /// The list.
+    pub replicas: Vec<Replica>,
+}
+
+/// A message to the control thread.
+pub enum GatewayMessage {
+    /// A request wants a backend server.
+    Place {
+        /// What it asks for.
+        ask: PlacementAsk,
+        /// Where the session is told of later decisions.
+        signals: mpsc::UnboundedSender<SessionSignal>,
+        /// The answer.
+        reply: oneshot::Sender<Result<Ranking, Refusal>>,
+    },
+    /// A request goes to another replica than the first of its ranking.
+    Moved {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: BackendId,
+    },
+    /// A request wants to be sent once more.
+    SpendRetry {
+        /// Its service.
+        service: String,
+        /// Whether it may.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A session has come this far.
+    Progress {
+        /// The session.
+        request: RequestId,
+        /// Tokens that came out.
+        generated: u32,
+    },
+    /// The engine of a session broke off: where does it go on?
+    Carry {
+        /// The session.
+        request: RequestId,
+        /// The answer.
+        reply: oneshot::Sender<Option<CarryTarget>>,
+    },
+    /// A session was moved: where is its next copy kept?
+    CarryTo {
+        /// The session.
+        request: RequestId,
+        /// Where it runs now.
+        replica: Replica,
+        /// The answer.
+        reply: oneshot::Sender<Option<CarryTarget>>,
+    },
+    /// The copy of a session can't be used.
+    BackupLost {
+        /// The session.
+        request: RequestId,
+    },
+    /// A replica failed a try; the request goes on elsewhere.
+    Failed {
+        /// The replica.
+        replica: BackendId,
+    },
+    /// A request is over.
+    Ended {
+        /// The request.
+        request: RequestId,
+        /// How it left its replica.
+        end: RunEnd,
+    },
+    /// A configuration was read.
+    Config {
+        /// The configuration.
+        config: Arc<GatewayConfig>,
+        /// Who had it.
+        source: String,
+    },
+    /// The whole list of replicas was read.
+    Replicas {
+        /// Its revision.
+        revision: Revision,
+        /// The list.
+        replicas: Vec<Replica>,
+        /// Who had it.
+        source: String,
+    },
+    /// The list of replicas changed.
+    ReplicaChanges {
+        /// Revision after the changes.
+        revision: Revision,
+        /// The changes.
+        changes: Vec<ReplicaChange>,
+    },
+    /// The directory answers again.
+    OutageEnded,
+    /// A peer told of itself.
+    PeerHeard {
+        /// The peer.
+        instance: InstanceId,
+        /// Its process life.
+        incarnation: Incarnation,
+        /// Number of the message within that life.
+        sequence: u64,
+        /// What it has put on the replicas.
+        shares: LoadShares,
+    },
+    /// What to tell the peers.
+    OwnState {
+        /// The answer.
+        reply: oneshot::Sender<OwnState>,
+    },
+    /// What a peer may learn.
+    KnownState {
+        /// The answer.
+        reply: oneshot::Sender<KnownState>,
+    },
+}
--- /dev/null
+++ b/crates/daemon/src/gateway_settings.rs
@@ -0,0 +1,129 @@
+//! Settings of an instance that serves as a gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use iristhread_core::GatewayTerms;
+use iristhread_core::InstanceId;
+use iristhread_core::Keyring;
+use iristhread_core::ZoneId;
+
+use crate::settings_reader::SettingsFault;
+use crate::settings_reader::SettingsReader;
+use crate::settings_reader::read_keyring;
+use crate::settings_reader::read_level;
+use crate::settings_reader::read_name;
+
+const HOUR_MS: u64 = 3_600_000;
+
+/// Settings of one gateway instance, checked.
+#[derive(Clone)]
+pub struct GatewaySettings {
+    /// Name of the instance.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where the platform asks whether callers should be sent here, and where
+    /// metrics are read.
+    pub operator_address: SocketAddr,
+    /// Where the other instances connect, by UDP and TCP; the port is the same
+    /// on all instances.
+    pub peer_address: SocketAddr,
+    /// The platform's directory.
+    pub directory_address: SocketAddr,
+    /// Other instances to begin with.
+    pub seed_peers: Vec<SocketAddr>,
+    /// Keys shared by all instances.
+    pub keyring: Keyring,
+    /// Least level that is logged.
+    pub log_level: slog::Level,
+    /// Most connections of callers.
+    pub max_connections: usize,
+    /// Time from the stop signal until the process must be gone.
+    pub stop_grace: Duration,
+    /// Further sends that each request earns, over all instances.
+    pub retry_ratio: f64,
+    /// Further sends that may come on top, over all instances.
+    pub retry_extra: f64,
+    /// Share of an engine's memory up to which new sessions start.
+    pub memory_limit: f64,
+    /// Share of an engine's memory up to which it takes new copies.
+    pub copy_limit: f64,
+    /// Fewest likely tokens of a session that is worth a copy.
+    pub least_copied_tokens: u32,
+}
+
+impl GatewaySettings {
+    /// Reads settings from a file's text.
+    ///
+    /// # Errors
+    ///
+    /// Every fault found.
+    pub fn parse(file: &str, text: &str) -> Result<GatewaySettings, Vec<SettingsFault>> {
+        let mut reader = SettingsReader::new(file, text);
+        let settings = GatewaySettings {
+            instance: read_name(&mut reader, "instance"),
+            zone: read_name(&mut reader, "availability_zone"),
+            caller_address: reader.address("caller_address"),
+            operator_address: reader.address("operator_address"),
+            peer_address: reader.address("peer_address"),
+            directory_address: reader.address("directory_address"),
+            seed_peers: read_seeds(&mut reader),
+            keyring: read_keyring(&mut reader),
+            log_level: read_level(&mut reader),
+            // A quarter of the descriptors of the smallest machine met so far
+            // is left for engines.
+            max_connections: reader.number("max_connections", 2_000, 1..=1_000_000) as usize,
+            stop_grace: reader.time_ms("stop_grace_ms", 8_000, 500..=HOUR_MS),
+            retry_ratio: reader.share("retry_ratio", 0.2, 0.0..=1.0),
+            retry_extra: reader.share("retry_extra", 50.0, 0.0..=1e6),
+            // Tried on the users' bench; docs/design/0008-gateway.md.
+            memory_limit: reader.share("memory_limit", 1.0, 0.1..=4.0),
+            copy_limit: reader.share("copy_limit", 0.9, 0.0..=4.0),
+            least_copied_tokens: reader.number("least_copied_tokens", 100, 0..=1_000_000) as u32,
+        };
+        let faults = reader.finish();
+        if faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(faults)
+        }
+    }
+
+    /// The part that the decisions need.
+    pub fn terms(&self, seed: u64) -> GatewayTerms {
+        GatewayTerms {
+            instance: self.instance.clone(),
+            zone: self.zone.clone(),
+            retry_ratio: self.retry_ratio * RETRY_MARGIN,
+            retry_extra: self.retry_extra * RETRY_MARGIN,
+            least_sharers: LEAST_SHARERS,
+            memory_limit: self.memory_limit,
+            copy_limit: self.copy_limit,
+            least_copied_tokens: self.least_copied_tokens,
+            seed,
+        }
+    }
+}
+
+/// Part of the operators' retry budget that is used: a process that restarts
+/// forgets what it has spent.
+const RETRY_MARGIN: f64 = 0.6;
+
+/// Instances among which the extra retries are shared at least: the larger of
+/// the users' two deployments of today.
+const LEAST_SHARERS: u32 = 9;
+
+fn read_seeds(reader: &mut SettingsReader) -> Vec<SocketAddr> {
+    let fix = "list addresses as \"IP:PORT\"";
+    let mut seeds = Vec::new();
+    for text in reader.texts_or_none("seed_peers", fix) {
+        match text.parse() {
+            Ok(address) => seeds.push(address),
+            Err(_) => reader.fault("seed_peers", &format!("{text:?}"), fix),
+        }
+    }
+    seeds
+}
--- /dev/null
+++ b/crates/daemon/src/gateway_thread.rs
@@ -0,0 +1,273 @@
+//! The one thread that owns the state of the gateway's decisions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use iristhread_core::ConfigVerdict;
+use iristhread_core::Evacuation;
+use iristhread_core::GatewayConfig;
+use iristhread_core::GatewayControl;
+use iristhread_core::GatewayTerms;
+use iristhread_core::PlacementAsk;
+use iristhread_core::Ranking;
+use iristhread_core::Refusal;
+use iristhread_core::RequestId;
+use iristhread_core::RouteTable;
+use iristhread_core::RunEnd;
+use iristhread_core::SessionSignal;
+use slog::Logger;
+use slog::debug;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::gateway_message::GatewayMessage;
+use crate::gateway_message::KnownState;
+use crate::gateway_message::OwnState;
+
+/// Time between two ticks: lapsed entries and silent peers are noticed this
+/// late; both bounds are seconds.
+const TICK: Duration = Duration::from_millis(200);
+
+/// The configuration in force, `None` before the first.
+pub type TableView = watch::Receiver<Option<Arc<RouteTable>>>;
+
+/// Sends messages to the control thread; cheap to clone.
+#[derive(Clone)]
+pub struct GatewayHandle {
+    messages: mpsc::UnboundedSender<GatewayMessage>,
+}
+
+impl GatewayHandle {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// When the system gives no thread or runtime.
+    pub fn start(
+        terms: GatewayTerms,
+        clock: Clock,
+        log: Logger,
+    ) -> std::io::Result<(GatewayHandle, TableView)> {
+        let (messages, inbox) = mpsc::unbounded_channel();
+        let (table, table_out) = watch::channel(None);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .build()?;
+        let thread = GatewayThread {
+            control: GatewayControl::new(terms),
+            signals: HashMap::new(),
+            clock,
+            log,
+            table,
+        };
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || runtime.block_on(thread.run(inbox)))?;
+        Ok((GatewayHandle { messages }, table_out))
+    }
+
+    /// Tells of an event.
+    pub fn tell(&self, message: GatewayMessage) {
+        // Fails only when the process is stopping.
+        let _ = self.messages.send(message);
+    }
+
+    /// Asks for an answer; `None` when the process is stopping.
+    pub async fn ask<Answer>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<Answer>) -> GatewayMessage,
+    ) -> Option<Answer> {
+        let (reply, answer) = oneshot::channel();
+        self.messages.send(message(reply)).ok()?;
+        answer.await.ok()
+    }
+}
+
+struct GatewayThread {
+    control: GatewayControl,
+    signals: HashMap<RequestId, mpsc::UnboundedSender<SessionSignal>>,
+    clock: Clock,
+    log: Logger,
+    table: watch::Sender<Option<Arc<RouteTable>>>,
+}
+
+impl GatewayThread {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<GatewayMessage>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                message = inbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    /// A task that no longer waits for its answer is no fault.
+    fn take(&mut self, message: GatewayMessage) {
+        let now = self.clock.now();
+        match message {
+            GatewayMessage::Place {
+                ask,
+                signals,
+                reply,
+            } => {
+                let _ = reply.send(self.place(ask, signals));
+            }
+            GatewayMessage::Moved { request, replica } => self.control.moved(&request, replica),
+            GatewayMessage::SpendRetry { service, reply } => {
+                let _ = reply.send(self.control.spend_retry(&service));
+            }
+            GatewayMessage::Progress { request, generated } => {
+                self.control.progress(&request, generated);
+            }
+            GatewayMessage::Carry { request, reply } => {
+                let _ = reply.send(self.control.carry(now, &request));
+            }
+            GatewayMessage::CarryTo {
+                request,
+                replica,
+                reply,
+            } => {
+                let _ = reply.send(self.control.carry_to(now, &request, replica));
+            }
+            GatewayMessage::BackupLost { request } => self.control.backup_lost(&request),
+            GatewayMessage::Failed { replica } => {
+                info!(self.log, "backend server failed a try"; "backend_server" => &replica);
+                self.control.failed(now, &replica);
+            }
+            GatewayMessage::Ended { request, end } => self.ended(&request, end),
+            GatewayMessage::Config { config, source } => self.config(config, &source),
+            GatewayMessage::Replicas {
+                revision,
+                replicas,
+                source,
+            } => {
+                info!(self.log, "list of backend servers read";
+                    "revision" => revision, "count" => replicas.len(), "source" => source);
+                let evacuations = self.control.offer_replicas(now, revision, replicas);
+                self.evacuate(evacuations);
+            }
+            GatewayMessage::ReplicaChanges { revision, changes } => {
+                info!(self.log, "list of backend servers changed";
+                    "revision" => revision, "changes" => format!("{changes:?}"));
+                let evacuations = self.control.change_replicas(now, revision, changes);
+                self.evacuate(evacuations);
+            }
+            GatewayMessage::OutageEnded => self.control.outage_ended(now),
+            GatewayMessage::PeerHeard {
+                instance,
+                incarnation,
+                sequence,
+                shares,
+            } => self
+                .control
+                .hear_peer(now, instance, incarnation, sequence, shares),
+            GatewayMessage::OwnState { reply } => {
+                let _ = reply.send(self.own_state());
+            }
+            GatewayMessage::KnownState { reply } => {
+                let _ = reply.send(self.known_state());
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let (evacuations, silent) = self.control.tick(self.clock.now());
+        for instance in silent {
+            warn!(self.log, "peer fell silent"; "peer" => instance);
+        }
+        self.evacuate(evacuations);
+    }
+
+    fn place(
+        &mut self,
+        ask: PlacementAsk,
+        signals: mpsc::UnboundedSender<SessionSignal>,
+    ) -> Result<Ranking, Refusal> {
+        let request = ask.request.clone();
+        let placed = self.control.place(self.clock.now(), ask);
+        match &placed {
+            Ok(ranking) => {
+                debug!(self.log, "backend server chosen";
+                    "request" => &request,
+                    "ranking" => format!("{:?}", ids(ranking)),
+                    "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
+                    "list_revision" => self.control.list().revision());
+                self.signals.insert(request, signals);
+            }
+            Err(refusal) => {
+                info!(self.log, "request refused";
+                    "request" => &request,
+                    "reason" => &refusal.message,
+                    "retry_after_ms" => refusal.retry_after.as_millis() as u64,
+                    "list_revision" => self.control.list().revision());
+            }
+        }
+        placed
+    }
+
+    fn ended(&mut self, request: &str, end: RunEnd) {
+        self.signals.remove(request);
+        self.control.ended(self.clock.now(), request, end);
+    }
+
+    fn config(&mut self, config: Arc<GatewayConfig>, source: &str) {
+        let version = config.version;
+        match self.control.offer_config(config) {
+            ConfigVerdict::InForce => {
+                info!(self.log, "configuration in force"; "version" => version, "source" => source);
+                self.table.send_replace(self.control.table().cloned());
+            }
+            ConfigVerdict::Stale => {
+                debug!(self.log, "configuration not newer";
+                    "version" => version, "source" => source);
+            }
+            ConfigVerdict::Refused(faults) => {
+                warn!(self.log, "configuration refused; the last good one stays in force";
+                    "version" => version, "source" => source, "faults" => faults.join("; "));
+            }
+        }
+    }
+
+    fn evacuate(&mut self, evacuations: Vec<Evacuation>) {
+        for Evacuation { request, target } in evacuations {
+            info!(self.log, "session should move off its engine";
+                "request" => &request, "target" => &target.id);
+            if let Some(signals) = self.signals.get(&request) {
+                // The session may have ended in the meantime.
+                let _ = signals.send(SessionSignal::MoveTo(target));
+            }
+        }
+    }
+
+    fn own_state(&self) -> OwnState {
+        OwnState {
+            config_version: self.control.config_version(),
+            list_revision: self.control.list().revision(),
+            shares: self.control.shares(),
+        }
+    }
+
+    fn known_state(&self) -> KnownState {
+        let table = self.control.table();
+        KnownState {
+            config: table.map(|table| table.config().clone()),
+            list_revision: self.control.list().revision(),
+            replicas: self.control.list().replicas().cloned().collect(),
+        }
+    }
+}
+
+fn ids(ranking: &Ranking) -> Vec<&str> {
+    let replicas = ranking.replicas.iter();
+    replicas.map(|replica| replica.id.as_str()).collect()
+}
--- a/crates/daemon/src/http_server.rs
+++ b/crates/daemon/src/http_server.rs
@@ -1,9 +1,16 @@
 //! Accepts HTTP connections within limits, and drains them at a planned stop.
 
+use std::error::Error;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::Request;
+use http::Response;
+use hyper::body::Body;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -28,14 +35,33 @@
     pub header_timeout: Duration,
 }
 
-/// Serves until `stop` is true, then waits for what runs.
+/// Serves routes until `stop` is true, then waits for what runs.
 pub async fn serve(
     listener: TcpListener,
     router: Router,
     limits: ConnectionLimits,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
     let tree = Arc::new(Tree::from(router));
+    let service = move |address| Responder::new(tree.clone(), Some(Arc::new(address)));
+    serve_with(listener, service, limits, stop).await;
+}
+
+/// Serves with a service per connection until `stop` is true, then waits for
+/// what runs.
+pub async fn serve_with<S, B>(
+    listener: TcpListener,
+    service: impl Fn(SocketAddr) -> S,
+    limits: ConnectionLimits,
+    mut stop: watch::Receiver<bool>,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>> + Send + 'static,
+    S::Future: Send,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
     let places = Arc::new(Semaphore::new(limits.max_connections));
     let graceful = GracefulShutdown::new();
     let mut http = http1::Builder::new();
@@ -57,8 +83,7 @@
         };
         // Fails only on a connection that is closed already.
         let _ = stream.set_nodelay(true);
-        let responder = Responder::new(tree.clone(), Some(Arc::new(address)));
-        let connection = http.serve_connection(TokioIo::new(stream), responder);
+        let connection = http.serve_connection(TokioIo::new(stream), service(address));
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // A connection that breaks is the caller's affair.
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -58,7 +58,7 @@
         .enable_all()
         .build()?;
     runtime.block_on(async {
-        let log = logger(&settings);
+        let log = logger(&settings.instance, &settings.zone, settings.log_level);
         let daemon = Daemon::start(settings, log).await?;
         announce(&daemon);
         stop_signal().await?;
--- /dev/null
+++ b/crates/daemon/src/plain_call.rs
@@ -0,0 +1,245 @@
+//! Requests that are answered whole: the answer is passed on when all of it is
+//! there, so that a broken one never looks whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use iristhread_core::CallEnd;
+use iristhread_core::CallRun;
+use iristhread_core::CallStep;
+use iristhread_core::Now;
+use iristhread_core::Outcome;
+use iristhread_core::Ranking;
+use iristhread_core::Replica;
+use iristhread_core::RequestClass;
+use iristhread_core::RunEnd;
+use iristhread_core::SendResult;
+use slog::debug;
+use slog::info;
+use tokio::sync::mpsc;
+
+use crate::exchange::BackendAnswer;
+use crate::exchange::Exchange;
+use crate::exchange::RunGuard;
+use crate::exchange::Sent;
+use crate::front_answer;
+use crate::front_answer::FrontAnswer;
+use crate::gateway_message::GatewayMessage;
+
+/// Most bytes of an answer that is held until it is whole: the most that
+/// callers may send themselves, by default.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+/// A try of a repeatable request is given up after this many times its
+/// objective, so that a second one still has a use.
+const TRY_OBJECTIVES: u32 = 2;
+
+/// Advice when the request was refused by its backend server.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// An answer that is whole.
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+/// Runs a request and answers its caller.
+pub async fn run(exchange: &Exchange) -> FrontAnswer {
+    let app = &exchange.app;
+    let (signals, _) = mpsc::unbounded_channel();
+    let ask = exchange.ask();
+    let placed = app
+        .control
+        .ask(|reply| GatewayMessage::Place {
+            ask,
+            signals,
+            reply,
+        })
+        .await;
+    let ranking = match placed {
+        Some(Ok(ranking)) => ranking,
+        Some(Err(refusal)) => return front_answer::not_run(refusal.retry_after, &refusal.message),
+        None => return front_answer::not_run(REFUSED_RETRY_AFTER, "the instance is stopping"),
+    };
+    let mut guard = RunGuard::new(app.clone(), exchange.head.request.clone());
+    let (outcome, end, last) = drive(exchange, &ranking, &mut guard).await;
+    info!(app.log, "call ended";
+        "request" => &exchange.head.request,
+        "route" => &exchange.route.name,
+        "outcome" => outcome.as_str(),
+        "end" => format!("{end:?}"),
+        "status" => last.as_ref().map(|answer| answer.status.as_u16()),
+        "took_ms" => (app.clock.now() - exchange.arrived).as_millis() as u64);
+    told(outcome, end, last)
+}
+
+/// Drives the decisions of a [`CallRun`].
+async fn drive(
+    exchange: &Exchange,
+    ranking: &Ranking,
+    guard: &mut RunGuard,
+) -> (Outcome, CallEnd, Option<WholeAnswer>) {
+    let app = &exchange.app;
+    let repeatable = exchange.route.class == RequestClass::Repeatable;
+    let names = ranking.replicas.iter().map(|r| r.id.clone()).collect();
+    let mut decisions = CallRun::new(repeatable, names, exchange.answer_by)
+        .with_tries(exchange.route.max_attempts.max(1));
+    let mut last = None;
+    let mut previous = None;
+    loop {
+        let mut step = decisions.next(app.clock.now());
+        if let (CallStep::Send(name), Some(result)) = (&step, previous)
+            && !may_send_again(exchange, name, result).await
+        {
+            step = decisions.give_up();
+        }
+        let name = match step {
+            CallStep::Send(name) => name,
+            CallStep::End { outcome, end } => return (outcome, end, last),
+        };
+        let Some(replica) = ranking.replicas.iter().find(|r| r.id == name) else {
+            continue;
+        };
+        let (result, answer) = attempt(exchange, replica, repeatable).await;
+        debug!(app.log, "try ended";
+            "request" => &exchange.head.request,
+            "backend_server" => &replica.id,
+            "result" => format!("{result:?}"));
+        guard.ends(end_of(result));
+        if matches!(result, SendResult::Lost | SendResult::NotConnected) {
+            app.control.tell(GatewayMessage::Failed {
+                replica: replica.id.clone(),
+            });
+        }
+        decisions.sent(result);
+        previous = Some(result);
+        last = answer.or(last);
+    }
+}
+
+/// A further send spends the budget of the service, unless no byte of the one
+/// before was written.
+async fn may_send_again(exchange: &Exchange, replica: &str, result: SendResult) -> bool {
+    let control = &exchange.app.control;
+    control.tell(GatewayMessage::Moved {
+        request: exchange.head.request.clone(),
+        replica: replica.to_owned(),
+    });
+    if result == SendResult::NotConnected {
+        return true;
+    }
+    let service = exchange.service.clone();
+    let asked = control.ask(|reply| GatewayMessage::SpendRetry { service, reply });
+    let granted = asked.await.unwrap_or(false);
+    if !granted {
+        info!(exchange.app.log, "no further try: the retry budget is spent";
+            "request" => &exchange.head.request,
+            "service" => &exchange.service);
+    }
+    granted
+}
+
+async fn attempt(
+    exchange: &Exchange,
+    replica: &Replica,
+    repeatable: bool,
+) -> (SendResult, Option<WholeAnswer>) {
+    let by = try_until(exchange, repeatable);
+    match exchange.send(replica, None, None, by).await {
+        Sent::NotConnected(_) => (SendResult::NotConnected, None),
+        Sent::Lost(cause) => {
+            info!(exchange.app.log, "try broke off";
+                "request" => &exchange.head.request,
+                "backend_server" => &replica.id,
+                "cause" => cause);
+            (SendResult::Lost, None)
+        }
+        Sent::TimedOut => (SendResult::Lost, None),
+        Sent::Answer(answer) => collected(exchange, *answer, by).await,
+    }
+}
+
+fn try_until(exchange: &Exchange, repeatable: bool) -> Now {
+    let patience = exchange.route.objective * TRY_OBJECTIVES;
+    let until = exchange.app.clock.now() + patience;
+    match repeatable && exchange.route.max_attempts > 1 {
+        true => until.min(exchange.answer_by),
+        false => exchange.answer_by,
+    }
+}
+
+async fn collected(
+    exchange: &Exchange,
+    answer: BackendAnswer,
+    by: Now,
+) -> (SendResult, Option<WholeAnswer>) {
+    if answer.head.is_not_run {
+        return (SendResult::SaidNotRun, None);
+    }
+    if answer.is_false_promise() {
+        return (SendResult::Failed, None);
+    }
+    let whole = match whole(exchange, answer, by).await {
+        Some(whole) => whole,
+        None => return (SendResult::Lost, None),
+    };
+    let result = match whole.status.is_server_error() {
+        true => SendResult::Failed,
+        false => SendResult::Answered,
+    };
+    (result, Some(whole))
+}
+
+async fn whole(exchange: &Exchange, answer: BackendAnswer, by: Now) -> Option<WholeAnswer> {
+    let by = exchange.app.clock.instant(by);
+    let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect();
+    let body = tokio::time::timeout_at(by, body).await.ok()?.ok()?;
+    Some(WholeAnswer {
+        status: answer.status,
+        headers: answer.headers,
+        body: body.to_bytes(),
+    })
+}
+
+fn end_of(result: SendResult) -> RunEnd {
+    match result {
+        SendResult::Answered | SendResult::Failed => RunEnd::Answered,
+        SendResult::SaidNotRun => RunEnd::Refused,
+        SendResult::NotConnected | SendResult::Lost => RunEnd::Failed,
+    }
+}
+
+
+fn told(outcome: Outcome, end: CallEnd, last: Option<WholeAnswer>) -> FrontAnswer {
+    if let Some(answer) = last
+        && end == CallEnd::Answer
+    {
+        let body = front_answer::whole(answer.body);
+        return front_answer::passed_on(answer.status, &answer.headers, body);
+    }
+    match outcome {
+        Outcome::NotRun => front_answer::not_run(
+            REFUSED_RETRY_AFTER,
+            "no backend server took the request; it was not run",
+        ),
+        Outcome::Ran | Outcome::Unknown => front_answer::own(
+            StatusCode::BAD_GATEWAY,
+            "the backend server gave no answer; the request may have run",
+        ),
+    }
+}
+
+/// An answer to a stream's request that is no stream.
+pub async fn pass_on_whole(exchange: &Exchange, answer: BackendAnswer) -> FrontAnswer {
+    let (result, answer) = collected(exchange, answer, exchange.answer_by).await;
+    let outcome = match result {
+        SendResult::SaidNotRun => Outcome::NotRun,
+        _ => Outcome::Unknown,
+    };
+    told(outcome, CallEnd::Answer, answer)
+}
--- /dev/null
+++ b/crates/daemon/src/session_mover.rs
@@ -0,0 +1,51 @@
+//! The border to the engines' orders that move a running session.
+
+use std::net::SocketAddr;
+
+use futures::future::BoxFuture;
+use iristhread_core::RequestId;
+use thiserror::Error;
+
+/// An order to copy the memory of a running session to another engine.
+#[derive(Clone, Debug)]
+pub struct MoveOrder {
+    /// The engine that runs it.
+    pub source: SocketAddr,
+    /// The session.
+    pub request: RequestId,
+    /// The engine that gets the copy.
+    pub target: SocketAddr,
+    /// Whether the session stops at the source first, so that the copy is
+    /// whole.
+    pub stop_first: bool,
+}
+
+/// Why no copy was made.
+#[derive(Clone, Debug, Error)]
+pub enum MoveError {
+    /// The engine does not run the session.
+    #[error("the engine does not run the session")]
+    NoSession,
+    /// Another move of it is under way.
+    #[error("another move of the session is under way")]
+    Busy,
+    /// There is no room, or no way there. A session that stopped can go on at
+    /// the source under the handle.
+    #[error("the target has no room or can't be reached")]
+    NoRoom {
+        /// Names the memory at the source, when the session stopped there.
+        handle: Option<String>,
+    },
+    /// The order got no answer; the session may have stopped.
+    #[error("the engine gave no answer: {0}")]
+    NoAnswer(String),
+}
+
+/// Gives engines orders about running sessions.
+pub trait SessionMover: Send + Sync {
+    /// Copies the memory of a running session; returns the name of the copy.
+    fn copy(&self, order: MoveOrder) -> BoxFuture<'_, Result<String, MoveError>>;
+
+    /// Frees a copy that nobody will use.
+    fn release(&self, engine: SocketAddr, handle: String) -> BoxFuture<'_, ()>;
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -10,6 +10,9 @@
 
 use crate::settings_reader::SettingsFault;
 use crate::settings_reader::SettingsReader;
+use crate::settings_reader::read_keyring;
+use crate::settings_reader::read_level;
+use crate::settings_reader::read_name;
 
 const HOUR_MS: u64 = 3_600_000;
 const MIB: u64 = 1 << 20;
@@ -100,7 +103,6 @@
     /// Every fault found.
     pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<SettingsFault>> {
         let mut reader = SettingsReader::new(file, text);
-        let keyring = read_keyring(&mut reader);
         let settings = Settings {
             instance: read_name(&mut reader, "instance"),
             zone: read_name(&mut reader, "availability_zone"),
@@ -110,7 +112,7 @@
             platform_address: reader.address("platform_address"),
             metrics_address: reader.address_or_none("metrics_address"),
             seed_peers: read_seed_peers(&mut reader),
-            keyring: keyring.clone().unwrap_or_else(placeholder_keyring),
+            keyring: read_keyring(&mut reader),
             log_level: read_level(&mut reader),
             routing_policy: read_policy(&mut reader),
             traffic_threads: reader.number("traffic_threads", 2, 1..=256) as usize,
@@ -146,15 +148,6 @@
     }
 }
 
-fn read_name(reader: &mut SettingsReader, key: &str) -> String {
-    let fix = "give a name without `~`, `/` or a space";
-    let name = reader.text(key, fix);
-    if name.contains(['~', '/', ' ']) {
-        reader.fault(key, &format!("{name:?}"), fix);
-    }
-    name
-}
-
 fn read_seed_peers(reader: &mut SettingsReader) -> Vec<SeedPeer> {
     let fix = "list peers as \"INSTANCE@IP:PORT\"";
     let mut seeds = Vec::new();
@@ -173,37 +166,6 @@
     seeds
 }
 
-fn read_keyring(reader: &mut SettingsReader) -> Option<Keyring> {
-    let fix = "list one or two keys of 64 hex digits; all instances share them";
-    let keys = reader.texts("peer_keys", fix);
-    match Keyring::from_hex(&keys) {
-        Ok(keyring) => Some(keyring),
-        Err(error) => {
-            // The value is secret: the fault does not show it.
-            reader.fault("peer_keys", "unusable", &format!("{error}; {fix}"));
-            None
-        }
-    }
-}
-
-/// Fills the field while faults are collected; never used to sign.
-fn placeholder_keyring() -> Keyring {
-    let zeros = "00".repeat(32);
-    match Keyring::from_hex(&[zeros]) {
-        Ok(keyring) => keyring,
-        Err(_) => unreachable!("64 zeros are a key"),
-    }
-}
-
-fn read_level(reader: &mut SettingsReader) -> slog::Level {
-    let fix = "use one of critical, error, warning, info, debug, trace";
-    let text = reader.text_or("log_level", "info", fix);
-    text.parse().unwrap_or_else(|()| {
-        reader.fault("log_level", &format!("{text:?}"), fix);
-        slog::Level::Info
-    })
-}
-
 fn read_policy(reader: &mut SettingsReader) -> RoutingPolicy {
     let fix =
         "use one of predictive, predictive_no_hold, round_robin, least_outstanding, two_choices";
--- a/crates/daemon/src/settings_reader.rs
+++ b/crates/daemon/src/settings_reader.rs
@@ -5,6 +5,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use iristhread_core::Keyring;
 use toml::Table;
 use toml::Value;
 
@@ -132,6 +133,22 @@
         }
     }
 
+    /// A fraction or factor with a default and a range.
+    pub fn share(&mut self, key: &str, default: f64, range: RangeInclusive<f64>) -> f64 {
+        let fix = format!("give a number from {} to {}", range.start(), range.end());
+        let found = self.take(key);
+        let number = match &found {
+            None => return default,
+            Some(Value::Integer(number)) => Some(*number as f64),
+            Some(Value::Float(number)) => Some(*number),
+            Some(_) => None,
+        };
+        match number.filter(|number| range.contains(number)) {
+            Some(number) => number,
+            None => self.wrong(key, found, &fix, default),
+        }
+    }
+
     /// A time in milliseconds with a default and a range.
     pub fn time_ms(&mut self, key: &str, default: u64, range: RangeInclusive<u64>) -> Duration {
         Duration::from_millis(self.number(key, default, range))
@@ -191,3 +208,46 @@
 fn shown(value: Option<&Value>) -> String {
     value.map_or_else(|| "nothing".to_owned(), ToString::to_string)
 }
+
+/// A name that is safe in logs and paths.
+pub fn read_name(reader: &mut SettingsReader, key: &str) -> String {
+    let fix = "give a name without `~`, `/` or a space";
+    let name = reader.text(key, fix);
+    if name.contains(['~', '/', ' ']) {
+        reader.fault(key, &format!("{name:?}"), fix);
+    }
+    name
+}
+
+/// The keys that all instances share.
+pub fn read_keyring(reader: &mut SettingsReader) -> Keyring {
+    let fix = "list one or two keys of 64 hex digits; all instances share them";
+    let keys = reader.texts("peer_keys", fix);
+    match Keyring::from_hex(&keys) {
+        Ok(keyring) => keyring,
+        Err(error) => {
+            // The value is secret: the fault does not show it.
+            reader.fault("peer_keys", "unusable", &format!("{error}; {fix}"));
+            placeholder_keyring()
+        }
+    }
+}
+
+/// Fills the field while faults are collected; never used to sign.
+fn placeholder_keyring() -> Keyring {
+    let zeros = "00".repeat(32);
+    match Keyring::from_hex(&[zeros]) {
+        Ok(keyring) => keyring,
+        Err(_) => unreachable!("64 zeros are a key"),
+    }
+}
+
+/// The least level that is logged.
+pub fn read_level(reader: &mut SettingsReader) -> slog::Level {
+    let fix = "use one of critical, error, warning, info, debug, trace";
+    let text = reader.text_or("log_level", "info", fix);
+    text.parse().unwrap_or_else(|()| {
+        reader.fault("log_level", &format!("{text:?}"), fix);
+        slog::Level::Info
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/stream_relay.rs
@@ -0,0 +1,399 @@
+//! Relays one event stream, and carries it to another engine when the one that
+//! runs it leaves, breaks off or falls silent.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::Stream;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use iristhread_core::CarryTarget;
+use iristhread_core::Now;
+use iristhread_core::Replica;
+use iristhread_core::RunEnd;
+use iristhread_core::SessionSignal;
+use slog::info;
+use slog::warn;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::sleep_until;
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::dialect::CopyName;
+use crate::dialect::ResumePoint;
+use crate::event_splitter::EventSplitter;
+use crate::exchange::Exchange;
+use crate::exchange::RunGuard;
+use crate::exchange::Sent;
+use crate::front_answer::StreamBroken;
+use crate::gateway_message::GatewayMessage;
+use crate::session_mover::MoveError;
+use crate::session_mover::MoveOrder;
+
+/// Pieces that wait for a caller that reads slowly; the engine waits beyond.
+const QUEUED_PIECES: usize = 32;
+
+/// Events between two progress messages to the decisions.
+const PROGRESS_EVERY: u32 = 16;
+
+/// Silence after which an engine is looked at: several times the pause in
+/// which an answer is still in time.
+const SILENCE: Duration = Duration::from_millis(600);
+
+/// Time in which a live engine takes a connection.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Longest wait for the head of a resumed stream.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Longest wait for the answer of a move once the stream has stopped.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+type Piece = Result<Frame<Bytes>, StreamBroken>;
+
+/// What a look at the stream led to.
+enum Step {
+    Continue,
+    Whole,
+    Broken(&'static str),
+    Moved(Result<(String, Replica), MoveError>),
+    CallerGone,
+    TimeOver,
+}
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Whole,
+    Lost,
+    CallerGone,
+    TimeOver,
+}
+
+/// One event stream under way.
+pub struct StreamRelay {
+    exchange: Exchange,
+    guard: RunGuard,
+    replica: Replica,
+    body: Incoming,
+    signals: mpsc::UnboundedReceiver<SessionSignal>,
+    to_caller: mpsc::Sender<Piece>,
+    splitter: EventSplitter,
+    last_event: u64,
+    events: u32,
+    tokens_per_event: u32,
+    heard_at: Now,
+    carried: u32,
+    moving: Option<JoinHandle<Result<(String, Replica), MoveError>>>,
+}
+
+impl StreamRelay {
+    /// A relay of a stream that has begun, and what its caller gets.
+    pub fn new(
+        exchange: Exchange,
+        guard: RunGuard,
+        replica: Replica,
+        body: Incoming,
+        signals: mpsc::UnboundedReceiver<SessionSignal>,
+    ) -> (Self, impl Stream<Item = Piece> + Send + 'static) {
+        let (to_caller, pieces) = mpsc::channel(QUEUED_PIECES);
+        let relay = StreamRelay {
+            tokens_per_event: exchange.app.tokens_per_event(&exchange.service),
+            heard_at: exchange.app.clock.now(),
+            exchange,
+            guard,
+            replica,
+            body,
+            signals,
+            to_caller,
+            splitter: EventSplitter::default(),
+            last_event: 0,
+            events: 0,
+            carried: 0,
+            moving: None,
+        };
+        (relay, ReceiverStream::new(pieces))
+    }
+
+    /// Relays until the end.
+    pub async fn run(mut self) {
+        loop {
+            let end = match self.step().await {
+                Step::Continue => None,
+                Step::Whole => Some(End::Whole),
+                Step::Broken(cause) => self.broken(cause).await,
+                Step::Moved(outcome) => self.moved(outcome).await,
+                Step::CallerGone => Some(End::CallerGone),
+                Step::TimeOver => Some(End::TimeOver),
+            };
+            if let Some(end) = end {
+                return self.end(end).await;
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let clock = self.exchange.app.clock;
+        let time_over = clock.instant(self.exchange.answer_by);
+        let silent_at = clock.instant(self.heard_at + SILENCE);
+        let frame = tokio::select! {
+            biased;
+            () = self.to_caller.closed() => return Step::CallerGone,
+            moved = joined(&mut self.moving) => {
+                self.moving = None;
+                return Step::Moved(moved);
+            }
+            frame = self.body.frame() => frame,
+            Some(signal) = self.signals.recv() => {
+                self.signalled(signal);
+                return Step::Continue;
+            }
+            () = sleep_until(silent_at) => return self.look_at_engine().await,
+            () = sleep_until(time_over) => return Step::TimeOver,
+        };
+        match frame {
+            Some(Ok(frame)) => self.take(frame).await,
+            Some(Err(_)) => Step::Broken("the connection broke"),
+            None if self.splitter.pending() > 0 => Step::Broken("the last event is not whole"),
+            None => Step::Whole,
+        }
+    }
+
+    async fn take(&mut self, frame: Frame<Bytes>) -> Step {
+        let Ok(data) = frame.into_data() else {
+            return Step::Continue;
+        };
+        self.heard_at = self.exchange.app.clock.now();
+        let mut piece = BytesMut::new();
+        let had = self.events;
+        for event in self.splitter.push(&data) {
+            let id = event.id.unwrap_or(self.last_event);
+            // A resumed engine may repeat what the caller has.
+            if event.id.is_some() && id <= self.last_event {
+                continue;
+            }
+            self.last_event = id;
+            self.events += 1;
+            piece.extend_from_slice(&event.bytes);
+        }
+        if piece.is_empty() {
+            return Step::Continue;
+        }
+        if had == 0 || had / PROGRESS_EVERY != self.events / PROGRESS_EVERY {
+            self.tell_progress();
+        }
+        match self.to_caller.send(Ok(Frame::data(piece.freeze()))).await {
+            Ok(()) => Step::Continue,
+            Err(_) => Step::CallerGone,
+        }
+    }
+
+    fn tell_progress(&self) {
+        self.exchange.app.control.tell(GatewayMessage::Progress {
+            request: self.exchange.head.request.clone(),
+            generated: self.events * self.tokens_per_event,
+        });
+    }
+
+    /// A silent engine may be gone, or may have displaced the session and will
+    /// go on with it.
+    async fn look_at_engine(&mut self) -> Step {
+        self.heard_at = self.exchange.app.clock.now();
+        let connect = tokio::net::TcpStream::connect(self.replica.address);
+        match tokio::time::timeout(LOOK_TIMEOUT, connect).await {
+            Ok(Ok(_)) => Step::Continue,
+            _ => Step::Broken("the engine is silent and takes no connection"),
+        }
+    }
+
+    fn signalled(&mut self, signal: SessionSignal) {
+        let SessionSignal::MoveTo(target) = signal;
+        if self.moving.is_some() {
+            return;
+        }
+        let order = MoveOrder {
+            source: self.replica.address,
+            request: self.exchange.head.request.clone(),
+            target: target.address,
+            stop_first: false,
+        };
+        let mover = self.exchange.app.mover.clone();
+        self.moving = Some(tokio::spawn(async move {
+            // The first copy runs beside the session, so that it stands still
+            // only for what is new after it.
+            mover.copy(order.clone()).await?;
+            let last = MoveOrder {
+                stop_first: true,
+                ..order
+            };
+            let handle = mover.copy(last).await?;
+            Ok((handle, target))
+        }));
+    }
+
+    /// The engine's stream ended too soon.
+    async fn broken(&mut self, cause: &'static str) -> Option<End> {
+        info!(self.exchange.app.log, "stream broke off at its engine";
+            "request" => &self.exchange.head.request,
+            "backend_server" => &self.replica.id,
+            "cause" => cause,
+            "last_event" => self.last_event,
+            "moving" => self.moving.is_some());
+        if let Some(moving) = self.moving.take() {
+            let outcome = tokio::time::timeout(MOVE_TIMEOUT, moving).await;
+            if let Ok(Ok(Ok((handle, target)))) = outcome {
+                return self.moved(Ok((handle, target))).await;
+            }
+        }
+        let request = self.exchange.head.request.clone();
+        let control = &self.exchange.app.control;
+        control.tell(GatewayMessage::Failed {
+            replica: self.replica.id.clone(),
+        });
+        let asked = control.ask(|reply| GatewayMessage::Carry { request, reply });
+        let Some(target) = asked.await.flatten() else {
+            warn!(self.exchange.app.log, "stream lost: no copy of the session is known";
+                "request" => &self.exchange.head.request,
+                "last_event" => self.last_event);
+            return Some(End::Lost);
+        };
+        let keeper = target.replica.address;
+        self.resume(target, CopyName::Backup { keeper }).await
+    }
+
+    async fn moved(&mut self, outcome: Result<(String, Replica), MoveError>) -> Option<End> {
+        let app = self.exchange.app.clone();
+        let (handle, replica) = match outcome {
+            Ok(moved) => moved,
+            Err(error) => {
+                info!(app.log, "session was not moved";
+                    "request" => &self.exchange.head.request,
+                    "backend_server" => &self.replica.id,
+                    "cause" => error.to_string());
+                app.control.tell(GatewayMessage::BackupLost {
+                    request: self.exchange.head.request.clone(),
+                });
+                return self.back_to_source(error).await;
+            }
+        };
+        self.drain_rest().await;
+        let source = self.replica.address;
+        let request = self.exchange.head.request.clone();
+        let asked = app.control.ask(|reply| GatewayMessage::CarryTo {
+            request,
+            replica,
+            reply,
+        });
+        let Some(target) = asked.await.flatten() else {
+            return Some(End::Lost);
+        };
+        self.resume(target, CopyName::Moved { source, handle })
+            .await
+    }
+
+    /// A session that stopped but could not be moved goes on where it was.
+    async fn back_to_source(&mut self, error: MoveError) -> Option<End> {
+        let MoveError::NoRoom {
+            handle: Some(handle),
+        } = error
+        else {
+            return None;
+        };
+        self.drain_rest().await;
+        let source = self.replica.address;
+        let target = CarryTarget {
+            replica: self.replica.clone(),
+            backup: None,
+            from: self.replica.id.clone(),
+        };
+        self.resume(target, CopyName::Moved { source, handle })
+            .await
+    }
+
+    /// Reads what the stopped engine had sent before the end of its stream.
+    async fn drain_rest(&mut self) {
+        let rest = async {
+            while let Some(Ok(frame)) = self.body.frame().await {
+                self.take(frame).await;
+            }
+        };
+        // What has not come by then is made again from the copy.
+        if tokio::time::timeout(LOOK_TIMEOUT, rest).await.is_err() {
+            info!(self.exchange.app.log, "the stopped stream did not end";
+                "request" => &self.exchange.head.request);
+        }
+    }
+
+    async fn resume(&mut self, target: CarryTarget, copy: CopyName) -> Option<End> {
+        let app = self.exchange.app.clone();
+        let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
+        let point = ResumePoint {
+            copy,
+            after_event: self.last_event,
+        };
+        let sent = self
+            .exchange
+            .send(&target.replica, target.backup.as_ref(), Some(point), by)
+            .await;
+        let cause = match sent {
+            Sent::Answer(answer) if answer.status.is_success() => {
+                info!(app.log, "stream goes on at another engine";
+                    "request" => &self.exchange.head.request,
+                    "from" => &target.from,
+                    "backend_server" => &target.replica.id,
+                    "backup" => target.backup.as_ref().map(|b| b.id.clone()),
+                    "last_event" => self.last_event,
+                    "paused_ms" => (app.clock.now() - self.heard_at).as_millis() as u64);
+                self.replica = target.replica;
+                self.body = answer.body;
+                self.splitter = EventSplitter::default();
+                self.heard_at = app.clock.now();
+                self.carried += 1;
+                return None;
+            }
+            Sent::Answer(answer) => format!("status {}", answer.status),
+            Sent::NotConnected(cause) | Sent::Lost(cause) => cause,
+            Sent::TimedOut => "no answer in time".to_owned(),
+        };
+        warn!(app.log, "stream lost: the session can't go on";
+            "request" => &self.exchange.head.request,
+            "backend_server" => &target.replica.id,
+            "cause" => cause,
+            "last_event" => self.last_event);
+        Some(End::Lost)
+    }
+
+    async fn end(mut self, end: End) {
+        let app = self.exchange.app.clone();
+        self.guard.ends(match end {
+            End::Whole => RunEnd::Answered,
+            End::Lost => RunEnd::Failed,
+            End::CallerGone | End::TimeOver => RunEnd::Withdrawn,
+        });
+        info!(app.log, "stream ended";
+            "request" => &self.exchange.head.request,
+            "route" => &self.exchange.route.name,
+            "end" => format!("{end:?}"),
+            "backend_server" => &self.replica.id,
+            "events" => self.events,
+            "carried" => self.carried,
+            "took_ms" => (app.clock.now() - self.exchange.arrived).as_millis() as u64);
+        if end != End::Whole {
+            // The server then breaks the connection off, unless the caller has.
+            let _ = self.to_caller.send(Err(StreamBroken)).await;
+        }
+    }
+}
+
+/// The end of a task, if there is one.
+async fn joined<T>(task: &mut Option<JoinHandle<Result<T, MoveError>>>) -> Result<T, MoveError> {
+    match task {
+        None => std::future::pending().await,
+        Some(task) => match task.await {
+            Ok(outcome) => outcome,
+            Err(error) => Err(MoveError::NoAnswer(error.to_string())),
+        },
+    }
+}
