Share loads and the list of backend servers between instances

Ruled out: leaving engines known too late (the list tells within 10 ms, seen in the logs). Change: signed heartbeats by UDP carry each instance's share of every backend server and the latest changes of the list; one instance a zone reads the list; what a peer lacks it fetches by JSON-RPC.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -32,7 +32,9 @@
 use crate::operator_api;
 use crate::peer_exchanger;
 use crate::peer_port::JsonRpcPeers;
+use crate::peer_answers::InstanceAnswers;
 use crate::peer_server;
+use crate::peer_server::PeerIdentity;
 use crate::platform_port::HttpPlatform;
 use crate::platform_reader::PlatformReader;
 use crate::resource_builder;
@@ -123,7 +125,13 @@
             settings,
         });
         let peer_address = app.settings.peer_address;
-        let (peers, peer_address) = peer_server::serve_peers(app.clone())
+        let own = PeerIdentity {
+            identity: app.identity.clone(),
+            keyring: app.settings.keyring.clone(),
+            address: peer_address,
+        };
+        let answers = Arc::new(InstanceAnswers::new(app.clone()));
+        let (peers, peer_address) = peer_server::serve_peers(own, answers, log.clone())
             .await
             .map_err(|cause| listen_error("peer_address", peer_address, cause))?;
         let reader = PlatformReader::new(platform, control, outputs.reads_platform, log);
@@ -210,7 +218,8 @@
     socket.listen(BACKLOG)
 }
 
-fn listen_error(key: &'static str, address: SocketAddr, cause: std::io::Error) -> DaemonError {
+/// Names the setting of an address that can't be listened on.
+pub fn listen_error(key: &'static str, address: SocketAddr, cause: std::io::Error) -> DaemonError {
     DaemonError::Listen {
         key,
         address,
--- a/crates/daemon/src/directory_reader.rs
+++ b/crates/daemon/src/directory_reader.rs
@@ -4,16 +4,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use iristhread_core::Now;
 use rand::RngExt;
 use slog::Logger;
 use slog::info;
 use slog::warn;
 
+use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
 use crate::directory::Revision;
+use crate::fleet_link::FleetLink;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_thread::GatewayHandle;
+use crate::heartbeat::ListNews;
 
 /// Longest time that one watch waits.
 const WATCH: Duration = Duration::from_secs(20);
@@ -29,6 +33,17 @@
 /// has a price, and changes have seconds to take effect.
 const BATCH: Duration = Duration::from_millis(100);
 
+/// Longest time that a watch of the list waits: the others notice within it,
+/// and two heartbeats, when a reader is cut off without a word.
+const LIST_WATCH: Duration = Duration::from_secs(1);
+
+/// Time between two looks at whether this instance should read.
+const ROTA_CHECK: Duration = Duration::from_millis(150);
+
+/// How long after an outage removals may stem from it: a heartbeat of the
+/// backend servers.
+const OUTAGE_SHADOW: Duration = Duration::from_millis(1_500);
+
 /// Who had what was read.
 const SOURCE: &str = "directory";
 
@@ -109,45 +124,106 @@
     }
 }
 
-/// Reads and watches the list of backend servers.
-pub async fn run_replicas(directory: Arc<dyn Directory>, control: GatewayHandle, log: Logger) {
-    let mut trouble = Trouble::new("backend servers");
-    let mut revision: Option<Revision> = None;
-    loop {
-        let read = match revision {
-            None => directory.replicas().await.map(|read| {
-                let message = GatewayMessage::Replicas {
-                    revision: read.revision,
-                    replicas: read.value,
-                    source: SOURCE.to_owned(),
-                };
-                (message, read.revision)
-            }),
-            Some(after) => directory.replicas_after(after, WATCH).await.map(|read| {
-                let message = GatewayMessage::ReplicaChanges {
-                    revision: read.revision,
-                    changes: read.value,
-                };
-                (message, read.revision)
-            }),
-        };
-        match read {
-            Ok((message, at)) => {
-                if trouble.succeeded(&log) {
-                    control.tell(GatewayMessage::OutageEnded);
-                }
-                control.tell(message);
-                revision = Some(at);
-                tokio::time::sleep(BATCH).await;
+/// Reads the list of backend servers while the rota says so, and tells the
+/// others what changed.
+pub struct ListReader {
+    /// The directory.
+    pub directory: Arc<dyn Directory>,
+    /// The decisions.
+    pub control: GatewayHandle,
+    /// The other instances.
+    pub link: Arc<FleetLink>,
+    /// Clocks.
+    pub clock: Clock,
+    /// Logger.
+    pub log: Logger,
+}
+
+impl ListReader {
+    /// Runs for the life of the process.
+    pub async fn run(self) {
+        let mut trouble = Trouble::new("backend servers");
+        let mut forgotten = false;
+        let mut outage_ended: Option<Now> = None;
+        let mut was_reading = false;
+        loop {
+            let Some(own) = self.control.ask(|reply| GatewayMessage::OwnState { reply }).await
+            else {
+                return;
+            };
+            let reads = self.link.reads_list(own.list_revision);
+            if reads != was_reading {
+                info!(self.log, "reading of the list"; "reads" => reads);
+                was_reading = reads;
             }
-            Err(DirectoryError::HistoryGone) => {
-                info!(log, "history of the directory is gone; reading anew"; "of" => "backend servers");
-                control.tell(GatewayMessage::OutageEnded);
-                revision = None;
+            if !reads {
+                tokio::time::sleep(ROTA_CHECK).await;
+                continue;
             }
-            Err(error) => {
-                trouble.failed(&log, &error).await;
+            let after = own.list_revision;
+            let read = match after == 0 || forgotten {
+                true => self.read_whole().await,
+                false => self.watch(after, outage_ended).await,
+            };
+            match read {
+                Ok(()) => {
+                    forgotten = false;
+                    if trouble.succeeded(&self.log) {
+                        self.control.tell(GatewayMessage::OutageEnded);
+                        outage_ended = Some(self.clock.now());
+                    }
+                    tokio::time::sleep(BATCH).await;
+                }
+                Err(DirectoryError::HistoryGone) => {
+                    info!(self.log, "history of the directory is gone; reading anew";
+                        "of" => "backend servers");
+                    self.control.tell(GatewayMessage::OutageEnded);
+                    forgotten = true;
+                }
+                Err(error) => {
+                    self.link.list_unreadable();
+                    trouble.failed(&self.log, &error).await;
+                    // Removals that are read first belong to the outage.
+                    outage_ended = Some(self.clock.now());
+                }
             }
         }
     }
+
+    async fn read_whole(&self) -> Result<(), DirectoryError> {
+        let read = self.directory.replicas().await?;
+        self.link.list_read(None);
+        self.control.tell(GatewayMessage::Replicas {
+            revision: read.revision,
+            replicas: read.value,
+            source: SOURCE.to_owned(),
+        });
+        self.link.beat_soon();
+        Ok(())
+    }
+
+    async fn watch(
+        &self,
+        after: Revision,
+        outage_ended: Option<Now>,
+    ) -> Result<(), DirectoryError> {
+        let read = self.directory.replicas_after(after, LIST_WATCH).await?;
+        if read.value.is_empty() {
+            self.link.list_read(None);
+            return Ok(());
+        }
+        let since = outage_ended.map(|at| self.clock.now().saturating_sub(at));
+        let news = ListNews {
+            after,
+            revision: read.revision,
+            changes: read.value,
+            after_outage: since.is_some_and(|since| since < OUTAGE_SHADOW),
+        };
+        self.control.tell(GatewayMessage::ListNews {
+            news: news.clone(),
+            source: SOURCE.to_owned(),
+        });
+        self.link.list_read(Some(news));
+        Ok(())
+    }
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::control_message::ControlMessage;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
-use crate::peer_server::versions_of;
+use crate::peer_answers::versions_of;
 
 /// Longest wait for one instance.
 const TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,6 +12,7 @@
 use iristhread_core::RouteTable;
 use slog::Logger;
 use slog::info;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use viz::IntoResponse;
@@ -23,15 +24,22 @@
 use crate::control_message::Identity;
 use crate::daemon::DaemonError;
 use crate::daemon::listen;
+use crate::daemon::listen_error;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::directory_reader;
+use crate::directory_reader::ListReader;
+use crate::fleet_link::FleetLink;
+use crate::gateway_answers::GatewayAnswers;
 use crate::gateway_front;
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_thread::GatewayHandle;
 use crate::gateway_thread::TableView;
 use crate::http_server;
 use crate::http_server::ConnectionLimits;
+use crate::peer_port::JsonRpcPeers;
+use crate::peer_server;
+use crate::peer_server::PeerIdentity;
 use crate::session_mover::SessionMover;
 
 /// Most bytes of an answer that the client reads whole.
@@ -149,11 +157,15 @@
             control.clone(),
             log.clone(),
         ));
-        tokio::spawn(directory_reader::run_replicas(
-            ports.directory,
+        let peers = start_peers(&app).await?;
+        let reader = ListReader {
+            directory: ports.directory,
             control,
+            link: peers,
+            clock,
             log,
-        ));
+        };
+        tokio::spawn(reader.run());
         let (stop, stopped) = watch::channel(false);
         let limits = connection_limits(&app.settings);
         let front = app.clone();
@@ -196,6 +208,36 @@
     }
 }
 
+/// Listens for peers by UDP and TCP on one address and starts the link.
+async fn start_peers(app: &Arc<GatewayApp>) -> Result<Arc<FleetLink>, DaemonError> {
+    let address = app.settings.peer_address;
+    let unusable = |cause| listen_error("peer_address", address, cause);
+    let socket = Arc::new(UdpSocket::bind(address).await.map_err(unusable)?);
+    let own = PeerIdentity {
+        identity: app.identity.clone(),
+        keyring: app.settings.keyring.clone(),
+        address,
+    };
+    let answers = Arc::new(GatewayAnswers::new(app.control.clone()));
+    let (server, _) = peer_server::serve_peers(own, answers, app.log.clone())
+        .await
+        .map_err(unusable)?;
+    // Peers are answered until the process is gone.
+    tokio::spawn(server.stopped());
+    let keyring = app.settings.keyring.clone();
+    let link = FleetLink::new(
+        app.identity.clone(),
+        app.settings.clone(),
+        app.clock,
+        app.control.clone(),
+        Arc::new(JsonRpcPeers::new(app.identity.clone(), keyring)),
+        app.log.clone(),
+    );
+    tokio::spawn(link.clone().run_sender(socket.clone()));
+    tokio::spawn(link.clone().run_receiver(socket));
+    Ok(link)
+}
+
 fn connection_limits(settings: &GatewaySettings) -> ConnectionLimits {
     ConnectionLimits {
         max_connections: settings.max_connections,
--- /dev/null
+++ b/crates/daemon/src/gateway_answers.rs
@@ -0,0 +1,51 @@
+//! What a gateway answers its peers.
+
+use futures::future::BoxFuture;
+use iristhread_core::InstanceId;
+
+use crate::gateway_message::GatewayMessage;
+use crate::gateway_thread::GatewayHandle;
+use crate::peer_message::ListAnswer;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
+use crate::peer_server::PeerAnswers;
+
+/// Answers out of the state of the gateway's decisions.
+pub struct GatewayAnswers {
+    control: GatewayHandle,
+}
+
+impl GatewayAnswers {
+    /// Answers for one gateway.
+    pub fn new(control: GatewayHandle) -> Self {
+        GatewayAnswers { control }
+    }
+
+    async fn answered(&self, request: PeerRequest) -> Option<PeerReply> {
+        let PeerRequest::Gateway {
+            config_above,
+            list_above,
+        } = request
+        else {
+            // The other requests are for instances with another front.
+            return None;
+        };
+        let ask = |reply| GatewayMessage::KnownState { reply };
+        let known = self.control.ask(ask).await?;
+        let config = known.config.filter(|config| config.version > config_above);
+        let list = ListAnswer {
+            replicas: known.replicas,
+            revision: known.list_revision,
+        };
+        Some(PeerReply::Gateway {
+            config: config.map(|config| Box::new((*config).clone())),
+            list: (list.revision > list_above).then_some(list),
+        })
+    }
+}
+
+impl PeerAnswers for GatewayAnswers {
+    fn answer(&self, _: InstanceId, request: PeerRequest) -> BoxFuture<'_, Option<PeerReply>> {
+        Box::pin(self.answered(request))
+    }
+}
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -13,7 +13,6 @@
 use iristhread_core::Ranking;
 use iristhread_core::Refusal;
 use iristhread_core::Replica;
-use iristhread_core::ReplicaChange;
 use iristhread_core::RequestId;
 use iristhread_core::RunEnd;
 use iristhread_core::SessionSignal;
@@ -21,6 +20,7 @@
 use tokio::sync::oneshot;
 
 use crate::directory::Revision;
+use crate::heartbeat::ListNews;
 
 /// What one instance tells the others of itself, several times a second.
 #[derive(Clone, Debug)]
@@ -126,11 +126,11 @@
         source: String,
     },
     /// The list of replicas changed.
-    ReplicaChanges {
-        /// Revision after the changes.
-        revision: Revision,
+    ListNews {
         /// The changes.
-        changes: Vec<ReplicaChange>,
+        news: ListNews,
+        /// Who had them.
+        source: String,
     },
     /// The directory answers again.
     OutageEnded,
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -12,6 +12,7 @@
 use iristhread_core::PlacementAsk;
 use iristhread_core::Ranking;
 use iristhread_core::Refusal;
+use iristhread_core::ReplicaChange;
 use iristhread_core::RequestId;
 use iristhread_core::RouteTable;
 use iristhread_core::RunEnd;
@@ -28,6 +29,7 @@
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::KnownState;
 use crate::gateway_message::OwnState;
+use crate::heartbeat::ListNews;
 
 /// Time between two ticks: lapsed entries and silent peers are noticed this
 /// late; both bounds are seconds.
@@ -156,12 +158,7 @@
                 let evacuations = self.control.offer_replicas(now, revision, replicas);
                 self.evacuate(evacuations);
             }
-            GatewayMessage::ReplicaChanges { revision, changes } => {
-                info!(self.log, "list of backend servers changed";
-                    "revision" => revision, "changes" => format!("{changes:?}"));
-                let evacuations = self.control.change_replicas(now, revision, changes);
-                self.evacuate(evacuations);
-            }
+            GatewayMessage::ListNews { news, source } => self.list_news(news, &source),
             GatewayMessage::OutageEnded => self.control.outage_ended(now),
             GatewayMessage::PeerHeard {
                 instance,
@@ -238,6 +235,30 @@
         }
     }
 
+    fn list_news(&mut self, news: ListNews, source: &str) {
+        let now = self.clock.now();
+        let before = self.control.list().revision();
+        if news.revision <= before {
+            return;
+        }
+        if news.after > before {
+            debug!(self.log, "changes of the list are missing in between";
+                "revision" => before, "after" => news.after, "source" => source);
+            return;
+        }
+        info!(self.log, "list of backend servers changed";
+            "revision" => news.revision, "source" => source,
+            "after_outage" => news.after_outage,
+            "changes" => shown(&news.changes));
+        if news.after_outage {
+            self.control.outage_ended(now);
+        }
+        let evacuations = self
+            .control
+            .change_replicas(now, news.revision, news.changes);
+        self.evacuate(evacuations);
+    }
+
     fn evacuate(&mut self, evacuations: Vec<Evacuation>) {
         for Evacuation { request, target } in evacuations {
             info!(self.log, "session should move off its engine";
@@ -267,6 +288,19 @@
     }
 }
 
+/// Changes in short: what is written is a decision about each server.
+fn shown(changes: &[ReplicaChange]) -> String {
+    let words: Vec<String> = changes
+        .iter()
+        .map(|change| match change {
+            ReplicaChange::Listed(replica) if replica.leaving => format!("{} leaves", replica.id),
+            ReplicaChange::Listed(replica) => format!("{} serves", replica.id),
+            ReplicaChange::Removed(id) => format!("{id} removed"),
+        })
+        .collect();
+    words.join(", ")
+}
+
 fn ids(ranking: &Ranking) -> Vec<&str> {
     let replicas = ranking.replicas.iter();
     replicas.map(|replica| replica.id.as_str()).collect()
--- /dev/null
+++ b/crates/daemon/src/peer_answers.rs
@@ -0,0 +1,145 @@
+//! What an instance answers its peers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use iristhread_api::ConfigReply;
+use iristhread_api::InstancesReply;
+use iristhread_core::Event;
+use iristhread_core::InstanceId;
+
+use crate::app::App;
+use crate::control_message::ControlMessage;
+use crate::control_message::Identity;
+use crate::control_message::Versions;
+use crate::peer_message::News;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
+use crate::peer_message::PeerVersions;
+use crate::peer_server::PeerAnswers;
+use crate::platform_reader::offered;
+use crate::service_call;
+
+/// Answers out of the state of an instance.
+pub struct InstanceAnswers {
+    app: Arc<App>,
+}
+
+impl InstanceAnswers {
+    /// Answers for an instance.
+    pub fn new(app: Arc<App>) -> Self {
+        InstanceAnswers { app }
+    }
+
+    async fn answered(&self, from: InstanceId, request: PeerRequest) -> Option<PeerReply> {
+        match request {
+            PeerRequest::Exchange(versions) => self.exchange(from, versions).await,
+            PeerRequest::Offer(news) => {
+                tell_news(&self.app, &from, news);
+                Some(PeerReply::Taken)
+            }
+            PeerRequest::RunCall(call) => {
+                let answer = service_call::run_forwarded(&self.app, call).await;
+                Some(PeerReply::CallAnswer(answer))
+            }
+            PeerRequest::Timeline { after, request } => {
+                let ask = |reply| ControlMessage::Timeline {
+                    after,
+                    request,
+                    reply,
+                };
+                let records = self.app.control.ask(ask).await;
+                records.map(|records| PeerReply::Timeline { records })
+            }
+            // Only gateways know what is asked here.
+            PeerRequest::Gateway { .. } => None,
+        }
+    }
+
+    async fn exchange(&self, from: InstanceId, theirs: PeerVersions) -> Option<PeerReply> {
+        let app = &self.app;
+        let own = app
+            .control
+            .ask(|reply| ControlMessage::Versions { reply })
+            .await?;
+        tell_versions(app, from, &theirs);
+        Some(PeerReply::Exchange {
+            versions: versions_of(&app.identity, &own),
+            news: news_for(app, &own, &theirs).await,
+        })
+    }
+}
+
+impl PeerAnswers for InstanceAnswers {
+    fn answer(&self, from: InstanceId, request: PeerRequest) -> BoxFuture<'_, Option<PeerReply>> {
+        Box::pin(self.answered(from, request))
+    }
+}
+
+/// What this process has and a peer lacks.
+pub async fn news_for(app: &App, own: &Versions, theirs: &PeerVersions) -> News {
+    let instances = match theirs.roster_version < own.roster_version {
+        true => instances_of(app, own.roster_version).await,
+        false => None,
+    };
+    let config = config_for(own, theirs.config_version);
+    News { config, instances }
+}
+
+/// Tells the decisions what a peer has sent.
+pub fn tell_news(app: &App, source: &str, news: News) {
+    if let Some(instances) = news.instances {
+        app.control.tell(Event::RosterOffered {
+            version: instances.version,
+            entries: instances.entries,
+        });
+    }
+    if let Some(config) = news.config {
+        app.control.tell(offered(config, source));
+    }
+}
+
+async fn instances_of(app: &App, version: u64) -> Option<InstancesReply> {
+    let ask = |reply| ControlMessage::Roster { reply };
+    let entries = app.control.ask(ask).await?;
+    Some(InstancesReply { version, entries })
+}
+
+/// Tells the decisions what a peer has.
+pub fn tell_versions(app: &App, instance: InstanceId, versions: &PeerVersions) {
+    app.control.tell(Event::PeerHeard {
+        instance,
+        incarnation: versions.incarnation.clone(),
+        config_version: versions.config_version,
+        time: versions.time,
+    });
+    if let Some(age_ms) = versions.config_age_ms {
+        app.control.tell(Event::ConfigConfirmed {
+            version: versions.config_version,
+            ago: Duration::from_millis(age_ms),
+        });
+    }
+}
+
+/// What a process has, as its peers are told.
+pub fn versions_of(identity: &Identity, versions: &Versions) -> PeerVersions {
+    PeerVersions {
+        incarnation: identity.incarnation.clone(),
+        config_version: versions.config_version,
+        config_age_ms: versions.config_age_ms,
+        roster_version: versions.roster_version,
+        time: versions.time,
+    }
+}
+
+fn config_for(own: &Versions, theirs: u64) -> Option<ConfigReply> {
+    if theirs >= own.config_version {
+        return None;
+    }
+    let document = own.document.as_deref()?;
+    Some(ConfigReply {
+        version: own.config_version,
+        document: serde_json::to_value(document).ok()?,
+    })
+}
--- a/crates/daemon/src/peer_exchanger.rs
+++ b/crates/daemon/src/peer_exchanger.rs
@@ -13,10 +13,10 @@
 use crate::peer_message::News;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
-use crate::peer_server::news_for;
-use crate::peer_server::tell_news;
-use crate::peer_server::tell_versions;
-use crate::peer_server::versions_of;
+use crate::peer_answers::news_for;
+use crate::peer_answers::tell_news;
+use crate::peer_answers::tell_versions;
+use crate::peer_answers::versions_of;
 
 /// Longest wait for a peer's versions.
 const TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/peer_message.rs
+++ b/crates/daemon/src/peer_message.rs
@@ -3,9 +3,11 @@
 use iristhread_api::ConfigReply;
 use iristhread_api::InstancesReply;
 use iristhread_core::ConfigVersion;
+use iristhread_core::GatewayConfig;
 use iristhread_core::HybridTime;
 use iristhread_core::Incarnation;
 use iristhread_core::InstanceId;
+use iristhread_core::Replica;
 use iristhread_core::RequestId;
 use iristhread_core::TimelineRecord;
 use iristhread_core::WorkspaceId;
@@ -13,6 +15,7 @@
 use serde::Serialize;
 
 use crate::call_answer::CallAnswer;
+use crate::directory::Revision;
 
 /// A message with its sender, receiver and tag; `body` is the JSON of a
 /// [`PeerRequest`] or [`PeerReply`].
@@ -87,6 +90,15 @@
     }
 }
 
+/// The list of backend servers at a revision.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ListAnswer {
+    /// The list.
+    pub replicas: Vec<Replica>,
+    /// Its revision.
+    pub revision: Revision,
+}
+
 /// Asked of a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -97,6 +109,13 @@
     Offer(News),
     /// Run a call whose ticket names the receiver.
     RunCall(ForwardedCall),
+    /// Send what the platform has published, if it is newer than this.
+    Gateway {
+        /// Version of the configuration that the asker has.
+        config_above: ConfigVersion,
+        /// Revision of the list of backend servers that the asker has.
+        list_above: Revision,
+    },
     /// Send the time line.
     Timeline {
         /// Records after this time.
@@ -121,6 +140,13 @@
     Taken,
     /// What became of the call.
     CallAnswer(CallAnswer),
+    /// What the platform has published.
+    Gateway {
+        /// The configuration, if it is newer than the asker's.
+        config: Option<Box<GatewayConfig>>,
+        /// The list of backend servers, if it is newer than the asker's.
+        list: Option<ListAnswer>,
+    },
     /// The time line.
     Timeline {
         /// Records, oldest first.
