--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -247,6 +247,7 @@
                 ask,
                 generated: 0,
                 has_begun: false,
+                is_moving: false,
             },
         );
         let ranked = fitting.into_iter().take(RANKED);
@@ -300,6 +301,7 @@
         ask.max_tokens = ask.max_tokens.saturating_sub(run.generated);
         let next = self.choose_backup_besides(now, &ask, &replica, Some(&from));
         let run = self.runs.get_mut(request)?;
+        run.is_moving = false;
         run.replica = replica.id.clone();
         run.backup = next.as_ref().map(|replica| replica.id.clone());
         Some(CarryTarget {
@@ -309,13 +311,6 @@
         })
     }
 
-    /// Forgets the copy of a session, which turned out to be unusable.
-    pub fn backup_lost(&mut self, request: &str) {
-        if let Some(run) = self.runs.get_mut(request) {
-            run.backup = None;
-        }
-    }
-
     /// Notes that a replica failed a try of a request that goes on elsewhere.
     pub fn failed(&mut self, now: Now, replica: &str) {
         self.pauses
@@ -358,9 +353,12 @@
             .filter(|replica| Some(replica.id.as_str()) != besides)
             .cloned()
             .collect();
+        let pause_of = |id: &str| self.pauses.get(id).copied().unwrap_or_default();
+        // When all are paused, trying one of them beats refusing.
+        let all_paused = replicas.iter().all(|r| pause_of(&r.id).is_paused(now));
         for replica in replicas {
             let pause = self.pauses.get(&replica.id).copied().unwrap_or_default();
-            if pause.is_paused(now) {
+            if pause.is_paused(now) && !all_paused {
                 continue;
             }
             let context = ScoreContext {
@@ -405,43 +403,57 @@
         fitting.next().map(|score| score.replica)
     }
 
-    /// Sessions whose engine leaves and that have no usable copy have to move.
+    /// Sessions whose engine leaves have to move; a copy on an engine that
+    /// leaves is of no more use.
     fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
         self.pauses
             .retain(|id, _| self.list.state(id) != ListedState::Removed);
-        let is_leaving = |list: &ReplicaList, id: &str| {
-            matches!(list.state(id), ListedState::Leaving | ListedState::Removed)
-        };
         let mut to_move = Vec::new();
         for (request, run) in &mut self.runs {
-            let backup_leaves = run.backup.as_deref().map(|id| is_leaving(&self.list, id));
-            if backup_leaves == Some(true) {
+            let is_leaving = |id: &BackendId| self.list.state(id).is_leaving();
+            if run.backup.as_ref().is_some_and(is_leaving) {
                 run.backup = None;
             }
             let is_session = run.ask.class == RequestClass::Stream;
-            if is_session && run.backup.is_none() && is_leaving(&self.list, &run.replica) {
+            if is_session && !run.is_moving && is_leaving(&run.replica) {
                 to_move.push(request.clone());
             }
         }
         to_move.sort();
         to_move
             .into_iter()
-            .filter_map(|request| self.evacuate(now, request))
+            .filter_map(|request| self.evacuate(now, &request, &[]))
             .collect()
     }
 
-    fn evacuate(&mut self, now: Now, request: RequestId) -> Option<Evacuation> {
-        let run = self.runs.get(&request)?;
-        let from = run.replica.clone();
-        let mut ask = run.ask.clone();
-        ask.prompt_tokens += run.generated;
-        let target = self.scores(now, &ask, Some(&from)).into_iter().next()?;
-        let run = self.runs.get_mut(&request)?;
+    /// Where a session should move: to its copy, or to the engine with the most
+    /// room that it has not tried.
+    pub fn evacuate(
+        &mut self,
+        now: Now,
+        request: &str,
+        tried: &[BackendId],
+    ) -> Option<Evacuation> {
+        let run = self.runs.get(request)?;
+        let backup = run.backup.as_deref().and_then(|id| self.list.replica(id));
+        let target = match backup.filter(|replica| !tried.contains(&replica.id)) {
+            Some(replica) => replica.clone(),
+            None => {
+                let from = run.replica.clone();
+                let mut ask = run.ask.clone();
+                ask.prompt_tokens += run.generated;
+                let scores = self.scores(now, &ask, Some(&from));
+                let mut others = scores.into_iter().map(|score| score.replica);
+                others.find(|replica| !tried.contains(&replica.id))?
+            }
+        };
+        let run = self.runs.get_mut(request)?;
         // Counts there from now on, so that not all sessions choose the same.
-        run.backup = Some(target.replica.id.clone());
+        run.backup = Some(target.id.clone());
+        run.is_moving = true;
         Some(Evacuation {
-            request,
-            target: target.replica,
+            request: request.to_owned(),
+            target,
         })
     }
 
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -42,6 +42,13 @@
     Removed,
 }
 
+impl ListedState {
+    /// Whether the replica finishes what it has and takes nothing new.
+    pub fn is_leaving(self) -> bool {
+        matches!(self, ListedState::Leaving | ListedState::Removed)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Line {
     replica: Replica,
--- a/crates/core/src/replica_view.rs
+++ b/crates/core/src/replica_view.rs
@@ -46,6 +46,8 @@
     pub generated: u32,
     /// Whether its first event is there.
     pub has_begun: bool,
+    /// Whether it is being moved off its replica.
+    pub is_moving: bool,
 }
 
 impl OwnRun {
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -92,10 +92,12 @@
         /// The answer.
         reply: oneshot::Sender<Option<CarryTarget>>,
     },
-    /// The copy of a session can't be used.
-    BackupLost {
+    /// A session could not be moved to an engine: where else?
+    MoveFailed {
         /// The session.
         request: RequestId,
+        /// Engines that it has tried.
+        tried: Vec<BackendId>,
     },
     /// A replica failed a try; the request goes on elsewhere.
     Failed {
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -141,7 +141,10 @@
             } => {
                 let _ = reply.send(self.control.carry_to(now, &request, replica));
             }
-            GatewayMessage::BackupLost { request } => self.control.backup_lost(&request),
+            GatewayMessage::MoveFailed { request, tried } => {
+                let evacuation = self.control.evacuate(now, &request, &tried);
+                self.evacuate(evacuation.into_iter().collect());
+            }
             GatewayMessage::Failed { replica } => {
                 info!(self.log, "backend server failed a try"; "backend_server" => &replica);
                 self.control.failed(now, &replica);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -50,6 +50,7 @@
 mod resource_log;
 mod service_api;
 mod service_call;
+mod session_move;
 mod session_mover;
 mod settings;
 mod settings_reader;
--- /dev/null
+++ b/crates/daemon/src/session_move.rs
@@ -0,0 +1,87 @@
+//! Moves one running session to another engine while its stream goes on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use iristhread_core::Replica;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::session_mover::MoveError;
+use crate::session_mover::MoveOrder;
+use crate::session_mover::SessionMover;
+
+/// A copy that takes at most this long is a good last one: the session stands
+/// still for about as long, which stays within the pause that is in time.
+const QUICK_COPY: Duration = Duration::from_millis(100);
+
+/// Time after which the last copy is made in any case: engines are gone 1.5 s
+/// after their notice at the earliest.
+const LAST_COPY_AFTER: Duration = Duration::from_millis(900);
+
+/// A move under way.
+pub struct SessionMove {
+    target: Replica,
+    task: JoinHandle<Result<String, MoveError>>,
+    copied: watch::Receiver<Option<String>>,
+}
+
+impl SessionMove {
+    /// Starts to move a session. Copies are repeated beside the running session
+    /// until one is quick, since each call waits behind the other moves of the
+    /// engine; only for the last one the session stands still.
+    pub fn start(mover: Arc<dyn SessionMover>, order: MoveOrder, target: Replica) -> SessionMove {
+        let (copied_in, copied) = watch::channel(None);
+        let task = tokio::spawn(async move {
+            let began = Instant::now();
+            loop {
+                let copy_began = Instant::now();
+                let handle = mover.copy(order.clone()).await?;
+                copied_in.send_replace(Some(handle));
+                let is_late = began.elapsed() >= LAST_COPY_AFTER;
+                if is_late || copy_began.elapsed() <= QUICK_COPY {
+                    break;
+                }
+            }
+            let last = MoveOrder {
+                stop_first: true,
+                ..order
+            };
+            mover.copy(last).await
+        });
+        SessionMove {
+            target,
+            task,
+            copied,
+        }
+    }
+
+    /// Where the session moves.
+    pub fn target(&self) -> &Replica {
+        &self.target
+    }
+
+    /// Waits for the end of the move; returns the name of the copy.
+    ///
+    /// # Errors
+    ///
+    /// [`MoveError`] of the call that failed.
+    pub async fn finished(&mut self) -> Result<String, MoveError> {
+        match (&mut self.task).await {
+            Ok(outcome) => outcome,
+            Err(error) => Err(MoveError::NoAnswer(error.to_string())),
+        }
+    }
+
+    /// The name of a copy that may lack the newest tokens.
+    pub fn partial_copy(&self) -> Option<String> {
+        self.copied.borrow().clone()
+    }
+}
+
+impl Drop for SessionMove {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use iristhread_core::BackendId;
 use iristhread_core::CarryTarget;
 use iristhread_core::Now;
 use iristhread_core::Replica;
@@ -17,7 +18,6 @@
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 use tokio::time::sleep_until;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -29,6 +29,7 @@
 use crate::exchange::Sent;
 use crate::front_answer::StreamBroken;
 use crate::gateway_message::GatewayMessage;
+use crate::session_move::SessionMove;
 use crate::session_mover::MoveError;
 use crate::session_mover::MoveOrder;
 
@@ -51,6 +52,9 @@
 /// Longest wait for the answer of a move once the stream has stopped.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Engines that a session tries to move to, one after the other.
+const MOST_TARGETS: usize = 3;
+
 type Piece = Result<Frame<Bytes>, StreamBroken>;
 
 /// What a look at the stream led to.
@@ -58,7 +62,7 @@
     Continue,
     Whole,
     Broken(&'static str),
-    Moved(Result<(String, Replica), MoveError>),
+    Moved(Result<String, MoveError>),
     CallerGone,
     TimeOver,
 }
@@ -86,7 +90,8 @@
     tokens_per_event: u32,
     heard_at: Now,
     carried: u32,
-    moving: Option<JoinHandle<Result<(String, Replica), MoveError>>>,
+    moving: Option<SessionMove>,
+    tried: Vec<BackendId>,
 }
 
 impl StreamRelay {
@@ -113,6 +118,7 @@
             events: 0,
             carried: 0,
             moving: None,
+            tried: Vec::new(),
         };
         (relay, ReceiverStream::new(pieces))
     }
@@ -141,10 +147,7 @@
         let frame = tokio::select! {
             biased;
             () = self.to_caller.closed() => return Step::CallerGone,
-            moved = joined(&mut self.moving) => {
-                self.moving = None;
-                return Step::Moved(moved);
-            }
+            moved = finished(&mut self.moving) => return Step::Moved(moved),
             frame = self.body.frame() => frame,
             Some(signal) = self.signals.recv() => {
                 self.signalled(signal);
@@ -220,17 +223,7 @@
             stop_first: false,
         };
         let mover = self.exchange.app.mover.clone();
-        self.moving = Some(tokio::spawn(async move {
-            // The first copy runs beside the session, so that it stands still
-            // only for what is new after it.
-            mover.copy(order.clone()).await?;
-            let last = MoveOrder {
-                stop_first: true,
-                ..order
-            };
-            let handle = mover.copy(last).await?;
-            Ok((handle, target))
-        }));
+        self.moving = Some(SessionMove::start(mover, order, target));
     }
 
     /// The engine's stream ended too soon.
@@ -241,11 +234,8 @@
             "cause" => cause,
             "last_event" => self.last_event,
             "moving" => self.moving.is_some());
-        if let Some(moving) = self.moving.take() {
-            let outcome = tokio::time::timeout(MOVE_TIMEOUT, moving).await;
-            if let Ok(Ok(Ok((handle, target)))) = outcome {
-                return self.moved(Ok((handle, target))).await;
-            }
+        if let Some(end) = self.finish_move().await {
+            return end;
         }
         let request = self.exchange.head.request.clone();
         let control = &self.exchange.app.control;
@@ -263,22 +253,45 @@
         self.resume(target, CopyName::Backup { keeper }).await
     }
 
-    async fn moved(&mut self, outcome: Result<(String, Replica), MoveError>) -> Option<End> {
+    /// The engine is gone, or has stopped the session for its last copy: the
+    /// move may still succeed, or have left a copy that lacks little. Returns
+    /// `None` when it has not.
+    async fn finish_move(&mut self) -> Option<Option<End>> {
+        let mut moving = self.moving.take()?;
+        let outcome = tokio::time::timeout(MOVE_TIMEOUT, moving.finished()).await;
+        let handle = match outcome {
+            Ok(Ok(handle)) => handle,
+            _ => moving.partial_copy()?,
+        };
+        Some(self.go_on_at(moving.target().clone(), handle).await)
+    }
+
+    async fn moved(&mut self, outcome: Result<String, MoveError>) -> Option<End> {
         let app = self.exchange.app.clone();
-        let (handle, replica) = match outcome {
-            Ok(moved) => moved,
+        let replica = self.moving.take()?.target().clone();
+        let handle = match outcome {
+            Ok(handle) => handle,
             Err(error) => {
                 info!(app.log, "session was not moved";
                     "request" => &self.exchange.head.request,
                     "backend_server" => &self.replica.id,
                     "cause" => error.to_string());
-                app.control.tell(GatewayMessage::BackupLost {
-                    request: self.exchange.head.request.clone(),
-                });
+                self.tried.push(replica.id);
+                if self.tried.len() < MOST_TARGETS {
+                    app.control.tell(GatewayMessage::MoveFailed {
+                        request: self.exchange.head.request.clone(),
+                        tried: self.tried.clone(),
+                    });
+                }
                 return self.back_to_source(error).await;
             }
         };
         self.drain_rest().await;
+        self.go_on_at(replica, handle).await
+    }
+
+    async fn go_on_at(&mut self, replica: Replica, handle: String) -> Option<End> {
+        let app = self.exchange.app.clone();
         let source = self.replica.address;
         let request = self.exchange.head.request.clone();
         let asked = app.control.ask(|reply| GatewayMessage::CarryTo {
@@ -351,6 +364,7 @@
                 self.splitter = EventSplitter::default();
                 self.heard_at = app.clock.now();
                 self.carried += 1;
+                self.tried.clear();
                 return None;
             }
             Sent::Answer(answer) => format!("status {}", answer.status),
@@ -387,13 +401,10 @@
     }
 }
 
-/// The end of a task, if there is one.
-async fn joined<T>(task: &mut Option<JoinHandle<Result<T, MoveError>>>) -> Result<T, MoveError> {
-    match task {
+/// The end of a move, if there is one.
+async fn finished(moving: &mut Option<SessionMove>) -> Result<String, MoveError> {
+    match moving {
         None => std::future::pending().await,
-        Some(task) => match task.await {
-            Ok(outcome) => outcome,
-            Err(error) => Err(MoveError::NoAnswer(error.to_string())),
-        },
+        Some(moving) => moving.finished().await,
     }
 }
