--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -403,8 +403,8 @@
         fitting.next().map(|score| score.replica)
     }
 
-    /// Sessions whose engine leaves have to move; a copy on an engine that
-    /// leaves is of no more use.
+    /// Sessions without a copy have to move when their engine leaves; a copy on
+    /// an engine that leaves is of no more use.
     fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
         self.pauses
             .retain(|id, _| self.list.state(id) != ListedState::Removed);
@@ -415,7 +415,8 @@
                 run.backup = None;
             }
             let is_session = run.ask.class == RequestClass::Stream;
-            if is_session && !run.is_moving && is_leaving(&run.replica) {
+            let has_copy = run.backup.is_some();
+            if is_session && !has_copy && !run.is_moving && is_leaving(&run.replica) {
                 to_move.push(request.clone());
             }
         }
