Ask again for a place for sessions that must move, below 85% of memory

Change: targets are asked for again every 150 ms; only engines below 85% of memory; first in the zone of the leaving engine, where a move takes half.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -50,6 +50,10 @@
 /// is read again.
 const NOTHING_THERE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Share of the memory of an engine up to which sessions move there; tried on
+/// the users' bench, docs/design/0008-gateway.md.
+const MOVE_LIMIT: f64 = 0.85;
+
 /// Settings of the gateway's decisions.
 #[derive(Clone, Debug)]
 pub struct GatewayTerms {
@@ -339,6 +343,17 @@
     }
 
     fn scores(&mut self, now: Now, ask: &PlacementAsk, besides: Option<&str>) -> Vec<ReplicaScore> {
+        let zone = self.terms.zone.clone();
+        self.scores_seen_from(now, ask, besides, &zone)
+    }
+
+    fn scores_seen_from(
+        &mut self,
+        now: Now,
+        ask: &PlacementAsk,
+        besides: Option<&str>,
+        zone: &str,
+    ) -> Vec<ReplicaScore> {
         let Some(table) = self.table.clone() else {
             return Vec::new();
         };
@@ -363,7 +378,7 @@
             }
             let context = ScoreContext {
                 now,
-                zone: &self.terms.zone,
+                zone,
                 engine,
                 ask,
                 noise: f64::from(self.random.next_u32()) / f64::from(u32::MAX),
@@ -414,8 +429,8 @@
             if run.backup.as_ref().is_some_and(is_leaving) {
                 run.backup = None;
             }
-            let is_session = run.ask.class == RequestClass::Stream;
             let has_copy = run.backup.is_some();
+            let is_session = run.ask.class == RequestClass::Stream;
             if is_session && !has_copy && !run.is_moving && is_leaving(&run.replica) {
                 to_move.push(request.clone());
             }
@@ -427,34 +442,31 @@
             .collect()
     }
 
-    /// Where a session should move: to its copy, or to the engine with the most
-    /// room that it has not tried.
+    /// Where a session should move: to the engine with the most room that it
+    /// has not tried, first in the zone of its engine, where moves take half
+    /// the time.
     pub fn evacuate(
         &mut self,
         now: Now,
         request: &str,
         tried: &[BackendId],
     ) -> Option<Evacuation> {
-        let run = self.runs.get(request)?;
-        let backup = run.backup.as_deref().and_then(|id| self.list.replica(id));
-        let target = match backup.filter(|replica| !tried.contains(&replica.id)) {
-            Some(replica) => replica.clone(),
-            None => {
-                let from = run.replica.clone();
-                let mut ask = run.ask.clone();
-                ask.prompt_tokens += run.generated;
-                let scores = self.scores(now, &ask, Some(&from));
-                let mut others = scores.into_iter().map(|score| score.replica);
-                others.find(|replica| !tried.contains(&replica.id))?
-            }
-        };
         let run = self.runs.get_mut(request)?;
-        // Counts there from now on, so that not all sessions choose the same.
-        run.backup = Some(target.id.clone());
         run.is_moving = true;
+        let from = run.replica.clone();
+        let mut ask = run.ask.clone();
+        ask.prompt_tokens += run.generated;
+        let zone = self.list.replica(&from).map(|r| r.availability_zone.clone());
+        let zone = zone.unwrap_or_else(|| self.terms.zone.clone());
+        let scores = self.scores_seen_from(now, &ask, Some(&from), &zone);
+        let mut others = scores.into_iter().filter(|score| score.memory <= MOVE_LIMIT);
+        let target = others.find(|score| !tried.contains(&score.replica.id))?;
+        let run = self.runs.get_mut(request)?;
+        // Counts there from now on, so that not all sessions choose the same.
+        run.backup = Some(target.replica.id.clone());
         Some(Evacuation {
             request: request.to_owned(),
-            target,
+            target: target.replica,
         })
     }
 
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -52,8 +52,9 @@
 /// Longest wait for the answer of a move once the stream has stopped.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Engines that a session tries to move to, one after the other.
-const MOST_TARGETS: usize = 3;
+/// Time after which a session that found no room tries all engines again: a
+/// fraction of the notice of an engine that leaves.
+const ASK_AGAIN: Duration = Duration::from_millis(150);
 
 type Piece = Result<Frame<Bytes>, StreamBroken>;
 
@@ -92,6 +93,7 @@
     carried: u32,
     moving: Option<SessionMove>,
     tried: Vec<BackendId>,
+    ask_again_at: Option<Now>,
 }
 
 impl StreamRelay {
@@ -119,6 +121,7 @@
             carried: 0,
             moving: None,
             tried: Vec::new(),
+            ask_again_at: None,
         };
         (relay, ReceiverStream::new(pieces))
     }
@@ -144,6 +147,7 @@
         let clock = self.exchange.app.clock;
         let time_over = clock.instant(self.exchange.answer_by);
         let silent_at = clock.instant(self.heard_at + SILENCE);
+        let ask_again_at = clock.instant(self.ask_again_at.unwrap_or_default());
         let frame = tokio::select! {
             biased;
             () = self.to_caller.closed() => return Step::CallerGone,
@@ -153,6 +157,11 @@
                 self.signalled(signal);
                 return Step::Continue;
             }
+            () = sleep_until(ask_again_at), if self.ask_again_at.is_some() => {
+                self.tried.clear();
+                self.ask_for_target();
+                return Step::Continue;
+            }
             () = sleep_until(silent_at) => return self.look_at_engine().await,
             () = sleep_until(time_over) => return Step::TimeOver,
         };
@@ -211,6 +220,17 @@
         }
     }
 
+    /// Asks where else the session could move; when no engine is left, all are
+    /// asked again after a while, since sessions end all the time.
+    fn ask_for_target(&mut self) {
+        let app = &self.exchange.app;
+        app.control.tell(GatewayMessage::MoveFailed {
+            request: self.exchange.head.request.clone(),
+            tried: self.tried.clone(),
+        });
+        self.ask_again_at = Some(app.clock.now() + ASK_AGAIN);
+    }
+
     fn signalled(&mut self, signal: SessionSignal) {
         let SessionSignal::MoveTo(target) = signal;
         if self.moving.is_some() {
@@ -223,6 +243,7 @@
             stop_first: false,
         };
         let mover = self.exchange.app.mover.clone();
+        self.ask_again_at = None;
         self.moving = Some(SessionMove::start(mover, order, target));
     }
 
@@ -277,12 +298,7 @@
                     "backend_server" => &self.replica.id,
                     "cause" => error.to_string());
                 self.tried.push(replica.id);
-                if self.tried.len() < MOST_TARGETS {
-                    app.control.tell(GatewayMessage::MoveFailed {
-                        request: self.exchange.head.request.clone(),
-                        tried: self.tried.clone(),
-                    });
-                }
+                self.ask_for_target();
                 return self.back_to_source(error).await;
             }
         };
@@ -365,6 +381,7 @@
                 self.heard_at = app.clock.now();
                 self.carried += 1;
                 self.tried.clear();
+                self.ask_again_at = None;
                 return None;
             }
             Sent::Answer(answer) => format!("status {}", answer.status),
