--- /dev/null
+++ b/crates/core/tests/gateway_fleet.rs
@@ -0,0 +1,223 @@
+//! The list of backend servers over outages, the members of the fleet, and the
+//! retry budget that they share.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod gateway_scene;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use iristhread_core::FleetMembers;
+use iristhread_core::ListedState;
+use iristhread_core::MemberState;
+use iristhread_core::Now;
+use iristhread_core::ReplicaChange;
+use iristhread_core::ReplicaList;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
+use test_case::test_case;
+
+use gateway_scene::ask;
+use gateway_scene::control_with;
+use gateway_scene::engine;
+use gateway_scene::leaving;
+use gateway_scene::ms;
+
+fn list() -> ReplicaList {
+    let mut list = ReplicaList::default();
+    list.snapshot(ms(0), 10, vec![engine("e1", "z1"), leaving("e2", "z1")]);
+    list
+}
+
+#[test]
+fn a_removed_entry_is_gone_at_once() {
+    let mut list = list();
+    list.change(ms(0), 11, vec![ReplicaChange::Removed("e1".to_owned())]);
+    assert_eq!(list.state("e1"), ListedState::Removed);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_counts_for_two_seconds() {
+    let mut list = list();
+    list.outage_ended(ms(5_000));
+    list.change(ms(5_010), 11, vec![ReplicaChange::Removed("e1".to_owned())]);
+    assert_eq!(list.state("e1"), ListedState::Lapsed);
+    assert!(list.expire(ms(7_009)).is_empty());
+    assert_eq!(list.expire(ms(7_010)), ["e1"]);
+    assert_eq!(list.state("e1"), ListedState::Removed);
+}
+
+#[test]
+fn an_entry_that_comes_back_after_an_outage_serves_again() {
+    let mut list = list();
+    list.outage_ended(ms(5_000));
+    list.snapshot(ms(5_010), 12, Vec::new());
+    assert_eq!(list.state("e1"), ListedState::Lapsed);
+    list.change(ms(6_500), 13, vec![ReplicaChange::Listed(engine("e1", "z1"))]);
+    assert!(list.expire(ms(9_000)).is_empty());
+    assert_eq!(list.state("e1"), ListedState::Serving);
+}
+
+#[test]
+fn a_leaving_server_does_not_come_back_by_an_outage() {
+    let mut list = list();
+    list.outage_ended(ms(5_000));
+    list.snapshot(ms(5_010), 12, vec![engine("e1", "z1")]);
+    assert_eq!(list.state("e2"), ListedState::Removed);
+}
+
+#[test]
+fn older_news_change_nothing() {
+    let mut list = list();
+    assert!(!list.change(ms(0), 10, vec![ReplicaChange::Removed("e1".to_owned())]));
+    assert!(!list.snapshot(ms(0), 9, Vec::new()));
+    assert_eq!(list.state("e1"), ListedState::Serving);
+}
+
+fn address(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7_000).into()
+}
+
+fn state(number: u8, zone: &str, list_confirmed_at: Option<Now>) -> MemberState {
+    MemberState {
+        instance: format!("i{number}"),
+        incarnation: "life".to_owned(),
+        zone: zone.to_owned(),
+        config_version: 1,
+        list_revision: 1,
+        list_confirmed_at,
+        can_read: true,
+    }
+}
+
+fn members(number: u8) -> FleetMembers {
+    FleetMembers::new(format!("i{number}"), "z1".to_owned(), address(number), vec![address(1)])
+}
+
+/// All instances of a zone hear each other.
+fn zone_of(count: u8, now: Now) -> Vec<FleetMembers> {
+    (1..=count)
+        .map(|own| {
+            let mut fleet = members(own);
+            for other in (1..=count).filter(|other| *other != own) {
+                fleet.hear(now, address(other), state(other, "z1", Some(now)));
+            }
+            fleet
+        })
+        .collect()
+}
+
+#[test]
+fn one_instance_of_a_zone_reads() {
+    let fleet = zone_of(5, ms(1_000));
+    let reads = |m: &&FleetMembers| m.reads_list(ms(1_100), Some(ms(1_000)), true);
+    assert_eq!(fleet.iter().filter(reads).count(), 1);
+}
+
+#[test]
+fn another_reads_when_the_reader_falls_silent() {
+    let fleet = zone_of(5, ms(1_000));
+    let reader = fleet
+        .iter()
+        .position(|m| m.reads_list(ms(1_100), Some(ms(1_000)), true))
+        .unwrap();
+    let now = ms(1_000) + Duration::from_secs(3);
+    let mut readers = 0;
+    for own in (0..5).filter(|own| *own != reader) {
+        let mut fleet = members(own as u8 + 1);
+        for other in (0..5).filter(|other| *other != own && *other != reader) {
+            let number = other as u8 + 1;
+            fleet.hear(now, address(number), state(number, "z1", Some(now)));
+        }
+        readers += u32::from(fleet.reads_list(now, Some(now), true));
+    }
+    assert_eq!(readers, 1);
+}
+
+#[test]
+fn everybody_reads_when_what_is_known_is_old() {
+    let fleet = zone_of(5, ms(10_000));
+    let reads = |m: &&FleetMembers| m.reads_list(ms(10_100), Some(ms(1_000)), true);
+    assert_eq!(fleet.iter().filter(reads).count(), 5);
+}
+
+#[test]
+fn an_instance_that_hears_nobody_reads() {
+    assert!(members(3).reads_list(ms(100), Some(ms(0)), true));
+    assert!(members(3).reads_list(ms(100), None, true));
+}
+
+#[test]
+fn heartbeats_go_to_seeds_until_others_are_known() {
+    let mut random = Pcg32::seed_from_u64(1);
+    let mut fleet = members(2);
+    assert_eq!(fleet.targets(ms(0), &mut random), [address(1)]);
+    fleet.hear_of(ms(0), address(7));
+    fleet.hear_of(ms(0), address(2));
+    let mut targets = fleet.targets(ms(0), &mut random);
+    targets.sort();
+    assert_eq!(targets, [address(1), address(7)], "never to itself");
+}
+
+#[test]
+fn a_silent_instance_is_sent_fewer_heartbeats_and_then_none() {
+    let mut random = Pcg32::seed_from_u64(1);
+    let mut fleet = members(1);
+    fleet.hear(ms(0), address(2), state(2, "z1", None));
+    let sent = |fleet: &mut FleetMembers, random: &mut Pcg32, at: Now| {
+        (0..10).filter(|_| !fleet.targets(at, random).is_empty()).count()
+    };
+    assert_eq!(sent(&mut fleet, &mut random, ms(100)), 10);
+    assert_eq!(sent(&mut fleet, &mut random, ms(60_000)), 2);
+    assert_eq!(sent(&mut fleet, &mut random, ms(130_000)), 0);
+}
+
+#[test_case(2, 200; "a small fleet")]
+#[test_case(60, 708; "one of sixty")]
+#[test_case(200, 1_152; "a large one")]
+fn the_interval_grows_with_the_fleet(count: u8, expected_ms: u64) {
+    let mut fleet = members(1);
+    for number in 2..=count {
+        fleet.hear(ms(0), address(number), state(number, "z1", None));
+    }
+    assert_eq!(fleet.beat_interval(), ms(expected_ms));
+    let mut random = Pcg32::seed_from_u64(1);
+    assert!(fleet.targets(ms(0), &mut random).len() <= 96);
+}
+
+#[test]
+fn a_peer_that_is_ahead_is_named() {
+    let mut fleet = members(1);
+    let mut newer = state(2, "z1", None);
+    newer.config_version = 5;
+    fleet.hear(ms(0), address(2), newer);
+    fleet.hear(ms(0), address(3), state(3, "z1", None));
+    let ahead = fleet.ahead(ms(0), 1, 1);
+    assert_eq!(ahead.len(), 1);
+    assert_eq!(ahead[0].1.instance, "i2");
+    assert!(fleet.ahead(ms(0), 5, 1).is_empty());
+}
+
+/// Further sends of all instances together stay within the ratio and the extra.
+#[test]
+fn the_fleet_shares_one_retry_budget() {
+    let mut granted = 0;
+    for number in 0..3 {
+        let mut control = control_with(&["e1", "e2", "e3"]);
+        for other in (0..3).filter(|other| *other != number) {
+            let name = format!("i{other}");
+            control.hear_peer(ms(0), name, "life".to_owned(), 1, BTreeMap::new());
+        }
+        for request in 0..20 {
+            let request = format!("r{request}");
+            if control.place(ms(0), ask(&request)).is_ok() {
+                control.ended(ms(0), &request, iristhread_core::RunEnd::Answered);
+            }
+        }
+        granted += (0..50).filter(|_| control.spend_retry("engines")).count();
+    }
+    let bound = 3 * 20 / 10 + 9;
+    assert!(granted <= bound, "{granted} further sends, the bound is {bound}");
+    assert!(granted >= 6, "{granted} further sends");
+}
--- /dev/null
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -0,0 +1,145 @@
+//! Builds small scenes for the gateway's decisions.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use iristhread_core::CallerLimits;
+use iristhread_core::EngineTraits;
+use iristhread_core::GatewayConfig;
+use iristhread_core::GatewayControl;
+use iristhread_core::GatewayService;
+use iristhread_core::GatewayTerms;
+use iristhread_core::GatewayWorkspace;
+use iristhread_core::PlacementAsk;
+use iristhread_core::Replica;
+use iristhread_core::RequestClass;
+use iristhread_core::Route;
+use iristhread_core::RouteTarget;
+
+/// Tokens that fit into one engine of the scene.
+pub const MEMORY_TOKENS: u64 = 10_000;
+
+/// A moment in milliseconds.
+pub const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn target(service: &str, weight: u32) -> RouteTarget {
+    RouteTarget {
+        service: service.to_owned(),
+        weight,
+    }
+}
+
+pub fn route(name: &str, path_prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "shop.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        class: RequestClass::Stream,
+        timeout: ms(39_000),
+        objective: ms(1_800),
+        rank: 0,
+        targets: vec![target("engines", 1)],
+        max_attempts: 1,
+        allow_anonymous: false,
+    }
+}
+
+pub fn config(version: u64) -> GatewayConfig {
+    let workspace = |name: &str, key: &str| GatewayWorkspace {
+        name: name.to_owned(),
+        key_hashes: vec![blake3::hash(key.as_bytes()).to_hex().to_string()],
+        rank: 0,
+    };
+    let service = |name: &str, engine| GatewayService {
+        name: name.to_owned(),
+        max_connections: 100,
+        engine,
+    };
+    let engine = EngineTraits {
+        slots: 24,
+        memory_tokens: MEMORY_TOKENS,
+        tokens_per_event: 4,
+        can_move: true,
+        can_back_up: true,
+    };
+    GatewayConfig {
+        version,
+        routes: vec![route("chat", "/chat/")],
+        services: vec![
+            service("engines", Some(engine)),
+            service("orders", None),
+            service("none", None),
+        ],
+        limits: CallerLimits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1 << 20,
+            header_timeout: ms(3_000),
+            idle_timeout: ms(15_000),
+        },
+        workspaces: Some(vec![workspace("one", "key-one"), workspace("two", "key-two")]),
+    }
+}
+
+pub fn terms() -> GatewayTerms {
+    GatewayTerms {
+        instance: "i1".to_owned(),
+        zone: "z1".to_owned(),
+        retry_ratio: 0.1,
+        retry_extra: 9.0,
+        least_sharers: 3,
+        memory_limit: 1.0,
+        copy_limit: 0.75,
+        least_copied_tokens: 100,
+        seed: 1,
+    }
+}
+
+/// Decisions that know no configuration.
+pub fn control() -> GatewayControl {
+    GatewayControl::new(terms())
+}
+
+/// An engine of a zone.
+pub fn engine(id: &str, zone: &str) -> Replica {
+    Replica {
+        id: id.to_owned(),
+        service: "engines".to_owned(),
+        address: ([10, 0, 0, 1], 8_000).into(),
+        availability_zone: zone.to_owned(),
+        slots: 24,
+        leaving: false,
+        warm_up: Duration::ZERO,
+    }
+}
+
+/// The same engine, leaving.
+pub fn leaving(id: &str, zone: &str) -> Replica {
+    Replica {
+        leaving: true,
+        ..engine(id, zone)
+    }
+}
+
+/// Decisions with a configuration and engines in zone z1.
+pub fn control_with(engines: &[&str]) -> GatewayControl {
+    let mut control = control();
+    control.offer_config(Arc::new(config(1)));
+    let engines = engines.iter().map(|id| engine(id, "z1")).collect();
+    control.offer_replicas(Duration::ZERO, 1, engines);
+    control
+}
+
+/// A session of 1,000 tokens of prompt and a guess of 400 tokens.
+pub fn ask(request: &str) -> PlacementAsk {
+    PlacementAsk {
+        request: request.to_owned(),
+        service: "engines".to_owned(),
+        class: RequestClass::Stream,
+        prompt_tokens: 1_000,
+        max_tokens: 800,
+        expected_tokens: Some(400),
+    }
+}
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -208,7 +208,7 @@
         }
         match &placed {
             Ok(ranking) => {
-                debug!(self.log, "backend server chosen";
+                info!(self.log, "backend server chosen";
                     "request" => &request,
                     "ranking" => format!("{:?}", ids(ranking)),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
--- a/crates/testbed/src/child.rs
+++ b/crates/testbed/src/child.rs
@@ -9,8 +9,13 @@
 use thiserror::Error;
 use tokio::io::AsyncBufReadExt;
 use tokio::io::BufReader;
+use tokio::io::Lines;
+use tokio::process::ChildStdout;
 use tokio::process::Command;
 
+/// What every log line holds, and no other line that the programs print.
+const LOG_KEY: &str = "\"msg\":";
+
 /// Why a scene could not be set up or changed.
 #[derive(Debug, Error)]
 pub enum SceneError {
@@ -35,7 +40,7 @@
 pub struct Child {
     process: tokio::process::Child,
     pid: Pid,
-    /// The first line that it printed.
+    /// The first line that it printed and that is no log line.
     pub first_line: String,
 }
 
@@ -64,8 +69,9 @@
         let stdout = process.stdout.take();
         let stdout = stdout.ok_or_else(|| failed("no output".to_owned()))?;
         let mut lines = BufReader::new(stdout).lines();
-        let first_line = lines.next_line().await.ok().flatten();
+        let first_line = first_answer(&mut lines).await;
         let first_line = first_line.ok_or_else(|| failed("it printed nothing".to_owned()))?;
+        tokio::spawn(drain(lines));
         Ok(Child {
             process,
             pid: Pid::from_raw(pid),
@@ -111,9 +117,37 @@
     }
 }
 
+/// Logs share the standard output; each has a message.
+async fn first_answer(lines: &mut Lines<BufReader<ChildStdout>>) -> Option<String> {
+    loop {
+        let line = lines.next_line().await.ok().flatten()?;
+        if !line.contains(LOG_KEY) {
+            return Some(line);
+        }
+        show(&line);
+    }
+}
+
+/// Reads on, so that the process never waits for a reader of its logs.
+async fn drain(mut lines: Lines<BufReader<ChildStdout>>) {
+    while let Ok(Some(line)) = lines.next_line().await {
+        show(&line);
+    }
+}
+
+fn show(line: &str) {
+    if wants_logs() {
+        eprintln!("{line}");
+    }
+}
+
+fn wants_logs() -> bool {
+    std::env::var_os("IRISTHREAD_TEST_LOGS").is_some()
+}
+
 /// Logs are shown when a person asks for them.
 fn stderr_for_logs() -> Stdio {
-    if std::env::var_os("IRISTHREAD_TEST_LOGS").is_some() {
+    if wants_logs() {
         return Stdio::inherit();
     }
     Stdio::null()
