--- a/crates/core/src/call_run.rs
+++ b/crates/core/src/call_run.rs
@@ -25,6 +25,19 @@
     Answered,
 }
 
+impl SendResult {
+    /// The form used in metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SendResult::NotConnected => "not_connected",
+            SendResult::Lost => "lost",
+            SendResult::SaidNotRun => "said_not_run",
+            SendResult::Failed => "failed",
+            SendResult::Answered => "answered",
+        }
+    }
+}
+
 /// Why a run ended without an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallEnd {
--- a/crates/core/src/gateway_config.rs
+++ b/crates/core/src/gateway_config.rs
@@ -157,7 +157,9 @@
     for target in &route.targets {
         if !services.contains(target.service.as_str()) {
             let service = &target.service;
-            faults.push(format!("route {name} leads to the unknown service {service}"));
+            faults.push(format!(
+                "route {name} leads to the unknown service {service}"
+            ));
         }
     }
     if route.timeout.is_zero() {
--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -196,7 +196,8 @@
         sequence: u64,
         shares: LoadShares,
     ) {
-        self.peers.hear(now, instance, incarnation, sequence, shares);
+        self.peers
+            .hear(now, instance, incarnation, sequence, shares);
         self.share_budget();
     }
 
@@ -317,10 +318,7 @@
 
     /// Notes that a replica failed a try of a request that goes on elsewhere.
     pub fn failed(&mut self, now: Now, replica: &str) {
-        self.pauses
-            .entry(replica.to_owned())
-            .or_default()
-            .fail(now);
+        self.pauses.entry(replica.to_owned()).or_default().fail(now);
     }
 
     /// Notes the end of a request.
@@ -337,6 +335,11 @@
         }
     }
 
+    /// Other instances heard lately.
+    pub fn peers(&self) -> usize {
+        self.peers.count()
+    }
+
     /// Requests of this instance under way.
     pub fn running(&self) -> usize {
         self.runs.len()
@@ -445,21 +448,21 @@
     /// Where a session should move: to the engine with the most room that it
     /// has not tried, first in the zone of its engine, where moves take half
     /// the time.
-    pub fn evacuate(
-        &mut self,
-        now: Now,
-        request: &str,
-        tried: &[BackendId],
-    ) -> Option<Evacuation> {
+    pub fn evacuate(&mut self, now: Now, request: &str, tried: &[BackendId]) -> Option<Evacuation> {
         let run = self.runs.get_mut(request)?;
         run.is_moving = true;
         let from = run.replica.clone();
         let mut ask = run.ask.clone();
         ask.prompt_tokens += run.generated;
-        let zone = self.list.replica(&from).map(|r| r.availability_zone.clone());
+        let zone = self
+            .list
+            .replica(&from)
+            .map(|r| r.availability_zone.clone());
         let zone = zone.unwrap_or_else(|| self.terms.zone.clone());
         let scores = self.scores_seen_from(now, &ask, Some(&from), &zone);
-        let mut others = scores.into_iter().filter(|score| score.memory <= MOVE_LIMIT);
+        let mut others = scores
+            .into_iter()
+            .filter(|score| score.memory <= MOVE_LIMIT);
         let target = others.find(|score| !tried.contains(&score.replica.id))?;
         let run = self.runs.get_mut(request)?;
         // Counts there from now on, so that not all sessions choose the same.
@@ -475,7 +478,6 @@
     fn share_budget(&mut self) {
         let known = u32::try_from(self.peers.count() + 1).unwrap_or(u32::MAX);
         let sharers = f64::from(known.max(self.terms.least_sharers));
-        self.budget
-            .set_max_saved(self.terms.retry_extra / sharers);
+        self.budget.set_max_saved(self.terms.retry_extra / sharers);
     }
 }
--- a/crates/core/src/load_share.rs
+++ b/crates/core/src/load_share.rs
@@ -89,8 +89,7 @@
 
     /// Forgets instances that have been silent for long; returns them.
     pub fn expire(&mut self, now: Now) -> Vec<InstanceId> {
-        let is_silent =
-            |peer: &PeerShares| now.saturating_sub(peer.heard_at) > SHARES_LIFETIME;
+        let is_silent = |peer: &PeerShares| now.saturating_sub(peer.heard_at) > SHARES_LIFETIME;
         let silent = self.peers.iter().filter(|(_, peer)| is_silent(peer));
         let names: Vec<InstanceId> = silent.map(|(name, _)| name.clone()).collect();
         for name in &names {
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -26,6 +26,21 @@
     NotReady,
 }
 
+impl RefusalKind {
+    /// The form used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RefusalKind::RateLimit => "rate_limit",
+            RefusalKind::ConcurrencyLimit => "concurrency_limit",
+            RefusalKind::QueueFull => "queue_full",
+            RefusalKind::Deadline => "deadline",
+            RefusalKind::NoBackend => "no_backend",
+            RefusalKind::RetryBudget => "retry_budget",
+            RefusalKind::NotReady => "not_ready",
+        }
+    }
+}
+
 /// Advice to a caller when nothing is there that could serve it.
 const NOTHING_THERE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -54,7 +54,11 @@
     list.outage_ended(ms(5_000));
     list.snapshot(ms(5_010), 12, Vec::new());
     assert_eq!(list.state("e1"), ListedState::Lapsed);
-    list.change(ms(6_500), 13, vec![ReplicaChange::Listed(engine("e1", "z1"))]);
+    list.change(
+        ms(6_500),
+        13,
+        vec![ReplicaChange::Listed(engine("e1", "z1"))],
+    );
     assert!(list.expire(ms(9_000)).is_empty());
     assert_eq!(list.state("e1"), ListedState::Serving);
 }
@@ -92,7 +96,12 @@
 }
 
 fn members(number: u8) -> FleetMembers {
-    FleetMembers::new(format!("i{number}"), "z1".to_owned(), address(number), vec![address(1)])
+    FleetMembers::new(
+        format!("i{number}"),
+        "z1".to_owned(),
+        address(number),
+        vec![address(1)],
+    )
 }
 
 /// All instances of a zone hear each other.
@@ -166,7 +175,9 @@
     let mut fleet = members(1);
     fleet.hear(ms(0), address(2), state(2, "z1", None));
     let sent = |fleet: &mut FleetMembers, random: &mut Pcg32, at: Now| {
-        (0..10).filter(|_| !fleet.targets(at, random).is_empty()).count()
+        (0..10)
+            .filter(|_| !fleet.targets(at, random).is_empty())
+            .count()
     };
     assert_eq!(sent(&mut fleet, &mut random, ms(100)), 10);
     assert_eq!(sent(&mut fleet, &mut random, ms(60_000)), 2);
@@ -218,6 +229,9 @@
         granted += (0..50).filter(|_| control.spend_retry("engines")).count();
     }
     let bound = 3 * 20 / 10 + 9;
-    assert!(granted <= bound, "{granted} further sends, the bound is {bound}");
+    assert!(
+        granted <= bound,
+        "{granted} further sends, the bound is {bound}"
+    );
     assert!(granted >= 6, "{granted} further sends");
 }
--- a/crates/core/tests/gateway_placing.rs
+++ b/crates/core/tests/gateway_placing.rs
@@ -90,7 +90,10 @@
     assert_eq!(refusal.kind, RefusalKind::QueueFull);
     assert!(refusal.retry_after > ZERO);
     let tokens = control.shares()["e1"].session_tokens;
-    assert!(tokens <= MEMORY_TOKENS + 1_000, "{tokens} tokens were placed");
+    assert!(
+        tokens <= MEMORY_TOKENS + 1_000,
+        "{tokens} tokens were placed"
+    );
 }
 
 #[test]
@@ -157,7 +160,10 @@
     assert_eq!(evacuations.len(), 1);
     assert_eq!(evacuations[0].target.id, "e2");
     let again = vec![ReplicaChange::Listed(leaving("e1", "z1"))];
-    assert!(control.change_replicas(ZERO, 3, again).is_empty(), "it moves already");
+    assert!(
+        control.change_replicas(ZERO, 3, again).is_empty(),
+        "it moves already"
+    );
 }
 
 #[test]
@@ -186,7 +192,10 @@
     control.moved("r1", "e1".to_owned());
     assert_eq!(control.evacuate(ZERO, "r1", &[]).unwrap().target.id, "e2");
     let tried = ["e2".to_owned()];
-    assert_eq!(control.evacuate(ZERO, "r1", &tried).unwrap().target.id, "e3");
+    assert_eq!(
+        control.evacuate(ZERO, "r1", &tried).unwrap().target.id,
+        "e3"
+    );
     let tried = ["e2".to_owned(), "e3".to_owned()];
     assert!(control.evacuate(ZERO, "r1", &tried).is_none());
 }
--- a/crates/core/tests/gateway_routes.rs
+++ b/crates/core/tests/gateway_routes.rs
@@ -108,16 +108,27 @@
     expected: &str,
 ) {
     let mut control = control();
-    assert_eq!(control.offer_config(Arc::new(config(4))), ConfigVerdict::InForce);
+    assert_eq!(
+        control.offer_config(Arc::new(config(4))),
+        ConfigVerdict::InForce
+    );
     let mut spoiled = config(5);
     spoil(&mut spoiled);
     if spoiled.version == 0 {
-        assert!(spoiled.faults().iter().any(|fault| fault.contains(expected)));
+        assert!(
+            spoiled
+                .faults()
+                .iter()
+                .any(|fault| fault.contains(expected))
+        );
         return;
     }
     let ConfigVerdict::Refused(faults) = control.offer_config(Arc::new(spoiled)) else {
         panic!("it was not refused");
     };
-    assert!(faults.iter().any(|fault| fault.contains(expected)), "{faults:?}");
+    assert!(
+        faults.iter().any(|fault| fault.contains(expected)),
+        "{faults:?}"
+    );
     assert_eq!(control.config_version(), 4);
 }
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -79,7 +79,10 @@
             header_timeout: ms(3_000),
             idle_timeout: ms(15_000),
         },
-        workspaces: Some(vec![workspace("one", "key-one"), workspace("two", "key-two")]),
+        workspaces: Some(vec![
+            workspace("one", "key-one"),
+            workspace("two", "key-two"),
+        ]),
     }
 }
 
--- a/crates/daemon/src/directory_reader.rs
+++ b/crates/daemon/src/directory_reader.rs
@@ -16,6 +16,7 @@
 use crate::directory::Revision;
 use crate::fleet_link::FleetLink;
 use crate::gateway_message::GatewayMessage;
+use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_thread::GatewayHandle;
 use crate::heartbeat::ListNews;
 
@@ -86,7 +87,12 @@
 }
 
 /// Reads and watches the configuration.
-pub async fn run_config(directory: Arc<dyn Directory>, control: GatewayHandle, log: Logger) {
+pub async fn run_config(
+    directory: Arc<dyn Directory>,
+    control: GatewayHandle,
+    metrics: Arc<GatewayMetrics>,
+    log: Logger,
+) {
     let mut trouble = Trouble::new("configuration");
     let mut revision: Option<Revision> = None;
     loop {
@@ -100,6 +106,7 @@
                 read.map(|read| (read.value, read.revision))
             }
         };
+        metrics.directory_called("config", end_of(&read));
         match read {
             Ok((configs, at)) => {
                 trouble.succeeded(&log);
@@ -115,6 +122,17 @@
     }
 }
 
+fn end_of<T>(read: &Result<T, DirectoryError>) -> &'static str {
+    match read {
+        Ok(_) => "answered",
+        Err(DirectoryError::Unreachable(_)) => "unreachable",
+        Err(DirectoryError::Silent) => "silent",
+        Err(DirectoryError::Busy(_)) => "refused",
+        Err(DirectoryError::HistoryGone) => "history_gone",
+        Err(DirectoryError::Unreadable(_)) => "unreadable",
+    }
+}
+
 fn tell_configs(control: &GatewayHandle, configs: Vec<iristhread_core::GatewayConfig>) {
     for config in configs {
         control.tell(GatewayMessage::Config {
@@ -135,6 +153,8 @@
     pub link: Arc<FleetLink>,
     /// Clocks.
     pub clock: Clock,
+    /// Figures for operators.
+    pub metrics: Arc<GatewayMetrics>,
     /// Logger.
     pub log: Logger,
 }
@@ -147,7 +167,10 @@
         let mut outage_ended: Option<Now> = None;
         let mut was_reading = false;
         loop {
-            let Some(own) = self.control.ask(|reply| GatewayMessage::OwnState { reply }).await
+            let Some(own) = self
+                .control
+                .ask(|reply| GatewayMessage::OwnState { reply })
+                .await
             else {
                 return;
             };
@@ -165,6 +188,7 @@
                 true => self.read_whole().await,
                 false => self.watch(after, outage_ended).await,
             };
+            self.metrics.directory_called("list", end_of(&read));
             match read {
                 Ok(()) => {
                     forgotten = false;
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -15,14 +15,19 @@
 use iristhread_api::HttpClientError;
 use iristhread_core::Now;
 use iristhread_core::PlacementAsk;
+use iristhread_core::Ranking;
 use iristhread_core::Replica;
 use iristhread_core::Route;
 use iristhread_core::RunEnd;
+use iristhread_core::SessionSignal;
+use tokio::sync::mpsc;
 
 use crate::dialect::AnswerHead;
 use crate::dialect::CallerHead;
 use crate::dialect::ResumePoint;
 use crate::dialect::SendOrder;
+use crate::front_answer;
+use crate::front_answer::FrontAnswer;
 use crate::front_answer::end_to_end;
 use crate::gateway::GatewayApp;
 use crate::gateway_message::GatewayMessage;
@@ -33,6 +38,9 @@
 /// Ranks of routes within one rank of workspaces.
 const ROUTE_RANKS: u8 = 3;
 
+/// Advice while the process stops: the balancer knows another instance.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// A request whose route, service and workspace are known.
 pub struct Exchange {
     /// What all tasks share.
@@ -87,9 +95,48 @@
     TimedOut,
 }
 
+impl Sent {
+    /// The form used in metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Sent::Answer(answer) if answer.head.is_not_run => "said_not_run",
+            Sent::Answer(_) => "answered",
+            Sent::NotConnected(_) => "not_connected",
+            Sent::Lost(_) => "lost",
+            Sent::TimedOut => "timed_out",
+        }
+    }
+}
+
 impl Exchange {
+    /// Asks the decisions for a backend server.
+    ///
+    /// # Errors
+    ///
+    /// The answer for the caller; nothing was sent.
+    pub async fn place(
+        &self,
+        signals: mpsc::UnboundedSender<SessionSignal>,
+    ) -> Result<Ranking, Box<FrontAnswer>> {
+        let began = self.app.clock.now();
+        let ask = self.ask();
+        let placed = self.app.control.ask(|reply| GatewayMessage::Place {
+            ask,
+            signals,
+            reply,
+        });
+        let placed = placed.await;
+        self.app.metrics.placed(self.app.clock.now() - began);
+        let refused = match placed {
+            Some(Ok(ranking)) => return Ok(ranking),
+            Some(Err(refusal)) => front_answer::not_run(refusal.retry_after, &refusal.message),
+            None => front_answer::not_run(STOPPING_RETRY_AFTER, "the instance is stopping"),
+        };
+        Err(Box::new(refused))
+    }
+
     /// What the request asks of the backend servers.
-    pub fn ask(&self) -> PlacementAsk {
+    fn ask(&self) -> PlacementAsk {
         PlacementAsk {
             request: self.head.request.clone(),
             service: self.service.clone(),
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,9 +12,9 @@
 
 use crate::app::App;
 use crate::control_message::ControlMessage;
+use crate::peer_answers::versions_of;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
-use crate::peer_answers::versions_of;
 
 /// Longest wait for one instance.
 const TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -262,7 +262,10 @@
     /// Asks a peer that has been ahead for a while.
     async fn run_fetches(self: Arc<Self>, mut behind: mpsc::Receiver<()>) {
         while behind.recv().await.is_some() {
-            let Some(before) = self.control.ask(|reply| GatewayMessage::OwnState { reply }).await
+            let Some(before) = self
+                .control
+                .ask(|reply| GatewayMessage::OwnState { reply })
+                .await
             else {
                 return;
             };
@@ -272,7 +275,10 @@
             if before.config_version > 0 {
                 tokio::time::sleep(BEHIND_FOR).await;
             }
-            let Some(own) = self.control.ask(|reply| GatewayMessage::OwnState { reply }).await
+            let Some(own) = self
+                .control
+                .ask(|reply| GatewayMessage::OwnState { reply })
+                .await
             else {
                 return;
             };
--- a/crates/daemon/src/front_answer.rs
+++ b/crates/daemon/src/front_answer.rs
@@ -30,7 +30,9 @@
 
 /// A whole body.
 pub fn whole(bytes: Bytes) -> FrontBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// A body that arrives piece by piece.
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,6 +12,7 @@
 use iristhread_core::RouteTable;
 use slog::Logger;
 use slog::info;
+use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -33,6 +34,7 @@
 use crate::fleet_link::FleetLink;
 use crate::gateway_answers::GatewayAnswers;
 use crate::gateway_front;
+use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_thread::GatewayHandle;
 use crate::gateway_thread::TableView;
@@ -86,6 +88,8 @@
     pub mover: Arc<dyn SessionMover>,
     /// Sends requests, each on a connection of its own.
     pub client: HttpClient,
+    /// Figures for operators.
+    pub metrics: Arc<GatewayMetrics>,
     /// Logger.
     pub log: Logger,
     tables: TableView,
@@ -140,8 +144,10 @@
         let caller_listener = listen("caller_address", settings.caller_address)?;
         let operator_listener = listen("operator_address", settings.operator_address)?;
         let news = Arc::new(Notify::new());
+        let metrics = Arc::new(GatewayMetrics::default());
         let terms = settings.terms(rand::random());
-        let (control, tables) = GatewayHandle::start(terms, clock, log.clone(), news.clone())?;
+        let (control, tables) =
+            GatewayHandle::start(terms, clock, log.clone(), metrics.clone(), news.clone())?;
         let app = Arc::new(GatewayApp {
             settings,
             identity,
@@ -150,6 +156,7 @@
             dialect: ports.dialect,
             mover: ports.mover,
             client: HttpClient::unpooled(MAX_ANSWER_BYTES),
+            metrics: metrics.clone(),
             log: log.clone(),
             tables,
             stopping: AtomicBool::new(false),
@@ -157,6 +164,7 @@
         tokio::spawn(directory_reader::run_config(
             ports.directory.clone(),
             control.clone(),
+            metrics.clone(),
             log.clone(),
         ));
         let peers = start_peers(&app, news).await?;
@@ -165,6 +173,7 @@
             control,
             link: peers,
             clock,
+            metrics,
             log,
         };
         tokio::spawn(reader.run());
@@ -175,17 +184,16 @@
             let app = front.clone();
             service_fn(move |request: Request<Incoming>| {
                 let app = app.clone();
-                async move { Ok::<_, std::convert::Infallible>(gateway_front::answer(app, request).await) }
+                async move {
+                    Ok::<_, std::convert::Infallible>(gateway_front::answer(app, request).await)
+                }
             })
         };
         let callers = http_server::serve_with(caller_listener, service, limits, stopped);
-        // Asked until the process is gone.
-        let (keep, never) = watch::channel(false);
-        let operators = http_server::serve(operator_listener, operator_routes(&app), limits, never);
-        tokio::spawn(async move {
-            operators.await;
-            drop(keep);
-        });
+        serve_operators(operator_listener, &app, limits);
+        if let Some(address) = app.settings.metrics_address {
+            serve_operators(listen("metrics_address", address)?, &app, limits);
+        }
         Ok(Gateway {
             callers: tokio::spawn(callers),
             app,
@@ -253,13 +261,27 @@
     }
 }
 
+/// Serves operators and their collectors until the process is gone.
+fn serve_operators(listener: TcpListener, app: &Arc<GatewayApp>, limits: ConnectionLimits) {
+    let routes = operator_routes(app);
+    let (keep, never) = watch::channel(false);
+    tokio::spawn(async move {
+        http_server::serve(listener, routes, limits, never).await;
+        drop(keep);
+    });
+}
+
 fn operator_routes(app: &Arc<GatewayApp>) -> Router {
-    let app = app.clone();
+    let (asked, measured) = (app.clone(), app.clone());
     let ready = move |_| {
-        let is_ready = app.is_ready();
+        let is_ready = asked.is_ready();
         async move { viz::Result::<Response>::Ok(readiness(is_ready)) }
     };
-    Router::new().get("/ready", ready)
+    let metrics = move |_| {
+        let text = measured.metrics.text();
+        async move { viz::Result::<Response>::Ok(text.into_response()) }
+    };
+    Router::new().get("/ready", ready).get("/metrics", metrics)
 }
 
 fn readiness(is_ready: bool) -> Response {
--- a/crates/daemon/src/gateway_front.rs
+++ b/crates/daemon/src/gateway_front.rs
@@ -40,7 +40,7 @@
             RequestClass::Stream => stream_call::run(exchange).await,
             RequestClass::Repeatable | RequestClass::Once => plain_call::run(&exchange).await,
         },
-        Err(answer) => answer,
+        Err(answer) => *answer,
     }
 }
 
@@ -48,18 +48,18 @@
     app: &Arc<GatewayApp>,
     table: &RouteTable,
     request: Request<Incoming>,
-) -> Result<Exchange, FrontAnswer> {
+) -> Result<Exchange, Box<FrontAnswer>> {
     let arrived = app.clock.now();
     let (parts, body) = request.into_parts();
     let limits = &table.config().limits;
     if header_bytes(&parts.headers) > limits.max_header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return Err(front_answer::own(status, "the headers are too large"));
+        return Err(refuse(status, "the headers are too large"));
     }
     let head = app
         .dialect
         .read_caller(&parts.headers)
-        .map_err(|fault| front_answer::own(StatusCode::BAD_REQUEST, &fault.to_string()))?;
+        .map_err(|fault| refuse(StatusCode::BAD_REQUEST, &fault.to_string()))?;
     let host = parts.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
     let route = table
@@ -76,7 +76,7 @@
         .await
         .unwrap_or_else(|_| {
             let message = "the body did not arrive in time";
-            Err(front_answer::own(StatusCode::REQUEST_TIMEOUT, message))
+            Err(refuse(StatusCode::REQUEST_TIMEOUT, message))
         })?;
     Ok(Exchange {
         app: app.clone(),
@@ -100,27 +100,31 @@
     table: &RouteTable,
     request: &str,
     fault: RouteFault,
-) -> FrontAnswer {
+) -> Box<FrontAnswer> {
     info!(app.log, "request leads nowhere";
         "request" => request,
         "fault" => format!("{fault:?}"),
         "config_version" => table.version());
     match fault {
-        RouteFault::NoRoute => front_answer::own(StatusCode::NOT_FOUND, "no such route"),
-        RouteFault::UnknownKey => front_answer::own(StatusCode::UNAUTHORIZED, "unknown key"),
+        RouteFault::NoRoute => refuse(StatusCode::NOT_FOUND, "no such route"),
+        RouteFault::UnknownKey => refuse(StatusCode::UNAUTHORIZED, "unknown key"),
     }
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, FrontAnswer> {
+fn refuse(status: StatusCode, message: &str) -> Box<FrontAnswer> {
+    Box::new(front_answer::own(status, message))
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Box<FrontAnswer>> {
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => {
             let message = "the body is too large";
-            Err(front_answer::own(StatusCode::PAYLOAD_TOO_LARGE, message))
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, message))
         }
         Err(_) => {
             let message = "the body can't be read";
-            Err(front_answer::own(StatusCode::BAD_REQUEST, message))
+            Err(refuse(StatusCode::BAD_REQUEST, message))
         }
     }
 }
@@ -128,5 +132,7 @@
 fn header_bytes(headers: &HeaderMap) -> usize {
     // Each line has a colon, a blank and a line end besides.
     let lines = headers.iter();
-    lines.map(|(name, value)| name.as_str().len() + value.len() + 4).sum()
+    lines
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum()
 }
--- /dev/null
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -0,0 +1,201 @@
+//! Counters and histograms of a gateway, served as text for whoever collects
+//! them. `docs/operators/metrics.md` lists them; a test compares the two.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+/// Bounds of the histograms, seconds: the objectives of the users' requests
+/// (0.1 to 1.8 s) and the allowed pause (0.18 s) lie between them.
+const BOUNDS_S: [f64; 14] = [
+    0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.18, 0.3, 0.6, 1.0, 1.5, 1.8, 4.0, 10.0,
+];
+
+/// One label.
+#[derive(Clone, Debug, Eq, EncodeLabelSet, Hash, PartialEq)]
+pub struct Kind {
+    /// What the figure is about; docs/operators/metrics.md lists the values.
+    pub kind: &'static str,
+}
+
+/// Two labels: what was done, and how it ended.
+#[derive(Clone, Debug, Eq, EncodeLabelSet, Hash, PartialEq)]
+pub struct KindAndEnd {
+    /// What was done.
+    pub kind: &'static str,
+    /// How it ended.
+    pub end: &'static str,
+}
+
+/// What one gateway measures.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Mutex<Registry>,
+    requests: Family<KindAndEnd, Counter>,
+    refusals: Family<Kind, Counter>,
+    tries: Family<Kind, Counter>,
+    carries: Family<KindAndEnd, Counter>,
+    moves: Family<Kind, Counter>,
+    directory_calls: Family<KindAndEnd, Counter>,
+    answer_time: Histogram,
+    first_event_time: Histogram,
+    longest_gap: Histogram,
+    carry_pause: Histogram,
+    placing_time: Histogram,
+    config_version: Gauge,
+    list_revision: Gauge,
+    peers: Gauge,
+    running: Gauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(BOUNDS_S);
+        let metrics = GatewayMetrics {
+            registry: Mutex::new(Registry::with_prefix("iristhread")),
+            requests: Family::default(),
+            refusals: Family::default(),
+            tries: Family::default(),
+            carries: Family::default(),
+            moves: Family::default(),
+            directory_calls: Family::default(),
+            answer_time: histogram(),
+            first_event_time: histogram(),
+            longest_gap: histogram(),
+            carry_pause: histogram(),
+            placing_time: histogram(),
+            config_version: Gauge::default(),
+            list_revision: Gauge::default(),
+            peers: Gauge::default(),
+            running: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl GatewayMetrics {
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let r = &mut *registry;
+        r.register("requests", "Requests that ended", self.requests.clone());
+        r.register("refusals", "Requests refused unsent", self.refusals.clone());
+        r.register("tries", "Sends to backend servers", self.tries.clone());
+        r.register(
+            "carries",
+            "Streams taken to another engine",
+            self.carries.clone(),
+        );
+        r.register("moves", "Moves of running sessions", self.moves.clone());
+        let calls = self.directory_calls.clone();
+        r.register(
+            "directory_calls",
+            "Calls to the platform's directory",
+            calls,
+        );
+        let answers = self.answer_time.clone();
+        r.register("answer_seconds", "Time to a whole answer", answers);
+        let first = self.first_event_time.clone();
+        r.register(
+            "first_event_seconds",
+            "Time to a stream's first event",
+            first,
+        );
+        let gap = self.longest_gap.clone();
+        r.register("longest_gap_seconds", "Longest pause of a stream", gap);
+        let pause = self.carry_pause.clone();
+        r.register("carry_pause_seconds", "Pause of a carried stream", pause);
+        let placing = self.placing_time.clone();
+        r.register(
+            "placing_seconds",
+            "Time to choose a backend server",
+            placing,
+        );
+        let version = self.config_version.clone();
+        r.register("config_version", "Version in force", version);
+        let revision = self.list_revision.clone();
+        r.register("list_revision", "Revision of the server list", revision);
+        r.register("peers", "Other instances heard lately", self.peers.clone());
+        r.register("running", "Requests under way", self.running.clone());
+    }
+
+    /// All figures in the text format of OpenMetrics.
+    pub fn text(&self) -> String {
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+
+    /// A plain call ended after a time.
+    pub fn call_ended(&self, end: &'static str, took: Duration) {
+        let labels = KindAndEnd { kind: "call", end };
+        self.requests.get_or_create(&labels).inc();
+        self.answer_time.observe(took.as_secs_f64());
+    }
+
+    /// A stream ended.
+    pub fn stream_ended(&self, end: &'static str, longest_gap: Duration) {
+        let labels = KindAndEnd {
+            kind: "stream",
+            end,
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.longest_gap.observe(longest_gap.as_secs_f64());
+    }
+
+    /// The first event of a stream came after a time.
+    pub fn first_event(&self, took: Duration) {
+        self.first_event_time.observe(took.as_secs_f64());
+    }
+
+    /// A request was refused before anything was sent.
+    pub fn refused(&self, kind: &'static str) {
+        self.refusals.get_or_create(&Kind { kind }).inc();
+    }
+
+    /// A request was sent; `kind` says how that went.
+    pub fn tried(&self, kind: &'static str) {
+        self.tries.get_or_create(&Kind { kind }).inc();
+    }
+
+    /// A stream was taken to another engine, or was lost.
+    pub fn carried(&self, kind: &'static str, end: &'static str, pause: Duration) {
+        self.carries.get_or_create(&KindAndEnd { kind, end }).inc();
+        self.carry_pause.observe(pause.as_secs_f64());
+    }
+
+    /// A move of a running session ended.
+    pub fn moved(&self, kind: &'static str) {
+        self.moves.get_or_create(&Kind { kind }).inc();
+    }
+
+    /// The directory was called.
+    pub fn directory_called(&self, kind: &'static str, end: &'static str) {
+        let labels = KindAndEnd { kind, end };
+        self.directory_calls.get_or_create(&labels).inc();
+    }
+
+    /// A backend server was chosen within a time.
+    pub fn placed(&self, took: Duration) {
+        self.placing_time.observe(took.as_secs_f64());
+    }
+
+    /// What this instance knows and has under way.
+    pub fn state(&self, config_version: u64, list_revision: u64, peers: usize, running: usize) {
+        let signed = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        self.config_version.set(signed(config_version));
+        self.list_revision.set(signed(list_revision));
+        self.peers.set(signed(peers as u64));
+        self.running.set(signed(running as u64));
+    }
+}
--- a/crates/daemon/src/gateway_settings.rs
+++ b/crates/daemon/src/gateway_settings.rs
@@ -31,6 +31,8 @@
     /// Where the other instances connect, by UDP and TCP; the port is the same
     /// on all instances.
     pub peer_address: SocketAddr,
+    /// Where metrics are served besides, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
     /// The platform's directory.
     pub directory_address: SocketAddr,
     /// Other instances to begin with.
@@ -69,6 +71,7 @@
             caller_address: reader.address("caller_address"),
             operator_address: reader.address("operator_address"),
             peer_address: reader.address("peer_address"),
+            metrics_address: reader.address_or_none("metrics_address"),
             directory_address: reader.address("directory_address"),
             seed_peers: read_seeds(&mut reader),
             keyring: read_keyring(&mut reader),
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -31,6 +31,7 @@
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::KnownState;
 use crate::gateway_message::OwnState;
+use crate::gateway_metrics::GatewayMetrics;
 use crate::heartbeat::ListNews;
 
 /// Time between two ticks: lapsed entries and silent peers are noticed this
@@ -57,6 +58,7 @@
         terms: GatewayTerms,
         clock: Clock,
         log: Logger,
+        metrics: Arc<GatewayMetrics>,
         news: Arc<Notify>,
     ) -> std::io::Result<(GatewayHandle, TableView)> {
         let (messages, inbox) = mpsc::unbounded_channel();
@@ -70,6 +72,7 @@
             clock,
             log,
             table,
+            metrics,
             news,
         };
         std::thread::Builder::new()
@@ -101,6 +104,7 @@
     clock: Clock,
     log: Logger,
     table: watch::Sender<Option<Arc<RouteTable>>>,
+    metrics: Arc<GatewayMetrics>,
     news: Arc<Notify>,
 }
 
@@ -192,6 +196,10 @@
             warn!(self.log, "peer fell silent"; "peer" => instance);
         }
         self.evacuate(evacuations);
+        let control = &self.control;
+        let (version, revision) = (control.config_version(), control.list().revision());
+        self.metrics
+            .state(version, revision, control.peers(), control.running());
     }
 
     fn place(
@@ -216,6 +224,7 @@
                 self.signals.insert(request, signals);
             }
             Err(refusal) => {
+                self.metrics.refused(refusal.kind.as_str());
                 info!(self.log, "request refused";
                     "request" => &request,
                     "reason" => &refusal.message,
--- a/crates/daemon/src/log_limit.rs
+++ b/crates/daemon/src/log_limit.rs
@@ -90,7 +90,8 @@
             };
             let count = b!("left_out" => left_out, "kind" => record.msg().to_string());
             let message = format_args!("log lines were left out");
-            self.inner.log(&Record::new(&place, &message, count), values)?;
+            self.inner
+                .log(&Record::new(&place, &message, count), values)?;
         }
         if !passes {
             return Ok(None);
--- a/crates/daemon/src/peer_exchanger.rs
+++ b/crates/daemon/src/peer_exchanger.rs
@@ -10,13 +10,13 @@
 use crate::control_message::ControlMessage;
 use crate::control_message::Versions;
 use crate::control_thread::ExchangeTarget;
-use crate::peer_message::News;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
 use crate::peer_answers::news_for;
 use crate::peer_answers::tell_news;
 use crate::peer_answers::tell_versions;
 use crate::peer_answers::versions_of;
+use crate::peer_message::News;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
 
 /// Longest wait for a peer's versions.
 const TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -70,7 +70,9 @@
         .max_response_body_size(MAX_MESSAGE_BYTES)
         .set_batch_request_config(BatchRequestConfig::Disabled)
         .build();
-    let server = ServerBuilder::with_config(config).build(own.address).await?;
+    let server = ServerBuilder::with_config(config)
+        .build(own.address)
+        .await?;
     let address = server.local_addr()?;
     let guard = Mutex::new(PeerGuard::new(own.identity.instance.clone()));
     let mut module = RpcModule::new(PeerServer {
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -51,20 +51,11 @@
 /// Runs a request and answers its caller.
 pub async fn run(exchange: &Exchange) -> FrontAnswer {
     let app = &exchange.app;
+    // Only sessions are told of later decisions.
     let (signals, _) = mpsc::unbounded_channel();
-    let ask = exchange.ask();
-    let placed = app
-        .control
-        .ask(|reply| GatewayMessage::Place {
-            ask,
-            signals,
-            reply,
-        })
-        .await;
-    let ranking = match placed {
-        Some(Ok(ranking)) => ranking,
-        Some(Err(refusal)) => return front_answer::not_run(refusal.retry_after, &refusal.message),
-        None => return front_answer::not_run(REFUSED_RETRY_AFTER, "the instance is stopping"),
+    let ranking = match exchange.place(signals).await {
+        Ok(ranking) => ranking,
+        Err(answer) => return *answer,
     };
     let mut guard = RunGuard::new(app.clone(), exchange.head.request.clone());
     let (outcome, end, last) = drive(exchange, &ranking, &mut guard).await;
@@ -75,6 +66,8 @@
         "end" => format!("{end:?}"),
         "status" => last.as_ref().map(|answer| answer.status.as_u16()),
         "took_ms" => (app.clock.now() - exchange.arrived).as_millis() as u64);
+    let took = app.clock.now() - exchange.arrived;
+    app.metrics.call_ended(outcome.as_str(), took);
     told(outcome, end, last)
 }
 
@@ -110,6 +103,7 @@
             "request" => &exchange.head.request,
             "backend_server" => &replica.id,
             "result" => format!("{result:?}"));
+        app.metrics.tried(result.as_str());
         guard.ends(end_of(result));
         if matches!(result, SendResult::Lost | SendResult::NotConnected) {
             app.control.tell(GatewayMessage::Failed {
@@ -214,7 +208,6 @@
     }
 }
 
-
 fn told(outcome: Outcome, end: CallEnd, last: Option<WholeAnswer>) -> FrontAnswer {
     if let Some(answer) = last
         && end == CallEnd::Answer
--- a/crates/daemon/src/session_mover.rs
+++ b/crates/daemon/src/session_mover.rs
@@ -41,6 +41,18 @@
     NoAnswer(String),
 }
 
+impl MoveError {
+    /// The form used in metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            MoveError::NoSession => "no_session",
+            MoveError::Busy => "busy",
+            MoveError::NoRoom { .. } => "no_room",
+            MoveError::NoAnswer(_) => "no_answer",
+        }
+    }
+}
+
 /// Gives engines orders about running sessions.
 pub trait SessionMover: Send + Sync {
     /// Copies the memory of a running session; returns the name of the copy.
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/stream_call.rs
@@ -39,19 +39,9 @@
 pub async fn run(exchange: Exchange) -> FrontAnswer {
     let app = exchange.app.clone();
     let (signals, signals_out) = mpsc::unbounded_channel();
-    let ask = exchange.ask();
-    let placed = app
-        .control
-        .ask(|reply| GatewayMessage::Place {
-            ask,
-            signals,
-            reply,
-        })
-        .await;
-    let ranking = match placed {
-        Some(Ok(ranking)) => ranking,
-        Some(Err(refusal)) => return front_answer::not_run(refusal.retry_after, &refusal.message),
-        None => return front_answer::not_run(REFUSED_RETRY_AFTER, "the instance is stopping"),
+    let ranking = match exchange.place(signals).await {
+        Ok(ranking) => ranking,
+        Err(answer) => return *answer,
     };
     let mut guard = RunGuard::new(app.clone(), exchange.head.request.clone());
     let start = start(&exchange, &ranking).await;
@@ -86,7 +76,10 @@
     loop {
         let name = match decisions.next(app.clock.now()) {
             CallStep::Send(name) => name,
-            CallStep::End { outcome, .. } if outcome == Outcome::NotRun => return Start::NotRun,
+            CallStep::End {
+                outcome: Outcome::NotRun,
+                ..
+            } => return Start::NotRun,
             CallStep::End { .. } => return Start::MayHaveRun(cause),
         };
         let Some(replica) = ranking.replicas.iter().find(|r| r.id == name) else {
@@ -100,6 +93,7 @@
         let sent = exchange
             .send(replica, backup, None, exchange.answer_by)
             .await;
+        app.metrics.tried(sent.as_str());
         match sent {
             Sent::Answer(answer) if answer.head.is_not_run => {
                 decisions.sent(SendResult::SaidNotRun);
@@ -143,6 +137,9 @@
 }
 
 fn log_end(exchange: &Exchange, end: &str, status: Option<StatusCode>) {
+    let app = &exchange.app;
+    app.metrics
+        .stream_ended("not_begun", app.clock.now() - exchange.arrived);
     info!(exchange.app.log, "stream ended before it began";
         "request" => &exchange.head.request,
         "route" => &exchange.route.name,
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -77,6 +77,17 @@
     TimeOver,
 }
 
+impl End {
+    fn as_str(self) -> &'static str {
+        match self {
+            End::Whole => "whole",
+            End::Lost => "lost",
+            End::CallerGone => "caller_gone",
+            End::TimeOver => "time_over",
+        }
+    }
+}
+
 /// One event stream under way.
 pub struct StreamRelay {
     exchange: Exchange,
@@ -90,6 +101,8 @@
     events: u32,
     tokens_per_event: u32,
     heard_at: Now,
+    last_event_at: Now,
+    longest_gap: Duration,
     carried: u32,
     moving: Option<SessionMove>,
     tried: Vec<BackendId>,
@@ -118,6 +131,8 @@
             splitter: EventSplitter::default(),
             last_event: 0,
             events: 0,
+            last_event_at: Now::ZERO,
+            longest_gap: Duration::ZERO,
             carried: 0,
             moving: None,
             tried: Vec::new(),
@@ -177,7 +192,7 @@
         let Ok(data) = frame.into_data() else {
             return Step::Continue;
         };
-        self.heard_at = self.exchange.app.clock.now();
+        let now = self.exchange.app.clock.now();
         let mut piece = BytesMut::new();
         let had = self.events;
         for event in self.splitter.push(&data) {
@@ -193,6 +208,7 @@
         if piece.is_empty() {
             return Step::Continue;
         }
+        self.measure(now, had);
         if had == 0 || had / PROGRESS_EVERY != self.events / PROGRESS_EVERY {
             self.tell_progress();
         }
@@ -202,6 +218,17 @@
         }
     }
 
+    fn measure(&mut self, now: Now, had: u32) {
+        self.heard_at = now;
+        if had == 0 {
+            let took = now - self.exchange.arrived;
+            self.exchange.app.metrics.first_event(took);
+        } else {
+            self.longest_gap = self.longest_gap.max(now - self.last_event_at);
+        }
+        self.last_event_at = now;
+    }
+
     fn tell_progress(&self) {
         self.exchange.app.control.tell(GatewayMessage::Progress {
             request: self.exchange.head.request.clone(),
@@ -290,6 +317,10 @@
     async fn moved(&mut self, outcome: Result<String, MoveError>) -> Option<End> {
         let app = self.exchange.app.clone();
         let replica = self.moving.take()?.target().clone();
+        app.metrics.moved(match &outcome {
+            Ok(_) => "moved",
+            Err(error) => error.as_str(),
+        });
         let handle = match outcome {
             Ok(handle) => handle,
             Err(error) => {
@@ -357,6 +388,10 @@
 
     async fn resume(&mut self, target: CarryTarget, copy: CopyName) -> Option<End> {
         let app = self.exchange.app.clone();
+        let kind = match &copy {
+            CopyName::Moved { .. } => "move",
+            CopyName::Backup { .. } => "copy",
+        };
         let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
         let point = ResumePoint {
             copy,
@@ -375,6 +410,8 @@
                     "backup" => target.backup.as_ref().map(|b| b.id.clone()),
                     "last_event" => self.last_event,
                     "paused_ms" => (app.clock.now() - self.heard_at).as_millis() as u64);
+                let pause = app.clock.now() - self.last_event_at;
+                app.metrics.carried(kind, "went_on", pause);
                 self.replica = target.replica;
                 self.body = answer.body;
                 self.splitter = EventSplitter::default();
@@ -388,6 +425,8 @@
             Sent::NotConnected(cause) | Sent::Lost(cause) => cause,
             Sent::TimedOut => "no answer in time".to_owned(),
         };
+        app.metrics
+            .carried(kind, "lost", app.clock.now() - self.last_event_at);
         warn!(app.log, "stream lost: the session can't go on";
             "request" => &self.exchange.head.request,
             "backend_server" => &target.replica.id,
@@ -398,6 +437,7 @@
 
     async fn end(mut self, end: End) {
         let app = self.exchange.app.clone();
+        app.metrics.stream_ended(end.as_str(), self.longest_gap);
         self.guard.ends(match end {
             End::Whole => RunEnd::Answered,
             End::Lost => RunEnd::Failed,
@@ -406,10 +446,11 @@
         info!(app.log, "stream ended";
             "request" => &self.exchange.head.request,
             "route" => &self.exchange.route.name,
-            "end" => format!("{end:?}"),
+            "end" => end.as_str(),
             "backend_server" => &self.replica.id,
             "events" => self.events,
             "carried" => self.carried,
+            "longest_gap_ms" => self.longest_gap.as_millis() as u64,
             "took_ms" => (app.clock.now() - self.exchange.arrived).as_millis() as u64);
         if end != End::Whole {
             // The server then breaks the connection off, unless the caller has.
