--- a/crates/daemon/src/log_limit.rs
+++ b/crates/daemon/src/log_limit.rs
@@ -29,8 +29,8 @@
     left_out: u64,
 }
 
-/// Passes on at most [`LINES_PER_S`] lines of a kind; says how many it left
-/// out. Warnings and errors always pass: failures are kept before successes.
+/// Passes on a bounded number of lines of a kind a second; says how many it
+/// left out. Warnings and errors always pass: failures are kept before successes.
 #[derive(Debug)]
 pub struct LogLimit<D> {
     inner: D,
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -10,29 +10,26 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use iristhread_core::BackendId;
-use iristhread_core::CarryTarget;
 use iristhread_core::Now;
 use iristhread_core::Replica;
 use iristhread_core::RunEnd;
 use iristhread_core::SessionSignal;
 use slog::info;
-use slog::warn;
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::dialect::CopyName;
-use crate::dialect::ResumePoint;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Exchange;
 use crate::exchange::RunGuard;
-use crate::exchange::Sent;
 use crate::front_answer::StreamBroken;
 use crate::gateway_message::GatewayMessage;
 use crate::session_move::SessionMove;
 use crate::session_mover::MoveError;
 use crate::session_mover::MoveOrder;
 
+mod carrying;
+
 /// Pieces that wait for a caller that reads slowly; the engine waits beyond.
 const QUEUED_PIECES: usize = 32;
 
@@ -46,12 +43,6 @@
 /// Time in which a live engine takes a connection.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Longest wait for the head of a resumed stream.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Longest wait for the answer of a move once the stream has stopped.
-const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Time after which a session that found no room tries all engines again: a
 /// fraction of the notice of an engine that leaves.
 const ASK_AGAIN: Duration = Duration::from_millis(150);
@@ -274,167 +265,6 @@
         self.moving = Some(SessionMove::start(mover, order, target));
     }
 
-    /// The engine's stream ended too soon.
-    async fn broken(&mut self, cause: &'static str) -> Option<End> {
-        info!(self.exchange.app.log, "stream broke off at its engine";
-            "request" => &self.exchange.head.request,
-            "backend_server" => &self.replica.id,
-            "cause" => cause,
-            "last_event" => self.last_event,
-            "moving" => self.moving.is_some());
-        if let Some(end) = self.finish_move().await {
-            return end;
-        }
-        let request = self.exchange.head.request.clone();
-        let control = &self.exchange.app.control;
-        control.tell(GatewayMessage::Failed {
-            replica: self.replica.id.clone(),
-        });
-        let asked = control.ask(|reply| GatewayMessage::Carry { request, reply });
-        let Some(target) = asked.await.flatten() else {
-            warn!(self.exchange.app.log, "stream lost: no copy of the session is known";
-                "request" => &self.exchange.head.request,
-                "last_event" => self.last_event);
-            return Some(End::Lost);
-        };
-        let keeper = target.replica.address;
-        self.resume(target, CopyName::Backup { keeper }).await
-    }
-
-    /// The engine is gone, or has stopped the session for its last copy: the
-    /// move may still succeed, or have left a copy that lacks little. Returns
-    /// `None` when it has not.
-    async fn finish_move(&mut self) -> Option<Option<End>> {
-        let mut moving = self.moving.take()?;
-        let outcome = tokio::time::timeout(MOVE_TIMEOUT, moving.finished()).await;
-        let handle = match outcome {
-            Ok(Ok(handle)) => handle,
-            _ => moving.partial_copy()?,
-        };
-        Some(self.go_on_at(moving.target().clone(), handle).await)
-    }
-
-    async fn moved(&mut self, outcome: Result<String, MoveError>) -> Option<End> {
-        let app = self.exchange.app.clone();
-        let replica = self.moving.take()?.target().clone();
-        app.metrics.moved(match &outcome {
-            Ok(_) => "moved",
-            Err(error) => error.as_str(),
-        });
-        let handle = match outcome {
-            Ok(handle) => handle,
-            Err(error) => {
-                info!(app.log, "session was not moved";
-                    "request" => &self.exchange.head.request,
-                    "backend_server" => &self.replica.id,
-                    "cause" => error.to_string());
-                self.tried.push(replica.id);
-                self.ask_for_target();
-                return self.back_to_source(error).await;
-            }
-        };
-        self.drain_rest().await;
-        self.go_on_at(replica, handle).await
-    }
-
-    async fn go_on_at(&mut self, replica: Replica, handle: String) -> Option<End> {
-        let app = self.exchange.app.clone();
-        let source = self.replica.address;
-        let request = self.exchange.head.request.clone();
-        let asked = app.control.ask(|reply| GatewayMessage::CarryTo {
-            request,
-            replica,
-            reply,
-        });
-        let Some(target) = asked.await.flatten() else {
-            return Some(End::Lost);
-        };
-        self.resume(target, CopyName::Moved { source, handle })
-            .await
-    }
-
-    /// A session that stopped but could not be moved goes on where it was.
-    async fn back_to_source(&mut self, error: MoveError) -> Option<End> {
-        let MoveError::NoRoom {
-            handle: Some(handle),
-        } = error
-        else {
-            return None;
-        };
-        self.drain_rest().await;
-        let source = self.replica.address;
-        let target = CarryTarget {
-            replica: self.replica.clone(),
-            backup: None,
-            from: self.replica.id.clone(),
-        };
-        self.resume(target, CopyName::Moved { source, handle })
-            .await
-    }
-
-    /// Reads what the stopped engine had sent before the end of its stream.
-    async fn drain_rest(&mut self) {
-        let rest = async {
-            while let Some(Ok(frame)) = self.body.frame().await {
-                self.take(frame).await;
-            }
-        };
-        // What has not come by then is made again from the copy.
-        if tokio::time::timeout(LOOK_TIMEOUT, rest).await.is_err() {
-            info!(self.exchange.app.log, "the stopped stream did not end";
-                "request" => &self.exchange.head.request);
-        }
-    }
-
-    async fn resume(&mut self, target: CarryTarget, copy: CopyName) -> Option<End> {
-        let app = self.exchange.app.clone();
-        let kind = match &copy {
-            CopyName::Moved { .. } => "move",
-            CopyName::Backup { .. } => "copy",
-        };
-        let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
-        let point = ResumePoint {
-            copy,
-            after_event: self.last_event,
-        };
-        let sent = self
-            .exchange
-            .send(&target.replica, target.backup.as_ref(), Some(point), by)
-            .await;
-        let cause = match sent {
-            Sent::Answer(answer) if answer.status.is_success() => {
-                info!(app.log, "stream goes on at another engine";
-                    "request" => &self.exchange.head.request,
-                    "from" => &target.from,
-                    "backend_server" => &target.replica.id,
-                    "backup" => target.backup.as_ref().map(|b| b.id.clone()),
-                    "last_event" => self.last_event,
-                    "paused_ms" => (app.clock.now() - self.heard_at).as_millis() as u64);
-                let pause = app.clock.now() - self.last_event_at;
-                app.metrics.carried(kind, "went_on", pause);
-                self.replica = target.replica;
-                self.body = answer.body;
-                self.splitter = EventSplitter::default();
-                self.heard_at = app.clock.now();
-                self.carried += 1;
-                self.tried.clear();
-                self.ask_again_at = None;
-                return None;
-            }
-            Sent::Answer(answer) => format!("status {}", answer.status),
-            Sent::NotConnected(cause) | Sent::Lost(cause) => cause,
-            Sent::TimedOut => "no answer in time".to_owned(),
-        };
-        app.metrics
-            .carried(kind, "lost", app.clock.now() - self.last_event_at);
-        warn!(app.log, "stream lost: the session can't go on";
-            "request" => &self.exchange.head.request,
-            "backend_server" => &target.replica.id,
-            "cause" => cause,
-            "last_event" => self.last_event);
-        Some(End::Lost)
-    }
-
     async fn end(mut self, end: End) {
         let app = self.exchange.app.clone();
         app.metrics.stream_ended(end.as_str(), self.longest_gap);
--- /dev/null
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -0,0 +1,246 @@
+//! Takes a stream to another engine: after a move, after a crash, or back to
+//! where it was.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use iristhread_core::CarryTarget;
+use iristhread_core::Replica;
+use slog::info;
+use slog::warn;
+
+use super::ASK_AGAIN;
+use super::End;
+use super::LOOK_TIMEOUT;
+use super::StreamRelay;
+use crate::dialect::CopyName;
+use crate::dialect::ResumePoint;
+use crate::event_splitter::EventSplitter;
+use crate::exchange::Sent;
+use crate::gateway_message::GatewayMessage;
+use crate::session_mover::MoveError;
+
+/// Longest wait for the head of a resumed stream.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Longest wait for the answer of a move once the stream has stopped.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What became of a session that was sent to a copy of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Resumed {
+    /// Its stream goes on.
+    GoesOn,
+    /// It provably does not run there.
+    NotRun,
+    /// It may run there without anybody listening.
+    Lost,
+}
+
+impl StreamRelay {
+    /// The engine's stream ended too soon.
+    pub(super) async fn broken(&mut self, cause: &'static str) -> Option<End> {
+        info!(self.exchange.app.log, "stream broke off at its engine";
+            "request" => &self.exchange.head.request,
+            "backend_server" => &self.replica.id,
+            "cause" => cause,
+            "last_event" => self.last_event,
+            "moving" => self.moving.is_some());
+        if let Some(end) = self.finish_move().await {
+            return end;
+        }
+        let request = self.exchange.head.request.clone();
+        let control = &self.exchange.app.control;
+        control.tell(GatewayMessage::Failed {
+            replica: self.replica.id.clone(),
+        });
+        let asked = control.ask(|reply| GatewayMessage::Carry { request, reply });
+        let Some(target) = asked.await.flatten() else {
+            warn!(self.exchange.app.log, "stream lost: no copy of the session is known";
+                "request" => &self.exchange.head.request,
+                "last_event" => self.last_event);
+            return Some(End::Lost);
+        };
+        let keeper = target.replica.address;
+        match self.resume(target, CopyName::Backup { keeper }).await {
+            Resumed::GoesOn => None,
+            Resumed::NotRun | Resumed::Lost => Some(End::Lost),
+        }
+    }
+
+    /// The engine is gone, or has stopped the session for its last copy: the
+    /// move may still succeed, or have left a copy that lacks little. Returns
+    /// `None` when it has not.
+    async fn finish_move(&mut self) -> Option<Option<End>> {
+        let mut moving = self.moving.take()?;
+        let outcome = tokio::time::timeout(MOVE_TIMEOUT, moving.finished()).await;
+        let handle = match outcome {
+            Ok(Ok(handle)) => handle,
+            _ => moving.partial_copy()?,
+        };
+        Some(self.go_on_at(moving.target().clone(), handle).await)
+    }
+
+    pub(super) async fn moved(&mut self, outcome: Result<String, MoveError>) -> Option<End> {
+        let app = self.exchange.app.clone();
+        let replica = self.moving.take()?.target().clone();
+        app.metrics.moved(match &outcome {
+            Ok(_) => "moved",
+            Err(error) => error.as_str(),
+        });
+        let handle = match outcome {
+            Ok(handle) => handle,
+            Err(error) => {
+                info!(app.log, "session was not moved";
+                    "request" => &self.exchange.head.request,
+                    "backend_server" => &self.replica.id,
+                    "cause" => error.to_string());
+                self.tried.push(replica.id);
+                self.ask_for_target();
+                return self.back_to_source(error).await;
+            }
+        };
+        self.drain_rest().await;
+        self.go_on_at(replica, handle).await
+    }
+
+    async fn go_on_at(&mut self, replica: Replica, handle: String) -> Option<End> {
+        let app = self.exchange.app.clone();
+        let source = self.replica.clone();
+        let copy = CopyName::Moved {
+            source: source.address,
+            handle,
+        };
+        let request = self.exchange.head.request.clone();
+        let asked = app.control.ask(|reply| GatewayMessage::CarryTo {
+            request,
+            replica,
+            reply,
+        });
+        let Some(target) = asked.await.flatten() else {
+            return Some(End::Lost);
+        };
+        match self.resume(target, copy.clone()).await {
+            Resumed::GoesOn => None,
+            Resumed::Lost => Some(End::Lost),
+            Resumed::NotRun => self.stay_at(source, copy).await,
+        }
+    }
+
+    /// A session that stopped but could not be moved goes on where it was.
+    async fn back_to_source(&mut self, error: MoveError) -> Option<End> {
+        let MoveError::NoRoom {
+            handle: Some(handle),
+        } = error
+        else {
+            return None;
+        };
+        self.drain_rest().await;
+        let source = self.replica.clone();
+        let copy = CopyName::Moved {
+            source: source.address,
+            handle,
+        };
+        self.stay_at(source, copy).await
+    }
+
+    /// The source keeps the memory of a session that it stopped.
+    async fn stay_at(&mut self, source: Replica, copy: CopyName) -> Option<End> {
+        self.exchange.app.control.tell(GatewayMessage::Moved {
+            request: self.exchange.head.request.clone(),
+            replica: source.id.clone(),
+        });
+        let target = CarryTarget {
+            from: source.id.clone(),
+            replica: source,
+            backup: None,
+        };
+        match self.resume(target, copy).await {
+            Resumed::GoesOn => {
+                // It still has to leave.
+                self.ask_again_at = Some(self.exchange.app.clock.now() + ASK_AGAIN);
+                None
+            }
+            Resumed::NotRun | Resumed::Lost => Some(End::Lost),
+        }
+    }
+
+    /// Reads what the stopped engine had sent before the end of its stream.
+    async fn drain_rest(&mut self) {
+        let rest = async {
+            while let Some(Ok(frame)) = self.body.frame().await {
+                self.take(frame).await;
+            }
+        };
+        // What has not come by then is made again from the copy.
+        if tokio::time::timeout(LOOK_TIMEOUT, rest).await.is_err() {
+            info!(self.exchange.app.log, "the stopped stream did not end";
+                "request" => &self.exchange.head.request);
+        }
+    }
+
+    /// Sends the session to an engine that has a copy of it.
+    async fn resume(&mut self, target: CarryTarget, copy: CopyName) -> Resumed {
+        let app = self.exchange.app.clone();
+        let kind = match &copy {
+            CopyName::Moved { .. } => "move",
+            CopyName::Backup { .. } => "copy",
+        };
+        let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
+        let point = ResumePoint {
+            copy,
+            after_event: self.last_event,
+        };
+        let sent = self
+            .exchange
+            .send(&target.replica, target.backup.as_ref(), Some(point), by)
+            .await;
+        let pause = app.clock.now() - self.last_event_at;
+        let (cause, resumed) = match sent {
+            Sent::Answer(answer) if answer.status.is_success() => {
+                app.metrics.carried(kind, "went_on", pause);
+                self.go_on(target, answer.body, pause);
+                return Resumed::GoesOn;
+            }
+            Sent::Answer(answer) if answer.head.is_not_run => {
+                (format!("status {}", answer.status), Resumed::NotRun)
+            }
+            Sent::Answer(answer) => (format!("status {}", answer.status), Resumed::Lost),
+            Sent::NotConnected(cause) => {
+                app.control.tell(GatewayMessage::Failed {
+                    replica: target.replica.id.clone(),
+                });
+                (cause, Resumed::NotRun)
+            }
+            Sent::Lost(cause) => (cause, Resumed::Lost),
+            Sent::TimedOut => ("no answer in time".to_owned(), Resumed::Lost),
+        };
+        app.metrics.carried(kind, "refused", pause);
+        warn!(app.log, "session can't go on at an engine";
+            "request" => &self.exchange.head.request,
+            "backend_server" => &target.replica.id,
+            "copy" => kind,
+            "cause" => cause,
+            "last_event" => self.last_event);
+        resumed
+    }
+
+    fn go_on(&mut self, target: CarryTarget, body: Incoming, pause: Duration) {
+        let app = self.exchange.app.clone();
+        info!(app.log, "stream goes on at another engine";
+            "request" => &self.exchange.head.request,
+            "from" => &target.from,
+            "backend_server" => &target.replica.id,
+            "backup" => target.backup.as_ref().map(|b| b.id.clone()),
+            "last_event" => self.last_event,
+            "paused_ms" => pause.as_millis() as u64);
+        self.replica = target.replica;
+        self.body = body;
+        self.splitter = EventSplitter::default();
+        self.heard_at = app.clock.now();
+        self.carried += 1;
+        self.tried.clear();
+        self.ask_again_at = None;
+    }
+}
