--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -10,15 +10,14 @@
 use rand_pcg::Pcg32;
 
 use crate::BackendId;
-use crate::CarryTarget;
 use crate::ConfigVersion;
 use crate::FailurePause;
 use crate::GatewayConfig;
 use crate::Incarnation;
 use crate::InstanceId;
-use crate::ListedState;
 use crate::LoadShare;
 use crate::LoadShares;
+use crate::Moving;
 use crate::Now;
 use crate::OwnRun;
 use crate::PeerLoads;
@@ -30,7 +29,6 @@
 use crate::ReplicaChange;
 use crate::ReplicaList;
 use crate::ReplicaScore;
-use crate::RequestClass;
 use crate::RequestId;
 use crate::RetryBudget;
 use crate::RouteTable;
@@ -40,6 +38,8 @@
 use crate::own_shares;
 use crate::score;
 
+mod carrying;
+
 /// Replicas offered to one request, the best first.
 const RANKED: usize = 4;
 
@@ -50,10 +50,6 @@
 /// is read again.
 const NOTHING_THERE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Share of the memory of an engine up to which sessions move there; tried on
-/// the users' bench, docs/design/0008-gateway.md.
-const MOVE_LIMIT: f64 = 0.85;
-
 /// Settings of the gateway's decisions.
 #[derive(Clone, Debug)]
 pub struct GatewayTerms {
@@ -211,10 +207,11 @@
     pub fn tick(&mut self, now: Now) -> (Vec<Evacuation>, Vec<InstanceId>) {
         let silent = self.peers.expire(now);
         let gone = self.list.expire(now);
-        let evacuations = match gone.is_empty() {
+        let mut evacuations = match gone.is_empty() {
             true => Vec::new(),
             false => self.replicas_changed(now),
         };
+        evacuations.extend(self.seek_again(now));
         (evacuations, silent)
     }
 
@@ -252,7 +249,7 @@
                 ask,
                 generated: 0,
                 has_begun: false,
-                is_moving: false,
+                moving: Moving::Stays,
             },
         );
         let ranked = fitting.into_iter().take(RANKED);
@@ -288,34 +285,6 @@
         }
     }
 
-    /// Decides where a session goes on whose engine broke off; `None` when no
-    /// copy of it is usable.
-    pub fn carry(&mut self, now: Now, request: &str) -> Option<CarryTarget> {
-        let run = self.runs.get(request)?;
-        let backup = self.list.replica(run.backup.as_deref()?)?.clone();
-        self.carry_to(now, request, backup)
-    }
-
-    /// Counts a session as running at `replica` and chooses where its next
-    /// copy is kept.
-    pub fn carry_to(&mut self, now: Now, request: &str, replica: Replica) -> Option<CarryTarget> {
-        let run = self.runs.get(request)?;
-        let from = run.replica.clone();
-        let mut ask = run.ask.clone();
-        ask.prompt_tokens += run.generated;
-        ask.max_tokens = ask.max_tokens.saturating_sub(run.generated);
-        let next = self.choose_backup_besides(now, &ask, &replica, Some(&from));
-        let run = self.runs.get_mut(request)?;
-        run.is_moving = false;
-        run.replica = replica.id.clone();
-        run.backup = next.as_ref().map(|replica| replica.id.clone());
-        Some(CarryTarget {
-            replica,
-            backup: next,
-            from,
-        })
-    }
-
     /// Notes that a replica failed a try of a request that goes on elsewhere.
     pub fn failed(&mut self, now: Now, replica: &str) {
         self.pauses.entry(replica.to_owned()).or_default().fail(now);
@@ -394,85 +363,6 @@
         scores
     }
 
-    fn choose_backup(&mut self, now: Now, ask: &PlacementAsk, first: &Replica) -> Option<Replica> {
-        self.choose_backup_besides(now, ask, first, None)
-    }
-
-    /// The engine with the most memory to spare, `first` and `also` excluded.
-    fn choose_backup_besides(
-        &mut self,
-        now: Now,
-        ask: &PlacementAsk,
-        first: &Replica,
-        also: Option<&str>,
-    ) -> Option<Replica> {
-        let table = self.table.as_ref()?;
-        let service = table.config().service(&ask.service)?;
-        let can_back_up = service.engine.as_ref().is_some_and(|e| e.can_back_up);
-        let is_stream = ask.class == RequestClass::Stream;
-        if !is_stream || !can_back_up || ask.likely_tokens() < self.terms.least_copied_tokens {
-            return None;
-        }
-        let limit = self.terms.copy_limit;
-        let scores = self.scores(now, ask, Some(&first.id));
-        let mut fitting = scores
-            .into_iter()
-            .filter(|s| s.memory <= limit && Some(s.replica.id.as_str()) != also);
-        fitting.next().map(|score| score.replica)
-    }
-
-    /// Sessions without a copy have to move when their engine leaves; a copy on
-    /// an engine that leaves is of no more use.
-    fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
-        self.pauses
-            .retain(|id, _| self.list.state(id) != ListedState::Removed);
-        let mut to_move = Vec::new();
-        for (request, run) in &mut self.runs {
-            let is_leaving = |id: &BackendId| self.list.state(id).is_leaving();
-            if run.backup.as_ref().is_some_and(is_leaving) {
-                run.backup = None;
-            }
-            let has_copy = run.backup.is_some();
-            let is_session = run.ask.class == RequestClass::Stream;
-            if is_session && !has_copy && !run.is_moving && is_leaving(&run.replica) {
-                to_move.push(request.clone());
-            }
-        }
-        to_move.sort();
-        to_move
-            .into_iter()
-            .filter_map(|request| self.evacuate(now, &request, &[]))
-            .collect()
-    }
-
-    /// Where a session should move: to the engine with the most room that it
-    /// has not tried, first in the zone of its engine, where moves take half
-    /// the time.
-    pub fn evacuate(&mut self, now: Now, request: &str, tried: &[BackendId]) -> Option<Evacuation> {
-        let run = self.runs.get_mut(request)?;
-        run.is_moving = true;
-        let from = run.replica.clone();
-        let mut ask = run.ask.clone();
-        ask.prompt_tokens += run.generated;
-        let zone = self
-            .list
-            .replica(&from)
-            .map(|r| r.availability_zone.clone());
-        let zone = zone.unwrap_or_else(|| self.terms.zone.clone());
-        let scores = self.scores_seen_from(now, &ask, Some(&from), &zone);
-        let mut others = scores
-            .into_iter()
-            .filter(|score| score.memory <= MOVE_LIMIT);
-        let target = others.find(|score| !tried.contains(&score.replica.id))?;
-        let run = self.runs.get_mut(request)?;
-        // Counts there from now on, so that not all sessions choose the same.
-        run.backup = Some(target.replica.id.clone());
-        Some(Evacuation {
-            request: request.to_owned(),
-            target: target.replica,
-        })
-    }
-
     /// Each instance gets the same part of the extra; instances that are cut
     /// off from the others count on no more than that.
     fn share_budget(&mut self) {
--- /dev/null
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -0,0 +1,181 @@
+//! Where sessions keep copies, and where they go when their engine leaves or
+//! breaks off.
+
+use std::collections::BTreeSet;
+
+use super::Evacuation;
+use super::GatewayControl;
+use crate::BackendId;
+use crate::CarryTarget;
+use crate::ListedState;
+use crate::Moving;
+use crate::Now;
+use crate::OwnRun;
+use crate::PlacementAsk;
+use crate::Replica;
+use crate::RequestClass;
+use crate::RequestId;
+
+/// Share of the memory of an engine up to which sessions move there; tried on
+/// the users' bench, docs/design/0008-gateway.md.
+const MOVE_LIMIT: f64 = 0.85;
+
+impl GatewayControl {
+    /// Notes that a replica itself says that it leaves; returns what sessions
+    /// must do.
+    pub fn leaves(&mut self, now: Now, replica: &str) -> Vec<Evacuation> {
+        match self.list.mark_leaving(replica) {
+            true => self.replicas_changed(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// Engines that run sessions of this instance that have no copy and do not
+    /// move yet: their notices matter most.
+    pub fn uncopied(&self) -> Vec<Replica> {
+        let at_risk = |run: &&OwnRun| {
+            run.ask.class == RequestClass::Stream
+                && run.backup.is_none()
+                && run.moving == Moving::Stays
+        };
+        let engines: BTreeSet<&BackendId> = self
+            .runs
+            .values()
+            .filter(at_risk)
+            .map(|run| &run.replica)
+            .collect();
+        let replicas = engines.into_iter().filter_map(|id| self.list.replica(id));
+        replicas
+            .filter(|replica| !replica.leaving)
+            .cloned()
+            .collect()
+    }
+
+    /// Decides where a session goes on whose engine broke off; `None` when no
+    /// copy of it is usable.
+    pub fn carry(&mut self, now: Now, request: &str) -> Option<CarryTarget> {
+        let run = self.runs.get(request)?;
+        let backup = self.list.replica(run.backup.as_deref()?)?.clone();
+        self.carry_to(now, request, backup)
+    }
+
+    /// Counts a session as running at `replica` and chooses where its next
+    /// copy is kept.
+    pub fn carry_to(&mut self, now: Now, request: &str, replica: Replica) -> Option<CarryTarget> {
+        let run = self.runs.get(request)?;
+        let from = run.replica.clone();
+        let mut ask = run.ask.clone();
+        ask.prompt_tokens += run.generated;
+        ask.max_tokens = ask.max_tokens.saturating_sub(run.generated);
+        let next = self.choose_backup_besides(now, &ask, &replica, Some(&from));
+        let run = self.runs.get_mut(request)?;
+        run.moving = Moving::Stays;
+        run.replica = replica.id.clone();
+        run.backup = next.as_ref().map(|replica| replica.id.clone());
+        Some(CarryTarget {
+            replica,
+            backup: next,
+            from,
+        })
+    }
+
+    pub(super) fn choose_backup(
+        &mut self,
+        now: Now,
+        ask: &PlacementAsk,
+        first: &Replica,
+    ) -> Option<Replica> {
+        self.choose_backup_besides(now, ask, first, None)
+    }
+
+    /// The engine with the most memory to spare, `first` and `also` excluded.
+    fn choose_backup_besides(
+        &mut self,
+        now: Now,
+        ask: &PlacementAsk,
+        first: &Replica,
+        also: Option<&str>,
+    ) -> Option<Replica> {
+        let table = self.table.as_ref()?;
+        let service = table.config().service(&ask.service)?;
+        let can_back_up = service.engine.as_ref().is_some_and(|e| e.can_back_up);
+        let is_stream = ask.class == RequestClass::Stream;
+        if !is_stream || !can_back_up || ask.likely_tokens() < self.terms.least_copied_tokens {
+            return None;
+        }
+        let limit = self.terms.copy_limit;
+        let scores = self.scores(now, ask, Some(&first.id));
+        let mut fitting = scores
+            .into_iter()
+            .filter(|s| s.memory <= limit && Some(s.replica.id.as_str()) != also);
+        fitting.next().map(|score| score.replica)
+    }
+
+    /// Sessions without a copy have to move when their engine leaves; a copy on
+    /// an engine that leaves is of no more use.
+    pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
+        self.pauses
+            .retain(|id, _| self.list.state(id) != ListedState::Removed);
+        let mut to_move = Vec::new();
+        for (request, run) in &mut self.runs {
+            let is_leaving = |id: &BackendId| self.list.state(id).is_leaving();
+            if run.backup.as_ref().is_some_and(is_leaving) {
+                run.backup = None;
+            }
+            let has_copy = run.backup.is_some();
+            let is_session = run.ask.class == RequestClass::Stream;
+            let stays = run.moving == Moving::Stays;
+            if is_session && !has_copy && stays && is_leaving(&run.replica) {
+                to_move.push(request.clone());
+            }
+        }
+        to_move.sort();
+        to_move
+            .into_iter()
+            .filter_map(|request| self.evacuate(now, &request, &[]))
+            .collect()
+    }
+
+    /// Sessions end all the time: those that found no room look again.
+    pub(super) fn seek_again(&mut self, now: Now) -> Vec<Evacuation> {
+        let seeking = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.moving == Moving::Seeks);
+        let mut seeking: Vec<RequestId> = seeking.map(|(request, _)| request.clone()).collect();
+        seeking.sort();
+        let found = seeking
+            .iter()
+            .map(|request| self.evacuate(now, request, &[]));
+        found.collect::<Vec<_>>().into_iter().flatten().collect()
+    }
+
+    /// Where a session should move: to the engine with the most room that it
+    /// has not tried, first in the zone of its engine, where moves take half
+    /// the time.
+    pub fn evacuate(&mut self, now: Now, request: &str, tried: &[BackendId]) -> Option<Evacuation> {
+        let run = self.runs.get_mut(request)?;
+        run.moving = Moving::Seeks;
+        let from = run.replica.clone();
+        let mut ask = run.ask.clone();
+        ask.prompt_tokens += run.generated;
+        let zone = self
+            .list
+            .replica(&from)
+            .map(|r| r.availability_zone.clone());
+        let zone = zone.unwrap_or_else(|| self.terms.zone.clone());
+        let scores = self.scores_seen_from(now, &ask, Some(&from), &zone);
+        let mut others = scores
+            .into_iter()
+            .filter(|score| score.memory <= MOVE_LIMIT);
+        let target = others.find(|score| !tried.contains(&score.replica.id))?;
+        let run = self.runs.get_mut(request)?;
+        run.moving = Moving::Moves;
+        // Counts there from now on, so that not all sessions choose the same.
+        run.backup = Some(target.replica.id.clone());
+        Some(Evacuation {
+            request: request.to_owned(),
+            target: target.replica,
+        })
+    }
+}
--- a/crates/core/src/replica_view.rs
+++ b/crates/core/src/replica_view.rs
@@ -33,6 +33,18 @@
 /// Share of the random part, which breaks ties between instances.
 const NOISE_COST: f64 = 0.02;
 
+/// Whether a session is being moved off its engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Moving {
+    /// It stays.
+    #[default]
+    Stays,
+    /// It has to move, and no engine has room for it.
+    Seeks,
+    /// It moves.
+    Moves,
+}
+
 /// One request of this instance that runs somewhere.
 #[derive(Clone, Debug)]
 pub struct OwnRun {
@@ -47,7 +59,7 @@
     /// Whether its first event is there.
     pub has_begun: bool,
     /// Whether it is being moved off its replica.
-    pub is_moving: bool,
+    pub moving: Moving,
 }
 
 impl OwnRun {
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -43,10 +43,6 @@
 /// Time in which a live engine takes a connection.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time after which a session that found no room tries all engines again: a
-/// fraction of the notice of an engine that leaves.
-const ASK_AGAIN: Duration = Duration::from_millis(150);
-
 type Piece = Result<Frame<Bytes>, StreamBroken>;
 
 /// What a look at the stream led to.
@@ -97,7 +93,6 @@
     carried: u32,
     moving: Option<SessionMove>,
     tried: Vec<BackendId>,
-    ask_again_at: Option<Now>,
 }
 
 impl StreamRelay {
@@ -127,7 +122,6 @@
             carried: 0,
             moving: None,
             tried: Vec::new(),
-            ask_again_at: None,
         };
         (relay, ReceiverStream::new(pieces))
     }
@@ -153,7 +147,6 @@
         let clock = self.exchange.app.clock;
         let time_over = clock.instant(self.exchange.answer_by);
         let silent_at = clock.instant(self.heard_at + SILENCE);
-        let ask_again_at = clock.instant(self.ask_again_at.unwrap_or_default());
         let frame = tokio::select! {
             biased;
             () = self.to_caller.closed() => return Step::CallerGone,
@@ -163,11 +156,6 @@
                 self.signalled(signal);
                 return Step::Continue;
             }
-            () = sleep_until(ask_again_at), if self.ask_again_at.is_some() => {
-                self.tried.clear();
-                self.ask_for_target();
-                return Step::Continue;
-            }
             () = sleep_until(silent_at) => return self.look_at_engine().await,
             () = sleep_until(time_over) => return Step::TimeOver,
         };
@@ -238,17 +226,6 @@
         }
     }
 
-    /// Asks where else the session could move; when no engine is left, all are
-    /// asked again after a while, since sessions end all the time.
-    fn ask_for_target(&mut self) {
-        let app = &self.exchange.app;
-        app.control.tell(GatewayMessage::MoveFailed {
-            request: self.exchange.head.request.clone(),
-            tried: self.tried.clone(),
-        });
-        self.ask_again_at = Some(app.clock.now() + ASK_AGAIN);
-    }
-
     fn signalled(&mut self, signal: SessionSignal) {
         let SessionSignal::MoveTo(target) = signal;
         if self.moving.is_some() {
@@ -261,7 +238,6 @@
             stop_first: false,
         };
         let mover = self.exchange.app.mover.clone();
-        self.ask_again_at = None;
         self.moving = Some(SessionMove::start(mover, order, target));
     }
 
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -10,7 +10,6 @@
 use slog::info;
 use slog::warn;
 
-use super::ASK_AGAIN;
 use super::End;
 use super::LOOK_TIMEOUT;
 use super::StreamRelay;
@@ -97,7 +96,10 @@
                     "backend_server" => &self.replica.id,
                     "cause" => error.to_string());
                 self.tried.push(replica.id);
-                self.ask_for_target();
+                app.control.tell(GatewayMessage::MoveFailed {
+                    request: self.exchange.head.request.clone(),
+                    tried: self.tried.clone(),
+                });
                 return self.back_to_source(error).await;
             }
         };
@@ -121,10 +123,14 @@
         let Some(target) = asked.await.flatten() else {
             return Some(End::Lost);
         };
+        let target_id = target.replica.id.clone();
         match self.resume(target, copy.clone()).await {
             Resumed::GoesOn => None,
             Resumed::Lost => Some(End::Lost),
-            Resumed::NotRun => self.stay_at(source, copy).await,
+            Resumed::NotRun => {
+                self.tried.push(target_id);
+                self.stay_at(source, copy).await
+            }
         }
     }
 
@@ -159,7 +165,10 @@
         match self.resume(target, copy).await {
             Resumed::GoesOn => {
                 // It still has to leave.
-                self.ask_again_at = Some(self.exchange.app.clock.now() + ASK_AGAIN);
+                self.exchange.app.control.tell(GatewayMessage::MoveFailed {
+                    request: self.exchange.head.request.clone(),
+                    tried: self.tried.clone(),
+                });
                 None
             }
             Resumed::NotRun | Resumed::Lost => Some(End::Lost),
@@ -235,12 +244,14 @@
             "backup" => target.backup.as_ref().map(|b| b.id.clone()),
             "last_event" => self.last_event,
             "paused_ms" => pause.as_millis() as u64);
+        let target_is_new = self.replica.id != target.replica.id;
         self.replica = target.replica;
         self.body = body;
         self.splitter = EventSplitter::default();
         self.heard_at = app.clock.now();
         self.carried += 1;
-        self.tried.clear();
-        self.ask_again_at = None;
+        if target_is_new {
+            self.tried.clear();
+        }
     }
 }
