--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -115,15 +115,6 @@
         members.reads_list(now, reading.confirmed_at.max(heard), reading.can_read)
     }
 
-    /// Time since the platform confirmed the list, to anyone's knowledge.
-    pub fn list_age(&self, list_revision: Revision) -> Duration {
-        let now = self.clock.now();
-        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
-        let reading = self.reading.lock().unwrap_or_else(PoisonError::into_inner);
-        let heard = members.confirmed_at(now, list_revision);
-        now.saturating_sub(reading.confirmed_at.max(heard).unwrap_or_default())
-    }
-
     /// Notes that the platform answered about the list, with what changed.
     pub fn list_read(&self, news: Option<ListNews>) {
         let now = self.clock.now();
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -40,7 +40,6 @@
 use crate::gateway_thread::TableView;
 use crate::http_server;
 use crate::http_server::ConnectionLimits;
-use crate::leave_watcher;
 use crate::peer_port::JsonRpcPeers;
 use crate::peer_server;
 use crate::peer_server::PeerIdentity;
@@ -169,7 +168,6 @@
             log.clone(),
         ));
         let peers = start_peers(&app, news).await?;
-        tokio::spawn(leave_watcher::run(app.clone(), peers.clone()));
         let reader = ListReader {
             directory: ports.directory,
             control,
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -134,16 +134,6 @@
         /// Who had them.
         source: String,
     },
-    /// A replica says that it is about to leave.
-    Leaves {
-        /// The replica.
-        replica: BackendId,
-    },
-    /// Which engines run sessions of this instance that have no copy.
-    Uncopied {
-        /// The answer.
-        reply: oneshot::Sender<Vec<Replica>>,
-    },
     /// The directory answers again.
     OutageEnded,
     /// A peer told of itself.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -172,14 +172,6 @@
                 self.evacuate(evacuations);
             }
             GatewayMessage::ListNews { news, source } => self.list_news(news, &source),
-            GatewayMessage::Leaves { replica } => {
-                info!(self.log, "backend server says that it leaves"; "backend_server" => &replica);
-                let evacuations = self.control.leaves(now, &replica);
-                self.evacuate(evacuations);
-            }
-            GatewayMessage::Uncopied { reply } => {
-                let _ = reply.send(self.control.uncopied());
-            }
             GatewayMessage::OutageEnded => self.control.outage_ended(now),
             GatewayMessage::PeerHeard {
                 instance,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -34,7 +34,6 @@
 mod generation;
 mod heartbeat;
 mod http_server;
-mod leave_watcher;
 mod load_poller;
 mod log_limit;
 mod logging;
