Count the grace of lapsed entries from the end of the outage

Ruled out: late knowledge (the removal was known 12 ms after the store's answer). Change: the grace ends two seconds after the outage's end, which news carry as an age; lapsed entries past it are not ranked; forgotten history alone is no outage; the end of an outage is told before the list that follows it.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -126,6 +126,17 @@
         control
     }
 
+    /// Takes other settings; the name and the zone of an instance stay.
+    pub fn set_terms(&mut self, terms: GatewayTerms) {
+        self.budget.set_per_request(terms.retry_ratio);
+        self.terms = GatewayTerms {
+            instance: self.terms.instance.clone(),
+            zone: self.terms.zone.clone(),
+            ..terms
+        };
+        self.share_budget();
+    }
+
     /// Takes a configuration if it is newer and sound.
     pub fn offer_config(&mut self, config: Arc<GatewayConfig>) -> ConfigVerdict {
         if config.version <= self.config_version() {
@@ -178,9 +189,9 @@
         self.replicas_changed(now)
     }
 
-    /// Notes that the platform answers again after an outage.
-    pub fn outage_ended(&mut self, now: Now) {
-        self.list.outage_ended(now);
+    /// Notes when the platform answered again after an outage.
+    pub fn outage_ended(&mut self, at: Now) {
+        self.list.outage_ended(at);
     }
 
     /// Notes what a peer has put on the replicas.
@@ -335,8 +346,8 @@
         let mut scores = Vec::new();
         let replicas: Vec<Replica> = self
             .list
-            .replicas()
-            .filter(|replica| replica.service == ask.service && !replica.leaving)
+            .serving(now)
+            .filter(|replica| replica.service == ask.service)
             .filter(|replica| Some(replica.id.as_str()) != besides)
             .cloned()
             .collect();
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -10,15 +10,11 @@
 use crate::Now;
 use crate::Replica;
 
-/// How long an entry that is missing after an outage of the platform counts as
+/// How long after an outage of the platform a missing entry still counts as
 /// present: a live server writes its entry again within two heartbeats of
 /// 1.2 s, and the users set the bound at about 2 s.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
-/// How long after an outage a removal may stem from that outage rather than
-/// from the end of the server: one heartbeat of the servers.
-const OUTAGE_SHADOW: Duration = Duration::from_millis(1_500);
-
 /// One change of the list.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ReplicaChange {
@@ -52,7 +48,8 @@
 #[derive(Clone, Debug)]
 struct Line {
     replica: Replica,
-    lapsed_at: Option<Now>,
+    /// When a lapsed entry stops counting.
+    lapses_at: Option<Now>,
 }
 
 /// Replicas by id, at a revision of the platform's list.
@@ -101,17 +98,14 @@
         true
     }
 
-    /// Notes that the platform answers again after an outage.
-    pub fn outage_ended(&mut self, now: Now) {
-        self.outage_ended = Some(now);
+    /// Notes when the platform answered again after an outage.
+    pub fn outage_ended(&mut self, at: Now) {
+        self.outage_ended = self.outage_ended.max(Some(at));
     }
 
     /// Drops entries whose grace is over; returns them.
     pub fn expire(&mut self, now: Now) -> Vec<BackendId> {
-        let is_over = |line: &Line| {
-            let lapsed = line.lapsed_at;
-            lapsed.is_some_and(|at| now.saturating_sub(at) >= LAPSE_GRACE)
-        };
+        let is_over = |line: &Line| line.lapses_at.is_some_and(|at| now >= at);
         let over = self.lines.iter().filter(|(_, line)| is_over(line));
         let ids: Vec<BackendId> = over.map(|(id, _)| id.clone()).collect();
         for id in &ids {
@@ -124,7 +118,7 @@
     pub fn state(&self, id: &str) -> ListedState {
         match self.lines.get(id) {
             None => ListedState::Removed,
-            Some(line) if line.lapsed_at.is_some() => ListedState::Lapsed,
+            Some(line) if line.lapses_at.is_some() => ListedState::Lapsed,
             Some(line) if line.replica.leaving => ListedState::Leaving,
             Some(_) => ListedState::Serving,
         }
@@ -140,6 +134,15 @@
         self.lines.values().map(|line| &line.replica)
     }
 
+    /// The replicas that take new work now.
+    pub fn serving(&self, now: Now) -> impl Iterator<Item = &Replica> {
+        let counts = move |line: &&Line| {
+            let is_over = line.lapses_at.is_some_and(|at| now >= at);
+            !line.replica.leaving && !is_over
+        };
+        self.lines.values().filter(counts).map(|line| &line.replica)
+    }
+
     /// One replica.
     pub fn replica(&self, id: &str) -> Option<&Replica> {
         self.lines.get(id).map(|line| &line.replica)
@@ -148,22 +151,21 @@
     fn insert(&mut self, replica: Replica) {
         let line = Line {
             replica,
-            lapsed_at: None,
+            lapses_at: None,
         };
         self.lines.insert(line.replica.id.clone(), line);
     }
 
     fn remove(&mut self, now: Now, id: &str) {
-        let after_outage = self
-            .outage_ended
-            .is_some_and(|ended| now.saturating_sub(ended) < OUTAGE_SHADOW);
+        let grace_ends = self.outage_ended.map(|ended| ended + LAPSE_GRACE);
         let Some(line) = self.lines.get_mut(id) else {
             return;
         };
-        if after_outage && !line.replica.leaving {
-            line.lapsed_at = line.lapsed_at.or(Some(now));
-        } else {
-            self.lines.remove(id);
+        match grace_ends {
+            Some(ends) if now < ends && !line.replica.leaving => line.lapses_at = Some(ends),
+            _ => {
+                self.lines.remove(id);
+            }
         }
     }
 }
--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Changes how many retries each fresh request earns.
+    pub fn set_per_request(&mut self, per_request: f64) {
+        self.per_request = per_request;
+    }
+
     /// Changes how many retries may be saved up.
     pub fn set_max_saved(&mut self, max_saved: f64) {
         self.max_saved = max_saved;
--- a/crates/daemon/src/directory_reader.rs
+++ b/crates/daemon/src/directory_reader.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use iristhread_core::Now;
+use iristhread_core::Replica;
 use rand::RngExt;
 use slog::Logger;
 use slog::info;
@@ -41,9 +42,9 @@
 /// Time between two looks at whether this instance should read.
 const ROTA_CHECK: Duration = Duration::from_millis(150);
 
-/// How long after an outage removals may stem from it: a heartbeat of the
-/// backend servers.
-const OUTAGE_SHADOW: Duration = Duration::from_millis(1_500);
+/// How long after an outage removals may stem from it; `ReplicaList` draws the
+/// line, this bounds what is told.
+const OUTAGE_SHADOW: Duration = Duration::from_secs(3);
 
 /// Who had what was read.
 const SOURCE: &str = "directory";
@@ -190,18 +191,20 @@
             };
             self.metrics.directory_called("list", end_of(&read));
             match read {
-                Ok(()) => {
+                Ok(read) => {
                     forgotten = false;
                     if trouble.succeeded(&self.log) {
+                        // Before the list: what it lacks may be missing only
+                        // because of the outage.
                         self.control.tell(GatewayMessage::OutageEnded);
                         outage_ended = Some(self.clock.now());
                     }
+                    self.tell(read);
                     tokio::time::sleep(BATCH).await;
                 }
                 Err(DirectoryError::HistoryGone) => {
                     info!(self.log, "history of the directory is gone; reading anew";
                         "of" => "backend servers");
-                    self.control.tell(GatewayMessage::OutageEnded);
                     forgotten = true;
                 }
                 Err(error) => {
@@ -214,40 +217,65 @@
         }
     }
 
-    async fn read_whole(&self) -> Result<(), DirectoryError> {
+    fn tell(&self, read: ListRead) {
+        match read {
+            ListRead::Same => self.link.list_read(None),
+            ListRead::Whole { revision, replicas } => {
+                self.control.tell(GatewayMessage::Replicas {
+                    revision,
+                    replicas,
+                    source: SOURCE.to_owned(),
+                });
+                self.link.list_read(None);
+                self.link.beat_soon();
+            }
+            ListRead::Changed(news) => {
+                self.control.tell(GatewayMessage::ListNews {
+                    news: news.clone(),
+                    source: SOURCE.to_owned(),
+                });
+                self.link.list_read(Some(news));
+            }
+        }
+    }
+
+    async fn read_whole(&self) -> Result<ListRead, DirectoryError> {
         let read = self.directory.replicas().await?;
-        self.link.list_read(None);
-        self.control.tell(GatewayMessage::Replicas {
+        Ok(ListRead::Whole {
             revision: read.revision,
             replicas: read.value,
-            source: SOURCE.to_owned(),
-        });
-        self.link.beat_soon();
-        Ok(())
+        })
     }
 
     async fn watch(
         &self,
         after: Revision,
         outage_ended: Option<Now>,
-    ) -> Result<(), DirectoryError> {
+    ) -> Result<ListRead, DirectoryError> {
         let read = self.directory.replicas_after(after, LIST_WATCH).await?;
         if read.value.is_empty() {
-            self.link.list_read(None);
-            return Ok(());
+            return Ok(ListRead::Same);
         }
         let since = outage_ended.map(|at| self.clock.now().saturating_sub(at));
-        let news = ListNews {
+        let since = since.filter(|since| *since < OUTAGE_SHADOW);
+        Ok(ListRead::Changed(ListNews {
             after,
             revision: read.revision,
             changes: read.value,
-            after_outage: since.is_some_and(|since| since < OUTAGE_SHADOW),
-        };
-        self.control.tell(GatewayMessage::ListNews {
-            news: news.clone(),
-            source: SOURCE.to_owned(),
-        });
-        self.link.list_read(Some(news));
-        Ok(())
+            outage_ended_ms: since.map(|since| since.as_millis() as u64),
+        }))
     }
 }
+
+/// What a call about the list brought.
+enum ListRead {
+    /// Nothing has changed.
+    Same,
+    /// Some entries have.
+    Changed(ListNews),
+    /// The whole list.
+    Whole {
+        revision: Revision,
+        replicas: Vec<Replica>,
+    },
+}
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -195,7 +195,11 @@
             can_read: reading.can_read,
             addresses: members.told_addresses(now, &mut rand::rng()),
             shares: own.shares,
-            news: reading.news.iter().map(|(_, news)| news.clone()).collect(),
+            news: reading
+                .news
+                .iter()
+                .map(|(at, news)| aged(news, now - *at))
+                .collect(),
         };
         (heartbeat, members.targets(now, &mut rand::rng()))
     }
@@ -334,6 +338,14 @@
     }
 }
 
+/// News as they are told a while after they were read.
+fn aged(news: &ListNews, age: Duration) -> ListNews {
+    let mut news = news.clone();
+    let age_ms = age.as_millis() as u64;
+    news.outage_ended_ms = news.outage_ended_ms.map(|ended_ms| ended_ms + age_ms);
+    news
+}
+
 fn keep(news: &mut VecDeque<(Now, ListNews)>, now: Now, item: ListNews) {
     news.push_back((now, item));
     while news.len() > NEWS_KEPT {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -12,6 +12,7 @@
 use iristhread_core::RouteTable;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -34,6 +35,7 @@
 use crate::fleet_link::FleetLink;
 use crate::gateway_answers::GatewayAnswers;
 use crate::gateway_front;
+use crate::gateway_message::GatewayMessage;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_thread::GatewayHandle;
@@ -122,6 +124,7 @@
     app: Arc<GatewayApp>,
     stop: watch::Sender<bool>,
     callers: JoinHandle<()>,
+    stop_grace: Duration,
 }
 
 impl Gateway {
@@ -196,11 +199,53 @@
         }
         Ok(Gateway {
             callers: tokio::spawn(callers),
+            stop_grace: app.settings.stop_grace,
             app,
             stop,
         })
     }
 
+    /// Takes changed settings, as far as a running process can.
+    pub fn reload(&mut self, settings: &GatewaySettings) {
+        let old = &self.app.settings;
+        let bound = [
+            ("instance", old.instance != settings.instance),
+            ("availability_zone", old.zone != settings.zone),
+            (
+                "caller_address",
+                old.caller_address != settings.caller_address,
+            ),
+            (
+                "operator_address",
+                old.operator_address != settings.operator_address,
+            ),
+            ("peer_address", old.peer_address != settings.peer_address),
+            (
+                "metrics_address",
+                old.metrics_address != settings.metrics_address,
+            ),
+            (
+                "directory_address",
+                old.directory_address != settings.directory_address,
+            ),
+        ];
+        let bound: Vec<&str> = bound
+            .iter()
+            .filter(|(_, changed)| *changed)
+            .map(|b| b.0)
+            .collect();
+        info!(self.app.log, "settings reloaded"; "need_a_restart" => bound.join(", "));
+        self.stop_grace = settings.stop_grace;
+        let terms = Box::new(settings.terms(rand::random()));
+        self.app.control.tell(GatewayMessage::Terms { terms });
+    }
+
+    /// Notes that changed settings can't be used; the old ones stay.
+    pub fn reload_failed(&self, faults: &[String]) {
+        warn!(self.app.log, "changed settings have faults; the old ones stay";
+            "faults" => faults.join("; "));
+    }
+
     /// A planned stop: not ready at once, then no new connections, then wait
     /// for every request. Returns whether all of them finished in time.
     pub async fn stop(self) -> bool {
@@ -208,7 +253,7 @@
         let began = self.app.clock.now();
         info!(log, "planned stop begins");
         self.app.stopping.store(true, Ordering::Relaxed);
-        let grace = self.app.settings.stop_grace;
+        let grace = self.stop_grace;
         tokio::time::sleep(STOP_LINGER.min(grace / 2)).await;
         self.stop.send_replace(true);
         let ends_at = began + grace.saturating_sub(STOP_MARGIN);
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -6,6 +6,7 @@
 use iristhread_core::CarryTarget;
 use iristhread_core::ConfigVersion;
 use iristhread_core::GatewayConfig;
+use iristhread_core::GatewayTerms;
 use iristhread_core::Incarnation;
 use iristhread_core::InstanceId;
 use iristhread_core::LoadShares;
@@ -134,6 +135,11 @@
         /// Who had them.
         source: String,
     },
+    /// The settings have changed.
+    Terms {
+        /// What the decisions need of them.
+        terms: Box<GatewayTerms>,
+    },
     /// The directory answers again.
     OutageEnded,
     /// A peer told of itself.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -172,6 +172,7 @@
                 self.evacuate(evacuations);
             }
             GatewayMessage::ListNews { news, source } => self.list_news(news, &source),
+            GatewayMessage::Terms { terms } => self.control.set_terms(*terms),
             GatewayMessage::OutageEnded => self.control.outage_ended(now),
             GatewayMessage::PeerHeard {
                 instance,
@@ -271,10 +272,11 @@
         }
         info!(self.log, "list of backend servers changed";
             "revision" => news.revision, "source" => source,
-            "after_outage" => news.after_outage,
+            "outage_ended_ms" => news.outage_ended_ms,
             "changes" => shown(&news.changes));
-        if news.after_outage {
-            self.control.outage_ended(now);
+        if let Some(ago) = news.outage_ended_ms {
+            let ago = Duration::from_millis(ago);
+            self.control.outage_ended(now.saturating_sub(ago));
         }
         let evacuations = self
             .control
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -26,8 +26,9 @@
     pub revision: Revision,
     /// The changes.
     pub changes: Vec<ReplicaChange>,
-    /// Whether removals among them may stem from an outage of the platform.
-    pub after_outage: bool,
+    /// Milliseconds since the platform answered again after an outage, from
+    /// which removals may stem.
+    pub outage_ended_ms: Option<u64>,
 }
 
 /// One heartbeat.
