Notice a lost watch of the configuration within seconds; a soak of our own

Ruled out: the list (its watches wait 1 s and were back at 17.3 s); peers (nobody had the version). Change: after a failure the configuration is read rather than watched, and a watch waits 5 s: 0.2 calls a second an instance.

--- a/crates/daemon/src/directory_reader.rs
+++ b/crates/daemon/src/directory_reader.rs
@@ -21,8 +21,10 @@
 use crate::gateway_thread::GatewayHandle;
 use crate::heartbeat::ListNews;
 
-/// Longest time that one watch waits.
-const WATCH: Duration = Duration::from_secs(20);
+/// Longest time that one watch of the configuration waits: the answer of a watch
+/// may be lost without a word, and then this is how late a change is seen where
+/// no peer has it. Each call has a price; this is one call in 5 s an instance.
+const WATCH: Duration = Duration::from_secs(5);
 
 /// First pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -102,6 +104,12 @@
                 let configs = read.value.into_iter().collect();
                 (configs, read.revision)
             }),
+            // After a failure, a short question tells sooner than a watch whether
+            // the directory is back.
+            Some(_) if trouble.is_lost => directory.config().await.map(|read| {
+                let configs = read.value.into_iter().collect();
+                (configs, read.revision)
+            }),
             Some(after) => {
                 let read = directory.config_after(after, WATCH).await;
                 read.map(|read| (read.value, read.revision))
--- a/crates/testbed/src/link.rs
+++ b/crates/testbed/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -13,11 +14,18 @@
 
 const BUFFER_BYTES: usize = 16 << 10;
 
+/// What each piece waits on a slow link.
+const SLOW_BY: Duration = Duration::from_millis(40);
+
 /// What a link does with what comes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkState {
     /// Passes it on.
     Up,
+    /// Passes it on after a while.
+    Slow,
+    /// Passes on what goes there and holds back what comes from there.
+    Deaf,
     /// Holds it back; connections stay open.
     Stalled,
     /// Closes every connection and takes no new one.
@@ -66,8 +74,10 @@
     };
     let (near_in, near_out) = near.into_split();
     let (far_in, far_out) = far.into_split();
-    let there = copy(near_in, far_out, state.clone());
-    let back = copy(far_in, near_out, state.clone());
+    let holds_requests = |state| state == LinkState::Stalled;
+    let holds_answers = |state| matches!(state, LinkState::Stalled | LinkState::Deaf);
+    let there = copy(near_in, far_out, state.clone(), holds_requests);
+    let back = copy(far_in, near_out, state.clone(), holds_answers);
     tokio::select! {
         _ = async { tokio::join!(there, back) } => {}
         _ = until(&mut state, |state| state == LinkState::Cut) => {}
@@ -78,10 +88,15 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<LinkState>,
+    holds: impl Fn(LinkState) -> bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length) = from.read(&mut buffer).await {
-        let passes = until(&mut state, |state| state != LinkState::Stalled).await;
+        let is_slow = *state.borrow() == LinkState::Slow;
+        if is_slow {
+            tokio::time::sleep(SLOW_BY).await;
+        }
+        let passes = until(&mut state, |state| !holds(state)).await;
         if length == 0 || !passes || to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
