Share the sender to a control thread and the reading of settings files

Cause: both daemons had copies of them (found by the list of duplicates). No behaviour changes; tests of platform, daemon and core passed twice.

--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -27,6 +27,7 @@
 use crate::control_message::InstanceSnapshot;
 use crate::control_message::Snapshot;
 use crate::control_message::Versions;
+use crate::control_sender::ControlSender;
 use crate::view::View;
 
 /// Time between two ticks of the decisions.
@@ -48,7 +49,7 @@
 /// Sends messages to the control thread; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
-    messages: mpsc::UnboundedSender<ControlMessage>,
+    sender: ControlSender<ControlMessage>,
 }
 
 impl ControlHandle {
@@ -62,7 +63,7 @@
         clock: Clock,
         log: Logger,
     ) -> std::io::Result<(ControlHandle, ControlOutputs)> {
-        let (messages, inbox) = mpsc::unbounded_channel();
+        let (sender, inbox) = ControlSender::new();
         let (view, view_out) = watch::channel(Arc::new(View::default()));
         let (reads, reads_out) = watch::channel(false);
         let (exchanges, exchanges_out) = mpsc::unbounded_channel();
@@ -86,13 +87,12 @@
             reads_platform: reads_out,
             exchanges: exchanges_out,
         };
-        Ok((ControlHandle { messages }, outputs))
+        Ok((ControlHandle { sender }, outputs))
     }
 
     /// Tells of an event.
     pub fn tell(&self, event: Event) {
-        // Fails only when the process is stopping.
-        let _ = self.messages.send(ControlMessage::Event(event));
+        self.sender.tell(ControlMessage::Event(event));
     }
 
     /// Adds to the time line.
@@ -108,9 +108,7 @@
         &self,
         message: impl FnOnce(oneshot::Sender<Answer>) -> ControlMessage,
     ) -> Option<Answer> {
-        let (reply, answer) = oneshot::channel();
-        self.messages.send(message(reply)).ok()?;
-        answer.await.ok()
+        self.sender.ask(message).await
     }
 }
 
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -38,6 +38,7 @@
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_settings::GatewaySettings;
+use crate::gateway_thread;
 use crate::gateway_thread::GatewayHandle;
 use crate::gateway_thread::TableView;
 use crate::http_server;
@@ -150,7 +151,7 @@
         let metrics = Arc::new(GatewayMetrics::default());
         let terms = settings.terms(rand::random());
         let (control, tables) =
-            GatewayHandle::start(terms, clock, log.clone(), metrics.clone(), news.clone())?;
+            gateway_thread::start(terms, clock, log.clone(), metrics.clone(), news.clone())?;
         let app = Arc::new(GatewayApp {
             settings,
             identity,
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -24,10 +24,10 @@
 use slog::warn;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::control_sender::ControlSender;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::KnownState;
 use crate::gateway_message::OwnState;
@@ -41,61 +41,40 @@
 /// The configuration in force, `None` before the first.
 pub type TableView = watch::Receiver<Option<Arc<RouteTable>>>;
 
-/// Sends messages to the control thread; cheap to clone.
-#[derive(Clone)]
-pub struct GatewayHandle {
-    messages: mpsc::UnboundedSender<GatewayMessage>,
-}
-
-impl GatewayHandle {
-    /// Starts the thread. `news` is notified of what the other instances should
-    /// know at once.
-    ///
-    /// # Errors
-    ///
-    /// When the system gives no thread or runtime.
-    pub fn start(
-        terms: GatewayTerms,
-        clock: Clock,
-        log: Logger,
-        metrics: Arc<GatewayMetrics>,
-        news: Arc<Notify>,
-    ) -> std::io::Result<(GatewayHandle, TableView)> {
-        let (messages, inbox) = mpsc::unbounded_channel();
-        let (table, table_out) = watch::channel(None);
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_time()
-            .build()?;
-        let thread = GatewayThread {
-            control: GatewayControl::new(terms),
-            signals: HashMap::new(),
-            clock,
-            log,
-            table,
-            metrics,
-            news,
-        };
-        std::thread::Builder::new()
-            .name("control".to_owned())
-            .spawn(move || runtime.block_on(thread.run(inbox)))?;
-        Ok((GatewayHandle { messages }, table_out))
-    }
-
-    /// Tells of an event.
-    pub fn tell(&self, message: GatewayMessage) {
-        // Fails only when the process is stopping.
-        let _ = self.messages.send(message);
-    }
+/// Sends messages to the gateway's control thread.
+pub type GatewayHandle = ControlSender<GatewayMessage>;
 
-    /// Asks for an answer; `None` when the process is stopping.
-    pub async fn ask<Answer>(
-        &self,
-        message: impl FnOnce(oneshot::Sender<Answer>) -> GatewayMessage,
-    ) -> Option<Answer> {
-        let (reply, answer) = oneshot::channel();
-        self.messages.send(message(reply)).ok()?;
-        answer.await.ok()
-    }
+/// Starts the thread. `news` is notified of what the other instances should know
+/// at once.
+///
+/// # Errors
+///
+/// When the system gives no thread or runtime.
+pub fn start(
+    terms: GatewayTerms,
+    clock: Clock,
+    log: Logger,
+    metrics: Arc<GatewayMetrics>,
+    news: Arc<Notify>,
+) -> std::io::Result<(GatewayHandle, TableView)> {
+    let (sender, inbox) = ControlSender::new();
+    let (table, table_out) = watch::channel(None);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()?;
+    let thread = GatewayThread {
+        control: GatewayControl::new(terms),
+        signals: HashMap::new(),
+        clock,
+        log,
+        table,
+        metrics,
+        news,
+    };
+    std::thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(thread.run(inbox)))?;
+    Ok((sender, table_out))
 }
 
 struct GatewayThread {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,11 +1,11 @@
 //! The program `iristhreadd`.
 
-use std::path::Path;
 use std::process::ExitCode;
 
 use iristhread_daemon::Daemon;
 use iristhread_daemon::Settings;
 use iristhread_daemon::logger;
+use iristhread_daemon::read_settings;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -19,7 +19,7 @@
 
 fn main() -> ExitCode {
     let flags = Iristhreadd::from_env_or_exit();
-    let settings = match read(&flags.settings) {
+    let settings = match read_settings(&flags.settings, Settings::parse) {
         Ok(settings) => settings,
         Err(faults) => {
             faults.iter().for_each(|fault| eprintln!("{fault}"));
@@ -40,17 +40,6 @@
     }
 }
 
-fn read(file: &Path) -> Result<Settings, Vec<String>> {
-    let name = file.display().to_string();
-    let text = std::fs::read_to_string(file).map_err(|error| {
-        vec![format!(
-            "{name}: can't be read: {error}; give --settings FILE"
-        )]
-    })?;
-    let parsed = Settings::parse(&name, &text);
-    parsed.map_err(|faults| faults.iter().map(ToString::to_string).collect())
-}
-
 fn run(settings: Settings) -> Result<bool, iristhread_daemon::DaemonError> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
