Send no more requests to a replica than it takes connections; move only where engines can

Cause: reading the adapter: two fields of the configuration decided nothing. Tests: two cases of gateway_placing.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -340,8 +340,10 @@
         let Some(table) = self.table.clone() else {
             return Vec::new();
         };
-        let engine = table.config().service(&ask.service);
-        let engine = engine.and_then(|service| service.engine.as_ref());
+        let Some(service) = table.config().service(&ask.service) else {
+            return Vec::new();
+        };
+        let engine = service.engine.as_ref();
         let own = self.shares();
         let mut scores = Vec::new();
         let replicas: Vec<Replica> = self
@@ -368,6 +370,10 @@
             };
             let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
             load.add(&self.peers.on(&replica.id));
+            if load.requests >= service.max_connections {
+                // Each request has a connection; the replica would reset it.
+                continue;
+            }
             scores.push(score(&replica, load, &pause, &context));
         }
         scores.sort_by(|a, b| a.cost.total_cmp(&b.cost));
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -83,6 +83,13 @@
     pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
         self.pauses
             .retain(|id, _| self.list.state(id) != ListedState::Removed);
+        let table = self.table.clone();
+        let can_move = |service: &str| {
+            let config = table.as_ref().map(|table| table.config());
+            let service = config.and_then(|config| config.service(service));
+            let engine = service.and_then(|service| service.engine.as_ref());
+            engine.is_some_and(|engine| engine.can_move)
+        };
         let mut to_move = Vec::new();
         for (request, run) in &mut self.runs {
             let is_leaving = |id: &BackendId| self.list.state(id).is_leaving();
@@ -92,7 +99,8 @@
             let has_copy = run.backup.is_some();
             let is_session = run.ask.class == RequestClass::Stream;
             let stays = run.moving == Moving::Stays;
-            if is_session && !has_copy && stays && is_leaving(&run.replica) {
+            let needs_move = is_session && !has_copy && stays && is_leaving(&run.replica);
+            if needs_move && can_move(&run.ask.service) {
                 to_move.push(request.clone());
             }
         }
--- a/crates/core/tests/gateway_placing.rs
+++ b/crates/core/tests/gateway_placing.rs
@@ -200,6 +200,37 @@
     assert!(control.evacuate(ZERO, "r1", &tried).is_none());
 }
 
+#[test]
+fn a_replica_gets_no_more_requests_than_it_takes_connections() {
+    let mut control = control_with(&["e1"]);
+    let mut small = config(2);
+    small.services[0].max_connections = 2;
+    control.offer_config(Arc::new(small));
+    for number in 0..2 {
+        control.place(ZERO, ask(&format!("r{number}"))).unwrap();
+    }
+    assert!(control.place(ZERO, ask("more")).is_err());
+    control.ended(ZERO, "r0", RunEnd::Answered);
+    assert!(control.place(ZERO, ask("again")).is_ok());
+}
+
+#[test]
+fn sessions_stay_where_engines_can_t_move_them() {
+    let mut control = control_with(&["e1", "e2"]);
+    let mut fixed = config(2);
+    if let Some(engine) = &mut fixed.services[0].engine {
+        engine.can_move = false;
+        engine.can_back_up = false;
+    }
+    control.offer_config(Arc::new(fixed));
+    let ranking = control.place(ZERO, ask("r1")).unwrap();
+    let leaves = vec![ReplicaChange::Listed(leaving(
+        &ranking.replicas[0].id,
+        "z1",
+    ))];
+    assert!(control.change_replicas(ZERO, 2, leaves).is_empty());
+}
+
 #[test]
 fn a_failing_replica_is_left_alone_unless_all_fail() {
     let mut control = control_with(&["e1", "e2"]);
