Never join a continued stream with a gap, and free engines of callers that stop reading

Change: EventOrder (core) learns how ids grow and refuses a gap after a resumption; the timeout goes before frames and covers a blocked write; the engine's connection is dropped before the caller's end is awaited; a pause after forgotten history. Tests: 10 cases of event_order.

--- /dev/null
+++ b/crates/core/tests/event_order.rs
@@ -0,0 +1,40 @@
+//! Events of a stream that one engine after the other makes.
+
+use iristhread_core::EventOrder;
+use iristhread_core::EventVerdict;
+use iristhread_core::EventVerdict::Deliver;
+use iristhread_core::EventVerdict::Missing;
+use iristhread_core::EventVerdict::Repeated;
+use test_case::test_case;
+
+/// Ids of the first engine, then of the one that continues, and what becomes
+/// of the latter.
+#[test_case(&[1, 2, 3], &[4, 5], &[Deliver, Deliver]; "it goes on")]
+#[test_case(&[1, 2, 3], &[2, 3, 4], &[Repeated, Repeated, Deliver]; "it repeats some")]
+#[test_case(&[1, 2, 3], &[5], &[Missing]; "it skips one")]
+#[test_case(&[1, 2, 3], &[3, 5], &[Repeated, Missing]; "it repeats one and skips one")]
+#[test_case(&[10, 20, 30], &[40], &[Deliver]; "ids grow by ten")]
+#[test_case(&[10, 20, 30], &[50], &[Missing]; "it skips one of ten")]
+#[test_case(&[1, 4, 5], &[9], &[Deliver]; "ids grow unevenly")]
+#[test_case(&[1], &[2], &[Deliver]; "after one event")]
+#[test_case(&[], &[1, 2], &[Deliver, Deliver]; "before the first event")]
+fn a_continued_stream(first: &[u64], then: &[u64], expected: &[EventVerdict]) {
+    let mut order = EventOrder::default();
+    for id in first {
+        assert_eq!(order.next(Some(*id)), Deliver);
+    }
+    order.resume();
+    let verdicts: Vec<EventVerdict> = then.iter().map(|id| order.next(Some(*id))).collect();
+    assert_eq!(verdicts, expected);
+}
+
+#[test]
+fn one_engine_is_trusted_with_its_own_order() {
+    let mut order = EventOrder::default();
+    for id in [1, 2, 7, 8] {
+        assert_eq!(order.next(Some(id)), Deliver);
+    }
+    assert_eq!(order.next(Some(8)), Repeated);
+    assert_eq!(order.next(None), Deliver);
+    assert_eq!(order.last(), 8);
+}
--- a/crates/daemon/src/directory_reader.rs
+++ b/crates/daemon/src/directory_reader.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use iristhread_core::GatewayConfig;
 use iristhread_core::Now;
 use iristhread_core::Replica;
 use rand::RngExt;
@@ -99,17 +100,13 @@
     let mut trouble = Trouble::new("configuration");
     let mut revision: Option<Revision> = None;
     loop {
-        let read = match revision {
+        // After a failure, a short question tells sooner than a watch whether the
+        // directory is back.
+        let read = match revision.filter(|_| !trouble.is_lost) {
             None => directory.config().await.map(|read| {
                 let configs = read.value.into_iter().collect();
                 (configs, read.revision)
             }),
-            // After a failure, a short question tells sooner than a watch whether
-            // the directory is back.
-            Some(_) if trouble.is_lost => directory.config().await.map(|read| {
-                let configs = read.value.into_iter().collect();
-                (configs, read.revision)
-            }),
             Some(after) => {
                 let read = directory.config_after(after, WATCH).await;
                 read.map(|read| (read.value, read.revision))
@@ -125,6 +122,7 @@
             Err(DirectoryError::HistoryGone) => {
                 info!(log, "history of the directory is gone; reading anew"; "of" => "configuration");
                 revision = None;
+                tokio::time::sleep(FIRST_PAUSE).await;
             }
             Err(error) => trouble.failed(&log, &error).await,
         }
@@ -142,7 +140,7 @@
     }
 }
 
-fn tell_configs(control: &GatewayHandle, configs: Vec<iristhread_core::GatewayConfig>) {
+fn tell_configs(control: &GatewayHandle, configs: Vec<GatewayConfig>) {
     for config in configs {
         control.tell(GatewayMessage::Config {
             config: Arc::new(config),
@@ -214,6 +212,7 @@
                     info!(self.log, "history of the directory is gone; reading anew";
                         "of" => "backend servers");
                     forgotten = true;
+                    tokio::time::sleep(FIRST_PAUSE).await;
                 }
                 Err(error) => {
                     self.link.list_unreadable();
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -10,6 +10,8 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use iristhread_core::BackendId;
+use iristhread_core::EventOrder;
+use iristhread_core::EventVerdict;
 use iristhread_core::Now;
 use iristhread_core::Replica;
 use iristhread_core::RunEnd;
@@ -84,7 +86,7 @@
     signals: mpsc::UnboundedReceiver<SessionSignal>,
     to_caller: mpsc::Sender<Piece>,
     splitter: EventSplitter,
-    last_event: u64,
+    order: EventOrder,
     events: u32,
     tokens_per_event: u32,
     heard_at: Now,
@@ -115,7 +117,7 @@
             signals,
             to_caller,
             splitter: EventSplitter::default(),
-            last_event: 0,
+            order: EventOrder::default(),
             events: 0,
             last_event_at: Now::ZERO,
             longest_gap: Duration::ZERO,
@@ -150,14 +152,14 @@
         let frame = tokio::select! {
             biased;
             () = self.to_caller.closed() => return Step::CallerGone,
+            () = sleep_until(time_over) => return Step::TimeOver,
             moved = finished(&mut self.moving) => return Step::Moved(moved),
-            frame = self.body.frame() => frame,
             Some(signal) = self.signals.recv() => {
                 self.signalled(signal);
                 return Step::Continue;
             }
+            frame = self.body.frame() => frame,
             () = sleep_until(silent_at) => return self.look_at_engine().await,
-            () = sleep_until(time_over) => return Step::TimeOver,
         };
         match frame {
             Some(Ok(frame)) => self.take(frame).await,
@@ -175,14 +177,14 @@
         let mut piece = BytesMut::new();
         let had = self.events;
         for event in self.splitter.push(&data) {
-            let id = event.id.unwrap_or(self.last_event);
-            // A resumed engine may repeat what the caller has.
-            if event.id.is_some() && id <= self.last_event {
-                continue;
+            match self.order.next(event.id) {
+                EventVerdict::Deliver => {
+                    self.events += 1;
+                    piece.extend_from_slice(&event.bytes);
+                }
+                EventVerdict::Repeated => {}
+                EventVerdict::Missing => return Step::Broken("events are missing"),
             }
-            self.last_event = id;
-            self.events += 1;
-            piece.extend_from_slice(&event.bytes);
         }
         if piece.is_empty() {
             return Step::Continue;
@@ -191,9 +193,12 @@
         if had == 0 || had / PROGRESS_EVERY != self.events / PROGRESS_EVERY {
             self.tell_progress();
         }
-        match self.to_caller.send(Ok(Frame::data(piece.freeze()))).await {
-            Ok(()) => Step::Continue,
-            Err(_) => Step::CallerGone,
+        let time_over = self.exchange.app.clock.instant(self.exchange.answer_by);
+        let sent = self.to_caller.send(Ok(Frame::data(piece.freeze())));
+        match tokio::time::timeout_at(time_over, sent).await {
+            Ok(Ok(())) => Step::Continue,
+            Ok(Err(_)) => Step::CallerGone,
+            Err(_) => Step::TimeOver,
         }
     }
 
@@ -258,9 +263,18 @@
             "carried" => self.carried,
             "longest_gap_ms" => self.longest_gap.as_millis() as u64,
             "took_ms" => (app.clock.now() - self.exchange.arrived).as_millis() as u64);
+        // The engine is free at once, also when the caller reads nothing more.
+        let StreamRelay {
+            to_caller,
+            body,
+            guard,
+            moving,
+            ..
+        } = self;
+        drop((body, guard, moving));
         if end != End::Whole {
             // The server then breaks the connection off, unless the caller has.
-            let _ = self.to_caller.send(Err(StreamBroken)).await;
+            let _ = to_caller.send(Err(StreamBroken)).await;
         }
     }
 }
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -44,7 +44,7 @@
             "request" => &self.exchange.head.request,
             "backend_server" => &self.replica.id,
             "cause" => cause,
-            "last_event" => self.last_event,
+            "last_event" => self.order.last(),
             "moving" => self.moving.is_some());
         if let Some(end) = self.finish_move().await {
             return end;
@@ -58,7 +58,7 @@
         let Some(target) = asked.await.flatten() else {
             warn!(self.exchange.app.log, "stream lost: no copy of the session is known";
                 "request" => &self.exchange.head.request,
-                "last_event" => self.last_event);
+                "last_event" => self.order.last());
             return Some(End::Lost);
         };
         let keeper = target.replica.address;
@@ -199,7 +199,7 @@
         let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
         let point = ResumePoint {
             copy,
-            after_event: self.last_event,
+            after_event: self.order.last(),
         };
         let sent = self
             .exchange
@@ -231,7 +231,7 @@
             "backend_server" => &target.replica.id,
             "copy" => kind,
             "cause" => cause,
-            "last_event" => self.last_event);
+            "last_event" => self.order.last());
         resumed
     }
 
@@ -242,12 +242,13 @@
             "from" => &target.from,
             "backend_server" => &target.replica.id,
             "backup" => target.backup.as_ref().map(|b| b.id.clone()),
-            "last_event" => self.last_event,
+            "last_event" => self.order.last(),
             "paused_ms" => pause.as_millis() as u64);
         let target_is_new = self.replica.id != target.replica.id;
         self.replica = target.replica;
         self.body = body;
         self.splitter = EventSplitter::default();
+        self.order.resume();
         self.heard_at = app.clock.now();
         self.carried += 1;
         if target_is_new {
