Leave out an unreadable entry of a backend server, and keep the rest of the list

Cause (read): one entry that could not be decoded failed the whole read and every watch after it, so an instance would have known no server. Change: such entries are left out, each with a warning, and count as seen.

--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -39,6 +39,8 @@
     pub value: T,
     /// The directory's revision when it answered.
     pub revision: Revision,
+    /// Entries that could not be read and are left out, each with the reason.
+    pub skipped: Vec<String>,
 }
 
 /// Reads and watches; nothing can be written.
--- a/crates/daemon/src/directory_reader.rs
+++ b/crates/daemon/src/directory_reader.rs
@@ -246,8 +246,16 @@
         }
     }
 
+    /// One entry that can't be read must not hide the others.
+    fn warn_of(&self, skipped: &[String]) {
+        for entry in skipped {
+            warn!(self.log, "entry of a backend server left out"; "cause" => entry);
+        }
+    }
+
     async fn read_whole(&self) -> Result<ListRead, DirectoryError> {
         let read = self.directory.replicas().await?;
+        self.warn_of(&read.skipped);
         Ok(ListRead::Whole {
             revision: read.revision,
             replicas: read.value,
@@ -260,7 +268,9 @@
         outage_ended: Option<Now>,
     ) -> Result<ListRead, DirectoryError> {
         let read = self.directory.replicas_after(after, LIST_WATCH).await?;
-        if read.value.is_empty() {
+        self.warn_of(&read.skipped);
+        // What was left out counts as seen, too.
+        if read.value.is_empty() && read.skipped.is_empty() {
             return Ok(ListRead::Same);
         }
         let since = outage_ended.map(|at| self.clock.now().saturating_sub(at));
