Write each log record at once

Change: WholeLines collects a record and writes it at once. Test: whole_lines::a_record_is_one_write (150 writes for 3 records before, 3 after).

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -61,6 +61,7 @@
 mod stream_call;
 mod stream_relay;
 mod view;
+mod whole_lines;
 
 pub use daemon::Daemon;
 pub use daemon::DaemonError;
@@ -112,3 +113,4 @@
 pub use settings::Settings;
 pub use settings_file::read_settings;
 pub use settings_reader::SettingsFault;
+pub use whole_lines::WholeLines;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -10,6 +10,7 @@
 use slog::o;
 
 use crate::log_limit::LogLimit;
+use crate::whole_lines::WholeLines;
 
 /// Lines that wait for the writer; about a megabyte at most.
 const QUEUED_LINES: usize = 4_096;
@@ -17,7 +18,7 @@
 /// The logger of a process.
 pub fn logger(instance: &str, zone: &str, level: Level) -> Logger {
     // A reader that went away must not end the process.
-    let json = slog_json::Json::default(std::io::stdout()).ignore_res();
+    let json = slog_json::Json::default(WholeLines::new(std::io::stdout())).ignore_res();
     let queued = slog_async::Async::new(json)
         .chan_size(QUEUED_LINES)
         .build()
