Tell peers the end of an outage, and never a lapsed entry as listed

Its entry had lapsed on the instances that read the store; those that fetched the whole list from them took it as listed, and nobody ever removed it. Ruled out: a gap in the readers' watch (they read 47 entries, peers fetched 48 at the same revision). Change: a peer hands on what the platform lists, and how long ago an outage ended; both sides then draw the same conclusion from a missing entry. Test gateway_fleet::a_lapsed_entry_lapses_also_where_the_list_was_fetched failed first.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -34,6 +34,7 @@
 use crate::RouteTable;
 use crate::RunEnd;
 use crate::ScoreContext;
+use crate::ToldList;
 use crate::ZoneId;
 use crate::own_shares;
 use crate::score;
@@ -176,6 +177,12 @@
         self.replicas_changed(now)
     }
 
+    /// Takes the list of another instance; returns what sessions must do.
+    pub fn hear_list(&mut self, now: Now, told: ToldList) -> Vec<Evacuation> {
+        self.list.hear(now, told);
+        self.replicas_changed(now)
+    }
+
     /// Takes changes of the list; returns what sessions must do.
     pub fn change_replicas(
         &mut self,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -139,6 +139,7 @@
 pub use replica_list::ListedState;
 pub use replica_list::ReplicaChange;
 pub use replica_list::ReplicaList;
+pub use replica_list::ToldList;
 pub use replica_view::Moving;
 pub use replica_view::OwnRun;
 pub use replica_view::ReplicaScore;
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -24,6 +24,20 @@
     Removed(BackendId),
 }
 
+/// The list as one instance tells it to another: what the platform lists, and
+/// how long ago an outage ended, so that both draw the same conclusions from
+/// entries that are missing.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ToldList {
+    /// Revision of the platform's list.
+    pub revision: u64,
+    /// Its entries; lapsed ones are none.
+    pub replicas: Vec<Replica>,
+    /// Milliseconds since the platform answered again after an outage, while
+    /// entries may be missing because of it.
+    pub outage_ended_ms: Option<u64>,
+}
+
 /// What the list says of a replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ListedState {
@@ -83,6 +97,26 @@
         true
     }
 
+    /// Takes the list of another instance.
+    pub fn hear(&mut self, now: Now, told: ToldList) -> bool {
+        if let Some(ago_ms) = told.outage_ended_ms {
+            self.outage_ended(now.saturating_sub(Duration::from_millis(ago_ms)));
+        }
+        self.snapshot(now, told.revision, told.replicas)
+    }
+
+    /// The list for another instance.
+    pub fn told(&self, now: Now) -> ToldList {
+        let listed = self.lines.values().filter(|line| line.lapses_at.is_none());
+        let ago = self.outage_ended.map(|at| now.saturating_sub(at));
+        let ago = ago.filter(|ago| *ago < LAPSE_GRACE);
+        ToldList {
+            revision: self.revision,
+            replicas: listed.map(|line| line.replica.clone()).collect(),
+            outage_ended_ms: ago.map(|ago| ago.as_millis() as u64),
+        }
+    }
+
     /// Takes changes up to a revision; older ones are ignored.
     pub fn change(&mut self, now: Now, revision: u64, changes: Vec<ReplicaChange>) -> bool {
         if revision <= self.revision {
@@ -129,11 +163,6 @@
         self.revision
     }
 
-    /// The replicas, lapsed ones included.
-    pub fn replicas(&self) -> impl Iterator<Item = &Replica> {
-        self.lines.values().map(|line| &line.replica)
-    }
-
     /// The replicas that take new work now.
     pub fn serving(&self, now: Now) -> impl Iterator<Item = &Replica> {
         let counts = move |line: &&Line| {
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -97,6 +97,28 @@
     assert_eq!(list.state("e1"), ListedState::Lapsed);
 }
 
+/// An instance that fetches the list from a peer must not take a lapsed entry
+/// for a listed one: nobody would ever remove it.
+#[test]
+fn a_lapsed_entry_lapses_also_where_the_list_was_fetched() {
+    let mut source = list();
+    source.outage_ended(ms(5_000));
+    source.snapshot(ms(5_100), 12, Vec::new());
+    let mut fetched = list();
+    fetched.hear(ms(5_300), source.told(ms(5_300)));
+    assert_eq!(fetched.state("e1"), ListedState::Lapsed);
+    fetched.expire(ms(7_000));
+    assert_eq!(fetched.state("e1"), ListedState::Removed);
+}
+
+#[test]
+fn an_outage_long_ago_is_not_told() {
+    let mut source = list();
+    source.outage_ended(ms(5_000));
+    assert_eq!(source.told(ms(6_990)).outage_ended_ms, Some(1_990));
+    assert_eq!(source.told(ms(7_000)).outage_ended_ms, None);
+}
+
 #[test]
 fn older_news_change_nothing() {
     let mut list = list();
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -324,9 +324,8 @@
                     });
                 }
                 if let Some(list) = list {
-                    self.control.tell(GatewayMessage::Replicas {
-                        revision: list.revision,
-                        replicas: list.replicas,
+                    self.control.tell(GatewayMessage::PeerList {
+                        list,
                         source: instance,
                     });
                 }
--- a/crates/daemon/src/gateway_answers.rs
+++ b/crates/daemon/src/gateway_answers.rs
@@ -5,7 +5,6 @@
 
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_thread::GatewayHandle;
-use crate::peer_message::ListAnswer;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 use crate::peer_server::PeerAnswers;
@@ -33,13 +32,9 @@
         let ask = |reply| GatewayMessage::KnownState { reply };
         let known = self.control.ask(ask).await?;
         let config = known.config.filter(|config| config.version > config_above);
-        let list = ListAnswer {
-            replicas: known.replicas,
-            revision: known.list_revision,
-        };
         Some(PeerReply::Gateway {
             config: config.map(|config| Box::new((*config).clone())),
-            list: (list.revision > list_above).then_some(list),
+            list: (known.list.revision > list_above).then_some(known.list),
         })
     }
 }
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -17,6 +17,7 @@
 use iristhread_core::RequestId;
 use iristhread_core::RunEnd;
 use iristhread_core::SessionSignal;
+use iristhread_core::ToldList;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -39,10 +40,8 @@
 pub struct KnownState {
     /// The configuration in force.
     pub config: Option<Arc<GatewayConfig>>,
-    /// Revision of the list of replicas.
-    pub list_revision: Revision,
-    /// The list.
-    pub replicas: Vec<Replica>,
+    /// The list of replicas.
+    pub list: ToldList,
 }
 
 /// A message to the control thread.
@@ -128,6 +127,13 @@
         /// Who had it.
         source: String,
     },
+    /// The list of another instance was fetched.
+    PeerList {
+        /// The list.
+        list: ToldList,
+        /// Who had it.
+        source: String,
+    },
     /// The list of replicas changed.
     ListNews {
         /// The changes.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -150,6 +150,13 @@
                 let evacuations = self.control.offer_replicas(now, revision, replicas);
                 self.evacuate(evacuations);
             }
+            GatewayMessage::PeerList { list, source } => {
+                info!(self.log, "list of backend servers fetched";
+                    "revision" => list.revision, "count" => list.replicas.len(),
+                    "outage_ended_ms" => list.outage_ended_ms, "source" => source);
+                let evacuations = self.control.hear_list(now, list);
+                self.evacuate(evacuations);
+            }
             GatewayMessage::ListNews { news, source } => self.list_news(news, &source),
             GatewayMessage::Terms { terms } => self.control.set_terms(*terms),
             GatewayMessage::OutageEnded => self.control.outage_ended(now),
@@ -286,8 +293,7 @@
         let table = self.control.table();
         KnownState {
             config: table.map(|table| table.config().clone()),
-            list_revision: self.control.list().revision(),
-            replicas: self.control.list().replicas().cloned().collect(),
+            list: self.control.list().told(self.clock.now()),
         }
     }
 }
--- a/crates/daemon/src/peer_message.rs
+++ b/crates/daemon/src/peer_message.rs
@@ -7,9 +7,9 @@
 use iristhread_core::HybridTime;
 use iristhread_core::Incarnation;
 use iristhread_core::InstanceId;
-use iristhread_core::Replica;
 use iristhread_core::RequestId;
 use iristhread_core::TimelineRecord;
+use iristhread_core::ToldList;
 use iristhread_core::WorkspaceId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -90,15 +90,6 @@
     }
 }
 
-/// The list of backend servers at a revision.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ListAnswer {
-    /// The list.
-    pub replicas: Vec<Replica>,
-    /// Its revision.
-    pub revision: Revision,
-}
-
 /// Asked of a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
@@ -145,7 +136,7 @@
         /// The configuration, if it is newer than the asker's.
         config: Option<Box<GatewayConfig>>,
         /// The list of backend servers, if it is newer than the asker's.
-        list: Option<ListAnswer>,
+        list: Option<ToldList>,
     },
     /// The time line.
     Timeline {
