One instance a zone watches the configuration for all

Ruled out: longer watches (an answer may be lost; a change then takes as long). What an instance knows of the directory stands in a type of its own.

--- a/crates/core/src/fleet_members.rs
+++ b/crates/core/src/fleet_members.rs
@@ -1,5 +1,5 @@
 //! The other instances, as their heartbeats tell, and who of them reads the
-//! platform's list for all.
+//! platform's directory for all.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -43,12 +43,13 @@
 /// Addresses of others that one heartbeat tells.
 const TOLD_ADDRESSES: usize = 8;
 
-/// Readers of the list in each availability zone.
+/// Readers of the directory in each availability zone.
 const READERS_PER_ZONE: usize = 1;
 
-/// Age of the list from which an instance reads by itself, on top of two
+/// Age of what is known from which an instance reads by itself, on top of two
 /// heartbeats: the longest wait of a reader's watch, and the way. Leaving
-/// servers must be known everywhere within two seconds.
+/// servers must be known, and configurations in force, everywhere within two
+/// seconds.
 const READ_ALONE_AGE: Duration = Duration::from_millis(1_300);
 
 /// What an instance says of itself with each heartbeat.
@@ -62,6 +63,8 @@
     pub zone: ZoneId,
     /// Version of the configuration in force there, 0 for none.
     pub config_version: ConfigVersion,
+    /// When the platform confirmed that configuration, on the receiver's clock.
+    pub config_confirmed_at: Option<Now>,
     /// Revision of its list of backend servers.
     pub list_revision: u64,
     /// When the platform confirmed that list, on the receiver's clock.
@@ -165,9 +168,9 @@
         addresses
     }
 
-    /// Whether this instance should watch the platform's list: by its rank in
-    /// its zone among those that can, or because what it knows is old.
-    pub fn reads_list(&self, now: Now, confirmed_at: Option<Now>, can_read: bool) -> bool {
+    /// Whether this instance should watch the platform's directory: by its rank
+    /// in its zone among those that can, or because what it knows is old.
+    pub fn reads(&self, now: Now, confirmed_at: Option<Now>, can_read: bool) -> bool {
         let limit = READ_ALONE_AGE + self.beat_interval() * 2;
         let is_old = confirmed_at.is_none_or(|at| now.saturating_sub(at) > limit);
         if is_old || !can_read {
@@ -199,12 +202,26 @@
 
     /// When the platform confirmed this revision of the list or a later one, to
     /// anyone's knowledge.
-    pub fn confirmed_at(&self, now: Now, list_revision: u64) -> Option<Now> {
+    pub fn list_confirmed_at(&self, now: Now, list_revision: u64) -> Option<Now> {
         let states = self.live_states(now);
         let same = states.filter(|state| state.list_revision <= list_revision);
         same.filter_map(|state| state.list_confirmed_at).max()
     }
 
+    /// When the platform confirmed this version of the configuration or a later
+    /// one, to anyone's knowledge.
+    pub fn config_confirmed_at(&self, now: Now, version: ConfigVersion) -> Option<Now> {
+        let states = self.live_states(now);
+        let same = states.filter(|state| state.config_version <= version);
+        same.filter_map(|state| state.config_confirmed_at).max()
+    }
+
+    /// Whether a live instance has a newer configuration.
+    pub fn is_ahead_in_config(&self, now: Now, version: ConfigVersion) -> bool {
+        self.live_states(now)
+            .any(|state| state.config_version > version)
+    }
+
     /// Other instances heard lately.
     pub fn live(&self, now: Now) -> usize {
         self.live_states(now).count()
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -137,6 +137,7 @@
         incarnation: "life".to_owned(),
         zone: zone.to_owned(),
         config_version: 1,
+        config_confirmed_at: list_confirmed_at,
         list_revision: 1,
         list_confirmed_at,
         can_read: true,
@@ -168,7 +169,7 @@
 #[test]
 fn one_instance_of_a_zone_reads() {
     let fleet = zone_of(5, ms(1_000));
-    let reads = |m: &&FleetMembers| m.reads_list(ms(1_100), Some(ms(1_000)), true);
+    let reads = |m: &&FleetMembers| m.reads(ms(1_100), Some(ms(1_000)), true);
     assert_eq!(fleet.iter().filter(reads).count(), 1);
 }
 
@@ -177,7 +178,7 @@
     let fleet = zone_of(5, ms(1_000));
     let reader = fleet
         .iter()
-        .position(|m| m.reads_list(ms(1_100), Some(ms(1_000)), true))
+        .position(|m| m.reads(ms(1_100), Some(ms(1_000)), true))
         .unwrap();
     let now = ms(1_000) + Duration::from_secs(3);
     let mut readers = 0;
@@ -187,7 +188,7 @@
             let number = other as u8 + 1;
             fleet.hear(now, address(number), state(number, "z1", Some(now)));
         }
-        readers += u32::from(fleet.reads_list(now, Some(now), true));
+        readers += u32::from(fleet.reads(now, Some(now), true));
     }
     assert_eq!(readers, 1);
 }
@@ -195,14 +196,14 @@
 #[test]
 fn everybody_reads_when_what_is_known_is_old() {
     let fleet = zone_of(5, ms(10_000));
-    let reads = |m: &&FleetMembers| m.reads_list(ms(10_100), Some(ms(1_000)), true);
+    let reads = |m: &&FleetMembers| m.reads(ms(10_100), Some(ms(1_000)), true);
     assert_eq!(fleet.iter().filter(reads).count(), 5);
 }
 
 #[test]
 fn an_instance_that_hears_nobody_reads() {
-    assert!(members(3).reads_list(ms(100), Some(ms(0)), true));
-    assert!(members(3).reads_list(ms(100), None, true));
+    assert!(members(3).reads(ms(100), Some(ms(0)), true));
+    assert!(members(3).reads(ms(100), None, true));
 }
 
 #[test]
@@ -258,6 +259,23 @@
     assert!(fleet.ahead(ms(0), 5, 1).is_empty());
 }
 
+#[test]
+fn a_configuration_is_confirmed_by_peers_that_have_no_newer_one() {
+    let mut fleet = members(1);
+    let mut newer = state(2, "z1", Some(ms(900)));
+    newer.config_version = 5;
+    fleet.hear(ms(1_000), address(2), newer);
+    fleet.hear(ms(1_000), address(3), state(3, "z1", Some(ms(400))));
+    assert_eq!(fleet.config_confirmed_at(ms(1_000), 1), Some(ms(400)));
+    assert_eq!(fleet.config_confirmed_at(ms(1_000), 5), Some(ms(900)));
+    assert!(fleet.is_ahead_in_config(ms(1_000), 1));
+    assert!(!fleet.is_ahead_in_config(ms(1_000), 5));
+    assert!(
+        !fleet.is_ahead_in_config(ms(9_000), 1),
+        "a silent one counts no longer"
+    );
+}
+
 /// Further sends of all instances together stay within the ratio and the extra.
 #[test]
 fn the_fleet_shares_one_retry_budget() {
--- a/crates/daemon/src/directory_reader.rs
+++ b/crates/daemon/src/directory_reader.rs
@@ -22,11 +22,6 @@
 use crate::gateway_thread::GatewayHandle;
 use crate::heartbeat::ListNews;
 
-/// Longest time that one watch of the configuration waits: the answer of a watch
-/// may be lost without a word, and then this is how late a change is seen where
-/// no peer has it. Each call has a price; this is one call in 5 s an instance.
-const WATCH: Duration = Duration::from_secs(5);
-
 /// First pause after a failed call; doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -38,9 +33,10 @@
 /// has a price, and changes have seconds to take effect.
 const BATCH: Duration = Duration::from_millis(100);
 
-/// Longest time that a watch of the list waits: the others notice within it,
-/// and two heartbeats, when a reader is cut off without a word.
-const LIST_WATCH: Duration = Duration::from_secs(1);
+/// Longest time that a watch waits: the others notice within it, and two
+/// heartbeats, when a reader is cut off without a word; and the answer of a watch
+/// may be lost.
+const WATCH: Duration = Duration::from_secs(1);
 
 /// Time between two looks at whether this instance should read.
 const ROTA_CHECK: Duration = Duration::from_millis(150);
@@ -90,41 +86,98 @@
     }
 }
 
-/// Reads and watches the configuration.
-pub async fn run_config(
-    directory: Arc<dyn Directory>,
-    control: GatewayHandle,
-    metrics: Arc<GatewayMetrics>,
-    log: Logger,
-) {
-    let mut trouble = Trouble::new("configuration");
-    let mut revision: Option<Revision> = None;
-    loop {
-        // After a failure, a short question tells sooner than a watch whether the
-        // directory is back.
-        let read = match revision.filter(|_| !trouble.is_lost) {
-            None => directory.config().await.map(|read| {
-                let configs = read.value.into_iter().collect();
-                (configs, read.revision)
-            }),
-            Some(after) => {
-                let read = directory.config_after(after, WATCH).await;
-                read.map(|read| (read.value, read.revision))
-            }
-        };
-        metrics.directory_called("config", end_of(&read));
-        match read {
-            Ok((configs, at)) => {
-                trouble.succeeded(&log);
-                tell_configs(&control, configs);
-                revision = Some(at);
+/// Reads the configuration while the rota says so, and tells the others that it
+/// changed.
+pub struct ConfigReader {
+    /// The directory.
+    pub directory: Arc<dyn Directory>,
+    /// The decisions.
+    pub control: GatewayHandle,
+    /// The other instances.
+    pub link: Arc<FleetLink>,
+    /// Figures for operators.
+    pub metrics: Arc<GatewayMetrics>,
+    /// Logger.
+    pub log: Logger,
+}
+
+impl ConfigReader {
+    /// Runs for the life of the process.
+    pub async fn run(self) {
+        let mut trouble = Trouble::new("configuration");
+        let mut revision: Option<Revision> = None;
+        let mut was_reading = false;
+        loop {
+            let Some(reads) = self.reads().await else {
+                return;
+            };
+            if reads != was_reading {
+                info!(self.log, "reading of the configuration"; "reads" => reads);
+                was_reading = reads;
             }
-            Err(DirectoryError::HistoryGone) => {
-                info!(log, "history of the directory is gone; reading anew"; "of" => "configuration");
+            if !reads {
                 revision = None;
-                tokio::time::sleep(FIRST_PAUSE).await;
+                tokio::time::sleep(ROTA_CHECK).await;
+                continue;
+            }
+            // After a failure, a short question tells sooner than a watch whether
+            // the directory is back.
+            let read = self.read(revision.filter(|_| !trouble.is_lost)).await;
+            self.metrics.directory_called("config", end_of(&read));
+            match read {
+                Ok((configs, at)) => {
+                    trouble.succeeded(&self.log);
+                    self.tell(configs);
+                    revision = Some(at);
+                }
+                Err(DirectoryError::HistoryGone) => {
+                    info!(self.log, "history of the directory is gone; reading anew";
+                        "of" => "configuration");
+                    revision = None;
+                    tokio::time::sleep(FIRST_PAUSE).await;
+                }
+                Err(error) => {
+                    self.link.unreadable();
+                    trouble.failed(&self.log, &error).await;
+                }
+            }
+        }
+    }
+
+    /// Whether this instance should read; `None` when the process ends.
+    async fn reads(&self) -> Option<bool> {
+        let ask = |reply| GatewayMessage::OwnState { reply };
+        let own = self.control.ask(ask).await?;
+        Some(self.link.reads_config(own.config_version))
+    }
+
+    async fn read(
+        &self,
+        after: Option<Revision>,
+    ) -> Result<(Vec<GatewayConfig>, Revision), DirectoryError> {
+        match after {
+            None => {
+                let read = self.directory.config().await?;
+                Ok((read.value.into_iter().collect(), read.revision))
+            }
+            Some(after) => {
+                let read = self.directory.config_after(after, WATCH).await?;
+                Ok((read.value, read.revision))
             }
-            Err(error) => trouble.failed(&log, &error).await,
+        }
+    }
+
+    fn tell(&self, configs: Vec<GatewayConfig>) {
+        self.link.config_read();
+        let is_news = !configs.is_empty();
+        for config in configs {
+            self.control.tell(GatewayMessage::Config {
+                config: Arc::new(config),
+                source: SOURCE.to_owned(),
+            });
+        }
+        if is_news {
+            self.link.beat_soon();
         }
     }
 }
@@ -140,15 +193,6 @@
     }
 }
 
-fn tell_configs(control: &GatewayHandle, configs: Vec<GatewayConfig>) {
-    for config in configs {
-        control.tell(GatewayMessage::Config {
-            config: Arc::new(config),
-            source: SOURCE.to_owned(),
-        });
-    }
-}
-
 /// Reads the list of backend servers while the rota says so, and tells the
 /// others what changed.
 pub struct ListReader {
@@ -215,7 +259,7 @@
                     tokio::time::sleep(FIRST_PAUSE).await;
                 }
                 Err(error) => {
-                    self.link.list_unreadable();
+                    self.link.unreadable();
                     trouble.failed(&self.log, &error).await;
                     // Removals that are read first belong to the outage.
                     outage_ended = Some(self.clock.now());
@@ -267,7 +311,7 @@
         after: Revision,
         outage_ended: Option<Now>,
     ) -> Result<ListRead, DirectoryError> {
-        let read = self.directory.replicas_after(after, LIST_WATCH).await?;
+        let read = self.directory.replicas_after(after, WATCH).await?;
         self.warn_of(&read.skipped);
         // What was left out counts as seen, too.
         if read.value.is_empty() && read.skipped.is_empty() {
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -1,13 +1,14 @@
 //! Sends and receives heartbeats, and fetches from peers what they have and
 //! this instance lacks.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use iristhread_core::ConfigVersion;
 use iristhread_core::FleetMembers;
 use iristhread_core::MemberState;
 use iristhread_core::Now;
@@ -21,6 +22,7 @@
 use crate::clock::Clock;
 use crate::control_message::Identity;
 use crate::directory::Revision;
+use crate::directory_knowledge::DirectoryKnowledge;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::OwnState;
 use crate::gateway_settings::GatewaySettings;
@@ -35,15 +37,9 @@
 /// today stay under 2 KB.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
 
-/// Changes of the list that are told again with each heartbeat, so that a lost
-/// datagram does no harm.
-const NEWS_KEPT: usize = 12;
-
-/// How long changes are told.
-const NEWS_LIFETIME: Duration = Duration::from_secs(3);
-
-/// Time for which a peer must have been ahead before it is asked: the news are
-/// usually under way already.
+/// Time for which a peer must have been ahead before it is asked for the list:
+/// the news are usually under way already. For a configuration it is the longest
+/// wait, drawn by chance, so that not all ask the first that has it.
 const BEHIND_FOR: Duration = Duration::from_millis(300);
 
 /// Time in which news are gathered before a heartbeat tells them.
@@ -52,14 +48,6 @@
 /// Longest wait for a peer's answer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// What this instance knows of the directory.
-#[derive(Debug, Default)]
-struct Reading {
-    confirmed_at: Option<Now>,
-    can_read: bool,
-    news: VecDeque<(Now, ListNews)>,
-}
-
 /// The link of one instance to the others.
 pub struct FleetLink {
     identity: Identity,
@@ -69,7 +57,7 @@
     peers: Arc<dyn PeerPort>,
     log: Logger,
     members: Mutex<FleetMembers>,
-    reading: Mutex<Reading>,
+    knowledge: Mutex<DirectoryKnowledge>,
     beat_now: Arc<Notify>,
 }
 
@@ -98,10 +86,7 @@
             peers,
             log,
             members: Mutex::new(members),
-            reading: Mutex::new(Reading {
-                can_read: true,
-                ..Reading::default()
-            }),
+            knowledge: Mutex::new(DirectoryKnowledge::default()),
             beat_now,
         })
     }
@@ -110,27 +95,47 @@
     pub fn reads_list(&self, list_revision: Revision) -> bool {
         let now = self.clock.now();
         let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
-        let reading = self.reading.lock().unwrap_or_else(PoisonError::into_inner);
-        let heard = members.confirmed_at(now, list_revision);
-        members.reads_list(now, reading.confirmed_at.max(heard), reading.can_read)
+        let knowledge = self.knowledge();
+        let heard = members.list_confirmed_at(now, list_revision);
+        let confirmed_at = knowledge.list_confirmed_at().max(heard);
+        members.reads(now, confirmed_at, knowledge.can_read())
+    }
+
+    /// Whether this instance should watch the platform's configuration: as for
+    /// the list, or because no peer hands over the newer one that it has.
+    pub fn reads_config(&self, version: ConfigVersion) -> bool {
+        let now = self.clock.now();
+        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut knowledge = self.knowledge();
+        let heard = members.config_confirmed_at(now, version);
+        let confirmed_at = knowledge.config_confirmed_at().max(heard);
+        let is_ahead = members.is_ahead_in_config(now, version);
+        let is_stuck = knowledge.config_is_behind(now, is_ahead);
+        version == 0 || is_stuck || members.reads(now, confirmed_at, knowledge.can_read())
+    }
+
+    fn knowledge(&self) -> MutexGuard<'_, DirectoryKnowledge> {
+        let locked = self.knowledge.lock();
+        locked.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes that the platform answered about the list, with what changed.
     pub fn list_read(&self, news: Option<ListNews>) {
-        let now = self.clock.now();
-        let mut reading = self.reading.lock().unwrap_or_else(PoisonError::into_inner);
-        reading.confirmed_at = Some(now);
-        reading.can_read = true;
-        if let Some(news) = news {
-            keep(&mut reading.news, now, news);
+        let is_news = news.is_some();
+        self.knowledge().list_read(self.clock.now(), news);
+        if is_news {
             self.beat_now.notify_one();
         }
     }
 
+    /// Notes that the platform answered about the configuration.
+    pub fn config_read(&self) {
+        self.knowledge().config_read(self.clock.now());
+    }
+
     /// Notes that the platform can't be read.
-    pub fn list_unreadable(&self) {
-        let mut reading = self.reading.lock().unwrap_or_else(PoisonError::into_inner);
-        reading.can_read = false;
+    pub fn unreadable(&self) {
+        self.knowledge().unreadable();
     }
 
     /// Tells the others at once that something is new here.
@@ -178,28 +183,25 @@
     fn heartbeat(&self, own: OwnState, sequence: u64) -> (Heartbeat, Vec<SocketAddr>) {
         let now = self.clock.now();
         let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut reading = self.reading.lock().unwrap_or_else(PoisonError::into_inner);
-        reading
-            .news
-            .retain(|(at, _)| now.saturating_sub(*at) < NEWS_LIFETIME);
-        let heard = members.confirmed_at(now, own.list_revision);
-        let confirmed_at = reading.confirmed_at.max(heard);
+        let mut knowledge = self.knowledge();
+        let heard = members.list_confirmed_at(now, own.list_revision);
+        let list_confirmed_at = knowledge.list_confirmed_at().max(heard);
+        let heard = members.config_confirmed_at(now, own.config_version);
+        let config_confirmed_at = knowledge.config_confirmed_at().max(heard);
+        let age_ms = |at: Now| now.saturating_sub(at).as_millis() as u64;
         let heartbeat = Heartbeat {
             instance: self.identity.instance.clone(),
             incarnation: self.identity.incarnation.clone(),
             sequence,
             zone: self.settings.zone.clone(),
             config_version: own.config_version,
+            config_age_ms: config_confirmed_at.map(age_ms),
             list_revision: own.list_revision,
-            list_age_ms: confirmed_at.map(|at| now.saturating_sub(at).as_millis() as u64),
-            can_read: reading.can_read,
+            list_age_ms: list_confirmed_at.map(age_ms),
+            can_read: knowledge.can_read(),
             addresses: members.told_addresses(now, &mut rand::rng()),
             shares: own.shares,
-            news: reading
-                .news
-                .iter()
-                .map(|(at, news)| aged(news, now - *at))
-                .collect(),
+            news: knowledge.told_news(now),
         };
         (heartbeat, members.targets(now, &mut rand::rng()))
     }
@@ -229,14 +231,15 @@
 
     fn take(&self, from: SocketAddr, heartbeat: Heartbeat) {
         let now = self.clock.now();
-        let age = heartbeat.list_age_ms.map(Duration::from_millis);
+        let at = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
         let state = MemberState {
             instance: heartbeat.instance.clone(),
             incarnation: heartbeat.incarnation.clone(),
             zone: heartbeat.zone,
             config_version: heartbeat.config_version,
+            config_confirmed_at: heartbeat.config_age_ms.map(at),
             list_revision: heartbeat.list_revision,
-            list_confirmed_at: age.map(|age| now.saturating_sub(age)),
+            list_confirmed_at: heartbeat.list_age_ms.map(at),
             can_read: heartbeat.can_read,
         };
         let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
@@ -276,9 +279,7 @@
             if self.peer_ahead(&before).is_none() {
                 continue;
             }
-            if before.config_version > 0 {
-                tokio::time::sleep(BEHIND_FOR).await;
-            }
+            tokio::time::sleep(self.wait_before_fetch(&before)).await;
             let Some(own) = self
                 .control
                 .ask(|reply| GatewayMessage::OwnState { reply })
@@ -294,6 +295,18 @@
         }
     }
 
+    fn wait_before_fetch(&self, own: &OwnState) -> Duration {
+        let now = self.clock.now();
+        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        if own.config_version == 0 {
+            Duration::ZERO
+        } else if members.is_ahead_in_config(now, own.config_version) {
+            BEHIND_FOR.mul_f64(rand::random())
+        } else {
+            BEHIND_FOR
+        }
+    }
+
     /// A random one of those that are ahead, so that not all ask the same.
     fn peer_ahead(&self, own: &OwnState) -> Option<(String, SocketAddr)> {
         let now = self.clock.now();
@@ -336,18 +349,3 @@
         }
     }
 }
-
-/// News as they are told a while after they were read.
-fn aged(news: &ListNews, age: Duration) -> ListNews {
-    let mut news = news.clone();
-    let age_ms = age.as_millis() as u64;
-    news.outage_ended_ms = news.outage_ended_ms.map(|ended_ms| ended_ms + age_ms);
-    news
-}
-
-fn keep(news: &mut VecDeque<(Now, ListNews)>, now: Now, item: ListNews) {
-    news.push_back((now, item));
-    while news.len() > NEWS_KEPT {
-        news.pop_front();
-    }
-}
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -30,7 +30,7 @@
 use crate::daemon::listen_error;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
-use crate::directory_reader;
+use crate::directory_reader::ConfigReader;
 use crate::directory_reader::ListReader;
 use crate::fleet_link::FleetLink;
 use crate::gateway_answers::GatewayAnswers;
@@ -165,13 +165,15 @@
             tables,
             stopping: AtomicBool::new(false),
         });
-        tokio::spawn(directory_reader::run_config(
-            ports.directory.clone(),
-            control.clone(),
-            metrics.clone(),
-            log.clone(),
-        ));
         let peers = start_peers(&app, news).await?;
+        let configs = ConfigReader {
+            directory: ports.directory.clone(),
+            control: control.clone(),
+            link: peers.clone(),
+            metrics: metrics.clone(),
+            log: log.clone(),
+        };
+        tokio::spawn(configs.run());
         let reader = ListReader {
             directory: ports.directory,
             control,
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -1,6 +1,7 @@
 //! What instances tell each other several times a second, as one datagram.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use iristhread_core::ConfigVersion;
 use iristhread_core::Incarnation;
@@ -31,6 +32,16 @@
     pub outage_ended_ms: Option<u64>,
 }
 
+impl ListNews {
+    /// The same changes, told a while after they were read.
+    pub fn aged(&self, age: Duration) -> ListNews {
+        let mut news = self.clone();
+        let age_ms = age.as_millis() as u64;
+        news.outage_ended_ms = news.outage_ended_ms.map(|ended_ms| ended_ms + age_ms);
+        news
+    }
+}
+
 /// One heartbeat.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -44,6 +55,8 @@
     pub zone: ZoneId,
     /// Version of the configuration in force there.
     pub config_version: ConfigVersion,
+    /// Milliseconds since the platform confirmed that configuration.
+    pub config_age_ms: Option<u64>,
     /// Revision of its list of backend servers.
     pub list_revision: Revision,
     /// Milliseconds since the platform confirmed that list.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 mod daemon;
 mod dialect;
 mod directory;
+mod directory_knowledge;
 mod directory_reader;
 mod engine_port;
 mod event_splitter;
