Let the second choice, and the copy of a far session, be near

Change: the best replica of the own zone is the second choice when the first is in another; a session in another zone keeps its copy in the own zone where there is room. Tests that failed first: gateway_placing::the_second_choice_is_near_when_the_first_is_far, a_session_in_another_zone_keeps_its_copy_in_this_one.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -270,9 +270,8 @@
                 moving: Moving::Stays,
             },
         );
-        let ranked = fitting.into_iter().take(RANKED);
         Ok(Ranking {
-            replicas: ranked.map(|score| score.replica).collect(),
+            replicas: self.ranked(fitting),
             backup,
         })
     }
@@ -332,6 +331,21 @@
         self.runs.len()
     }
 
+    /// The best few. When the first is in another availability zone, the best of
+    /// this one is the second: that zone may be cut off.
+    fn ranked(&self, scores: Vec<ReplicaScore>) -> Vec<Replica> {
+        let scores = scores.into_iter();
+        let mut replicas: Vec<Replica> = scores.map(|score| score.replica).collect();
+        let is_near = |replica: &Replica| replica.availability_zone == self.terms.zone;
+        let near = replicas.iter().position(is_near);
+        if let Some(place) = near.filter(|place| *place > 1) {
+            let replica = replicas.remove(place);
+            replicas.insert(1, replica);
+        }
+        replicas.truncate(RANKED);
+        replicas
+    }
+
     fn scores(&mut self, now: Now, ask: &PlacementAsk, besides: Option<&str>) -> Vec<ReplicaScore> {
         let zone = self.terms.zone.clone();
         self.scores_seen_from(now, ask, besides, &zone)
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -62,7 +62,9 @@
         self.choose_backup_besides(now, ask, first, None)
     }
 
-    /// The engine with the most memory to spare, `first` and `also` excluded.
+    /// The engine with the most memory to spare, `first` and `also` excluded. A
+    /// session in another availability zone keeps its copy in this one, if there
+    /// is room: that zone may be cut off.
     fn choose_backup_besides(
         &mut self,
         now: Now,
@@ -79,10 +81,14 @@
         }
         let limit = self.terms.copy_limit;
         let scores = self.scores(now, ask, Some(&first.id));
-        let mut fitting = scores
-            .into_iter()
-            .filter(|s| s.memory <= limit && Some(s.replica.id.as_str()) != also);
-        fitting.next().map(|score| score.replica)
+        let fits = |s: &ReplicaScore| s.memory <= limit && Some(s.replica.id.as_str()) != also;
+        let fitting = scores.into_iter().filter(fits).map(|score| score.replica);
+        let mut fitting: Vec<Replica> = fitting.collect();
+        if first.availability_zone != self.terms.zone {
+            // The sort is stable: the best of each zone stays the first of it.
+            fitting.sort_by_key(|replica| replica.availability_zone != self.terms.zone);
+        }
+        fitting.into_iter().next()
     }
 
     /// Sessions without a copy have to move when their engine leaves; a copy on
--- a/crates/core/tests/gateway_placing.rs
+++ b/crates/core/tests/gateway_placing.rs
@@ -13,6 +13,7 @@
 use iristhread_core::GatewayTerms;
 use iristhread_core::LoadShare;
 use iristhread_core::RefusalKind;
+use iristhread_core::Replica;
 use iristhread_core::ReplicaChange;
 use iristhread_core::RequestClass;
 use iristhread_core::RunEnd;
@@ -262,6 +263,48 @@
     assert!(control.evacuate(ZERO, "r1", &tried).is_none());
 }
 
+/// Loads an engine so that it is chosen last.
+fn crowd(control: &mut GatewayControl, id: &str) {
+    let load = LoadShare {
+        session_tokens: MEMORY_TOKENS / 2,
+        ..LoadShare::default()
+    };
+    let shares = BTreeMap::from([(id.to_owned(), load)]);
+    control.hear_peer(ZERO, "i2".to_owned(), "life".to_owned(), 1, shares);
+}
+
+/// A zone that was cut off cost 20 streams and all requests of which the four
+/// best engines were there (scale-1 of the grown cmuca-cotacao).
+#[test]
+fn the_second_choice_is_near_when_the_first_is_far() {
+    let mut control = control();
+    control.offer_config(Arc::new(config(1)));
+    let mut engines: Vec<Replica> = (0..8).map(|n| engine(&format!("far{n}"), "z2")).collect();
+    engines.push(engine("near", "z1"));
+    control.offer_replicas(ZERO, 1, engines);
+    crowd(&mut control, "near");
+    let ranking = control.place(ZERO, ask("r1")).unwrap();
+    assert_eq!(ranking.replicas.len(), 4);
+    assert_ne!(ranking.replicas[0].id, "near");
+    assert_eq!(ranking.replicas[1].id, "near");
+}
+
+#[test]
+fn a_session_in_another_zone_keeps_its_copy_in_this_one() {
+    let mut control = control();
+    control.offer_config(Arc::new(config(1)));
+    let engines = vec![
+        engine("far1", "z2"),
+        engine("far2", "z2"),
+        engine("near", "z1"),
+    ];
+    control.offer_replicas(ZERO, 1, engines);
+    crowd(&mut control, "near");
+    let ranking = control.place(ZERO, ask("r1")).unwrap();
+    assert!(ranking.replicas[0].id.starts_with("far"));
+    assert_eq!(ranking.backup.unwrap().id, "near");
+}
+
 #[test]
 fn a_replica_gets_no_more_requests_than_it_takes_connections() {
     let mut control = control_with(&["e1"]);
