Let long sessions wait a little for room on an engine

Change: a session likely to be long waits for an engine below start_limit (0.9) for up to 35% of its route's objective, then takes what there is. Short answers never wait. Test gateway_placing::a_long_session_waits_while_every_engine_is_crowded, new.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -20,6 +20,7 @@
 use iristhread_core::Route;
 use iristhread_core::RunEnd;
 use iristhread_core::SessionSignal;
+use slog::info;
 use tokio::sync::mpsc;
 
 use crate::dialect::AnswerHead;
@@ -31,6 +32,7 @@
 use crate::front_answer::end_to_end;
 use crate::gateway::GatewayApp;
 use crate::gateway_message::GatewayMessage;
+use crate::gateway_message::Placed;
 
 /// Least urgent that an engine knows.
 const LEAST_URGENT: u8 = 9;
@@ -41,6 +43,14 @@
 /// Advice while the process stops: the balancer knows another instance.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Part of a stream's objective for which it waits for room: reading a prompt
+/// beside others takes up to half of the rest.
+const ROOM_WAIT: f64 = 0.35;
+
+/// Time between two questions for room: several within the gap in which
+/// reclaimed engines are replaced.
+const ROOM_CHECK: Duration = Duration::from_millis(60);
+
 /// A request whose route, service and workspace are known.
 pub struct Exchange {
     /// What all tasks share.
@@ -119,22 +129,51 @@
         signals: mpsc::UnboundedSender<SessionSignal>,
     ) -> Result<Ranking, Box<FrontAnswer>> {
         let began = self.app.clock.now();
-        let ask = self.ask();
-        let placed = self.app.control.ask(|reply| GatewayMessage::Place {
-            ask,
-            signals,
-            reply,
-        });
-        let placed = placed.await;
+        let placed = self.placed_in_time(signals).await;
         self.app.metrics.placed(self.app.clock.now() - began);
         let refused = match placed {
-            Some(Ok(ranking)) => return Ok(ranking),
-            Some(Err(refusal)) => front_answer::not_run(refusal.retry_after, &refusal.message),
-            None => front_answer::not_run(STOPPING_RETRY_AFTER, "the instance is stopping"),
+            Some(Placed::Ranked(ranking)) => return Ok(ranking),
+            Some(Placed::Refused(refusal)) => {
+                front_answer::not_run(refusal.retry_after, &refusal.message)
+            }
+            Some(Placed::NoRoomYet) | None => {
+                front_answer::not_run(STOPPING_RETRY_AFTER, "the instance is stopping")
+            }
         };
         Err(Box::new(refused))
     }
 
+    /// Waits for room on an engine for a part of the objective, then takes what
+    /// there is. `None` when the process stops.
+    async fn placed_in_time(
+        &self,
+        signals: mpsc::UnboundedSender<SessionSignal>,
+    ) -> Option<Placed> {
+        let clock = &self.app.clock;
+        let wait_until = self.arrived + self.route.objective.mul_f64(ROOM_WAIT);
+        let mut waited = false;
+        loop {
+            let placed = self.app.control.ask(|reply| GatewayMessage::Place {
+                ask: self.ask(),
+                signals: signals.clone(),
+                may_wait: clock.now() < wait_until,
+                reply,
+            });
+            match placed.await? {
+                Placed::NoRoomYet => {
+                    if !waited {
+                        info!(self.app.log, "request waits for room on an engine";
+                            "request" => &self.head.request,
+                            "at_most_ms" => self.route.objective.mul_f64(ROOM_WAIT).as_millis() as u64);
+                    }
+                    waited = true;
+                    tokio::time::sleep(ROOM_CHECK).await;
+                }
+                placed => return Some(placed),
+            }
+        }
+    }
+
     /// What the request asks of the backend servers.
     fn ask(&self) -> PlacementAsk {
         PlacementAsk {
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -44,6 +44,16 @@
     pub list: ToldList,
 }
 
+/// What became of a request that wants a backend server.
+pub enum Placed {
+    /// It goes to the first of these, and counts there.
+    Ranked(Ranking),
+    /// No engine has room for it now; ask again.
+    NoRoomYet,
+    /// It is refused, unsent.
+    Refused(Refusal),
+}
+
 /// A message to the control thread.
 pub enum GatewayMessage {
     /// A request wants a backend server.
@@ -52,8 +62,10 @@
         ask: PlacementAsk,
         /// Where the session is told of later decisions.
         signals: mpsc::UnboundedSender<SessionSignal>,
+        /// Whether it can wait for room.
+        may_wait: bool,
         /// The answer.
-        reply: oneshot::Sender<Result<Ranking, Refusal>>,
+        reply: oneshot::Sender<Placed>,
     },
     /// A request goes to another replica than the first of its ranking.
     Moved {
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -11,7 +11,6 @@
 use iristhread_core::GatewayTerms;
 use iristhread_core::PlacementAsk;
 use iristhread_core::Ranking;
-use iristhread_core::Refusal;
 use iristhread_core::ReplicaChange;
 use iristhread_core::RequestClass;
 use iristhread_core::RequestId;
@@ -31,6 +30,7 @@
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::KnownState;
 use crate::gateway_message::OwnState;
+use crate::gateway_message::Placed;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::heartbeat::ListNews;
 
@@ -109,9 +109,15 @@
             GatewayMessage::Place {
                 ask,
                 signals,
+                may_wait,
                 reply,
             } => {
-                let _ = reply.send(self.place(ask, signals));
+                let waits = may_wait && !self.control.has_room(now, &ask);
+                let placed = match waits {
+                    true => Placed::NoRoomYet,
+                    false => self.place(ask, signals),
+                };
+                let _ = reply.send(placed);
             }
             GatewayMessage::Moved { request, replica } => self.control.moved(&request, replica),
             GatewayMessage::SpendRetry { service, reply } => {
@@ -193,22 +199,22 @@
         &mut self,
         ask: PlacementAsk,
         signals: mpsc::UnboundedSender<SessionSignal>,
-    ) -> Result<Ranking, Refusal> {
+    ) -> Placed {
         let request = ask.request.clone();
         let is_session = ask.class == RequestClass::Stream;
-        let placed = self.control.place(self.clock.now(), ask);
-        if is_session && placed.is_ok() {
-            // The others must not choose the same engine.
-            self.news.notify_one();
-        }
-        match &placed {
+        match self.control.place(self.clock.now(), ask) {
             Ok(ranking) => {
+                if is_session {
+                    // The others must not choose the same engine.
+                    self.news.notify_one();
+                }
                 info!(self.log, "backend server chosen";
                     "request" => &request,
-                    "ranking" => format!("{:?}", ids(ranking)),
+                    "ranking" => format!("{:?}", ids(&ranking)),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
                     "list_revision" => self.control.list().revision());
                 self.signals.insert(request, signals);
+                Placed::Ranked(ranking)
             }
             Err(refusal) => {
                 self.metrics.refused(refusal.kind.as_str());
@@ -217,9 +223,9 @@
                     "reason" => &refusal.message,
                     "retry_after_ms" => refusal.retry_after.as_millis() as u64,
                     "list_revision" => self.control.list().revision());
+                Placed::Refused(refusal)
             }
         }
-        placed
     }
 
     fn ended(&mut self, request: &str, end: RunEnd) {
