--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -79,10 +79,7 @@
         if !is_stream || !can_back_up || ask.likely_tokens() < self.terms.least_copied_tokens {
             return None;
         }
-        let limit = self
-            .terms
-            .copy_limit
-            .min(1.0 - self.session_fill(now, &ask.service));
+        let limit = self.terms.copy_limit;
         let scores = self.scores(now, ask, Some(&first.id));
         let fits = |s: &ReplicaScore| s.memory <= limit && Some(s.replica.id.as_str()) != also;
         let fitting = scores.into_iter().filter(fits).map(|score| score.replica);
@@ -94,27 +91,6 @@
         fitting.into_iter().next()
     }
 
-    /// Share of the memory of a service's engines that running sessions take,
-    /// copies aside. Copies leave as much free: when engines are reclaimed, the
-    /// others take their sessions.
-    fn session_fill(&self, now: Now, service: &str) -> f64 {
-        let table = self.table.as_ref();
-        let service_config = table.and_then(|table| table.config().service(service));
-        let Some(engine) = service_config.and_then(|service| service.engine.as_ref()) else {
-            return 0.0;
-        };
-        let own = self.shares();
-        let engines = self.list.serving(now).filter(|r| r.service == service);
-        let mut tokens = 0;
-        let mut capacity = 0;
-        for replica in engines {
-            let own_tokens = own.get(&replica.id).map_or(0, |share| share.session_tokens);
-            tokens += own_tokens + self.peers.on(&replica.id).session_tokens;
-            capacity += engine.memory_tokens;
-        }
-        tokens as f64 / capacity.max(1) as f64
-    }
-
     /// Sessions without a copy have to move when their engine leaves; a copy on
     /// an engine that leaves is of no more use.
     pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
--- a/crates/core/tests/gateway_placing.rs
+++ b/crates/core/tests/gateway_placing.rs
@@ -20,7 +20,6 @@
 use rand_core::Rng;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
-use test_case::test_case;
 
 use gateway_scene::MEMORY_TOKENS;
 use gateway_scene::ask;
@@ -140,24 +139,6 @@
     }
 }
 
-/// Engines that are reclaimed leave their sessions to the others: copies must not
-/// take the room for that, and may take all of what is not needed.
-#[test_case(10, true; "a quiet fleet")]
-#[test_case(40, true; "a busy one")]
-#[test_case(60, false; "a crowded one")]
-fn copies_leave_as_much_room_as_sessions_take(filled_percent: u64, has_copy: bool) {
-    let ids = ["e1", "e2", "e3", "e4"];
-    let mut control = control_with(&ids);
-    let load = LoadShare {
-        session_tokens: MEMORY_TOKENS * filled_percent / 100,
-        ..LoadShare::default()
-    };
-    let shares = ids.iter().map(|id| (id.to_string(), load)).collect();
-    control.hear_peer(ZERO, "i2".to_owned(), "life".to_owned(), 1, shares);
-    let ranking = control.place(ZERO, ask("r1")).unwrap();
-    assert_eq!(ranking.backup.is_some(), has_copy);
-}
-
 #[test]
 fn short_answers_and_plain_calls_get_no_copy() {
     let mut control = control_with(&["e1", "e2"]);
--- a/crates/daemon/src/gateway_settings.rs
+++ b/crates/daemon/src/gateway_settings.rs
@@ -87,7 +87,7 @@
             // Tried on the users' bench; docs/design/0008-gateway.md.
             memory_limit: reader.share("memory_limit", 1.1, 0.1..=4.0),
             start_limit: reader.share("start_limit", 0.9, 0.1..=4.0),
-            copy_limit: reader.share("copy_limit", 0.75, 0.0..=4.0),
+            copy_limit: reader.share("copy_limit", 0.5, 0.0..=4.0),
             least_copied_tokens: reader.number("least_copied_tokens", 100, 0..=1_000_000) as u32,
         };
         let faults = reader.finish();
