Keep the stream of a session whose engine can't be reached for a while

Change: a stream without a copy stays open while its engine is silent; it goes on when the cut heals, and ends when the caller leaves, time is up or the connection breaks. Test streams::a_stream_without_a_copy_waits_for_an_engine_that_can_t_be_reached failed first.

--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -52,6 +52,7 @@
     Continue,
     Whole,
     Broken(&'static str),
+    Unreachable,
     Moved(Result<String, MoveError>),
     CallerGone,
     TimeOver,
@@ -95,6 +96,7 @@
     carried: u32,
     moving: Option<SessionMove>,
     tried: Vec<BackendId>,
+    waits: bool,
 }
 
 impl StreamRelay {
@@ -124,6 +126,7 @@
             carried: 0,
             moving: None,
             tried: Vec::new(),
+            waits: false,
         };
         (relay, ReceiverStream::new(pieces))
     }
@@ -135,6 +138,7 @@
                 Step::Continue => None,
                 Step::Whole => Some(End::Whole),
                 Step::Broken(cause) => self.broken(cause).await,
+                Step::Unreachable => self.unreachable().await,
                 Step::Moved(outcome) => self.moved(outcome).await,
                 Step::CallerGone => Some(End::CallerGone),
                 Step::TimeOver => Some(End::TimeOver),
@@ -204,6 +208,7 @@
 
     fn measure(&mut self, now: Now, had: u32) {
         self.heard_at = now;
+        self.waits = false;
         if had == 0 {
             let took = now - self.exchange.arrived;
             self.exchange.app.metrics.first_event(took);
@@ -227,7 +232,7 @@
         let connect = tokio::net::TcpStream::connect(self.replica.address);
         match tokio::time::timeout(LOOK_TIMEOUT, connect).await {
             Ok(Ok(_)) => Step::Continue,
-            _ => Step::Broken("the engine is silent and takes no connection"),
+            _ => Step::Unreachable,
         }
     }
 
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -37,6 +37,22 @@
     Lost,
 }
 
+/// Whether a session goes on at another engine.
+enum Elsewhere {
+    /// It does.
+    GoesOn,
+    /// It was tried, and its stream ends.
+    Ended(End),
+    /// There is no copy of it.
+    Nowhere,
+}
+
+impl Elsewhere {
+    fn of(end: Option<End>) -> Elsewhere {
+        end.map_or(Elsewhere::GoesOn, Elsewhere::Ended)
+    }
+}
+
 impl StreamRelay {
     /// The engine's stream ended too soon.
     pub(super) async fn broken(&mut self, cause: &'static str) -> Option<End> {
@@ -46,8 +62,53 @@
             "cause" => cause,
             "last_event" => self.order.last(),
             "moving" => self.moving.is_some());
+        match self.go_on_elsewhere().await {
+            Elsewhere::GoesOn => None,
+            Elsewhere::Ended(end) => Some(end),
+            Elsewhere::Nowhere => {
+                warn!(self.exchange.app.log, "stream lost: no copy of the session is known";
+                    "request" => &self.exchange.head.request,
+                    "last_event" => self.order.last());
+                Some(End::Lost)
+            }
+        }
+    }
+
+    /// The engine is silent and takes no connection: it is gone, or behind a cut.
+    /// A session that can't go on elsewhere may still run there; its stream goes
+    /// on when the cut heals before the caller leaves.
+    pub(super) async fn unreachable(&mut self) -> Option<End> {
+        if !self.waits {
+            info!(self.exchange.app.log, "engine of a stream can't be reached";
+                "request" => &self.exchange.head.request,
+                "backend_server" => &self.replica.id,
+                "last_event" => self.order.last(),
+                "moving" => self.moving.is_some());
+        }
+        match self.go_on_elsewhere().await {
+            Elsewhere::GoesOn => None,
+            Elsewhere::Ended(end) => Some(end),
+            Elsewhere::Nowhere => {
+                self.wait_for_engine();
+                None
+            }
+        }
+    }
+
+    fn wait_for_engine(&mut self) {
+        if !self.waits {
+            info!(self.exchange.app.log, "stream waits for its engine: no copy is known";
+                "request" => &self.exchange.head.request,
+                "backend_server" => &self.replica.id,
+                "last_event" => self.order.last());
+        }
+        self.waits = true;
+    }
+
+    /// Takes the session to where a copy of it is.
+    async fn go_on_elsewhere(&mut self) -> Elsewhere {
         if let Some(end) = self.finish_move().await {
-            return end;
+            return Elsewhere::of(end);
         }
         let request = self.exchange.head.request.clone();
         let control = &self.exchange.app.control;
@@ -56,15 +117,12 @@
         });
         let asked = control.ask(|reply| GatewayMessage::Carry { request, reply });
         let Some(target) = asked.await.flatten() else {
-            warn!(self.exchange.app.log, "stream lost: no copy of the session is known";
-                "request" => &self.exchange.head.request,
-                "last_event" => self.order.last());
-            return Some(End::Lost);
+            return Elsewhere::Nowhere;
         };
         let keeper = target.replica.address;
         match self.resume(target, CopyName::Backup { keeper }).await {
-            Resumed::GoesOn => None,
-            Resumed::NotRun | Resumed::Lost => Some(End::Lost),
+            Resumed::GoesOn => Elsewhere::GoesOn,
+            Resumed::NotRun | Resumed::Lost => Elsewhere::Ended(End::Lost),
         }
     }
 
