Move sessions off leaving engines to engines up to all of their memory

Ruled out: full queues of moves (pauses of moved sessions are 46 ms at the median). Change: the limit of moves is 1.0 instead of 0.85; it was swept when a move could still stop a session for a second.

--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -18,7 +18,7 @@
 
 /// Share of the memory of an engine up to which sessions move there; tried on
 /// the users' bench, docs/design/0008-gateway.md.
-const MOVE_LIMIT: f64 = 0.85;
+const MOVE_LIMIT: f64 = 1.0;
 
 impl GatewayControl {
     /// Decides where a session goes on whose engine broke off; `None` when no
