--- /dev/null
+++ b/crates/core/src/gateway_control/ranking.rs
@@ -0,0 +1,96 @@
+//! Which replicas may take a request, in what order.
+
+use rand_core::Rng;
+
+use super::GatewayControl;
+use crate::LoadShare;
+use crate::Now;
+use crate::PlacementAsk;
+use crate::Replica;
+use crate::ReplicaScore;
+use crate::ScoreContext;
+use crate::score;
+
+/// Replicas offered to one request, the best first: enough that one of them is
+/// there when two engines are gone and not yet known to be.
+const RANKED: usize = 4;
+
+impl GatewayControl {
+    /// The best few. When the first is in another availability zone, the best of
+    /// this one is the second: that zone may be cut off.
+    pub(super) fn ranked(&self, scores: Vec<ReplicaScore>) -> Vec<Replica> {
+        let scores = scores.into_iter();
+        let mut replicas: Vec<Replica> = scores.map(|score| score.replica).collect();
+        let is_near = |replica: &Replica| replica.availability_zone == self.terms.zone;
+        let near = replicas.iter().position(is_near);
+        if let Some(place) = near.filter(|place| *place > 1) {
+            let replica = replicas.remove(place);
+            replicas.insert(1, replica);
+        }
+        replicas.truncate(RANKED);
+        replicas
+    }
+
+    /// The replicas that may take a request, the cheapest first, seen from the
+    /// zone of this instance.
+    pub(super) fn scores(
+        &mut self,
+        now: Now,
+        ask: &PlacementAsk,
+        besides: Option<&str>,
+    ) -> Vec<ReplicaScore> {
+        let zone = self.terms.zone.clone();
+        self.scores_seen_from(now, ask, besides, &zone)
+    }
+
+    /// The same seen from a zone.
+    pub(super) fn scores_seen_from(
+        &mut self,
+        now: Now,
+        ask: &PlacementAsk,
+        besides: Option<&str>,
+        zone: &str,
+    ) -> Vec<ReplicaScore> {
+        let Some(table) = self.table.clone() else {
+            return Vec::new();
+        };
+        let Some(service) = table.config().service(&ask.service) else {
+            return Vec::new();
+        };
+        let engine = service.engine.as_ref();
+        let own = self.shares();
+        let mut scores = Vec::new();
+        let replicas: Vec<Replica> = self
+            .list
+            .serving(now)
+            .filter(|replica| replica.service == ask.service)
+            .filter(|replica| Some(replica.id.as_str()) != besides)
+            .cloned()
+            .collect();
+        let pause_of = |id: &str| self.pauses.get(id).copied().unwrap_or_default();
+        // When all are paused, trying one of them beats refusing.
+        let all_paused = replicas.iter().all(|r| pause_of(&r.id).is_paused(now));
+        for replica in replicas {
+            let pause = self.pauses.get(&replica.id).copied().unwrap_or_default();
+            if pause.is_paused(now) && !all_paused {
+                continue;
+            }
+            let context = ScoreContext {
+                now,
+                zone,
+                engine,
+                ask,
+                noise: f64::from(self.random.next_u32()) / f64::from(u32::MAX),
+            };
+            let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
+            load.add(&self.peers.on(&replica.id));
+            if load.requests >= service.max_connections {
+                // Each request has a connection; the replica would reset it.
+                continue;
+            }
+            scores.push(score(&replica, load, &pause, &context));
+        }
+        scores.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        scores
+    }
+}
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -1,6 +1,7 @@
 //! Builds small scenes for the gateway's decisions.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use iristhread_core::GatewayService;
 use iristhread_core::GatewayTerms;
 use iristhread_core::GatewayWorkspace;
+use iristhread_core::LoadShare;
 use iristhread_core::PlacementAsk;
 use iristhread_core::Replica;
 use iristhread_core::RequestClass;
@@ -147,3 +149,19 @@
         expected_tokens: Some(400),
     }
 }
+
+/// Loads an engine so that it is chosen last.
+pub fn crowd(control: &mut GatewayControl, id: &str) {
+    let load = LoadShare {
+        session_tokens: MEMORY_TOKENS / 2,
+        ..LoadShare::default()
+    };
+    let shares = BTreeMap::from([(id.to_owned(), load)]);
+    control.hear_peer(
+        Duration::ZERO,
+        "i2".to_owned(),
+        "life".to_owned(),
+        1,
+        shares,
+    );
+}
--- /dev/null
+++ b/crates/daemon/src/directory_trouble.rs
@@ -0,0 +1,85 @@
+//! What readers of the platform's directory share: how long they wait, and how
+//! they say that it is lost and regained.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use slog::Logger;
+use slog::info;
+use slog::warn;
+
+use crate::directory::DirectoryError;
+
+/// First pause after a failed call; doubles with each further one.
+pub const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause: a directory that is back is noticed within it, and lapsed
+/// entries are back within two seconds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Longest time that a watch waits: the others notice within it, and two
+/// heartbeats, when a reader is cut off without a word; and the answer of a watch
+/// may be lost.
+pub const WATCH: Duration = Duration::from_secs(1);
+
+/// Time between two looks at whether this instance should read.
+pub const ROTA_CHECK: Duration = Duration::from_millis(150);
+
+/// Who had what was read.
+pub const SOURCE: &str = "directory";
+
+/// Calls that fail, one after the other.
+pub struct Trouble {
+    what: &'static str,
+    pause: Duration,
+    is_lost: bool,
+}
+
+impl Trouble {
+    /// Calls about one thing, none of which has failed.
+    pub fn new(what: &'static str) -> Self {
+        Trouble {
+            what,
+            pause: FIRST_PAUSE,
+            is_lost: false,
+        }
+    }
+
+    /// Whether the last call failed.
+    pub fn is_lost(&self) -> bool {
+        self.is_lost
+    }
+
+    /// Notes a failure and waits; apart from other instances by chance.
+    pub async fn failed(&mut self, log: &Logger, error: &DirectoryError) {
+        if !self.is_lost {
+            warn!(log, "directory lost"; "of" => self.what, "cause" => error.to_string());
+        }
+        self.is_lost = true;
+        let factor = rand::rng().random_range(0.7..1.3);
+        tokio::time::sleep(self.pause.mul_f64(factor)).await;
+        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+    }
+
+    /// Notes success; returns whether an outage has ended.
+    pub fn succeeded(&mut self, log: &Logger) -> bool {
+        let was_lost = self.is_lost;
+        if was_lost {
+            info!(log, "directory regained"; "of" => self.what);
+        }
+        *self = Trouble::new(self.what);
+        was_lost
+    }
+}
+
+/// The form of an outcome used in metrics.
+pub fn end_of<T>(read: &Result<T, DirectoryError>) -> &'static str {
+    match read {
+        Ok(_) => "answered",
+        Err(DirectoryError::Unreachable(_)) => "unreachable",
+        Err(DirectoryError::Silent) => "silent",
+        Err(DirectoryError::Busy(_)) => "refused",
+        Err(DirectoryError::HistoryGone) => "history_gone",
+        Err(DirectoryError::Unreadable(_)) => "unreadable",
+    }
+}
