--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/config_reader.rs
@@ -81,8 +81,7 @@
 
     /// Whether this instance should read; `None` when the process ends.
     async fn reads(&self) -> Option<bool> {
-        let ask = |reply| GatewayMessage::OwnState { reply };
-        let own = self.control.ask(ask).await?;
+        let own = self.control.own_state().await?;
         Some(self.link.reads_config(own.config_version))
     }
 
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -43,7 +43,8 @@
 /// Advice while the process stops: the balancer knows another instance.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Part of a stream's objective for which it waits for room: reading a prompt
+/// Part of a stream's objective, or of its time if that is shorter, for which it
+/// waits for room: reading a prompt
 /// beside others takes up to half of the rest.
 const ROOM_WAIT: f64 = 0.35;
 
@@ -150,7 +151,9 @@
         signals: mpsc::UnboundedSender<SessionSignal>,
     ) -> Option<Placed> {
         let clock = &self.app.clock;
-        let wait_until = self.arrived + self.route.objective.mul_f64(ROOM_WAIT);
+        let due_in = self.answer_by.saturating_sub(self.arrived);
+        let longest = self.route.objective.min(due_in).mul_f64(ROOM_WAIT);
+        let wait_until = self.arrived + longest;
         let mut waited = false;
         loop {
             let placed = self.app.control.ask(|reply| GatewayMessage::Place {
@@ -164,7 +167,7 @@
                     if !waited {
                         info!(self.app.log, "request waits for room on an engine";
                             "request" => &self.head.request,
-                            "at_most_ms" => self.route.objective.mul_f64(ROOM_WAIT).as_millis() as u64);
+                            "at_most_ms" => longest.as_millis() as u64);
                     }
                     waited = true;
                     tokio::time::sleep(ROOM_CHECK).await;
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -147,8 +147,7 @@
     pub async fn run_sender(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut sequence = 0;
         loop {
-            let ask = |reply| GatewayMessage::OwnState { reply };
-            let Some(own) = self.control.ask(ask).await else {
+            let Some(own) = self.control.own_state().await else {
                 return;
             };
             sequence += 1;
@@ -269,22 +268,14 @@
     /// Asks a peer that has been ahead for a while.
     async fn run_fetches(self: Arc<Self>, mut behind: mpsc::Receiver<()>) {
         while behind.recv().await.is_some() {
-            let Some(before) = self
-                .control
-                .ask(|reply| GatewayMessage::OwnState { reply })
-                .await
-            else {
+            let Some(before) = self.control.own_state().await else {
                 return;
             };
             if self.peer_ahead(&before).is_none() {
                 continue;
             }
             tokio::time::sleep(self.wait_before_fetch(&before)).await;
-            let Some(own) = self
-                .control
-                .ask(|reply| GatewayMessage::OwnState { reply })
-                .await
-            else {
+            let Some(own) = self.control.own_state().await else {
                 return;
             };
             let is_stuck = own.config_version == before.config_version
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -44,6 +44,13 @@
 /// Sends messages to the gateway's control thread.
 pub type GatewayHandle = ControlSender<GatewayMessage>;
 
+impl GatewayHandle {
+    /// What this instance tells the others; `None` when the process is stopping.
+    pub async fn own_state(&self) -> Option<OwnState> {
+        self.ask(|reply| GatewayMessage::OwnState { reply }).await
+    }
+}
+
 /// Starts the thread. `news` is notified of what the other instances should know
 /// at once.
 ///
--- a/crates/daemon/src/list_reader.rs
+++ b/crates/daemon/src/list_reader.rs
@@ -59,11 +59,7 @@
         let mut outage_ended: Option<Now> = None;
         let mut was_reading = false;
         loop {
-            let Some(own) = self
-                .control
-                .ask(|reply| GatewayMessage::OwnState { reply })
-                .await
-            else {
+            let Some(own) = self.control.own_state().await else {
                 return;
             };
             let reads = self.link.reads_list(own.list_revision);
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -96,7 +96,8 @@
     carried: u32,
     moving: Option<SessionMove>,
     tried: Vec<BackendId>,
-    waits: bool,
+    /// Whether it was said that the engine is waited for.
+    waits_for_engine: bool,
 }
 
 impl StreamRelay {
@@ -126,7 +127,7 @@
             carried: 0,
             moving: None,
             tried: Vec::new(),
-            waits: false,
+            waits_for_engine: false,
         };
         (relay, ReceiverStream::new(pieces))
     }
@@ -208,7 +209,7 @@
 
     fn measure(&mut self, now: Now, had: u32) {
         self.heard_at = now;
-        self.waits = false;
+        self.waits_for_engine = false;
         if had == 0 {
             let took = now - self.exchange.arrived;
             self.exchange.app.metrics.first_event(took);
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -78,7 +78,7 @@
     /// A session that can't go on elsewhere may still run there; its stream goes
     /// on when the cut heals before the caller leaves.
     pub(super) async fn unreachable(&mut self) -> Option<End> {
-        if !self.waits {
+        if !self.waits_for_engine {
             info!(self.exchange.app.log, "engine of a stream can't be reached";
                 "request" => &self.exchange.head.request,
                 "backend_server" => &self.replica.id,
@@ -96,13 +96,13 @@
     }
 
     fn wait_for_engine(&mut self) {
-        if !self.waits {
+        if !self.waits_for_engine {
             info!(self.exchange.app.log, "stream waits for its engine: no copy is known";
                 "request" => &self.exchange.head.request,
                 "backend_server" => &self.replica.id,
                 "last_event" => self.order.last());
         }
-        self.waits = true;
+        self.waits_for_engine = true;
     }
 
     /// Takes the session to where a copy of it is.
