Keep a stream open also when its copy can't be reached either

Change: a session that provably does not run at its copy stays with its engine, and the copy counts no longer. Tests that failed first: streams::a_stream_whose_copy_can_t_be_reached_either_waits; gateway_carrying::a_copy_that_could_not_be_used_is_not_tried_again is new.

--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -33,6 +33,15 @@
         self.carry_to(now, request, backup)
     }
 
+    /// Counts a session as running where it was: its copy could not be used and
+    /// is of no more use.
+    pub fn not_carried(&mut self, request: &str, replica: BackendId) {
+        if let Some(run) = self.runs.get_mut(request) {
+            run.replica = replica;
+            run.backup = None;
+        }
+    }
+
     /// Counts a session as running at `replica` and chooses where its next
     /// copy is kept.
     pub fn carry_to(&mut self, now: Now, request: &str, replica: Replica) -> Option<CarryTarget> {
--- a/crates/core/tests/gateway_carrying.rs
+++ b/crates/core/tests/gateway_carrying.rs
@@ -59,6 +59,17 @@
     assert_ne!(next.id, target.from);
 }
 
+#[test]
+fn a_copy_that_could_not_be_used_is_not_tried_again() {
+    let mut control = control_with(&["e1", "e2", "e3"]);
+    let ranking = control.place(ZERO, ask("r1")).unwrap();
+    let first = ranking.replicas[0].id.clone();
+    control.carry(ZERO, "r1").unwrap();
+    control.not_carried("r1", first.clone());
+    assert!(control.carry(ZERO, "r1").is_none());
+    assert_eq!(control.shares()[&first].requests, 1);
+}
+
 #[test]
 fn no_copy_means_no_place_to_go_on() {
     let mut control = control_with(&["e1"]);
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -95,6 +95,13 @@
         /// The answer.
         reply: oneshot::Sender<Option<CarryTarget>>,
     },
+    /// A session could not go on at its copy, and does not run there.
+    NotCarried {
+        /// The session.
+        request: RequestId,
+        /// The engine that it stays with.
+        replica: BackendId,
+    },
     /// A session was moved: where is its next copy kept?
     CarryTo {
         /// The session.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -151,6 +151,9 @@
                 info!(self.log, "backend server failed a try"; "backend_server" => &replica);
                 self.control.failed(now, &replica);
             }
+            GatewayMessage::NotCarried { request, replica } => {
+                self.control.not_carried(&request, replica);
+            }
             GatewayMessage::Ended { request, end } => self.ended(&request, end),
             GatewayMessage::Config { config, source } => self.config(config, &source),
             GatewayMessage::Replicas {
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -43,7 +43,7 @@
     GoesOn,
     /// It was tried, and its stream ends.
     Ended(End),
-    /// There is no copy of it.
+    /// There is no copy of it that could be used.
     Nowhere,
 }
 
@@ -122,7 +122,14 @@
         let keeper = target.replica.address;
         match self.resume(target, CopyName::Backup { keeper }).await {
             Resumed::GoesOn => Elsewhere::GoesOn,
-            Resumed::NotRun | Resumed::Lost => Elsewhere::Ended(End::Lost),
+            Resumed::Lost => Elsewhere::Ended(End::Lost),
+            Resumed::NotRun => {
+                self.exchange.app.control.tell(GatewayMessage::NotCarried {
+                    request: self.exchange.head.request.clone(),
+                    replica: self.replica.id.clone(),
+                });
+                Elsewhere::Nowhere
+            }
         }
     }
 
