--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -42,6 +42,7 @@
 use crate::gateway_thread::TableView;
 use crate::http_server;
 use crate::http_server::ConnectionLimits;
+use crate::leave_watcher;
 use crate::list_reader::ListReader;
 use crate::peer_port::JsonRpcPeers;
 use crate::peer_server;
@@ -174,6 +175,7 @@
             log: log.clone(),
         };
         tokio::spawn(configs.run());
+        tokio::spawn(leave_watcher::run(app.clone(), peers.clone()));
         let reader = ListReader {
             directory: ports.directory,
             control,
