--- a/crates/core/src/fleet_members.rs
+++ b/crates/core/src/fleet_members.rs
@@ -168,17 +168,12 @@
         addresses
     }
 
-    /// Whether what was confirmed then is older than readers and heartbeats let
-    /// it get.
-    pub fn is_old(&self, now: Now, confirmed_at: Option<Now>) -> bool {
-        let limit = READ_ALONE_AGE + self.beat_interval() * 2;
-        confirmed_at.is_none_or(|at| now.saturating_sub(at) > limit)
-    }
-
     /// Whether this instance should watch the platform's directory: by its rank
     /// in its zone among those that can, or because what it knows is old.
     pub fn reads(&self, now: Now, confirmed_at: Option<Now>, can_read: bool) -> bool {
-        if self.is_old(now, confirmed_at) || !can_read {
+        let limit = READ_ALONE_AGE + self.beat_interval() * 2;
+        let is_old = confirmed_at.is_none_or(|at| now.saturating_sub(at) > limit);
+        if is_old || !can_read {
             return true;
         }
         let peers = self.live_states(now);
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -1,8 +1,6 @@
 //! Where sessions keep copies, and where they go when their engine leaves or
 //! breaks off.
 
-use std::collections::BTreeSet;
-
 use rand_core::Rng;
 
 use super::Evacuation;
@@ -12,7 +10,6 @@
 use crate::ListedState;
 use crate::Moving;
 use crate::Now;
-use crate::OwnRun;
 use crate::PlacementAsk;
 use crate::Replica;
 use crate::ReplicaScore;
@@ -24,31 +21,6 @@
 const MOVE_LIMIT: f64 = 1.0;
 
 impl GatewayControl {
-    /// Notes that a replica itself says that it leaves; returns what sessions
-    /// must do.
-    pub fn leaves(&mut self, now: Now, replica: &str) -> Vec<Evacuation> {
-        match self.list.mark_leaving(replica) {
-            true => self.replicas_changed(now),
-            false => Vec::new(),
-        }
-    }
-
-    /// Engines that run sessions of this instance that have no copy and do not
-    /// move yet: their notices matter most.
-    pub fn uncopied(&self) -> Vec<Replica> {
-        let is_at_risk = |run: &&OwnRun| {
-            let is_session = run.ask.class == RequestClass::Stream;
-            is_session && run.backup.is_none() && run.moving == Moving::Stays
-        };
-        let at_risk = self.runs.values().filter(is_at_risk);
-        let engines: BTreeSet<&BackendId> = at_risk.map(|run| &run.replica).collect();
-        let replicas = engines.into_iter().filter_map(|id| self.list.replica(id));
-        replicas
-            .filter(|replica| !replica.leaving)
-            .cloned()
-            .collect()
-    }
-
     /// Decides where a session goes on whose engine broke off; `None` when no
     /// copy of it is usable.
     pub fn carry(&mut self, now: Now, request: &str) -> Option<CarryTarget> {
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -132,17 +132,6 @@
         true
     }
 
-    /// Notes that a replica itself says that it leaves. Returns whether that is
-    /// news.
-    pub fn mark_leaving(&mut self, id: &str) -> bool {
-        let Some(line) = self.lines.get_mut(id) else {
-            return false;
-        };
-        let is_news = !line.replica.leaving;
-        line.replica.leaving = true;
-        is_news
-    }
-
     /// Notes when the platform answered again after an outage.
     pub fn outage_ended(&mut self, at: Now) {
         self.outage_ended = self.outage_ended.max(Some(at));
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -101,17 +101,6 @@
         members.reads(now, confirmed_at, knowledge.can_read())
     }
 
-    /// Whether the list can't be followed: this instance was refused, or nobody
-    /// has told of it for long.
-    pub fn list_is_lost(&self, list_revision: Revision) -> bool {
-        let now = self.clock.now();
-        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
-        let knowledge = self.knowledge();
-        let heard = members.list_confirmed_at(now, list_revision);
-        let confirmed_at = knowledge.list_confirmed_at().max(heard);
-        !knowledge.can_read() || members.is_old(now, confirmed_at)
-    }
-
     /// Whether this instance should watch the platform's configuration: as for
     /// the list, or because no peer hands over the newer one that it has.
     pub fn reads_config(&self, version: ConfigVersion) -> bool {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -42,7 +42,6 @@
 use crate::gateway_thread::TableView;
 use crate::http_server;
 use crate::http_server::ConnectionLimits;
-use crate::leave_watcher;
 use crate::list_reader::ListReader;
 use crate::peer_port::JsonRpcPeers;
 use crate::peer_server;
@@ -175,7 +174,6 @@
             log: log.clone(),
         };
         tokio::spawn(configs.run());
-        tokio::spawn(leave_watcher::run(app.clone(), peers.clone()));
         let reader = ListReader {
             directory: ports.directory,
             control,
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -118,16 +118,6 @@
         /// Engines that it has tried.
         tried: Vec<BackendId>,
     },
-    /// A replica says that it is about to leave.
-    Leaves {
-        /// The replica.
-        replica: BackendId,
-    },
-    /// Which engines run sessions of this instance that have no copy.
-    Uncopied {
-        /// The answer.
-        reply: oneshot::Sender<Vec<Replica>>,
-    },
     /// A replica failed a try; the request goes on elsewhere.
     Failed {
         /// The replica.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -154,14 +154,6 @@
             GatewayMessage::NotCarried { request, replica } => {
                 self.control.not_carried(&request, replica);
             }
-            GatewayMessage::Leaves { replica } => {
-                info!(self.log, "backend server says that it leaves"; "backend_server" => &replica);
-                let evacuations = self.control.leaves(now, &replica);
-                self.evacuate(evacuations);
-            }
-            GatewayMessage::Uncopied { reply } => {
-                let _ = reply.send(self.control.uncopied());
-            }
             GatewayMessage::Ended { request, end } => self.ended(&request, end),
             GatewayMessage::Config { config, source } => self.config(config, &source),
             GatewayMessage::Replicas {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -37,7 +37,6 @@
 mod generation;
 mod heartbeat;
 mod http_server;
-mod leave_watcher;
 mod list_reader;
 mod load_poller;
 mod log_limit;
