Let the test of planned stops wait until the signal is taken

Change: the test waits until the process is not ready and then checks that its stream is still running, which the old form did not; it is as strict.

--- a/crates/testbed/tests/programs.rs
+++ b/crates/testbed/tests/programs.rs
@@ -11,6 +11,7 @@
 use iristhread_core::HybridTime;
 use iristhread_testbed::Question;
 use iristhread_testbed::Scene;
+use iristhread_testbed::eventually;
 use support::assert_whole;
 use support::stream;
 use test_case::test_case;
@@ -28,10 +29,15 @@
     let running = tokio::spawn(async move { stream(&caller, PROMPT).await });
     support::until_begun(&scene, "a1").await;
     scene.process("a1").stop();
-    let reply = scene
-        .ask("a1", &Question::post("/readyz", "").method("GET"))
-        .await;
-    assert!(reply.is_err() || reply.is_ok_and(|reply| reply.status.as_u16() == 503));
+    // The process takes the signal a moment later; beside busy processes the
+    // question may come first.
+    let unready = eventually("it is not ready", async || {
+        let question = Question::post("/readyz", "").method("GET");
+        let reply = scene.ask("a1", &question).await;
+        reply.is_err() || reply.is_ok_and(|reply| reply.status.as_u16() == 503)
+    });
+    unready.await.unwrap();
+    assert!(!running.is_finished(), "it turned unready too late");
     let outcome = running.await.unwrap().unwrap();
     assert_whole(&outcome, PROMPT);
     assert_eq!(outcome.connections, 1);
