--- a/crates/testbed/src/scene.rs
+++ b/crates/testbed/src/scene.rs
@@ -2,12 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use http::Method;
 use iristhread_api::Executions;
 use iristhread_api::HttpClient;
-use iristhread_api::InstanceStatus;
 use iristhread_api::Reply;
 use iristhread_cli::Caller;
 use iristhread_cli::Operator;
@@ -20,7 +18,6 @@
 
 use crate::child::Child;
 use crate::child::SceneError;
-use crate::eventually::eventually;
 use crate::link::Link;
 use crate::link::LinkState;
 use crate::question::Question;
@@ -30,6 +27,8 @@
 use crate::scene_process::Instance;
 use crate::scene_process::Standin;
 
+mod waiting;
+
 /// Key of the workspace `quotes`.
 pub const CALLER_KEY: &str = "caller-key-of-quotes";
 
@@ -39,9 +38,6 @@
 /// Key of the operator.
 pub const OPERATOR_KEY: &str = "key-of-the-operator";
 
-/// Longest wait for one instance that may be frozen.
-const ANSWER_PATIENCE: Duration = Duration::from_secs(4);
-
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 /// Running processes; all are killed when it is dropped.
@@ -328,55 +324,6 @@
         Ok(())
     }
 
-    /// What every instance says to be in force, asked one by one; a frozen one
-    /// is left out.
-    pub async fn versions(&self) -> BTreeMap<String, InstanceStatus> {
-        let mut all = BTreeMap::new();
-        for name in self.instances.keys() {
-            let operator = self.operator(name);
-            let answer = tokio::time::timeout(ANSWER_PATIENCE, operator.status()).await;
-            if let Ok(Ok(lines)) = answer {
-                all.extend(lines.into_iter().filter(|(line, _)| line == name));
-            }
-        }
-        all
-    }
-
-    /// Waits until a version is in force on these instances.
-    ///
-    /// # Errors
-    ///
-    /// [`SceneError::Waited`].
-    pub async fn in_force(&self, version: u64, names: &[String]) -> Result<(), SceneError> {
-        eventually("a version in force everywhere", async || {
-            let all = self.versions().await;
-            let has = |name: &String| all.get(name).is_some_and(|s| s.config_version >= version);
-            names.iter().all(has)
-        })
-        .await
-    }
-
-    pub(crate) async fn all_ready(&self) -> Result<(), SceneError> {
-        let version = 1;
-        self.in_force(version, &self.instance_names()).await?;
-        eventually("a load report of every engine", async || {
-            for name in self.instances.keys() {
-                let list = self.operator(name).resources("backend-servers", None).await;
-                let Ok(list) = list else {
-                    return false;
-                };
-                let is_known = |item: &iristhread_api::Resource| {
-                    item.declared["kind"] != "engine" || !item.observed["report"].is_null()
-                };
-                if !list.items.iter().all(is_known) {
-                    return false;
-                }
-            }
-            true
-        })
-        .await
-    }
-
     pub(crate) async fn publish_backends(&mut self) -> Result<(), SceneError> {
         let placed = |(name, standin): (&String, &Standin)| -> Placed {
             (name.clone(), self.zones[name].clone(), standin.address)
