Go on after the last event that a caller holds

Cause: a caller whose connection broke comes back on a route that may be resumed with the id of its last event. Left: while the stride of the ids is unknown, an event left out right after the caller's own last one is not noticed.

--- a/crates/core/src/event_order.rs
+++ b/crates/core/src/event_order.rs
@@ -31,6 +31,16 @@
 }
 
 impl EventOrder {
+    /// The order of a stream whose caller holds the events up to an id; 0 when it
+    /// holds none.
+    pub fn after(last_event: u64) -> Self {
+        EventOrder {
+            last: (last_event > 0).then_some(last_event),
+            stride: Stride::Unknown,
+            is_resumed: last_event > 0,
+        }
+    }
+
     /// Notes that another engine continues the stream.
     pub fn resume(&mut self) {
         self.is_resumed = true;
--- a/crates/core/src/gateway_config.rs
+++ b/crates/core/src/gateway_config.rs
@@ -52,6 +52,10 @@
     pub targets: Vec<RouteTarget>,
     /// Most backend servers that one request may be sent to.
     pub max_attempts: u32,
+    /// Whether a stream may be run again from an event on; false for all other
+    /// classes.
+    #[serde(default)]
+    pub can_resume: bool,
     /// Whether callers without a key are served.
     pub allow_anonymous: bool,
 }
--- a/crates/core/tests/event_order.rs
+++ b/crates/core/tests/event_order.rs
@@ -38,3 +38,14 @@
     assert_eq!(order.next(None), Deliver);
     assert_eq!(order.last(), 8);
 }
+
+/// What the caller holds, ids of the engine, and what becomes of them.
+#[test_case(25, &[26, 27], &[Deliver, Deliver]; "the engine goes on")]
+#[test_case(25, &[1, 2, 25, 26], &[Repeated, Repeated, Repeated, Deliver]; "the engine begins anew")]
+#[test_case(0, &[1, 2], &[Deliver, Deliver]; "the caller holds nothing")]
+fn a_caller_that_comes_back(held: u64, ids: &[u64], expected: &[EventVerdict]) {
+    let mut order = EventOrder::after(held);
+    assert_eq!(order.last(), held);
+    let verdicts: Vec<EventVerdict> = ids.iter().map(|id| order.next(Some(*id))).collect();
+    assert_eq!(verdicts, expected);
+}
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -45,6 +45,7 @@
         rank: 0,
         targets: vec![target("engines", 1)],
         max_attempts: 1,
+        can_resume: false,
         allow_anonymous: false,
     }
 }
--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -24,6 +24,18 @@
     pub max_tokens: u32,
     /// The caller's guess of the tokens that come out.
     pub expected_tokens: Option<u32>,
+    /// The last event of the stream that the caller holds, `None` when it wants
+    /// all. Means something only where streams may be resumed.
+    pub last_event: Option<LastEvent>,
+}
+
+/// The last event of a stream that its caller holds, as the caller names it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LastEvent {
+    /// The event of this id.
+    Id(u64),
+    /// What it sent is no id of an event.
+    Unreadable,
 }
 
 /// Why a head can't be used.
@@ -37,11 +49,12 @@
     Unreadable(&'static str),
 }
 
-/// Where a session goes on from.
+/// Where a stream goes on from.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ResumePoint {
-    /// The copy of the session's memory.
-    pub copy: CopyName,
+    /// The copy of the session's memory; without one the engine reads the prompt
+    /// and what came out anew.
+    pub copy: Option<CopyName>,
     /// Id of the last event that the caller was sent, 0 for none.
     pub after_event: u64,
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -76,6 +76,8 @@
     pub hides_key: bool,
     /// Rank of the workspace, 0 is the most urgent.
     pub workspace_rank: u8,
+    /// Id of the last event that the caller holds of this stream, 0 for none.
+    pub after_event: u64,
     /// When it arrived.
     pub arrived: Now,
     /// When its final answer is due.
@@ -177,18 +179,33 @@
         }
     }
 
-    /// What the request asks of the backend servers.
+    /// What the request asks of the backend servers: events that the caller
+    /// holds are read with the prompt, and made no more.
     fn ask(&self) -> PlacementAsk {
+        let per_event = u64::from(self.app.tokens_per_event(&self.service));
+        let held = self.after_event.saturating_mul(per_event);
+        let held = u32::try_from(held).unwrap_or(u32::MAX);
+        let held = held.min(self.head.max_tokens);
+        let expected = self.head.expected_tokens;
         PlacementAsk {
             request: self.head.request.clone(),
             service: self.service.clone(),
             class: self.route.class,
-            prompt_tokens: self.head.prompt_tokens,
-            max_tokens: self.head.max_tokens,
-            expected_tokens: self.head.expected_tokens,
+            prompt_tokens: self.head.prompt_tokens.saturating_add(held),
+            max_tokens: self.head.max_tokens - held,
+            expected_tokens: expected.map(|tokens| tokens.saturating_sub(held)),
         }
     }
 
+    /// Where the stream begins for its caller; `None` at its first event.
+    pub fn beginning(&self) -> Option<ResumePoint> {
+        let resumed = self.after_event > 0;
+        resumed.then_some(ResumePoint {
+            copy: None,
+            after_event: self.after_event,
+        })
+    }
+
     /// Time left for the final answer.
     pub fn time_left(&self) -> Duration {
         self.answer_by.saturating_sub(self.app.clock.now())
--- a/crates/daemon/src/gateway_front.rs
+++ b/crates/daemon/src/gateway_front.rs
@@ -18,6 +18,7 @@
 use iristhread_core::RouteTable;
 use slog::info;
 
+use crate::dialect::LastEvent;
 use crate::exchange::Exchange;
 use crate::front_answer;
 use crate::front_answer::FrontAnswer;
@@ -68,6 +69,15 @@
     let workspace = table
         .workspace(route, head.key.as_deref())
         .map_err(|fault| refused(app, table, &head.request, fault))?;
+    let after_event = match head.last_event {
+        Some(LastEvent::Id(id)) if route.can_resume => id,
+        Some(LastEvent::Unreadable) if route.can_resume => {
+            let message = "the last event's id can't be read; it is a whole number";
+            return Err(refuse(StatusCode::BAD_REQUEST, message));
+        }
+        // Elsewhere the caller gets the whole stream of a new run.
+        _ => 0,
+    };
     let service = table.service(route, &head.request).unwrap_or_default();
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
     let answer_by = arrived + patience;
@@ -90,6 +100,7 @@
         workspace_rank: workspace.map_or(0, |workspace| workspace.rank),
         route: route.clone(),
         head,
+        after_event,
         arrived,
         answer_by,
     })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -74,6 +74,7 @@
 pub use dialect::CopyName;
 pub use dialect::Dialect;
 pub use dialect::HeadFault;
+pub use dialect::LastEvent;
 pub use dialect::ResumePoint;
 pub use dialect::SendOrder;
 pub use directory::Directory;
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/stream_call.rs
@@ -91,7 +91,7 @@
         });
         let backup = ranking.backup.as_ref().filter(|b| b.id != replica.id);
         let sent = exchange
-            .send(replica, backup, None, exchange.answer_by)
+            .send(replica, backup, exchange.beginning(), exchange.answer_by)
             .await;
         app.metrics.tried(sent.as_str());
         match sent {
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -112,6 +112,7 @@
         let (to_caller, pieces) = mpsc::channel(QUEUED_PIECES);
         let relay = StreamRelay {
             tokens_per_event: exchange.app.tokens_per_event(&exchange.service),
+            order: EventOrder::after(exchange.after_event),
             heard_at: exchange.app.clock.now(),
             exchange,
             guard,
@@ -120,7 +121,6 @@
             signals,
             to_caller,
             splitter: EventSplitter::default(),
-            order: EventOrder::default(),
             events: 0,
             last_event_at: Now::ZERO,
             longest_gap: Duration::ZERO,
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -263,7 +263,7 @@
         };
         let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
         let point = ResumePoint {
-            copy,
+            copy: Some(copy),
             after_event: self.order.last(),
         };
         let sent = self
