Read an answer that arrived while the instance stood still

Cause of the known red test: a stop signal takes effect late beside busy processes, so the instance had taken the forwarded call and stood still in its middle. On waking, the timer of the wait was over before the connection was looked at, and the answer that lay there was dropped ("no answer within 1499 ms", which was no longer written anywhere). Ruled out: the runner (it answered), a broken connection, the deadline's length. Change: a wait that is over reads for 20 ms what has arrived; the cause of a runner's missing answer is logged; the test's freeze waits until no thread runs.

--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -33,6 +33,7 @@
 use crate::gateway::GatewayApp;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::Placed;
+use crate::patience;
 
 /// Least urgent that an engine knows.
 const LEAST_URGENT: u8 = 9;
@@ -235,11 +236,11 @@
             Err(error) => return Sent::NotConnected(error.to_string()),
         };
         let by = self.app.clock.instant(by);
-        match tokio::time::timeout_at(by, self.app.client.send(request)).await {
-            Err(_) => Sent::TimedOut,
-            Ok(Err(HttpClientError::Connect { cause, .. })) => Sent::NotConnected(cause),
-            Ok(Err(error)) => Sent::Lost(error.to_string()),
-            Ok(Ok(response)) => self.checked(response),
+        match patience::until(by, self.app.client.send(request)).await {
+            None => Sent::TimedOut,
+            Some(Err(HttpClientError::Connect { cause, .. })) => Sent::NotConnected(cause),
+            Some(Err(error)) => Sent::Lost(error.to_string()),
+            Some(Ok(response)) => self.checked(response),
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -43,6 +43,7 @@
 mod logging;
 mod metrics;
 mod operator_api;
+mod patience;
 mod peer_answers;
 mod peer_exchanger;
 mod peer_message;
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -29,6 +29,7 @@
 use crate::front_answer;
 use crate::front_answer::FrontAnswer;
 use crate::gateway_message::GatewayMessage;
+use crate::patience;
 
 /// Most bytes of an answer that is held until it is whole: the most that
 /// callers may send themselves, by default.
@@ -192,7 +193,7 @@
 async fn whole(exchange: &Exchange, answer: BackendAnswer, by: Now) -> Option<WholeAnswer> {
     let by = exchange.app.clock.instant(by);
     let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect();
-    let body = tokio::time::timeout_at(by, body).await.ok()?.ok()?;
+    let body = patience::until(by, body).await?.ok()?;
     Some(WholeAnswer {
         status: answer.status,
         headers: answer.headers,
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -25,11 +25,13 @@
 use iristhread_core::SpendVerdict;
 use iristhread_core::Ticket;
 use iristhread_core::TimelineEvent;
+use slog::info;
 
 use crate::app::App;
 use crate::call_answer::CallAnswer;
 use crate::call_book::AnswerSlot;
 use crate::control_message::ControlMessage;
+use crate::patience;
 use crate::peer_message::ForwardedCall;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
@@ -159,13 +161,26 @@
         return (SendResult::NotConnected, None);
     };
     let left = deadline.saturating_sub(app.clock.now());
-    let fetched = tokio::time::timeout(left, app.services.fetch(request)).await;
+    let due = tokio::time::Instant::now() + left;
+    let fetched = patience::until(due, app.services.fetch(request)).await;
     let backend = runner.name.clone();
-    let (result, reply) = match fetched {
-        Ok(Ok(reply)) => (result_of(&reply), Some(reply)),
-        Ok(Err(HttpClientError::Connect { .. })) => (SendResult::NotConnected, None),
-        Ok(Err(_)) | Err(_) => (SendResult::Lost, None),
+    let (result, cause) = match &fetched {
+        Some(Ok(reply)) => (result_of(reply), None),
+        Some(Err(error @ HttpClientError::Connect { .. })) => {
+            (SendResult::NotConnected, Some(error.to_string()))
+        }
+        Some(Err(error)) => (SendResult::Lost, Some(error.to_string())),
+        None => (
+            SendResult::Lost,
+            Some(format!("no answer within {} ms", left.as_millis())),
+        ),
     };
+    if let Some(cause) = cause {
+        info!(app.log, "runner of a service gave no answer";
+            "request" => &call.request, "backend_server" => &backend,
+            "result" => result.as_str(), "cause" => cause);
+    }
+    let reply = fetched.and_then(Result::ok);
     app.control.tell(match reply {
         Some(_) => Event::BackendAnswered { backend },
         None => Event::BackendFailed { backend },
--- a/crates/testbed/src/child.rs
+++ b/crates/testbed/src/child.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::Stdio;
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
@@ -16,6 +17,11 @@
 /// What every log line holds, and no other line that the programs print.
 const LOG_KEY: &str = "\"msg\":";
 
+/// Looks at a process that was told to stop, and the time between two of them:
+/// ten seconds together.
+const FREEZE_LOOKS: u32 = 5_000;
+const FREEZE_LOOK: Duration = Duration::from_millis(2);
+
 /// Why a scene could not be set up or changed.
 #[derive(Debug, Error)]
 pub enum SceneError {
@@ -90,9 +96,27 @@
         self.ended().await;
     }
 
-    /// SIGSTOP.
+    /// SIGSTOP, and waits until no thread of the process runs any more: on a busy
+    /// machine that takes a while, in which it could still take requests.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
+        for _ in 0..FREEZE_LOOKS {
+            if self.stands_still() {
+                return;
+            }
+            std::thread::sleep(FREEZE_LOOK);
+        }
+        panic!("process {} runs on after SIGSTOP", self.pid);
+    }
+
+    /// Whether the system shows every thread as stopped; a thread that is gone
+    /// runs no more either.
+    fn stands_still(&self) -> bool {
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.pid));
+        let threads = threads.into_iter().flatten().flatten();
+        threads
+            .map(|thread| std::fs::read_to_string(thread.path().join("stat")))
+            .all(|stat| stat.is_ok_and(|stat| state_of(&stat) == Some('T')))
     }
 
     /// SIGCONT.
@@ -117,6 +141,12 @@
     }
 }
 
+/// The state stands behind the name of the program, which is in brackets.
+fn state_of(stat: &str) -> Option<char> {
+    let (_, rest) = stat.rsplit_once(") ")?;
+    rest.chars().next()
+}
+
 /// Logs share the standard output; each has a message.
 async fn first_answer(lines: &mut Lines<BufReader<ChildStdout>>) -> Option<String> {
     loop {
--- a/crates/testbed/src/scene.rs
+++ b/crates/testbed/src/scene.rs
@@ -167,6 +167,18 @@
         }
     }
 
+    /// An instance, to signal it while a question is under way.
+    ///
+    /// # Panics
+    ///
+    /// When there is none of that name: the test is wrong.
+    pub fn instance(&self, name: &str) -> &Child {
+        match self.instances.get(name) {
+            Some(instance) => &instance.child,
+            None => panic!("the scene has no instance {name}"),
+        }
+    }
+
     /// SIGTERM to an instance, while others borrow the scene.
     ///
     /// # Panics
--- a/crates/testbed/tests/calls.rs
+++ b/crates/testbed/tests/calls.rs
@@ -160,6 +160,30 @@
 
 /// The instance is frozen with the call in its socket; it wakes after the
 /// deadline that the caller was given.
+/// The answer arrives while the instance stands still, past the deadline: it is
+/// read when the instance wakes.
+#[tokio::test]
+async fn an_answer_that_came_while_the_instance_was_frozen_is_not_lost() {
+    let mut scene = Scene::builder(2).start().await.unwrap();
+    let ticket = ticket(&scene, "a1").await;
+    let slow = json!({ "delay_ms": 300 });
+    scene.fault("orders-1", slow).await.unwrap();
+    let question = book(&ticket);
+    let first = scene.ask("b1", &question);
+    let freeze = async {
+        while executed(&scene).await == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        scene.instance("a1").freeze();
+    };
+    let (told, ()) = tokio::join!(first, freeze);
+    assert_eq!(outcome(&told.unwrap()), "unknown");
+    scene.process("a1").thaw();
+    let again = scene.ask("b1", &book(&ticket)).await.unwrap();
+    assert_eq!(outcome(&again), "ran");
+    assert_eq!(executed(&scene).await, 1);
+}
+
 #[tokio::test]
 async fn an_instance_frozen_before_sending_doubles_nothing() {
     let mut scene = Scene::builder(2).start().await.unwrap();
