Ask engines whether they leave while nobody confirms the list

Cause: while the store is away, engines are reclaimed unheard. Change: while nobody's list is fresh each engine is asked by one instance (rendezvous), which tells the others; engines that keep copies, or broke off, are looked at, and left alone for 4 s when they take no connection; a displaced session is not offered to one target after the other (15 refused moves in 0.15 s) but a little later. Tests: the stream that moves because its engine says that it leaves failed before; the decisions have tests of their own. What is left are engines that go before the outage is noticed.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -37,8 +37,13 @@
 use crate::own_shares;
 
 mod carrying;
+mod engine_watch;
 mod ranking;
 
+pub use engine_watch::EngineChecks;
+
+use engine_watch::EngineWatch;
+
 /// Advice to a caller when every replica is full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -94,6 +99,15 @@
     pub target: Replica,
 }
 
+/// What a tick led to.
+#[derive(Clone, Debug, Default)]
+pub struct Ticked {
+    /// Sessions that must move.
+    pub evacuations: Vec<Evacuation>,
+    /// Peers that fell silent.
+    pub silent: Vec<InstanceId>,
+}
+
 /// The decisions of the gateway side: a function of events, time and a seed.
 #[derive(Debug)]
 pub struct GatewayControl {
@@ -105,6 +119,8 @@
     peers: PeerLoads,
     budget: RetryBudget,
     random: Pcg32,
+    list_is_lost: bool,
+    watch: EngineWatch,
 }
 
 impl GatewayControl {
@@ -119,6 +135,8 @@
             peers: PeerLoads::default(),
             budget: RetryBudget::with_terms(terms.retry_ratio, 0.0),
             random,
+            list_is_lost: false,
+            watch: EngineWatch::default(),
             terms,
         };
         control.share_budget();
@@ -194,6 +212,12 @@
         self.replicas_changed(now)
     }
 
+    /// Notes whether nobody has confirmed the list for long; returns whether that
+    /// is news.
+    pub fn list_lost(&mut self, is_lost: bool) -> bool {
+        std::mem::replace(&mut self.list_is_lost, is_lost) != is_lost
+    }
+
     /// Notes when the platform answered again after an outage.
     pub fn outage_ended(&mut self, at: Now) {
         self.list.outage_ended(at);
@@ -218,9 +242,8 @@
         own_shares(&self.runs)
     }
 
-    /// Lets time pass: forgets silent peers and lapsed entries. Returns what
-    /// sessions must do and which peers fell silent.
-    pub fn tick(&mut self, now: Now) -> (Vec<Evacuation>, Vec<InstanceId>) {
+    /// Lets time pass: forgets silent peers and lapsed entries.
+    pub fn tick(&mut self, now: Now) -> Ticked {
         let silent = self.peers.expire(now);
         let gone = self.list.expire(now);
         let mut evacuations = match gone.is_empty() {
@@ -228,7 +251,10 @@
             false => self.replicas_changed(now),
         };
         evacuations.extend(self.seek_again(now));
-        (evacuations, silent)
+        Ticked {
+            evacuations,
+            silent,
+        }
     }
 
     /// Whether a request should be placed now. A long session that starts on a
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -103,15 +103,11 @@
     /// Sessions without a copy have to move when their engine leaves; a copy on
     /// an engine that leaves is of no more use.
     pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
+        self.forget_left();
         self.pauses
             .retain(|id, _| self.list.state(id) != ListedState::Removed);
         let table = self.table.clone();
-        let can_move = |service: &str| {
-            let config = table.as_ref().map(|table| table.config());
-            let service = config.and_then(|config| config.service(service));
-            let engine = service.and_then(|service| service.engine.as_ref());
-            engine.is_some_and(|engine| engine.can_move)
-        };
+        let can_move = |service: &str| table.as_ref().is_some_and(|table| table.can_move(service));
         let least_moved = self.terms.least_copied_tokens;
         let mut to_move = Vec::new();
         for (request, run) in &mut self.runs {
@@ -137,6 +133,14 @@
             .collect()
     }
 
+    /// Notes that a session that has to move can't be copied just now.
+    pub fn move_delayed(&mut self, request: &str) {
+        if let Some(run) = self.runs.get_mut(request) {
+            run.moving = Moving::Seeks;
+            run.backup = None;
+        }
+    }
+
     /// Sessions end all the time: those that found no room look again.
     pub(super) fn seek_again(&mut self, now: Now) -> Vec<Evacuation> {
         let seeking = self
--- a/crates/core/src/gateway_control/ranking.rs
+++ b/crates/core/src/gateway_control/ranking.rs
@@ -68,6 +68,11 @@
             .cloned()
             .collect();
         let pause_of = |id: &str| self.pauses.get(id).copied().unwrap_or_default();
+        let reachable = |r: &Replica| !self.watch.is_unreachable(now, &r.id);
+        let replicas: Vec<Replica> = match replicas.iter().any(reachable) {
+            true => replicas.into_iter().filter(reachable).collect(),
+            false => replicas,
+        };
         // When all are paused, trying one of them beats refusing.
         let all_paused = replicas.iter().all(|r| pause_of(&r.id).is_paused(now));
         for replica in replicas {
--- a/crates/core/src/load_share.rs
+++ b/crates/core/src/load_share.rs
@@ -108,6 +108,11 @@
         sum
     }
 
+    /// Names of the other instances heard lately.
+    pub fn names(&self) -> impl Iterator<Item = &InstanceId> {
+        self.peers.keys()
+    }
+
     /// Other instances heard lately.
     pub fn count(&self) -> usize {
         self.peers.len()
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -1,6 +1,7 @@
 //! The list of backend servers, joined from snapshots and changes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -72,6 +73,8 @@
     revision: u64,
     lines: BTreeMap<BackendId, Line>,
     outage_ended: Option<Now>,
+    /// Replicas that said themselves that they leave; none ever takes that back.
+    said_leaving: BTreeSet<BackendId>,
 }
 
 impl ReplicaList {
@@ -137,6 +140,12 @@
         self.outage_ended = self.outage_ended.max(Some(at));
     }
 
+    /// Notes that a replica itself says that it leaves. Returns whether that is
+    /// news.
+    pub fn says_it_leaves(&mut self, id: &str) -> bool {
+        self.state(id) == ListedState::Serving && self.said_leaving.insert(id.to_owned())
+    }
+
     /// Drops entries whose grace is over; returns them.
     pub fn expire(&mut self, now: Now) -> Vec<BackendId> {
         let is_over = |line: &Line| line.lapses_at.is_some_and(|at| now >= at);
@@ -144,6 +153,7 @@
         let ids: Vec<BackendId> = over.map(|(id, _)| id.clone()).collect();
         for id in &ids {
             self.lines.remove(id);
+            self.said_leaving.remove(id);
         }
         ids
     }
@@ -154,6 +164,7 @@
             None => ListedState::Removed,
             Some(line) if line.lapses_at.is_some() => ListedState::Lapsed,
             Some(line) if line.replica.leaving => ListedState::Leaving,
+            Some(_) if self.said_leaving.contains(id) => ListedState::Leaving,
             Some(_) => ListedState::Serving,
         }
     }
@@ -167,7 +178,8 @@
     pub fn serving(&self, now: Now) -> impl Iterator<Item = &Replica> {
         let counts = move |line: &&Line| {
             let is_over = line.lapses_at.is_some_and(|at| now >= at);
-            !line.replica.leaving && !is_over
+            let is_leaving = line.replica.leaving || self.said_leaving.contains(&line.replica.id);
+            !is_leaving && !is_over
         };
         self.lines.values().filter(counts).map(|line| &line.replica)
     }
@@ -190,10 +202,12 @@
         let Some(line) = self.lines.get_mut(id) else {
             return;
         };
+        let is_leaving = line.replica.leaving || self.said_leaving.contains(id);
         match grace_ends {
-            Some(ends) if now < ends && !line.replica.leaving => line.lapses_at = Some(ends),
+            Some(ends) if now < ends && !is_leaving => line.lapses_at = Some(ends),
             _ => {
                 self.lines.remove(id);
+                self.said_leaving.remove(id);
             }
         }
     }
--- a/crates/core/src/route_table.rs
+++ b/crates/core/src/route_table.rs
@@ -53,6 +53,13 @@
         &self.config
     }
 
+    /// Whether running sessions of a service can be moved.
+    pub fn can_move(&self, service: &str) -> bool {
+        let service = self.config.service(service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.is_some_and(|engine| engine.can_move)
+    }
+
     /// Its version.
     pub fn version(&self) -> ConfigVersion {
         self.config.version
--- /dev/null
+++ b/crates/core/tests/gateway_engine_watch.rs
@@ -0,0 +1,149 @@
+//! What engines are asked while nobody confirms the list, and what follows.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod gateway_scene;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use iristhread_core::GatewayControl;
+use iristhread_core::GatewayTerms;
+use iristhread_core::ListedState;
+
+use gateway_scene::ask;
+use gateway_scene::config;
+use gateway_scene::control_with;
+use gateway_scene::engine;
+use gateway_scene::ms;
+use gateway_scene::terms;
+
+const ENGINES: [&str; 5] = ["e1", "e2", "e3", "e4", "e5"];
+
+/// Instances that hear each other and have lost the list.
+fn fleet(count: u32) -> Vec<GatewayControl> {
+    let name = |number: u32| format!("i{number}");
+    (0..count)
+        .map(|own| {
+            let mut control = GatewayControl::new(GatewayTerms {
+                instance: name(own),
+                ..terms()
+            });
+            control.offer_config(Arc::new(config(1)));
+            let engines = ENGINES.iter().map(|id| engine(id, "z1")).collect();
+            control.offer_replicas(Duration::ZERO, 1, engines);
+            for other in (0..count).filter(|other| *other != own) {
+                let life = "life".to_owned();
+                control.hear_peer(Duration::ZERO, name(other), life, 1, BTreeMap::new());
+            }
+            control.list_lost(true);
+            control
+        })
+        .collect()
+}
+
+#[test]
+fn nothing_is_asked_while_the_list_is_confirmed() {
+    let mut control = control_with(&ENGINES);
+    control.place(Duration::ZERO, ask("r1")).unwrap();
+    let checks = control.engine_checks(ms(100));
+    assert!(checks.ask.is_empty() && checks.look.is_empty());
+}
+
+#[test]
+fn each_engine_is_asked_by_one_instance() {
+    let mut asked: Vec<String> = fleet(4)
+        .iter_mut()
+        .flat_map(|control| control.engine_checks(ms(100)).ask)
+        .map(|engine| engine.id)
+        .collect();
+    asked.sort();
+    assert_eq!(asked, ENGINES);
+}
+
+#[test]
+fn an_engine_that_keeps_a_copy_is_looked_at_now_and_then() {
+    let mut control = control_with(&ENGINES);
+    let backup = control.place(Duration::ZERO, ask("r1")).unwrap().backup;
+    control.list_lost(true);
+    let looked = |control: &mut GatewayControl, at: u64| {
+        let engines = control.engine_checks(ms(at)).look.into_iter();
+        engines.map(|engine| engine.id).collect::<Vec<String>>()
+    };
+    let keeper = backup.unwrap().id;
+    assert_eq!(looked(&mut control, 300), [keeper.clone()]);
+    assert!(looked(&mut control, 600).is_empty());
+    assert_eq!(looked(&mut control, 1_300), [keeper]);
+}
+
+#[test]
+fn sessions_move_off_an_engine_that_says_it_leaves() {
+    let mut control = control_with(&["e1"]);
+    let ranking = control.place(Duration::ZERO, ask("r1")).unwrap();
+    assert!(ranking.backup.is_none());
+    let both = vec![engine("e1", "z1"), engine("e2", "z1")];
+    control.offer_replicas(ms(10), 2, both.clone());
+    let evacuations = control.leaves(ms(100), "e1", true).unwrap();
+    assert_eq!(evacuations[0].target.id, "e2");
+    assert_eq!(control.leaves(ms(200), "e1", false).map(|e| e.len()), None);
+    assert_eq!(control.said_leaving(ms(9_000)), ["e1"]);
+    assert!(control.said_leaving(ms(11_000)).is_empty());
+    // The list may still show it as serving for a while.
+    control.offer_replicas(ms(300), 3, both);
+    assert_eq!(control.list().state("e1"), ListedState::Leaving);
+    let next = control.place(ms(300), ask("r2")).unwrap();
+    assert_eq!(next.replicas[0].id, "e2");
+    assert_eq!(next.replicas.len(), 1);
+}
+
+#[test]
+fn what_a_peer_was_told_is_not_told_again() {
+    let mut control = control_with(&["e1", "e2"]);
+    assert!(control.leaves(ms(100), "e1", false).is_some());
+    assert!(control.said_leaving(ms(200)).is_empty());
+}
+
+#[test]
+fn an_engine_that_can_t_be_reached_is_left_alone_for_a_while() {
+    let mut control = control_with(&["e1", "e2"]);
+    control.unreachable(ms(100), "e1");
+    for number in 0..4 {
+        let placed = control.place(ms(200), ask(&format!("r{number}"))).unwrap();
+        assert_eq!(placed.replicas.len(), 1);
+        assert_eq!(placed.replicas[0].id, "e2");
+    }
+    let later = control.place(ms(4_200), ask("later")).unwrap();
+    assert_eq!(later.replicas.len(), 2);
+}
+
+/// Trying one beats refusing.
+#[test]
+fn when_none_can_be_reached_all_are_tried() {
+    let mut control = control_with(&["e1", "e2"]);
+    control.unreachable(ms(100), "e1");
+    control.unreachable(ms(100), "e2");
+    assert_eq!(control.place(ms(200), ask("r1")).unwrap().replicas.len(), 2);
+}
+
+#[test]
+fn a_copy_that_can_t_be_reached_is_of_no_use() {
+    let mut control = control_with(&["e1", "e2", "e3"]);
+    let ranking = control.place(Duration::ZERO, ask("r1")).unwrap();
+    control.unreachable(ms(100), &ranking.backup.unwrap().id);
+    assert!(control.carry(ms(200), "r1").is_none());
+    let leaves = control.leaves(ms(300), &ranking.replicas[0].id, true);
+    assert_eq!(leaves.unwrap().len(), 1, "it has to move now");
+}
+
+/// A displaced session can't be copied: it is tried again at the next look, not
+/// on one engine after the other at once.
+#[test]
+fn a_delayed_move_is_tried_again_later() {
+    let mut control = control_with(&["e1"]);
+    control.place(Duration::ZERO, ask("r1")).unwrap();
+    control.offer_replicas(ms(10), 2, vec![engine("e1", "z1"), engine("e2", "z1")]);
+    control.leaves(ms(100), "e1", true).unwrap();
+    control.move_delayed("r1");
+    assert_eq!(control.tick(ms(200)).evacuations.len(), 1);
+    assert!(control.tick(ms(400)).evacuations.is_empty(), "it moves");
+}
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -101,6 +101,16 @@
         members.reads(now, confirmed_at, knowledge.can_read())
     }
 
+    /// Whether nobody has confirmed the list for longer than is usual: engines
+    /// may come and go unheard.
+    pub fn list_is_lost(&self, list_revision: Revision) -> bool {
+        let now = self.clock.now();
+        let members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        let heard = members.list_confirmed_at(now, list_revision);
+        let confirmed_at = self.knowledge().list_confirmed_at().max(heard);
+        members.is_old(now, confirmed_at)
+    }
+
     /// Whether this instance should watch the platform's configuration: as for
     /// the list, or because no peer hands over the newer one that it has.
     pub fn reads_config(&self, version: ConfigVersion) -> bool {
@@ -200,6 +210,7 @@
             can_read: knowledge.can_read(),
             addresses: members.told_addresses(now, &mut rand::rng()),
             shares: own.shares,
+            said_leaving: own.said_leaving,
             news: knowledge.told_news(now),
         };
         (heartbeat, members.targets(now, &mut rand::rng()))
@@ -257,6 +268,12 @@
                 source: heartbeat.instance.clone(),
             });
         }
+        for replica in heartbeat.said_leaving {
+            self.control.tell(GatewayMessage::Leaves {
+                replica,
+                source: Some(heartbeat.instance.clone()),
+            });
+        }
         self.control.tell(GatewayMessage::PeerHeard {
             instance: heartbeat.instance,
             incarnation: heartbeat.incarnation,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::daemon::listen_error;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::engine_watch;
 use crate::fleet_link::FleetLink;
 use crate::gateway_answers::GatewayAnswers;
 use crate::gateway_front;
@@ -174,6 +175,7 @@
             log: log.clone(),
         };
         tokio::spawn(configs.run());
+        tokio::spawn(engine_watch::run(app.clone()));
         let reader = ListReader {
             directory: ports.directory,
             control,
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -5,6 +5,7 @@
 use iristhread_core::BackendId;
 use iristhread_core::CarryTarget;
 use iristhread_core::ConfigVersion;
+use iristhread_core::EngineChecks;
 use iristhread_core::GatewayConfig;
 use iristhread_core::GatewayTerms;
 use iristhread_core::Incarnation;
@@ -33,6 +34,8 @@
     pub list_revision: Revision,
     /// What it has put on the replicas.
     pub shares: LoadShares,
+    /// Replicas that told it lately that they leave.
+    pub said_leaving: Vec<BackendId>,
 }
 
 /// What a peer can learn of the platform from this instance.
@@ -118,6 +121,28 @@
         /// Engines that it has tried.
         tried: Vec<BackendId>,
     },
+    /// A session can't be copied just now.
+    MoveDelayed {
+        /// The session.
+        request: RequestId,
+    },
+    /// Which engines are to be asked or looked at now.
+    EngineChecks {
+        /// The answer.
+        reply: oneshot::Sender<EngineChecks>,
+    },
+    /// A replica says that it leaves.
+    Leaves {
+        /// The replica.
+        replica: BackendId,
+        /// The peer that it was said to, `None` for this instance.
+        source: Option<String>,
+    },
+    /// A replica takes no connection.
+    Unreachable {
+        /// The replica.
+        replica: BackendId,
+    },
     /// A replica failed a try; the request goes on elsewhere.
     Failed {
         /// The replica.
@@ -165,6 +190,11 @@
         /// What the decisions need of them.
         terms: Box<GatewayTerms>,
     },
+    /// Whether nobody has confirmed the list of replicas for long.
+    ListLost {
+        /// Whether that is so.
+        is_lost: bool,
+    },
     /// The directory answers again.
     OutageEnded,
     /// A peer told of itself.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -147,6 +147,15 @@
                 let evacuation = self.control.evacuate(now, &request, &tried);
                 self.evacuate(evacuation.into_iter().collect());
             }
+            GatewayMessage::MoveDelayed { request } => self.control.move_delayed(&request),
+            GatewayMessage::EngineChecks { reply } => {
+                let _ = reply.send(self.control.engine_checks(now));
+            }
+            GatewayMessage::Leaves { replica, source } => self.leaves(&replica, source),
+            GatewayMessage::Unreachable { replica } => {
+                info!(self.log, "backend server can't be reached"; "backend_server" => &replica);
+                self.control.unreachable(now, &replica);
+            }
             GatewayMessage::Failed { replica } => {
                 info!(self.log, "backend server failed a try"; "backend_server" => &replica);
                 self.control.failed(now, &replica);
@@ -175,6 +184,7 @@
             }
             GatewayMessage::ListNews { news, source } => self.list_news(news, &source),
             GatewayMessage::Terms { terms } => self.control.set_terms(*terms),
+            GatewayMessage::ListLost { is_lost } => self.list_lost(is_lost),
             GatewayMessage::OutageEnded => self.control.outage_ended(now),
             GatewayMessage::PeerHeard {
                 instance,
@@ -194,11 +204,11 @@
     }
 
     fn tick(&mut self) {
-        let (evacuations, silent) = self.control.tick(self.clock.now());
-        for instance in silent {
+        let ticked = self.control.tick(self.clock.now());
+        for instance in ticked.silent {
             warn!(self.log, "peer fell silent"; "peer" => instance);
         }
-        self.evacuate(evacuations);
+        self.evacuate(ticked.evacuations);
         let control = &self.control;
         let (version, revision) = (control.config_version(), control.list().revision());
         self.metrics
@@ -261,6 +271,27 @@
         }
     }
 
+    fn leaves(&mut self, replica: &str, source: Option<String>) {
+        let now = self.clock.now();
+        let to_us = source.is_none();
+        let Some(evacuations) = self.control.leaves(now, replica, to_us) else {
+            return;
+        };
+        info!(self.log, "backend server says that it leaves";
+            "backend_server" => replica, "source" => source);
+        if to_us {
+            self.news.notify_one();
+        }
+        self.evacuate(evacuations);
+    }
+
+    fn list_lost(&mut self, is_lost: bool) {
+        if self.control.list_lost(is_lost) {
+            info!(self.log, "whether the list of backend servers is lost has changed";
+                "is_lost" => is_lost, "revision" => self.control.list().revision());
+        }
+    }
+
     fn list_news(&mut self, news: ListNews, source: &str) {
         let now = self.clock.now();
         let before = self.control.list().revision();
@@ -302,6 +333,7 @@
             config_version: self.control.config_version(),
             list_revision: self.control.list().revision(),
             shares: self.control.shares(),
+            said_leaving: self.control.said_leaving(self.clock.now()),
         }
     }
 
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use iristhread_core::BackendId;
 use iristhread_core::ConfigVersion;
 use iristhread_core::Incarnation;
 use iristhread_core::InstanceId;
@@ -67,6 +68,8 @@
     pub addresses: Vec<SocketAddr>,
     /// What it has put on the backend servers.
     pub shares: LoadShares,
+    /// Backend servers that told it lately that they leave.
+    pub said_leaving: Vec<BackendId>,
     /// The latest changes of the list.
     pub news: Vec<ListNews>,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod directory_knowledge;
 mod directory_trouble;
 mod engine_port;
+mod engine_watch;
 mod event_splitter;
 mod exchange;
 mod fleet;
--- a/crates/daemon/src/list_reader.rs
+++ b/crates/daemon/src/list_reader.rs
@@ -62,6 +62,9 @@
             let Some(own) = self.control.own_state().await else {
                 return;
             };
+            self.control.tell(GatewayMessage::ListLost {
+                is_lost: self.link.list_is_lost(own.list_revision),
+            });
             let reads = self.link.reads_list(own.list_revision);
             if reads != was_reading {
                 info!(self.log, "reading of the list"; "reads" => reads);
--- a/crates/daemon/src/session_mover.rs
+++ b/crates/daemon/src/session_mover.rs
@@ -58,6 +58,9 @@
     /// Copies the memory of a running session; returns the name of the copy.
     fn copy(&self, order: MoveOrder) -> BoxFuture<'_, Result<String, MoveError>>;
 
+    /// Asks an engine whether it is about to leave. Each question has a price.
+    fn is_leaving(&self, engine: SocketAddr) -> BoxFuture<'_, Result<bool, MoveError>>;
+
     /// Frees a copy that nobody will use.
     fn release(&self, engine: SocketAddr, handle: String) -> BoxFuture<'_, ()>;
 }
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep_until;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::engine_watch::takes_connections;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Exchange;
 use crate::exchange::RunGuard;
@@ -42,9 +43,6 @@
 /// which an answer is still in time.
 const SILENCE: Duration = Duration::from_millis(600);
 
-/// Time in which a live engine takes a connection.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
-
 type Piece = Result<Frame<Bytes>, StreamBroken>;
 
 /// What a look at the stream led to.
@@ -230,10 +228,9 @@
     /// go on with it.
     async fn look_at_engine(&mut self) -> Step {
         self.heard_at = self.exchange.app.clock.now();
-        let connect = tokio::net::TcpStream::connect(self.replica.address);
-        match tokio::time::timeout(LOOK_TIMEOUT, connect).await {
-            Ok(Ok(_)) => Step::Continue,
-            _ => Step::Unreachable,
+        match takes_connections(self.replica.address).await {
+            true => Step::Continue,
+            false => Step::Unreachable,
         }
     }
 
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -11,10 +11,10 @@
 use slog::warn;
 
 use super::End;
-use super::LOOK_TIMEOUT;
 use super::StreamRelay;
 use crate::dialect::CopyName;
 use crate::dialect::ResumePoint;
+use crate::engine_watch::look_soon;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Sent;
 use crate::gateway_message::GatewayMessage;
@@ -26,6 +26,9 @@
 /// Longest wait for the answer of a move once the stream has stopped.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for the rest of a stream that its engine has stopped.
+const REST_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// What became of a session that was sent to a copy of it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Resumed {
@@ -62,6 +65,7 @@
             "cause" => cause,
             "last_event" => self.order.last(),
             "moving" => self.moving.is_some());
+        look_soon(&self.exchange.app, self.replica.clone());
         match self.go_on_elsewhere().await {
             Elsewhere::GoesOn => None,
             Elsewhere::Ended(end) => Some(end),
@@ -160,11 +164,7 @@
                     "request" => &self.exchange.head.request,
                     "backend_server" => &self.replica.id,
                     "cause" => error.to_string());
-                self.tried.push(replica.id);
-                app.control.tell(GatewayMessage::MoveFailed {
-                    request: self.exchange.head.request.clone(),
-                    tried: self.tried.clone(),
-                });
+                self.move_failed(replica, &error);
                 return self.back_to_source(error).await;
             }
         };
@@ -172,6 +172,22 @@
         self.go_on_at(replica, handle).await
     }
 
+    /// Another target may have room. A session that its engine does not run just
+    /// now, because others displaced it, can't be copied to any: it is tried again
+    /// a little later.
+    fn move_failed(&mut self, target: Replica, error: &MoveError) {
+        let request = self.exchange.head.request.clone();
+        let message = match error {
+            MoveError::NoSession | MoveError::Busy => GatewayMessage::MoveDelayed { request },
+            MoveError::NoRoom { .. } | MoveError::NoAnswer(_) => {
+                self.tried.push(target.id);
+                let tried = self.tried.clone();
+                GatewayMessage::MoveFailed { request, tried }
+            }
+        };
+        self.exchange.app.control.tell(message);
+    }
+
     async fn go_on_at(&mut self, replica: Replica, handle: String) -> Option<End> {
         let app = self.exchange.app.clone();
         let source = self.replica.clone();
@@ -248,7 +264,7 @@
             }
         };
         // What has not come by then is made again from the copy.
-        if tokio::time::timeout(LOOK_TIMEOUT, rest).await.is_err() {
+        if tokio::time::timeout(REST_TIMEOUT, rest).await.is_err() {
             info!(self.exchange.app.log, "the stopped stream did not end";
                 "request" => &self.exchange.head.request);
         }
--- a/crates/daemon/tests/session_move.rs
+++ b/crates/daemon/tests/session_move.rs
@@ -48,6 +48,10 @@
         })
     }
 
+    fn is_leaving(&self, _: SocketAddr) -> BoxFuture<'_, Result<bool, MoveError>> {
+        Box::pin(std::future::ready(Ok(false)))
+    }
+
     fn release(&self, _: SocketAddr, _: String) -> BoxFuture<'_, ()> {
         Box::pin(std::future::ready(()))
     }
