--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -39,7 +39,6 @@
 mod carrying;
 mod engine_watch;
 mod ranking;
-mod standby;
 
 pub use engine_watch::EngineChecks;
 
@@ -105,10 +104,6 @@
 pub struct Ticked {
     /// Sessions that must move.
     pub evacuations: Vec<Evacuation>,
-    /// Sessions that should keep a copy at a target.
-    pub standbys: Vec<Evacuation>,
-    /// Sessions that should give up their copy.
-    pub dropped_standbys: Vec<RequestId>,
     /// Peers that fell silent.
     pub silent: Vec<InstanceId>,
 }
@@ -247,9 +242,7 @@
         own_shares(&self.runs)
     }
 
-    /// Lets time pass: forgets silent peers and lapsed entries. Returns what
-    /// sessions must do, of which a standby copy should be made, and which peers
-    /// fell silent.
+    /// Lets time pass: forgets silent peers and lapsed entries.
     pub fn tick(&mut self, now: Now) -> Ticked {
         let silent = self.peers.expire(now);
         let gone = self.list.expire(now);
@@ -259,9 +252,7 @@
         };
         evacuations.extend(self.seek_again(now));
         Ticked {
-            dropped_standbys: self.yield_standbys(now),
             evacuations,
-            standbys: self.stand_by(now),
             silent,
         }
     }
@@ -314,7 +305,6 @@
                 generated: 0,
                 has_begun: false,
                 moving: Moving::Stays,
-                standby_after: now,
             },
         );
         Ok(Ranking {
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -114,13 +114,10 @@
             let is_leaving = |id: &BackendId| self.list.state(id).is_leaving();
             if run.backup.as_ref().is_some_and(is_leaving) {
                 run.backup = None;
-                if run.moving == Moving::StandsBy {
-                    run.moving = Moving::Stays;
-                }
             }
-            let has_copy = run.backup.is_some() && run.moving != Moving::StandsBy;
+            let has_copy = run.backup.is_some();
             let is_session = run.ask.class == RequestClass::Stream;
-            let stays = matches!(run.moving, Moving::Stays | Moving::StandsBy);
+            let stays = run.moving == Moving::Stays;
             // A short answer ends before its engine does.
             let is_long = run.ask.likely_tokens().max(run.generated) >= least_moved;
             let needs_move = is_session && is_long && !has_copy && stays;
@@ -132,24 +129,10 @@
         to_move.sort();
         to_move
             .into_iter()
-            .filter_map(|request| self.leave_engine(now, &request))
+            .filter_map(|request| self.evacuate(now, &request, &[]))
             .collect()
     }
 
-    /// A session with a standby copy moves to it, since little is left to copy.
-    fn leave_engine(&mut self, now: Now, request: &str) -> Option<Evacuation> {
-        let run = self.runs.get_mut(request)?;
-        if run.moving != Moving::StandsBy {
-            return self.evacuate(now, request, &[]);
-        }
-        run.moving = Moving::Moves;
-        let target = self.list.replica(run.backup.as_deref()?)?.clone();
-        Some(Evacuation {
-            request: request.to_owned(),
-            target,
-        })
-    }
-
     /// Notes that a session that has to move can't be copied just now.
     pub fn move_delayed(&mut self, request: &str) {
         if let Some(run) = self.runs.get_mut(request) {
@@ -204,11 +187,7 @@
     /// One by chance of the better half, those of `zone` first: instances that
     /// move sessions at the same moment don't know of each other yet, and copies
     /// to one engine wait for each other.
-    pub(super) fn one_of_the_better(
-        &mut self,
-        ranked: Vec<Replica>,
-        zone: &str,
-    ) -> Option<Replica> {
+    fn one_of_the_better(&mut self, ranked: Vec<Replica>, zone: &str) -> Option<Replica> {
         let (near, far): (Vec<Replica>, Vec<Replica>) = ranked
             .into_iter()
             .partition(|replica| replica.availability_zone == zone);
--- a/crates/core/src/gateway_control/engine_watch.rs
+++ b/crates/core/src/gateway_control/engine_watch.rs
@@ -97,9 +97,8 @@
         self.watch.unreachable_until.insert(id.to_owned(), until);
         for run in self.runs.values_mut() {
             let keeps = run.backup.as_deref() == Some(id);
-            if keeps && matches!(run.moving, Moving::Stays | Moving::StandsBy) {
+            if keeps && run.moving == Moving::Stays {
                 run.backup = None;
-                run.moving = Moving::Stays;
             }
         }
     }
--- a/crates/core/src/placement_ask.rs
+++ b/crates/core/src/placement_ask.rs
@@ -46,10 +46,6 @@
 pub enum SessionSignal {
     /// Its engine is leaving and no usable copy exists: move to this engine.
     MoveTo(Replica),
-    /// It has no copy: keep one on this engine until its end.
-    StandByAt(Replica),
-    /// The engine of its standby copy needs the memory: give the copy up.
-    DropStandby,
 }
 
 /// How a request left its backend server.
--- a/crates/core/src/replica_view.rs
+++ b/crates/core/src/replica_view.rs
@@ -39,8 +39,6 @@
     /// It stays.
     #[default]
     Stays,
-    /// It stays; a standby copy of it is refreshed at its backup.
-    StandsBy,
     /// It has to move, and no engine has room for it.
     Seeks,
     /// It moves.
@@ -62,8 +60,6 @@
     pub has_begun: bool,
     /// Whether it is being moved off its replica.
     pub moving: Moving,
-    /// When a standby copy may be tried again after one could not be made.
-    pub standby_after: Now,
 }
 
 impl OwnRun {
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -126,11 +126,6 @@
         /// The session.
         request: RequestId,
     },
-    /// No standby copy of a session could be made.
-    StandbyFailed {
-        /// The session.
-        request: RequestId,
-    },
     /// Which engines are to be asked or looked at now.
     EngineChecks {
         /// The answer.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -148,9 +148,6 @@
                 self.evacuate(evacuation.into_iter().collect());
             }
             GatewayMessage::MoveDelayed { request } => self.control.move_delayed(&request),
-            GatewayMessage::StandbyFailed { request } => {
-                self.control.standby_failed(now, &request);
-            }
             GatewayMessage::EngineChecks { reply } => {
                 let _ = reply.send(self.control.engine_checks(now));
             }
@@ -212,8 +209,6 @@
             warn!(self.log, "peer fell silent"; "peer" => instance);
         }
         self.evacuate(ticked.evacuations);
-        self.drop_standbys(ticked.dropped_standbys);
-        self.stand_by(ticked.standbys);
         let control = &self.control;
         let (version, revision) = (control.config_version(), control.list().revision());
         self.metrics
@@ -333,29 +328,6 @@
         }
     }
 
-    fn drop_standbys(&self, dropped: Vec<RequestId>) {
-        for request in dropped {
-            info!(self.log, "standby copy gives way to running sessions";
-                "request" => &request);
-            if let Some(signals) = self.signals.get(&request) {
-                // The session may have ended in the meantime.
-                let _ = signals.send(SessionSignal::DropStandby);
-            }
-        }
-    }
-
-    fn stand_by(&self, standbys: Vec<Evacuation>) {
-        for Evacuation { request, target } in standbys {
-            info!(self.log, "session gets a standby copy";
-                "request" => &request, "target" => &target.id,
-                "list_revision" => self.control.list().revision());
-            if let Some(signals) = self.signals.get(&request) {
-                // The session may have ended in the meantime.
-                let _ = signals.send(SessionSignal::StandByAt(target));
-            }
-        }
-    }
-
     fn own_state(&self) -> OwnState {
         OwnState {
             config_version: self.control.config_version(),
--- a/crates/daemon/src/session_move.rs
+++ b/crates/daemon/src/session_move.rs
@@ -1,11 +1,9 @@
-//! Moves one running session to another engine while its stream goes on, or
-//! keeps a standby copy of it there.
+//! Moves one running session to another engine while its stream goes on.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use iristhread_core::Replica;
-use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
@@ -18,20 +16,11 @@
 /// still for about as long, which stays within the pause that is in time.
 const QUICK_COPY: Duration = Duration::from_millis(100);
 
-/// Time between two refreshes of a standby copy: a session that goes on from it
-/// reads about a hundred tokens anew, and the engine that keeps it drops a copy
-/// only after some seconds.
-const REFRESH: Duration = Duration::from_secs(1);
-
-/// A move under way, or a standby copy that may become one.
+/// A move under way.
 pub struct SessionMove {
-    mover: Arc<dyn SessionMover>,
-    order: MoveOrder,
     target: Replica,
     task: JoinHandle<Result<String, MoveError>>,
     copied: watch::Receiver<Option<String>>,
-    hurry: Arc<Notify>,
-    is_standby: bool,
 }
 
 impl SessionMove {
@@ -41,61 +30,29 @@
     /// When none is quick, the engine ends first, and the session goes on from
     /// its last copy, which lacks little.
     pub fn start(mover: Arc<dyn SessionMover>, order: MoveOrder, target: Replica) -> SessionMove {
-        SessionMove::spawn(mover, order, target, false)
-    }
-
-    /// Keeps a copy of a session that stays where it is, and refreshes it until
-    /// the session ends or has to move.
-    pub fn stand_by(
-        mover: Arc<dyn SessionMover>,
-        order: MoveOrder,
-        target: Replica,
-    ) -> SessionMove {
-        SessionMove::spawn(mover, order, target, true)
-    }
-
-    fn spawn(
-        mover: Arc<dyn SessionMover>,
-        order: MoveOrder,
-        target: Replica,
-        is_standby: bool,
-    ) -> SessionMove {
         let (copied_in, copied) = watch::channel(None);
-        let hurry = Arc::new(Notify::new());
-        let copying = Copying {
-            mover: mover.clone(),
-            order: order.clone(),
-            copied: copied_in,
-        };
-        let hurried = hurry.clone();
         let task = tokio::spawn(async move {
-            if is_standby {
-                copying.refresh_until(&hurried).await?;
+            loop {
+                let copy_began = Instant::now();
+                let handle = mover.copy(order.clone()).await?;
+                copied_in.send_replace(Some(handle));
+                if copy_began.elapsed() <= QUICK_COPY {
+                    break;
+                }
             }
-            copying.finish().await
+            let last = MoveOrder {
+                stop_first: true,
+                ..order
+            };
+            mover.copy(last).await
         });
         SessionMove {
-            mover,
-            order,
             target,
             task,
             copied,
-            hurry,
-            is_standby,
         }
     }
 
-    /// Whether the session stays where it is for now.
-    pub fn is_standby(&self) -> bool {
-        self.is_standby
-    }
-
-    /// Turns a standby copy into a move.
-    pub fn begin_move(&mut self) {
-        self.is_standby = false;
-        self.hurry.notify_one();
-    }
-
     /// Where the session moves.
     pub fn target(&self) -> &Replica {
         &self.target
@@ -119,61 +76,8 @@
     }
 }
 
-impl SessionMove {
-    /// Gives up the copy, whose memory is then free at once.
-    pub fn abandon(self) {
-        let Some(handle) = self.partial_copy() else {
-            return;
-        };
-        let (mover, source) = (self.mover.clone(), self.order.source);
-        tokio::spawn(async move { mover.release(source, handle).await });
-    }
-}
-
 impl Drop for SessionMove {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
-
-/// The calls of one move.
-struct Copying {
-    mover: Arc<dyn SessionMover>,
-    order: MoveOrder,
-    copied: watch::Sender<Option<String>>,
-}
-
-impl Copying {
-    /// Keeps a standby copy fresh until the session has to move.
-    async fn refresh_until(&self, hurry: &Notify) -> Result<(), MoveError> {
-        loop {
-            self.copy().await?;
-            tokio::select! {
-                () = tokio::time::sleep(REFRESH) => {}
-                () = hurry.notified() => return Ok(()),
-            }
-        }
-    }
-
-    /// Copies until a copy is quick, and then the rest.
-    async fn finish(&self) -> Result<String, MoveError> {
-        loop {
-            let copy_began = Instant::now();
-            self.copy().await?;
-            if copy_began.elapsed() <= QUICK_COPY {
-                break;
-            }
-        }
-        let last = MoveOrder {
-            stop_first: true,
-            ..self.order.clone()
-        };
-        self.mover.copy(last).await
-    }
-
-    async fn copy(&self) -> Result<(), MoveError> {
-        let handle = self.mover.copy(self.order.clone()).await?;
-        self.copied.send_replace(Some(handle));
-        Ok(())
-    }
-}
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -235,45 +235,18 @@
     }
 
     fn signalled(&mut self, signal: SessionSignal) {
-        let is_standby = self.moving.as_ref().map(SessionMove::is_standby);
-        if is_standby == Some(false) {
+        let SessionSignal::MoveTo(target) = signal;
+        if self.moving.is_some() {
             return;
         }
-        let mover = self.exchange.app.mover.clone();
-        match signal {
-            SessionSignal::MoveTo(target) => match &mut self.moving {
-                Some(moving) if moving.target().id == target.id => moving.begin_move(),
-                _ => {
-                    let order = self.order_to(&target);
-                    self.replace_move(SessionMove::start(mover, order, target));
-                }
-            },
-            SessionSignal::DropStandby => {
-                if let Some(standby) = self.moving.take() {
-                    standby.abandon();
-                }
-            }
-            SessionSignal::StandByAt(target) => {
-                let order = self.order_to(&target);
-                self.replace_move(SessionMove::stand_by(mover, order, target));
-            }
-        }
-    }
-
-    fn order_to(&self, target: &Replica) -> MoveOrder {
-        MoveOrder {
+        let order = MoveOrder {
             source: self.replica.address,
             request: self.exchange.head.request.clone(),
             target: target.address,
             stop_first: false,
-        }
-    }
-
-    /// Another copy of the session is of no more use.
-    fn replace_move(&mut self, moving: SessionMove) {
-        if let Some(before) = self.moving.replace(moving) {
-            before.abandon();
-        }
+        };
+        let mover = self.exchange.app.mover.clone();
+        self.moving = Some(SessionMove::start(mover, order, target));
     }
 
     async fn end(mut self, end: End) {
@@ -301,10 +274,7 @@
             moving,
             ..
         } = self;
-        drop((body, guard));
-        if let Some(moving) = moving {
-            moving.abandon();
-        }
+        drop((body, guard, moving));
         if end != End::Whole {
             // The server then breaks the connection off, unless the caller has.
             let _ = to_caller.send(Err(StreamBroken)).await;
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -18,7 +18,6 @@
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Sent;
 use crate::gateway_message::GatewayMessage;
-use crate::session_move::SessionMove;
 use crate::session_mover::MoveError;
 
 /// Longest wait for the head of a resumed stream.
@@ -143,24 +142,17 @@
     /// `None` when it has not.
     async fn finish_move(&mut self) -> Option<Option<End>> {
         let mut moving = self.moving.take()?;
-        let handle = match moving.is_standby() {
-            true => moving.partial_copy()?,
-            false => match tokio::time::timeout(MOVE_TIMEOUT, moving.finished()).await {
-                Ok(Ok(handle)) => handle,
-                _ => moving.partial_copy()?,
-            },
+        let outcome = tokio::time::timeout(MOVE_TIMEOUT, moving.finished()).await;
+        let handle = match outcome {
+            Ok(Ok(handle)) => handle,
+            _ => moving.partial_copy()?,
         };
         Some(self.go_on_at(moving.target().clone(), handle).await)
     }
 
     pub(super) async fn moved(&mut self, outcome: Result<String, MoveError>) -> Option<End> {
         let app = self.exchange.app.clone();
-        let moving = self.moving.take()?;
-        if let (true, Err(error)) = (moving.is_standby(), &outcome) {
-            self.standby_failed(&moving, error);
-            return None;
-        }
-        let replica = moving.target().clone();
+        let replica = self.moving.take()?.target().clone();
         app.metrics.moved(match &outcome {
             Ok(_) => "moved",
             Err(error) => error.as_str(),
@@ -196,19 +188,6 @@
         self.exchange.app.control.tell(message);
     }
 
-    fn standby_failed(&self, standby: &SessionMove, error: &MoveError) {
-        let app = &self.exchange.app;
-        app.metrics.moved("no_standby");
-        info!(app.log, "no standby copy of a session can be kept";
-            "request" => &self.exchange.head.request,
-            "backend_server" => &self.replica.id,
-            "target" => &standby.target().id,
-            "cause" => error.to_string());
-        app.control.tell(GatewayMessage::StandbyFailed {
-            request: self.exchange.head.request.clone(),
-        });
-    }
-
     async fn go_on_at(&mut self, replica: Replica, handle: String) -> Option<End> {
         let app = self.exchange.app.clone();
         let source = self.replica.clone();
