Run a stream that may be resumed again elsewhere within its answer

Cause: a stream ended when its engine broke off and no copy was known, also on routes whose streams may be resumed; before its first event it was never tried twice. Change: on such routes another engine runs it from the last event on, within the route's attempts and the retry budget; the caller keeps the first engine's head and mark; the connection to the engine before is closed first. The start of such a stream is tried again like a repeatable call. What a call and a stream share stands in the exchange.

--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -33,6 +33,25 @@
         self.carry_to(now, request, backup)
     }
 
+    /// Decides where a stream is run again whose engine broke off and that has no
+    /// copy; `None` when no engine takes it or the retry budget is spent.
+    pub fn place_again(&mut self, now: Now, request: &str) -> Option<CarryTarget> {
+        let run = self.runs.get(request)?;
+        let from = run.replica.clone();
+        let mut ask = run.ask.clone();
+        ask.prompt_tokens += run.generated;
+        let limit = self.terms.memory_limit;
+        let scores = self.scores(now, &ask, Some(&from));
+        let first = scores.into_iter().find(|score| score.memory <= limit)?;
+        if !self.spend_retry(&ask.service) {
+            return None;
+        }
+        let target = self.carry_to(now, request, first.replica)?;
+        let run = self.runs.get_mut(request)?;
+        run.has_begun = false;
+        Some(target)
+    }
+
     /// Counts a session as running where it was: its copy could not be used and
     /// is of no more use.
     pub fn not_carried(&mut self, request: &str, replica: BackendId) {
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -19,6 +19,7 @@
 use iristhread_core::Replica;
 use iristhread_core::Route;
 use iristhread_core::RunEnd;
+use iristhread_core::SendResult;
 use iristhread_core::SessionSignal;
 use slog::info;
 use tokio::sync::mpsc;
@@ -49,6 +50,10 @@
 /// beside others takes up to half of the rest.
 const ROOM_WAIT: f64 = 0.35;
 
+/// A try of a repeatable request is given up after this many times its
+/// objective, so that a second one still has a use.
+const TRY_OBJECTIVES: u32 = 2;
+
 /// Time between two questions for room: several within the gap in which
 /// reclaimed engines are replaced.
 const ROOM_CHECK: Duration = Duration::from_millis(60);
@@ -207,6 +212,37 @@
         })
     }
 
+    /// Whether a further send is allowed: it spends the budget of the service,
+    /// unless no byte of the one before was written.
+    pub async fn may_send_again(&self, replica: &str, before: SendResult) -> bool {
+        let control = &self.app.control;
+        control.tell(GatewayMessage::Moved {
+            request: self.head.request.clone(),
+            replica: replica.to_owned(),
+        });
+        if before == SendResult::NotConnected {
+            return true;
+        }
+        let service = self.service.clone();
+        let asked = control.ask(|reply| GatewayMessage::SpendRetry { service, reply });
+        let granted = asked.await.unwrap_or(false);
+        if !granted {
+            info!(self.app.log, "no further try: the retry budget is spent";
+                "request" => &self.head.request,
+                "service" => &self.service);
+        }
+        granted
+    }
+
+    /// When a try that may be followed by another is given up.
+    pub fn try_until(&self, is_repeatable: bool) -> Now {
+        let until = self.app.clock.now() + self.route.objective * TRY_OBJECTIVES;
+        match is_repeatable && self.route.max_attempts > 1 {
+            true => until.min(self.answer_by),
+            false => self.answer_by,
+        }
+    }
+
     /// Time left for the final answer.
     pub fn time_left(&self) -> Duration {
         self.answer_by.saturating_sub(self.app.clock.now())
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -98,6 +98,14 @@
         /// The answer.
         reply: oneshot::Sender<Option<CarryTarget>>,
     },
+    /// The engine of a stream that may be run again broke off, and there is no copy:
+    /// where is it run from its last event on?
+    PlaceAgain {
+        /// The session.
+        request: RequestId,
+        /// The answer; `None` when nothing takes it or the retry budget is spent.
+        reply: oneshot::Sender<Option<CarryTarget>>,
+    },
     /// A session could not go on at its copy, and does not run there.
     NotCarried {
         /// The session.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -136,6 +136,9 @@
             GatewayMessage::Carry { request, reply } => {
                 let _ = reply.send(self.control.carry(now, &request));
             }
+            GatewayMessage::PlaceAgain { request, reply } => {
+                let _ = reply.send(self.control.place_again(now, &request));
+            }
             GatewayMessage::CarryTo {
                 request,
                 replica,
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -35,10 +35,6 @@
 /// callers may send themselves, by default.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
-/// A try of a repeatable request is given up after this many times its
-/// objective, so that a second one still has a use.
-const TRY_OBJECTIVES: u32 = 2;
-
 /// Advice when the request was refused by its backend server.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -88,7 +84,7 @@
     loop {
         let mut step = decisions.next(app.clock.now());
         if let (CallStep::Send(name), Some(result)) = (&step, previous)
-            && !may_send_again(exchange, name, result).await
+            && !exchange.may_send_again(name, result).await
         {
             step = decisions.give_up();
         }
@@ -117,34 +113,12 @@
     }
 }
 
-/// A further send spends the budget of the service, unless no byte of the one
-/// before was written.
-async fn may_send_again(exchange: &Exchange, replica: &str, result: SendResult) -> bool {
-    let control = &exchange.app.control;
-    control.tell(GatewayMessage::Moved {
-        request: exchange.head.request.clone(),
-        replica: replica.to_owned(),
-    });
-    if result == SendResult::NotConnected {
-        return true;
-    }
-    let service = exchange.service.clone();
-    let asked = control.ask(|reply| GatewayMessage::SpendRetry { service, reply });
-    let granted = asked.await.unwrap_or(false);
-    if !granted {
-        info!(exchange.app.log, "no further try: the retry budget is spent";
-            "request" => &exchange.head.request,
-            "service" => &exchange.service);
-    }
-    granted
-}
-
 async fn attempt(
     exchange: &Exchange,
     replica: &Replica,
     repeatable: bool,
 ) -> (SendResult, Option<WholeAnswer>) {
-    let by = try_until(exchange, repeatable);
+    let by = exchange.try_until(repeatable);
     match exchange.send(replica, None, None, by).await {
         Sent::NotConnected(_) => (SendResult::NotConnected, None),
         Sent::Lost(cause) => {
@@ -159,15 +133,6 @@
     }
 }
 
-fn try_until(exchange: &Exchange, repeatable: bool) -> Now {
-    let patience = exchange.route.objective * TRY_OBJECTIVES;
-    let until = exchange.app.clock.now() + patience;
-    match repeatable && exchange.route.max_attempts > 1 {
-        true => until.min(exchange.answer_by),
-        false => exchange.answer_by,
-    }
-}
-
 async fn collected(
     exchange: &Exchange,
     answer: BackendAnswer,
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/stream_call.rs
@@ -71,10 +71,19 @@
 async fn start(exchange: &Exchange, ranking: &Ranking) -> Start {
     let app = &exchange.app;
     let names = ranking.replicas.iter().map(|r| r.id.clone()).collect();
-    let mut decisions = CallRun::new(false, names, exchange.answer_by);
+    let may_repeat = exchange.route.can_resume;
+    let mut decisions = CallRun::new(may_repeat, names, exchange.answer_by)
+        .with_tries(exchange.route.max_attempts.max(1));
     let mut cause = "";
+    let mut previous = None;
     loop {
-        let name = match decisions.next(app.clock.now()) {
+        let mut step = decisions.next(app.clock.now());
+        if let (CallStep::Send(name), Some(result)) = (&step, previous)
+            && !exchange.may_send_again(name, result).await
+        {
+            step = decisions.give_up();
+        }
+        let name = match step {
             CallStep::Send(name) => name,
             CallStep::End {
                 outcome: Outcome::NotRun,
@@ -91,13 +100,16 @@
         });
         let backup = ranking.backup.as_ref().filter(|b| b.id != replica.id);
         let sent = exchange
-            .send(replica, backup, exchange.beginning(), exchange.answer_by)
+            .send(
+                replica,
+                backup,
+                exchange.beginning(),
+                exchange.try_until(may_repeat),
+            )
             .await;
         app.metrics.tried(sent.as_str());
-        match sent {
-            Sent::Answer(answer) if answer.head.is_not_run => {
-                decisions.sent(SendResult::SaidNotRun);
-            }
+        let result = match sent {
+            Sent::Answer(answer) if answer.head.is_not_run => SendResult::SaidNotRun,
             Sent::Answer(answer) => return Start::Answered(replica.clone(), answer),
             Sent::NotConnected(why) => {
                 info!(app.log, "engine can't be connected to";
@@ -106,20 +118,22 @@
                 app.control.tell(GatewayMessage::Failed {
                     replica: replica.id.clone(),
                 });
-                decisions.sent(SendResult::NotConnected);
+                SendResult::NotConnected
             }
             Sent::Lost(why) => {
                 info!(app.log, "engine broke off before its answer";
                     "request" => &exchange.head.request,
                     "backend_server" => &replica.id, "cause" => why);
                 cause = "its engine broke off before the answer";
-                decisions.sent(SendResult::Lost);
+                SendResult::Lost
             }
             Sent::TimedOut => {
-                cause = "its engine was silent until the deadline";
-                decisions.sent(SendResult::Lost);
+                cause = "its engine was silent for too long";
+                SendResult::Lost
             }
-        }
+        };
+        decisions.sent(result);
+        previous = Some(result);
     }
 }
 
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -81,7 +81,8 @@
     exchange: Exchange,
     guard: RunGuard,
     replica: Replica,
-    body: Incoming,
+    /// `None` while the engine that ran it is given up and another not found.
+    body: Option<Incoming>,
     signals: mpsc::UnboundedReceiver<SessionSignal>,
     to_caller: mpsc::Sender<Piece>,
     splitter: EventSplitter,
@@ -92,6 +93,8 @@
     last_event_at: Now,
     longest_gap: Duration,
     carried: u32,
+    /// Engines that began to run it, not from a copy.
+    begun: u32,
     moving: Option<SessionMove>,
     tried: Vec<BackendId>,
     /// Whether it was said that the engine is waited for.
@@ -115,7 +118,7 @@
             exchange,
             guard,
             replica,
-            body,
+            body: Some(body),
             signals,
             to_caller,
             splitter: EventSplitter::default(),
@@ -123,6 +126,7 @@
             last_event_at: Now::ZERO,
             longest_gap: Duration::ZERO,
             carried: 0,
+            begun: 1,
             moving: None,
             tried: Vec::new(),
             waits_for_engine: false,
@@ -161,7 +165,7 @@
                 self.signalled(signal);
                 return Step::Continue;
             }
-            frame = self.body.frame() => frame,
+            frame = next_frame(&mut self.body) => frame,
             () = sleep_until(silent_at) => return self.look_at_engine().await,
         };
         match frame {
@@ -282,6 +286,14 @@
     }
 }
 
+/// What the engine sends next; nothing while there is none.
+async fn next_frame(body: &mut Option<Incoming>) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    match body {
+        None => std::future::pending().await,
+        Some(body) => body.frame().await,
+    }
+}
+
 /// The end of a move, if there is one.
 async fn finished(moving: &mut Option<SessionMove>) -> Result<String, MoveError> {
     match moving {
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use iristhread_core::CarryTarget;
 use iristhread_core::Replica;
@@ -12,6 +11,7 @@
 
 use super::End;
 use super::StreamRelay;
+use super::next_frame;
 use crate::dialect::CopyName;
 use crate::dialect::ResumePoint;
 use crate::engine_watch::look_soon;
@@ -121,20 +121,45 @@
         });
         let asked = control.ask(|reply| GatewayMessage::Carry { request, reply });
         let Some(target) = asked.await.flatten() else {
-            return Elsewhere::Nowhere;
+            return self.run_again().await;
         };
         let keeper = target.replica.address;
-        match self.resume(target, CopyName::Backup { keeper }).await {
+        let copy = CopyName::Backup { keeper };
+        match self.resume(target, Some(copy)).await {
             Resumed::GoesOn => Elsewhere::GoesOn,
-            Resumed::Lost => Elsewhere::Ended(End::Lost),
-            Resumed::NotRun => {
+            Resumed::Lost if !self.exchange.route.can_resume => Elsewhere::Ended(End::Lost),
+            Resumed::Lost | Resumed::NotRun => {
                 self.exchange.app.control.tell(GatewayMessage::NotCarried {
                     request: self.exchange.head.request.clone(),
                     replica: self.replica.id.clone(),
                 });
-                Elsewhere::Nowhere
+                self.run_again().await
+            }
+        }
+    }
+
+    /// A stream that may be resumed is run by another engine from the last event
+    /// on, which reads the prompt anew, as often as its route and the retry budget
+    /// allow.
+    async fn run_again(&mut self) -> Elsewhere {
+        while self.exchange.route.can_resume && self.begun < self.exchange.route.max_attempts {
+            let request = self.exchange.head.request.clone();
+            let control = &self.exchange.app.control;
+            let asked = control.ask(|reply| GatewayMessage::PlaceAgain { request, reply });
+            let Some(target) = asked.await.flatten() else {
+                break;
+            };
+            // The engine before, if it lives, stops when its connection closes.
+            self.body = None;
+            self.begun += 1;
+            if self.resume(target, None).await == Resumed::GoesOn {
+                return Elsewhere::GoesOn;
             }
         }
+        match self.body {
+            Some(_) => Elsewhere::Nowhere,
+            None => Elsewhere::Ended(End::Lost),
+        }
     }
 
     /// The engine is gone, or has stopped the session for its last copy: the
@@ -205,7 +230,7 @@
             return Some(End::Lost);
         };
         let target_id = target.replica.id.clone();
-        match self.resume(target, copy.clone()).await {
+        match self.resume(target, Some(copy.clone())).await {
             Resumed::GoesOn => None,
             Resumed::Lost => Some(End::Lost),
             Resumed::NotRun => {
@@ -243,7 +268,7 @@
             replica: source,
             backup: None,
         };
-        match self.resume(target, copy).await {
+        match self.resume(target, Some(copy)).await {
             Resumed::GoesOn => {
                 // It still has to leave.
                 self.exchange.app.control.tell(GatewayMessage::MoveFailed {
@@ -259,7 +284,7 @@
     /// Reads what the stopped engine had sent before the end of its stream.
     async fn drain_rest(&mut self) {
         let rest = async {
-            while let Some(Ok(frame)) = self.body.frame().await {
+            while let Some(Ok(frame)) = next_frame(&mut self.body).await {
                 self.take(frame).await;
             }
         };
@@ -270,16 +295,17 @@
         }
     }
 
-    /// Sends the session to an engine that has a copy of it.
-    async fn resume(&mut self, target: CarryTarget, copy: CopyName) -> Resumed {
+    /// Sends the session to an engine, which has a copy of it or runs it again.
+    async fn resume(&mut self, target: CarryTarget, copy: Option<CopyName>) -> Resumed {
         let app = self.exchange.app.clone();
         let kind = match &copy {
-            CopyName::Moved { .. } => "move",
-            CopyName::Backup { .. } => "copy",
+            Some(CopyName::Moved { .. }) => "move",
+            Some(CopyName::Backup { .. }) => "copy",
+            None => "again",
         };
         let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
         let point = ResumePoint {
-            copy: Some(copy),
+            copy,
             after_event: self.order.last(),
         };
         let sent = self
@@ -327,7 +353,7 @@
             "paused_ms" => pause.as_millis() as u64);
         let target_is_new = self.replica.id != target.replica.id;
         self.replica = target.replica;
-        self.body = body;
+        self.body = Some(body);
         self.splitter = EventSplitter::default();
         self.order.resume();
         self.heard_at = app.clock.now();
