Send long sessions off at once instead of letting them wait for room

Cause: a long session waited for up to 35% of its objective while every engine was above 0.9 of its memory. Such a wait costs callers by its length, and the step at a part of the objective has no reason but the clock. Change: the wait, its setting start_limit, its question to the decisions and its two decision tests go with it; a request is placed or refused when it comes.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -27,7 +27,6 @@
 use crate::ReplicaChange;
 use crate::ReplicaList;
 use crate::ReplicaScore;
-use crate::RequestClass;
 use crate::RequestId;
 use crate::RetryBudget;
 use crate::RouteTable;
@@ -68,9 +67,6 @@
     pub least_sharers: u32,
     /// Share of an engine's memory up to which new sessions start.
     pub memory_limit: f64,
-    /// Share of an engine's memory above which a long session waits for room, as
-    /// long as it can.
-    pub start_limit: f64,
     /// Share of an engine's memory up to which it takes new copies.
     pub copy_limit: f64,
     /// Fewest likely tokens of a session that is worth a copy.
@@ -257,19 +253,6 @@
         }
     }
 
-    /// Whether a request should be placed now. A long session that starts on a
-    /// crowded engine displaces another there, or is displaced; a moment later
-    /// others have ended, or reclaimed engines are replaced.
-    pub fn has_room(&mut self, now: Now, ask: &PlacementAsk) -> bool {
-        let is_long = ask.likely_tokens() >= self.terms.least_copied_tokens;
-        if ask.class != RequestClass::Stream || !is_long {
-            return true;
-        }
-        let limit = self.terms.start_limit;
-        let scores = self.scores(now, ask, None);
-        scores.is_empty() || scores.iter().any(|score| score.memory <= limit)
-    }
-
     /// Ranks the replicas for a request and counts it as sent to the first.
     ///
     /// # Errors
--- a/crates/core/tests/gateway_placing.rs
+++ b/crates/core/tests/gateway_placing.rs
@@ -13,7 +13,6 @@
 use iristhread_core::RefusalKind;
 use iristhread_core::Replica;
 use iristhread_core::ReplicaChange;
-use iristhread_core::RequestClass;
 use iristhread_core::RunEnd;
 use rand_core::Rng;
 use rand_core::SeedableRng;
@@ -99,35 +98,6 @@
     );
 }
 
-/// A session that starts on a crowded engine displaces another, or is displaced
-/// and read anew; answers of a few tokens are over before that.
-#[test]
-fn a_long_session_waits_while_every_engine_is_crowded() {
-    let mut control = control_with(&["e1"]);
-    assert!(control.has_room(ZERO, &ask("r1")));
-    crowd(&mut control, "e1");
-    assert!(control.has_room(ZERO, &ask("r1")), "half full");
-    let load = LoadShare {
-        session_tokens: MEMORY_TOKENS * 8 / 10,
-        ..LoadShare::default()
-    };
-    let shares = BTreeMap::from([("e1".to_owned(), load)]);
-    control.hear_peer(ZERO, "i2".to_owned(), "life".to_owned(), 2, shares);
-    assert!(!control.has_room(ZERO, &ask("r1")));
-    let mut short = ask("r2");
-    short.expected_tokens = Some(10);
-    assert!(control.has_room(ZERO, &short));
-    let mut call = ask("r3");
-    call.class = RequestClass::Once;
-    assert!(control.has_room(ZERO, &call));
-}
-
-#[test]
-fn no_engine_at_all_is_no_reason_to_wait() {
-    let mut control = control_with(&[]);
-    assert!(control.has_room(ZERO, &ask("r1")));
-}
-
 #[test]
 fn leaving_engines_get_nothing_new() {
     let mut control = control_with(&["e1", "e2", "e3"]);
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -97,7 +97,6 @@
         retry_extra: 9.0,
         least_sharers: 3,
         memory_limit: 1.0,
-        start_limit: 0.9,
         copy_limit: 0.75,
         least_copied_tokens: 100,
         seed: 1,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -45,19 +45,10 @@
 /// Advice while the process stops: the balancer knows another instance.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Part of a stream's objective, or of its time if that is shorter, for which it
-/// waits for room: reading a prompt
-/// beside others takes up to half of the rest.
-const ROOM_WAIT: f64 = 0.35;
-
 /// A try of a repeatable request is given up after this many times its
 /// objective, so that a second one still has a use.
 const TRY_OBJECTIVES: u32 = 2;
 
-/// Time between two questions for room: several within the gap in which
-/// reclaimed engines are replaced.
-const ROOM_CHECK: Duration = Duration::from_millis(60);
-
 /// A request whose route, service and workspace are known.
 pub struct Exchange {
     /// What all tasks share.
@@ -138,53 +129,23 @@
         signals: mpsc::UnboundedSender<SessionSignal>,
     ) -> Result<Ranking, Box<FrontAnswer>> {
         let began = self.app.clock.now();
-        let placed = self.placed_in_time(signals).await;
+        let placed = self.app.control.ask(|reply| GatewayMessage::Place {
+            ask: self.ask(),
+            signals,
+            reply,
+        });
+        let placed = placed.await;
         self.app.metrics.placed(self.app.clock.now() - began);
         let refused = match placed {
             Some(Placed::Ranked(ranking)) => return Ok(ranking),
             Some(Placed::Refused(refusal)) => {
                 front_answer::not_run(refusal.retry_after, &refusal.message)
             }
-            Some(Placed::NoRoomYet) | None => {
-                front_answer::not_run(STOPPING_RETRY_AFTER, "the instance is stopping")
-            }
+            None => front_answer::not_run(STOPPING_RETRY_AFTER, "the instance is stopping"),
         };
         Err(Box::new(refused))
     }
 
-    /// Waits for room on an engine for a part of the objective, then takes what
-    /// there is. `None` when the process stops.
-    async fn placed_in_time(
-        &self,
-        signals: mpsc::UnboundedSender<SessionSignal>,
-    ) -> Option<Placed> {
-        let clock = &self.app.clock;
-        let due_in = self.answer_by.saturating_sub(self.arrived);
-        let longest = self.route.objective.min(due_in).mul_f64(ROOM_WAIT);
-        let wait_until = self.arrived + longest;
-        let mut waited = false;
-        loop {
-            let placed = self.app.control.ask(|reply| GatewayMessage::Place {
-                ask: self.ask(),
-                signals: signals.clone(),
-                may_wait: clock.now() < wait_until,
-                reply,
-            });
-            match placed.await? {
-                Placed::NoRoomYet => {
-                    if !waited {
-                        info!(self.app.log, "request waits for room on an engine";
-                            "request" => &self.head.request,
-                            "at_most_ms" => longest.as_millis() as u64);
-                    }
-                    waited = true;
-                    tokio::time::sleep(ROOM_CHECK).await;
-                }
-                placed => return Some(placed),
-            }
-        }
-    }
-
     /// What the request asks of the backend servers: events that the caller
     /// holds are read with the prompt, and made no more.
     fn ask(&self) -> PlacementAsk {
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -51,8 +51,6 @@
 pub enum Placed {
     /// It goes to the first of these, and counts there.
     Ranked(Ranking),
-    /// No engine has room for it now; ask again.
-    NoRoomYet,
     /// It is refused, unsent.
     Refused(Refusal),
 }
@@ -65,8 +63,6 @@
         ask: PlacementAsk,
         /// Where the session is told of later decisions.
         signals: mpsc::UnboundedSender<SessionSignal>,
-        /// Whether it can wait for room.
-        may_wait: bool,
         /// The answer.
         reply: oneshot::Sender<Placed>,
     },
--- a/crates/daemon/src/gateway_settings.rs
+++ b/crates/daemon/src/gateway_settings.rs
@@ -51,8 +51,6 @@
     pub retry_extra: f64,
     /// Share of an engine's memory up to which new sessions start.
     pub memory_limit: f64,
-    /// Share of an engine's memory above which a long session waits for room.
-    pub start_limit: f64,
     /// Share of an engine's memory up to which it takes new copies.
     pub copy_limit: f64,
     /// Fewest likely tokens of a session that is worth a copy.
@@ -86,7 +84,6 @@
             retry_extra: reader.share("retry_extra", 50.0, 0.0..=1e6),
             // Tried on the users' bench; docs/design/0008-gateway.md.
             memory_limit: reader.share("memory_limit", 1.1, 0.1..=4.0),
-            start_limit: reader.share("start_limit", 0.9, 0.1..=4.0),
             copy_limit: reader.share("copy_limit", 0.5, 0.0..=4.0),
             least_copied_tokens: reader.number("least_copied_tokens", 100, 0..=1_000_000) as u32,
         };
@@ -107,7 +104,6 @@
             retry_extra: self.retry_extra * RETRY_MARGIN,
             least_sharers: LEAST_SHARERS,
             memory_limit: self.memory_limit,
-            start_limit: self.start_limit,
             copy_limit: self.copy_limit,
             least_copied_tokens: self.least_copied_tokens,
             seed,
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -116,15 +116,9 @@
             GatewayMessage::Place {
                 ask,
                 signals,
-                may_wait,
                 reply,
             } => {
-                let waits = may_wait && !self.control.has_room(now, &ask);
-                let placed = match waits {
-                    true => Placed::NoRoomYet,
-                    false => self.place(ask, signals),
-                };
-                let _ = reply.send(placed);
+                let _ = reply.send(self.place(ask, signals));
             }
             GatewayMessage::Moved { request, replica } => self.control.moved(&request, replica),
             GatewayMessage::SpendRetry { service, reply } => {
