--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -16,8 +16,8 @@
 use crate::RequestClass;
 use crate::RequestId;
 
-/// Share of the memory of an engine up to which sessions move there; tried on
-/// the users' bench, docs/design/0008-gateway.md.
+/// Share of the memory of an engine up to which sessions move there: a session
+/// that can't move is lost with its engine, one that is displaced only pauses.
 const MOVE_LIMIT: f64 = 1.0;
 
 impl GatewayControl {
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use iristhread_core::CarryTarget;
 use iristhread_core::ConfigVerdict;
 use iristhread_core::Evacuation;
 use iristhread_core::GatewayConfig;
@@ -131,7 +132,7 @@
                 let _ = reply.send(self.control.carry(now, &request));
             }
             GatewayMessage::PlaceAgain { request, reply } => {
-                let _ = reply.send(self.control.place_again(now, &request));
+                let _ = reply.send(self.place_again(&request));
             }
             GatewayMessage::CarryTo {
                 request,
@@ -150,7 +151,9 @@
             }
             GatewayMessage::Leaves { replica, source } => self.leaves(&replica, source),
             GatewayMessage::Unreachable { replica } => {
-                info!(self.log, "backend server can't be reached"; "backend_server" => &replica);
+                info!(self.log, "backend server can't be reached";
+                    "backend_server" => &replica,
+                    "list_revision" => self.control.list().revision());
                 self.control.unreachable(now, &replica);
             }
             GatewayMessage::Failed { replica } => {
@@ -245,6 +248,15 @@
         }
     }
 
+    fn place_again(&mut self, request: &str) -> Option<CarryTarget> {
+        let target = self.control.place_again(self.clock.now(), request);
+        let engine = target.as_ref().map(|target| target.replica.id.clone());
+        info!(self.log, "stream without a copy is to be run again";
+            "request" => request, "backend_server" => engine,
+            "list_revision" => self.control.list().revision());
+        target
+    }
+
     fn ended(&mut self, request: &str, end: RunEnd) {
         self.signals.remove(request);
         self.control.ended(self.clock.now(), request, end);
@@ -284,8 +296,12 @@
 
     fn list_lost(&mut self, is_lost: bool) {
         if self.control.list_lost(is_lost) {
-            info!(self.log, "whether the list of backend servers is lost has changed";
-                "is_lost" => is_lost, "revision" => self.control.list().revision());
+            let message = match is_lost {
+                true => "list of backend servers is no longer confirmed",
+                false => "list of backend servers is confirmed again",
+            };
+            info!(self.log, "{}", message;
+                "list_revision" => self.control.list().revision());
         }
     }
 
