--- a/crates/core/src/fleet_members.rs
+++ b/crates/core/src/fleet_members.rs
@@ -63,7 +63,7 @@
 
 /// Added to the age of what a peer says was confirmed: the way of a heartbeat and
 /// the wait at both ends. Without it, each instance that passes the age on makes
-/// it younger by that time, and 66 instances never saw that an outage lasted 8 s.
+/// it younger by that time: 2 of 66 instances saw an outage of 8 s, with it all.
 const HEARTBEAT_WAY: Duration = Duration::from_millis(50);
 
 /// What an instance says of itself with each heartbeat.
