Spread the choices of instances that hear of each other by way of relays

Cause: 60 instances of a zone place 33 sessions a second and hear of each other's after some 70 ms; all choose the engine that seems best. Dearer unread prompts (2.5 instead of 1.0) were ruled out: 56 late instead of 35, 14 sessions displaced instead of 5.

Change: the random part of an engine's cost is 0.2, about that of one session, where others are heard by way of relays, 0.02 elsewhere as before; relays pass on after 0.3 ms for each neighbour instead of 0.8. Contacts with instances that are usually not heard are no longer logged (48,000 lines at a start of 295), nor that these fall silent.

The test of choices failed with 0.02 (one engine chosen).

--- a/crates/core/src/fleet_members/fan_out.rs
+++ b/crates/core/src/fleet_members/fan_out.rs
@@ -56,9 +56,10 @@
 /// Addresses of others that one heartbeat of a small fleet tells.
 const TOLD_ADDRESSES: usize = 8;
 
-/// Time between two bundles of a relay per instance that gets them: about 1,000
-/// datagrams a second at most.
-const BUNDLE_PER_NEIGHBOUR: Duration = Duration::from_micros(800);
+/// Time between two bundles of a relay per instance that gets them: 3,300 datagrams
+/// a second at most, a few of 100 processor milliseconds. On a simulated calm day of
+/// 295 instances 35 of 1,053 long streams were late, 49 with 800 µs.
+const BUNDLE_PER_NEIGHBOUR: Duration = Duration::from_micros(300);
 
 /// Who is sent one heartbeat.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
--- a/crates/core/src/gateway_control/ranking.rs
+++ b/crates/core/src/gateway_control/ranking.rs
@@ -86,6 +86,7 @@
                 engine,
                 ask,
                 noise: f64::from(self.random.next_u32()) / f64::from(u32::MAX),
+                by_relays: self.peers.by_relays(),
             };
             let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
             load.add(&self.peers.on(&replica.id));
--- a/crates/core/src/peer_loads.rs
+++ b/crates/core/src/peer_loads.rs
@@ -154,24 +154,34 @@
     }
 
     /// Forgets instances and sums that have not been heard for long; returns the
-    /// instances.
+    /// instances of which nobody else tells either.
     pub fn expire(&mut self, now: Now) -> Vec<InstanceId> {
         let is_old = |heard_at: Now| now.saturating_sub(heard_at) > SHARES_LIFETIME;
         let silent = self.peers.iter().filter(|(_, peer)| is_old(peer.heard_at));
         let names: Vec<InstanceId> = silent.map(|(name, _)| name.clone()).collect();
-        for name in &names {
-            let Some(peer) = self.peers.remove(name) else {
+        let mut unheard = Vec::new();
+        for name in names {
+            let Some(peer) = self.peers.remove(&name) else {
                 continue;
             };
-            if let Some(loads) = self.zones.get_mut(&peer.zone) {
-                loads.remove(&peer.shares);
+            let Some(loads) = self.zones.get_mut(&peer.zone) else {
+                continue;
+            };
+            loads.remove(&peer.shares);
+            if loads.digest.is_none() {
+                unheard.push(name);
             }
         }
         for loads in self.zones.values_mut() {
             loads.digest.take_if(|(heard_at, _)| is_old(*heard_at));
         }
         self.zones.retain(|_, loads| loads.instances() > 0);
-        names
+        unheard
+    }
+
+    /// Whether others are heard by way of relays.
+    pub fn by_relays(&self) -> bool {
+        self.zones.values().any(|loads| loads.digest.is_some())
     }
 
     /// What all others have put on a backend server.
--- a/crates/core/src/replica_view.rs
+++ b/crates/core/src/replica_view.rs
@@ -30,9 +30,16 @@
 /// Cost of prompts that wait to be read, per share of memory.
 const UNREAD_COST: f64 = 1.0;
 
-/// Share of the random part, which breaks ties between instances.
+/// Share of the random part where all hear of a session at once: it breaks ties
+/// between instances.
 const NOISE_COST: f64 = 0.02;
 
+/// The same where they hear of it by way of a relay: about the cost of one session,
+/// so that those who choose at the same moment don't all choose the engine that
+/// seems best. On a simulated calm day of 295 instances 49 instead of 75 of 1,053
+/// long streams were late.
+const RELAYED_NOISE_COST: f64 = 0.2;
+
 /// Whether a session is being moved off its engine.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Moving {
@@ -112,6 +119,8 @@
     pub ask: &'a PlacementAsk,
     /// A number from 0 to 1 for the random part.
     pub noise: f64,
+    /// Whether instances hear of each other's sessions by way of relays.
+    pub by_relays: bool,
 }
 
 /// Scores one replica under the load that all instances have put on it.
@@ -137,7 +146,11 @@
         cost += PROBATION_COST;
     }
     cost += replica.warm_up.as_secs_f64() * WARM_UP_COST_PER_S;
-    cost += context.noise * NOISE_COST;
+    cost += context.noise
+        * match context.by_relays {
+            true => RELAYED_NOISE_COST,
+            false => NOISE_COST,
+        };
     ReplicaScore {
         replica: replica.clone(),
         load,
--- a/crates/core/tests/gateway_placing.rs
+++ b/crates/core/tests/gateway_placing.rs
@@ -9,11 +9,13 @@
 use std::time::Duration;
 
 use iristhread_core::GatewayControl;
+use iristhread_core::GatewayTerms;
 use iristhread_core::LoadShare;
 use iristhread_core::RefusalKind;
 use iristhread_core::Replica;
 use iristhread_core::ReplicaChange;
 use iristhread_core::RunEnd;
+use iristhread_core::ZoneDigest;
 use rand_core::Rng;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg32;
@@ -28,6 +30,7 @@
 use gateway_scene::engine;
 use gateway_scene::leaving;
 use gateway_scene::ms;
+use gateway_scene::terms;
 use gateway_scene::told;
 
 const ZERO: Duration = Duration::ZERO;
@@ -216,3 +219,34 @@
         }
     }
 }
+
+/// Instances that hear of each other's sessions late, by way of relays, must not
+/// all choose the engine that seems best; those that hear at once should.
+#[test_case(false, 1, 1; "heard at once")]
+#[test_case(true, 3, 5; "heard by way of relays")]
+fn choices_at_the_same_moment(by_relays: bool, least: usize, most: usize) {
+    let load = |session_tokens| LoadShare {
+        session_tokens,
+        ..LoadShare::default()
+    };
+    let shares = [("e1", 500), ("e2", 1_000), ("e3", 1_000), ("e4", 1_000)];
+    let shares = shares.map(|(id, tokens)| (id.to_owned(), load(tokens)));
+    let chosen: HashSet<String> = (0..40)
+        .map(|seed| {
+            let mut control = GatewayControl::new(GatewayTerms { seed, ..terms() });
+            control.offer_config(Arc::new(config(1)));
+            let engines = ["e1", "e2", "e3", "e4"].map(|id| engine(id, "z1"));
+            control.offer_replicas(ZERO, 1, engines.to_vec());
+            control.hear_peer(ZERO, told("i2", 1, BTreeMap::from(shares.clone())));
+            if by_relays {
+                let mut relay = told("i9", 1, BTreeMap::new());
+                relay.zone = "z2".to_owned();
+                relay.digest = Some(ZoneDigest::default());
+                relay.digest.as_mut().unwrap().instances = 4;
+                control.hear_peer(ZERO, relay);
+            }
+            first(&mut control, "r1")
+        })
+        .collect();
+    assert!((least..=most).contains(&chosen.len()), "{chosen:?}");
+}
--- a/crates/daemon/src/fleet_link/receiving.rs
+++ b/crates/daemon/src/fleet_link/receiving.rs
@@ -120,7 +120,8 @@
         let follows = members.follows(&heartbeat.zone);
         let is_relay = !heartbeat.news.is_empty() && members.relays(now);
         drop(members);
-        if arrival == Arrival::FirstOfLife {
+        // Contacts with instances that are usually not heard would be hundreds of lines.
+        if arrival == Arrival::FirstOfLife && follows {
             info!(self.log, "peer heard for the first time";
                 "peer" => &heartbeat.instance, "incarnation" => &heartbeat.incarnation,
                 "directly" => is_direct, "config_version" => heartbeat.config_version);
