Let two zones of a large fleet read the platform for all

Cause: one instance of each zone watched the list and the configuration: with five zones 40 calls a second, and 56 instances read at a start of 295 because nobody had heard of anybody yet.

Change: in a fleet with relays the two zones that rank first read; the others hear of it from relays, and read by themselves as before when what they know is old. A reader tells the others after each answer, so that what they know is at most as old as one watch and the way. An instance that starts waits 250 to 800 ms for its peers.

--- a/crates/core/src/fleet_members.rs
+++ b/crates/core/src/fleet_members.rs
@@ -46,6 +46,14 @@
 /// Readers of the directory in each availability zone.
 const READERS_PER_ZONE: usize = 1;
 
+/// Availability zones of a large fleet in which instances read; the others hear of
+/// it from relays within 0.1 s. Each call has a price: five zones made 40 calls a
+/// second.
+const READING_ZONES: usize = 2;
+
+/// What zones are ranked for when readers are chosen.
+const READERS_TOPIC: &str = "readers";
+
 /// Age of what is known from which an instance reads by itself, on top of two
 /// heartbeats: the longest wait of a reader's watch, and the way. Leaving
 /// servers must be known, and configurations in force, everywhere within two
@@ -219,7 +227,21 @@
             let turn = format!("{}/{}", self.zone, now.as_secs() / TURN.as_secs());
             return self.is_among(READERS_IN_TROUBLE, &turn, now, |_| true);
         }
-        can_read && self.is_among(READERS_PER_ZONE, &self.zone, now, |state| state.can_read)
+        can_read
+            && self.is_reading_zone(now)
+            && self.is_among(READERS_PER_ZONE, &self.zone, now, |state| state.can_read)
+    }
+
+    fn is_reading_zone(&self, now: Now) -> bool {
+        if !self.has_relays {
+            return true;
+        }
+        let zones = self.zones_heard(now);
+        let zones = zones.iter().map(String::as_str).chain([self.zone.as_str()]);
+        let rank = rendezvous_rank(READERS_TOPIC, zones);
+        rank.iter()
+            .take(READING_ZONES)
+            .any(|zone| *zone == self.zone)
     }
 
     /// Whether this instance is among the first by rank of those in its zone that
--- a/crates/core/src/fleet_members/fan_out.rs
+++ b/crates/core/src/fleet_members/fan_out.rs
@@ -234,6 +234,13 @@
         self.has_relays && ranked.take(most).any(|a| a == self.own_address)
     }
 
+    /// Other zones of which an instance was heard lately.
+    pub(super) fn zones_heard(&self, now: Now) -> Vec<ZoneId> {
+        let zones = self.other_zones().into_iter();
+        let zones = zones.filter(|zone| !self.ranked(now, zone, FAR_SILENCE).is_empty());
+        zones.collect()
+    }
+
     fn other_zones(&self) -> Vec<ZoneId> {
         let states = self.members.values().filter_map(Member::state);
         let zones = states.map(|state| state.zone.clone());
--- a/crates/core/tests/gateway_relays.rs
+++ b/crates/core/tests/gateway_relays.rs
@@ -153,6 +153,31 @@
     assert!(took.is_some(), "{} differ", world.wrong().len());
 }
 
+/// Two zones of a large fleet read for all, one instance in each; when they are
+/// gone, others do.
+#[test]
+fn a_few_read_for_a_large_fleet() {
+    let mut world = World::start(100, 5, 9);
+    world.run_for(ms(5_000));
+    for _ in 0..3 {
+        let readers = readers(&world);
+        assert_eq!(readers.len(), 2, "{readers:?}");
+        assert_ne!(readers[0] % 5, readers[1] % 5, "in two zones");
+        for own in readers {
+            world.instances[own].is_alive = false;
+        }
+        world.run_for(ms(7_000));
+    }
+}
+
+/// Living instances that read while what they know is fresh.
+fn readers(world: &World) -> Vec<usize> {
+    let instances = world.instances.iter().enumerate();
+    let now = world.now;
+    let reads = instances.filter(|(_, i)| i.is_alive && i.members.reads(now, Some(now), true));
+    reads.map(|(own, _)| own).collect()
+}
+
 #[test]
 fn a_late_message_of_an_earlier_life_is_old() {
     let mut order = MessageOrder::new("one".to_owned(), 7);
--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/config_reader.rs
@@ -102,16 +102,12 @@
     }
 
     fn tell(&self, configs: Vec<GatewayConfig>) {
-        self.link.config_read();
-        let is_news = !configs.is_empty();
         for config in configs {
             self.control.tell(GatewayMessage::Config {
                 config: Arc::new(config),
                 source: SOURCE.to_owned(),
             });
         }
-        if is_news {
-            self.link.beat_soon();
-        }
+        self.link.config_read();
     }
 }
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -38,11 +38,15 @@
 /// Time in which news are gathered before a heartbeat tells them.
 const GATHERING: Duration = Duration::from_millis(10);
 
-/// Longest wait of an instance that has just started and hears nothing of the
-/// platform from peers, before it reads by itself; drawn by chance, so that a few
-/// read when all start at once. Each call has a price, and a start that is alone
-/// must not be late by more than a second.
-const START_PATIENCE: Duration = Duration::from_millis(800);
+/// Shortest wait of an instance that has just started and hears nothing of the
+/// platform from peers, before it reads by itself: the first heartbeats of a fleet
+/// of 300 that starts at once are answered by then.
+const LEAST_PATIENCE: Duration = Duration::from_millis(250);
+
+/// Longest time on top, drawn by chance, so that a few read when all start at once.
+/// Each call has a price, and a start that is alone must not be late by more than a
+/// second.
+const PATIENCE_SPREAD: Duration = Duration::from_millis(550);
 
 /// Configuration version and list revision.
 type Versions = (ConfigVersion, Revision);
@@ -106,7 +110,7 @@
             versions: Mutex::new((0, 0)),
             relay: HeartbeatRelay::default(),
             beat_now: ports.beat_now,
-            patient_until: clock.now() + START_PATIENCE.mul_f64(rand::random()),
+            patient_until: clock.now() + LEAST_PATIENCE + PATIENCE_SPREAD.mul_f64(rand::random()),
         })
     }
 
@@ -168,18 +172,17 @@
         Some(own)
     }
 
-    /// Notes that the platform answered about the list, with what changed.
+    /// Notes that the platform answered about the list, with what changed. The
+    /// others are told at once: what they know is then as old as one watch at most.
     pub fn list_read(&self, news: Option<ListNews>) {
-        let is_news = news.is_some();
         self.knowledge().list_read(self.clock.now(), news);
-        if is_news {
-            self.beat_now.notify_one();
-        }
+        self.beat_now.notify_one();
     }
 
-    /// Notes that the platform answered about the configuration.
+    /// Notes that the platform answered about the configuration, and tells the others.
     pub fn config_read(&self) {
         self.knowledge().config_read(self.clock.now());
+        self.beat_now.notify_one();
     }
 
     /// Notes that the platform can't be read.
@@ -187,11 +190,6 @@
         self.knowledge().unreadable();
     }
 
-    /// Tells the others at once that something is new here.
-    pub fn beat_soon(&self) {
-        self.beat_now.notify_one();
-    }
-
     /// Sends heartbeats for the life of the process.
     pub async fn run_sender(self: Arc<Self>, socket: Arc<UdpSocket>) {
         let mut sequence = 0;
--- a/crates/daemon/src/list_reader.rs
+++ b/crates/daemon/src/list_reader.rs
@@ -118,7 +118,6 @@
                     source: SOURCE.to_owned(),
                 });
                 self.link.list_read(None);
-                self.link.beat_soon();
             }
             ListRead::Changed(news) => {
                 self.control.tell(GatewayMessage::ListNews {
