Log what was believed of an engine that was chosen, and the time to the first event

Why a first event came late could not be told from logs: the choice named engines, not what was believed of them. Lines now name the requests and the share of memory that were counted there, and the instances counted; the end of a stream names the time to its first event.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -9,6 +9,7 @@
 use rand_pcg::Pcg32;
 
 use crate::BackendId;
+use crate::Belief;
 use crate::ConfigVersion;
 use crate::FailurePause;
 use crate::GatewayConfig;
@@ -275,6 +276,11 @@
                 format!("the engines of {} have no memory left", ask.service),
             ));
         };
+        let belief = Belief {
+            requests: first.load.requests,
+            memory: first.memory,
+            instances: self.peers.count(),
+        };
         let first = first.replica.clone();
         let backup = self.choose_backup(now, &ask, &first);
         self.budget.earn(&ask.service);
@@ -292,6 +298,7 @@
         Ok(Ranking {
             replicas: self.ranked(fitting),
             backup,
+            belief,
         })
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -135,6 +135,7 @@
 pub use peer_loads::PeerLoads;
 pub use peer_loads::ToldLoads;
 pub use peer_loads::ZoneDigest;
+pub use placement_ask::Belief;
 pub use placement_ask::CarryTarget;
 pub use placement_ask::PlacementAsk;
 pub use placement_ask::Ranking;
--- a/crates/core/src/placement_ask.rs
+++ b/crates/core/src/placement_ask.rs
@@ -39,6 +39,19 @@
     pub replicas: Vec<Replica>,
     /// Engine that should keep a copy of the session.
     pub backup: Option<Replica>,
+    /// What was believed of the first.
+    pub belief: Belief,
+}
+
+/// What was believed of a backend server when it was chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Belief {
+    /// Requests that all instances had there.
+    pub requests: u32,
+    /// Share of its memory that is taken with the new one, 0 where there is none.
+    pub memory: f64,
+    /// Other instances whose shares are counted.
+    pub instances: usize,
 }
 
 /// What the decisions tell a session that is under way.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -232,6 +232,9 @@
                     "request" => &request,
                     "ranking" => format!("{:?}", ids(&ranking)),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
+                    "requests_there" => ranking.belief.requests,
+                    "memory_share" => ranking.belief.memory,
+                    "instances_counted" => ranking.belief.instances,
                     "list_revision" => self.control.list().revision());
                 self.signals.insert(request, signals);
                 Placed::Ranked(ranking)
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -91,6 +91,8 @@
     tokens_per_event: u32,
     heard_at: Now,
     last_event_at: Now,
+    /// Time until the first event, `None` before it.
+    first_event_took: Option<Duration>,
     longest_gap: Duration,
     carried: u32,
     /// Engines that began to run it, not from a copy.
@@ -124,6 +126,7 @@
             splitter: EventSplitter::default(),
             events: 0,
             last_event_at: Now::ZERO,
+            first_event_took: None,
             longest_gap: Duration::ZERO,
             carried: 0,
             begun: 1,
@@ -214,6 +217,7 @@
         self.waits_for_engine = false;
         if had == 0 {
             let took = now - self.exchange.arrived;
+            self.first_event_took = Some(took);
             self.exchange.app.metrics.first_event(took);
         } else {
             self.longest_gap = self.longest_gap.max(now - self.last_event_at);
@@ -268,6 +272,7 @@
             "backend_server" => &self.replica.id,
             "events" => self.events,
             "carried" => self.carried,
+            "first_event_ms" => self.first_event_took.map(|took| took.as_millis() as u64),
             "longest_gap_ms" => self.longest_gap.as_millis() as u64,
             "took_ms" => (app.clock.now() - self.exchange.arrived).as_millis() as u64);
         // The engine is free at once, also when the caller reads nothing more.
