Tell the others at once that a session has begun to answer

Cause: that a prompt waits at an engine no longer was told with the next regular heartbeat, 0.7 s later in a zone of 59 instances, although a prompt is read in 0.4 s: engines that were free seemed taken.

Change: the first event of a session is news for the others, as its placing is.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -316,16 +316,17 @@
         self.budget.spend(&[service])
     }
 
-    /// Notes how far a session is.
-    pub fn progress(&mut self, request: &str, generated: u32) {
+    /// Notes how far a session is; returns whether it has just begun where it runs.
+    pub fn progress(&mut self, request: &str, generated: u32) -> bool {
         let Some(run) = self.runs.get_mut(request) else {
-            return;
+            return false;
         };
         run.generated = generated;
-        run.has_begun = true;
+        let had_begun = std::mem::replace(&mut run.has_begun, true);
         if let Some(pause) = self.pauses.get_mut(&run.replica) {
             pause.succeed();
         }
+        !had_begun
     }
 
     /// Notes that a replica failed a try of a request that goes on elsewhere.
--- a/crates/core/tests/gateway_placing.rs
+++ b/crates/core/tests/gateway_placing.rs
@@ -250,3 +250,15 @@
         .collect();
     assert!((least..=most).contains(&chosen.len()), "{chosen:?}");
 }
+
+/// Only the first event is news for the others: the prompt waits no longer.
+#[test]
+fn a_session_begins_once() {
+    let mut control = control_with(&["e1"]);
+    first(&mut control, "r1");
+    assert_eq!(control.shares()["e1"].unread_tokens, 1_000);
+    assert!(control.progress("r1", 4));
+    assert_eq!(control.shares()["e1"].unread_tokens, 0);
+    assert!(!control.progress("r1", 64));
+    assert!(!control.progress("another", 4));
+}
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -133,7 +133,10 @@
                 let _ = reply.send(self.control.spend_retry(&service));
             }
             GatewayMessage::Progress { request, generated } => {
-                self.control.progress(&request, generated);
+                if self.control.progress(&request, generated) {
+                    // Its prompt waits there no longer: the others may choose it again.
+                    self.news.notify_one();
+                }
             }
             GatewayMessage::Carry { request, reply } => {
                 let _ = reply.send(self.control.carry(now, &request));
