Keep copies only while the engines are half empty on average

Change: a copy needs room on its engine, as before, and on average of all engines.

The test failed before.

--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -109,6 +109,12 @@
         }
         let limit = self.terms.copy_limit;
         let scores = self.scores(now, ask, Some(&first.id));
+        // Room on one engine that has just come is needed for sessions, where the
+        // others are full.
+        let taken: f64 = scores.iter().map(|score| score.memory).sum();
+        if taken > limit * scores.len() as f64 {
+            return None;
+        }
         let fits = |s: &ReplicaScore| s.memory <= limit && Some(s.replica.id.as_str()) != also;
         let fitting = scores.into_iter().filter(fits).map(|score| score.replica);
         let mut fitting: Vec<Replica> = fitting.collect();
--- a/crates/core/tests/gateway_carrying.rs
+++ b/crates/core/tests/gateway_carrying.rs
@@ -249,3 +249,23 @@
     assert!(control.place_again(ms(10), "r1").is_none());
     assert_eq!(control.shares()[&ranking.replicas[0].id].requests, 1);
 }
+
+/// Engines that have just come are empty; their room is for sessions while the
+/// others have none.
+#[test]
+fn no_copy_is_kept_on_an_empty_engine_while_the_others_are_full() {
+    let full = ["e3", "e4", "e5", "e6", "e7", "e8"];
+    let mut control = control_with(&["e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8"]);
+    let load = |session_tokens| LoadShare {
+        session_tokens,
+        ..LoadShare::default()
+    };
+    let loads = full.map(|id| (id.to_owned(), load(9_000)));
+    control.hear_peer(ZERO, told("i2", 1, loads.into()));
+    let ranking = control.place(ZERO, ask("r1")).unwrap();
+    assert!(ranking.backup.is_none(), "{:?}", ranking.backup);
+    let loads = full.map(|id| (id.to_owned(), load(3_000)));
+    control.hear_peer(ZERO, told("i2", 2, loads.into()));
+    let ranking = control.place(ZERO, ask("r2")).unwrap();
+    assert!(ranking.backup.is_some());
+}
