Test what a datagram of heartbeats may change, and what a relay passes on

Cut at any byte, changed at any byte, signed by another fleet or any bytes at all: no heartbeat is taken, nothing panics. A relay passes everything on once, in order, in datagrams of 12 kB, never with the request to pass it on again, and keeps the latest 2,000 when held up.

--- /dev/null
+++ b/crates/daemon/tests/heartbeat.rs
@@ -0,0 +1,143 @@
+//! Heartbeats and the datagrams that carry them: what is cut, forged or of another
+//! fleet changes nothing, and a relay passes on what it was given as it was signed.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use std::collections::BTreeMap;
+
+use iristhread_core::Keyring;
+use iristhread_core::LoadShare;
+use iristhread_core::ZoneDigest;
+use iristhread_daemon::Datagram;
+use iristhread_daemon::Heartbeat;
+use iristhread_daemon::HeartbeatFault;
+use iristhread_daemon::HeartbeatRelay;
+use iristhread_daemon::SealedHeartbeat;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::proptest;
+
+fn keyring(digit: char) -> Keyring {
+    Keyring::from_hex(&[String::from(digit).repeat(64)]).unwrap()
+}
+
+fn heartbeat(sequence: u64, engines: u32) -> Heartbeat {
+    let share = LoadShare {
+        requests: 2,
+        session_tokens: 7_000,
+        ..LoadShare::default()
+    };
+    let shares: BTreeMap<String, LoadShare> = (0..engines)
+        .map(|number| (format!("i-{number:08}"), share))
+        .collect();
+    Heartbeat {
+        instance: "front-1".to_owned(),
+        incarnation: "life".to_owned(),
+        sequence,
+        address: ([10, 0, 0, 1], 7_000).into(),
+        zone: "z1".to_owned(),
+        core_millis: 120,
+        has_relays: true,
+        config_version: 3,
+        config_age_ms: Some(20),
+        list_revision: 90,
+        list_age_ms: None,
+        can_read: true,
+        addresses: vec![([10, 0, 0, 2], 7_000).into()],
+        shares: shares.clone(),
+        digest: Some(ZoneDigest {
+            instances: 59,
+            shares,
+        }),
+        said_leaving: vec!["i-9".to_owned()],
+        news: Vec::new(),
+    }
+}
+
+fn encoded(heartbeats: Vec<SealedHeartbeat>) -> Vec<u8> {
+    let datagram = Datagram {
+        pass_on: true,
+        heartbeats,
+    };
+    datagram.encode().unwrap()
+}
+
+#[test]
+fn a_heartbeat_arrives_as_it_was_told() {
+    let told = heartbeat(7, 3);
+    let bytes = encoded(vec![told.seal(&keyring('a')).unwrap()]);
+    let datagram = Datagram::decode(&bytes).unwrap();
+    assert!(datagram.pass_on);
+    assert_eq!(datagram.heartbeats[0].open(&keyring('a')), Ok(told));
+}
+
+#[test]
+fn a_heartbeat_of_another_fleet_is_refused() {
+    let sealed = heartbeat(7, 3).seal(&keyring('a')).unwrap();
+    assert_eq!(sealed.open(&keyring('b')), Err(HeartbeatFault::Forged));
+}
+
+/// Each byte of the heartbeat is covered by the tag; of a datagram cut anywhere
+/// nothing is taken.
+#[test]
+fn a_changed_or_cut_datagram_gives_no_heartbeat() {
+    let bytes = encoded(vec![heartbeat(7, 3).seal(&keyring('a')).unwrap()]);
+    for place in 0..bytes.len() {
+        assert!(Datagram::decode(&bytes[..place]).is_err(), "cut at {place}");
+        let mut changed = bytes.clone();
+        changed[place] ^= 1;
+        let opened = Datagram::decode(&changed).map(|datagram| {
+            let heartbeats = datagram.heartbeats.iter();
+            heartbeats
+                .filter_map(|h| h.open(&keyring('a')).ok())
+                .count()
+        });
+        // The first byte asks to pass it on, which no tag covers.
+        assert!(place == 0 || matches!(opened, Ok(0) | Err(_)), "at {place}");
+    }
+}
+
+proptest! {
+    /// Whatever arrives is read or refused, without a panic.
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        if let Ok(datagram) = Datagram::decode(&bytes) {
+            for heartbeat in datagram.heartbeats {
+                assert!(heartbeat.open(&keyring('a')).is_err());
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_relay_passes_on_everything_once_and_in_order() {
+    let relay = HeartbeatRelay::default();
+    for sequence in 0..200 {
+        relay.push(heartbeat(sequence, 8).seal(&keyring('a')).unwrap());
+    }
+    relay.arrival().await;
+    let datagrams = relay.take();
+    assert!(datagrams.len() > 1);
+    assert!(datagrams.iter().all(|datagram| datagram.len() <= 12_100));
+    let heartbeats = datagrams.iter().flat_map(|bytes| {
+        let datagram = Datagram::decode(bytes).unwrap();
+        assert!(!datagram.pass_on, "it would go round in circles");
+        datagram.heartbeats
+    });
+    let sequences = heartbeats.map(|h| h.open(&keyring('a')).unwrap().sequence);
+    assert!(sequences.eq(0..200));
+    assert!(relay.take().is_empty());
+}
+
+#[test]
+fn a_relay_that_is_held_up_keeps_the_latest() {
+    let relay = HeartbeatRelay::default();
+    for sequence in 0..2_100 {
+        relay.push(heartbeat(sequence, 0).seal(&keyring('a')).unwrap());
+    }
+    let datagrams = relay.take();
+    let first = Datagram::decode(&datagrams[0])
+        .unwrap()
+        .heartbeats
+        .remove(0);
+    assert_eq!(first.open(&keyring('a')).unwrap().sequence, 100);
+}
