Call an instance ready only once it knows a list of backend servers

Cause: since an instance reads its first configuration itself, it is there up to 0.8 s before the list: it called itself ready and refused every request ("no backend server").

Change: ready means a configuration and a list. What traffic tasks see of the control thread's state is now one type, in a file of its own.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -41,7 +41,7 @@
 use crate::gateway_settings::GatewaySettings;
 use crate::gateway_thread;
 use crate::gateway_thread::GatewayHandle;
-use crate::gateway_thread::TableView;
+use crate::gateway_views::GatewayViews;
 use crate::http_server;
 use crate::http_server::ConnectionLimits;
 use crate::list_reader::ListReader;
@@ -97,14 +97,14 @@
     pub metrics: Arc<GatewayMetrics>,
     /// Logger.
     pub log: Logger,
-    tables: TableView,
+    views: GatewayViews,
     stopping: AtomicBool,
 }
 
 impl GatewayApp {
     /// The configuration in force now.
     pub fn table(&self) -> Option<Arc<RouteTable>> {
-        self.tables.borrow().clone()
+        self.views.tables.borrow().clone()
     }
 
     /// Tokens of one event of a service's streams.
@@ -117,8 +117,12 @@
         engine.map_or(1, |engine| engine.tokens_per_event.max(1))
     }
 
+    /// Without a list of backend servers every request would be refused: the
+    /// balancer knows another instance.
     fn is_ready(&self) -> bool {
-        !self.stopping.load(Ordering::Relaxed) && self.tables.borrow().is_some()
+        let is_stopping = self.stopping.load(Ordering::Relaxed);
+        let has_config = self.views.tables.borrow().is_some();
+        !is_stopping && has_config && *self.views.knows_list.borrow()
     }
 }
 
@@ -152,7 +156,7 @@
         let news = Arc::new(Notify::new());
         let metrics = Arc::new(GatewayMetrics::default());
         let terms = settings.terms(rand::random());
-        let (control, tables) =
+        let (control, views) =
             gateway_thread::start(terms, clock, log.clone(), metrics.clone(), news.clone())?;
         let app = Arc::new(GatewayApp {
             settings,
@@ -164,7 +168,7 @@
             client: HttpClient::unpooled(MAX_ANSWER_BYTES),
             metrics: metrics.clone(),
             log: log.clone(),
-            tables,
+            views,
             stopping: AtomicBool::new(false),
         });
         let peers = start_peers(&app, news).await?;
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -32,15 +32,13 @@
 use crate::gateway_message::OwnState;
 use crate::gateway_message::Placed;
 use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_views::GatewayViews;
 use crate::heartbeat::ListNews;
 
 /// Time between two ticks: lapsed entries and silent peers are noticed this
 /// late; both bounds are seconds.
 const TICK: Duration = Duration::from_millis(200);
 
-/// The configuration in force, `None` before the first.
-pub type TableView = watch::Receiver<Option<Arc<RouteTable>>>;
-
 /// Sends messages to the gateway's control thread.
 pub type GatewayHandle = ControlSender<GatewayMessage>;
 
@@ -70,9 +68,10 @@
     log: Logger,
     metrics: Arc<GatewayMetrics>,
     news: Arc<Notify>,
-) -> std::io::Result<(GatewayHandle, TableView)> {
+) -> std::io::Result<(GatewayHandle, GatewayViews)> {
     let (sender, inbox) = ControlSender::new();
-    let (table, table_out) = watch::channel(None);
+    let (table, tables) = watch::channel(None);
+    let (list_known, knows_list) = watch::channel(false);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .build()?;
@@ -82,13 +81,14 @@
         clock,
         log,
         table,
+        list_known,
         metrics,
         news,
     };
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || runtime.block_on(thread.run(inbox)))?;
-    Ok((sender, table_out))
+    Ok((sender, GatewayViews { tables, knows_list }))
 }
 
 struct GatewayThread {
@@ -97,6 +97,7 @@
     clock: Clock,
     log: Logger,
     table: watch::Sender<Option<Arc<RouteTable>>>,
+    list_known: watch::Sender<bool>,
     metrics: Arc<GatewayMetrics>,
     news: Arc<Notify>,
 }
@@ -190,14 +191,14 @@
                 info!(self.log, "list of backend servers read";
                     "revision" => revision, "count" => replicas.len(), "source" => source);
                 let evacuations = self.control.offer_replicas(now, revision, replicas);
-                self.evacuate(evacuations);
+                self.list_taken(evacuations);
             }
             GatewayMessage::PeerList { list, source } => {
                 info!(self.log, "list of backend servers fetched";
                     "revision" => list.revision, "count" => list.replicas.len(),
                     "outage_ended_ms" => list.outage_ended_ms, "source" => source);
                 let evacuations = self.control.hear_list(now, list);
-                self.evacuate(evacuations);
+                self.list_taken(evacuations);
             }
             GatewayMessage::ListNews { news, source } => self.list_news(news, &source),
             GatewayMessage::Terms { terms } => self.control.set_terms(*terms),
@@ -327,6 +328,12 @@
         }
     }
 
+    fn list_taken(&mut self, evacuations: Vec<Evacuation>) {
+        self.list_known
+            .send_replace(self.control.list().revision() > 0);
+        self.evacuate(evacuations);
+    }
+
     fn list_news(&mut self, news: ListNews, source: &str) {
         let now = self.clock.now();
         let before = self.control.list().revision();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -35,6 +35,7 @@
 mod gateway_metrics;
 mod gateway_settings;
 mod gateway_thread;
+mod gateway_views;
 mod generation;
 mod heartbeat;
 mod heartbeat_relay;
