Send nothing new to zones that the operators evacuate

Ruled out: a third watch of the store (each call has a price): the watch of the configuration now covers all that the operators write, and its first read is a range instead of one key. A list in the configuration: it is ordered by its own version, and evacuations aren't part of it.

Change: the evacuated zones are a belief of the fleet, whole and at a revision of the store; the higher revision wins, so that a late message undoes nothing. Readers tell it at once, every heartbeat repeats it, it stays while the store is away, and an instance knows it before it calls itself ready. Nothing new goes there: requests, repeats, copies, moves, streams that go on. The last check is where a request leaves, for what was chosen before (1.5 s after the instance learned of it). Sessions that run there stay. A caller that can't be served hears so at once. A zone that nobody knows is a log line with no servers there. The control thread's beliefs moved to a file of their own.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -34,11 +34,13 @@
 use crate::ToldList;
 use crate::ToldLoads;
 use crate::ZoneDigest;
+use crate::ZoneEvacuations;
 use crate::ZoneId;
 use crate::own_shares;
 
 mod carrying;
 mod engine_watch;
+mod evacuating;
 mod ranking;
 
 pub use engine_watch::EngineChecks;
@@ -119,6 +121,7 @@
     random: Pcg32,
     list_is_lost: bool,
     watch: EngineWatch,
+    evacuations: ZoneEvacuations,
 }
 
 impl GatewayControl {
@@ -135,6 +138,7 @@
             random,
             list_is_lost: false,
             watch: EngineWatch::default(),
+            evacuations: ZoneEvacuations::default(),
             terms,
         };
         control.share_budget();
@@ -261,11 +265,7 @@
     pub fn place(&mut self, now: Now, ask: PlacementAsk) -> Result<Ranking, Refusal> {
         let scores = self.scores(now, &ask, None);
         if scores.is_empty() {
-            return Err(Refusal::new(
-                RefusalKind::NoBackend,
-                NOTHING_THERE_RETRY_AFTER,
-                format!("no backend server of {} takes requests now", ask.service),
-            ));
+            return Err(self.nothing_takes(now, &ask));
         }
         let limit = self.terms.memory_limit;
         let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
--- /dev/null
+++ b/crates/core/src/gateway_control/evacuating.rs
@@ -0,0 +1,73 @@
+//! What an evacuated availability zone means for requests and sessions.
+
+use super::GatewayControl;
+use super::NOTHING_THERE_RETRY_AFTER;
+use crate::BackendId;
+use crate::EvacuationChange;
+use crate::EvacuationNews;
+use crate::Moving;
+use crate::Now;
+use crate::PlacementAsk;
+use crate::Refusal;
+use crate::RefusalKind;
+use crate::Replica;
+use crate::ZoneEvacuations;
+
+impl GatewayControl {
+    /// Takes news of evacuated zones; returns what is different now, `None` when they
+    /// are not newer than what is known.
+    ///
+    /// Sessions that run in such a zone stay there: its engines serve on, and those
+    /// elsewhere have less room for them than before. Their copies count no longer.
+    pub fn offer_evacuations(
+        &mut self,
+        now: Now,
+        news: EvacuationNews,
+    ) -> Option<Vec<EvacuationChange>> {
+        let changes = self.evacuations.take(now, news)?;
+        self.forget_evacuated_copies();
+        Some(changes)
+    }
+
+    /// The evacuated zones.
+    pub fn evacuations(&self) -> &ZoneEvacuations {
+        &self.evacuations
+    }
+
+    /// Backend servers that are listed in a zone.
+    pub fn listed_in(&self, zone: &str) -> usize {
+        self.list.in_zone(zone)
+    }
+
+    /// Whether a replica may be given something new.
+    pub(super) fn is_open(&self, replica: &Replica) -> bool {
+        !self.evacuations.is_evacuated(&replica.availability_zone)
+    }
+
+    /// Why no backend server takes a request; the caller can't know that it is the
+    /// operators' doing.
+    pub(super) fn nothing_takes(&self, now: Now, ask: &PlacementAsk) -> Refusal {
+        let service = &ask.service;
+        let mut serving = self.list.serving(now).filter(|r| r.service == *service);
+        let message = match serving.any(|replica| !self.is_open(replica)) {
+            true => format!("the zones of all backend servers of {service} are evacuated"),
+            false => format!("no backend server of {service} takes requests now"),
+        };
+        Refusal::new(RefusalKind::NoBackend, NOTHING_THERE_RETRY_AFTER, message)
+    }
+
+    /// A session can't go on at a copy in an evacuated zone; a move there that is under
+    /// way is ended by whoever sends the session on.
+    fn forget_evacuated_copies(&mut self) {
+        let is_evacuated = |id: &BackendId| {
+            let replica = self.list.replica(id);
+            replica.is_some_and(|r| self.evacuations.is_evacuated(&r.availability_zone))
+        };
+        for run in self.runs.values_mut() {
+            let stays = run.moving == Moving::Stays;
+            if stays && run.backup.as_ref().is_some_and(is_evacuated) {
+                run.backup = None;
+            }
+        }
+    }
+}
--- a/crates/core/src/gateway_control/ranking.rs
+++ b/crates/core/src/gateway_control/ranking.rs
@@ -68,6 +68,7 @@
             .serving(now)
             .filter(|replica| replica.service == ask.service)
             .filter(|replica| Some(replica.id.as_str()) != besides)
+            .filter(|replica| self.is_open(replica))
             .cloned()
             .collect();
         let pause_of = |id: &str| self.pauses.get(id).copied().unwrap_or_default();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -52,6 +52,7 @@
 mod ticket_book;
 mod timeline;
 mod token_bucket;
+mod zone_evacuations;
 
 pub use admission::Admission;
 pub use backend_book::BackendBook;
@@ -179,3 +180,7 @@
 pub use timeline::TimelineEvent;
 pub use timeline::TimelineRecord;
 pub use token_bucket::TokenBucket;
+pub use zone_evacuations::EvacuationChange;
+pub use zone_evacuations::EvacuationNews;
+pub use zone_evacuations::ToldEvacuations;
+pub use zone_evacuations::ZoneEvacuations;
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -191,6 +191,13 @@
         self.lines.values().filter(counts).map(|line| &line.replica)
     }
 
+    /// How many are listed in an availability zone.
+    pub fn in_zone(&self, zone: &str) -> usize {
+        let lines = self.lines.values();
+        let there = lines.filter(|line| line.replica.availability_zone == zone);
+        there.count()
+    }
+
     /// One replica.
     pub fn replica(&self, id: &str) -> Option<&Replica> {
         self.lines.get(id).map(|line| &line.replica)
--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/config_reader.rs
@@ -1,11 +1,14 @@
-//! Reads and watches the platform's configuration, for as long as the process
-//! lives.
+//! Reads and watches what the operators publish, the configuration and the zones that
+//! are to be emptied, for as long as the process lives.
 
 use std::sync::Arc;
 
+use iristhread_core::EvacuationNews;
 use iristhread_core::GatewayConfig;
+use iristhread_core::ToldEvacuations;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
@@ -21,8 +24,8 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_thread::GatewayHandle;
 
-/// Reads the configuration while the rota says so, and tells the others that it
-/// changed.
+/// Reads what is published while the rota says so, and tells the others what
+/// changed. Evacuations come with the same calls, since each call has a price.
 pub struct ConfigReader {
     /// The directory.
     pub directory: Arc<dyn Directory>,
@@ -60,10 +63,10 @@
             let read = self.read(revision.filter(|_| !trouble.is_lost())).await;
             self.metrics.directory_called("config", end_of(&read));
             match read {
-                Ok((configs, at)) => {
+                Ok(read) => {
                     trouble.succeeded(&self.log);
-                    self.tell(configs);
-                    revision = Some(at);
+                    revision = Some(read.revision);
+                    self.tell(read);
                 }
                 Err(DirectoryError::HistoryGone) => {
                     info!(self.log, "history of the directory is gone; reading anew";
@@ -85,24 +88,54 @@
         Some(self.link.reads_config(own.config_version))
     }
 
-    async fn read(
-        &self,
-        after: Option<Revision>,
-    ) -> Result<(Vec<GatewayConfig>, Revision), DirectoryError> {
+    async fn read(&self, after: Option<Revision>) -> Result<PublishedRead, DirectoryError> {
         match after {
-            None => {
-                let read = self.directory.config().await?;
-                Ok((read.value.into_iter().collect(), read.revision))
-            }
-            Some(after) => {
-                let read = self.directory.config_after(after, WATCH).await?;
-                Ok((read.value, read.revision))
-            }
+            None => self.read_whole().await,
+            Some(after) => self.watch(after).await,
         }
     }
 
-    fn tell(&self, configs: Vec<GatewayConfig>) {
-        for config in configs {
+    async fn read_whole(&self) -> Result<PublishedRead, DirectoryError> {
+        let read = self.directory.published().await?;
+        self.warn_of(&read.skipped);
+        Ok(PublishedRead {
+            revision: read.revision,
+            configs: read.value.config.into_iter().collect(),
+            evacuations: EvacuationNews::Whole(ToldEvacuations {
+                revision: read.revision,
+                zones: read.value.evacuated,
+            }),
+        })
+    }
+
+    async fn watch(&self, after: Revision) -> Result<PublishedRead, DirectoryError> {
+        let read = self.directory.published_after(after, WATCH).await?;
+        self.warn_of(&read.skipped);
+        Ok(PublishedRead {
+            revision: read.revision,
+            configs: read.value.configs,
+            evacuations: EvacuationNews::Changed {
+                after,
+                revision: read.revision,
+                changes: read.value.evacuations,
+            },
+        })
+    }
+
+    fn warn_of(&self, skipped: &[String]) {
+        for entry in skipped {
+            warn!(self.log, "entry of the operators left out"; "cause" => entry);
+        }
+    }
+
+    fn tell(&self, read: PublishedRead) {
+        // First: an instance that has just started calls itself ready with the
+        // configuration, and must know by then where nothing may go.
+        self.control.tell(GatewayMessage::Evacuations {
+            news: read.evacuations,
+            source: SOURCE.to_owned(),
+        });
+        for config in read.configs {
             self.control.tell(GatewayMessage::Config {
                 config: Arc::new(config),
                 source: SOURCE.to_owned(),
@@ -111,3 +144,10 @@
         self.link.config_read();
     }
 }
+
+/// What a call brought.
+struct PublishedRead {
+    revision: Revision,
+    configs: Vec<GatewayConfig>,
+    evacuations: EvacuationNews,
+}
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use iristhread_core::EvacuationChange;
 use iristhread_core::GatewayConfig;
 use iristhread_core::Replica;
 use iristhread_core::ReplicaChange;
+use iristhread_core::ZoneId;
 use thiserror::Error;
 
 /// A revision of the directory.
@@ -43,18 +45,35 @@
     pub skipped: Vec<String>,
 }
 
+/// What the operators have published.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    /// The newest configuration, `None` when there is none.
+    pub config: Option<GatewayConfig>,
+    /// Availability zones that are to be emptied.
+    pub evacuated: Vec<ZoneId>,
+}
+
+/// What the operators have published since a revision.
+#[derive(Clone, Debug, Default)]
+pub struct PublishedChanges {
+    /// Configurations, the oldest first.
+    pub configs: Vec<GatewayConfig>,
+    /// Zones that are to be emptied, and those that no longer are, in order.
+    pub evacuations: Vec<EvacuationChange>,
+}
+
 /// Reads and watches; nothing can be written.
 pub trait Directory: Send + Sync {
-    /// The newest configuration, `None` when none is published.
-    fn config(&self) -> BoxFuture<'_, Result<Read<Option<GatewayConfig>>, DirectoryError>>;
+    /// What the operators have published.
+    fn published(&self) -> BoxFuture<'_, Result<Read<Published>, DirectoryError>>;
 
-    /// Waits for configurations published after a revision; none when the time
-    /// is over.
-    fn config_after(
+    /// Waits for what is published after a revision; nothing when the time is over.
+    fn published_after(
         &self,
         after: Revision,
         wait: Duration,
-    ) -> BoxFuture<'_, Result<Read<Vec<GatewayConfig>>, DirectoryError>>;
+    ) -> BoxFuture<'_, Result<Read<PublishedChanges>, DirectoryError>>;
 
     /// The whole list of backend servers.
     fn replicas(&self) -> BoxFuture<'_, Result<Read<Vec<Replica>>, DirectoryError>>;
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -99,6 +99,8 @@
     Answer(Box<BackendAnswer>),
     /// No connection: no byte was written.
     NotConnected(String),
+    /// Nothing was tried: the availability zone of the backend server is evacuated.
+    ZoneClosed,
     /// The connection broke, or what came is no answer of this request.
     Lost(String),
     /// No answer in time.
@@ -112,6 +114,7 @@
             Sent::Answer(answer) if answer.head.is_not_run => "said_not_run",
             Sent::Answer(_) => "answered",
             Sent::NotConnected(_) => "not_connected",
+            Sent::ZoneClosed => "zone_closed",
             Sent::Lost(_) => "lost",
             Sent::TimedOut => "timed_out",
         }
@@ -218,6 +221,9 @@
         resume: Option<ResumePoint>,
         by: Now,
     ) -> Sent {
+        if self.app.is_closed(&replica.availability_zone) {
+            return Sent::ZoneClosed;
+        }
         let order = SendOrder {
             request: self.head.request.clone(),
             replica: replica.id.clone(),
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use iristhread_core::ConfigVersion;
@@ -82,6 +83,8 @@
     members: Mutex<FleetMembers>,
     knowledge: Mutex<DirectoryKnowledge>,
     versions: Mutex<Versions>,
+    /// Highest revision of the evacuations that the decisions were told.
+    evacuations_heard: AtomicU64,
     relay: HeartbeatRelay,
     beat_now: Arc<Notify>,
     patient_until: Now,
@@ -114,6 +117,7 @@
             members: Mutex::new(members),
             knowledge: Mutex::new(DirectoryKnowledge::default()),
             versions: Mutex::new((0, 0)),
+            evacuations_heard: AtomicU64::new(0),
             relay: HeartbeatRelay::default(),
             beat_now: ports.beat_now,
             patient_until: clock.now() + LEAST_PATIENCE + PATIENCE_SPREAD.mul_f64(rand::random()),
@@ -314,6 +318,7 @@
             digest: own.digest,
             said_leaving: own.said_leaving,
             unreachable: own.unreachable,
+            evacuations: own.evacuations,
             news: Vec::new(),
         }
     }
--- a/crates/daemon/src/fleet_link/receiving.rs
+++ b/crates/daemon/src/fleet_link/receiving.rs
@@ -3,11 +3,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use iristhread_core::Arrival;
+use iristhread_core::EvacuationNews;
 use iristhread_core::FleetMembers;
 use iristhread_core::MemberState;
+use iristhread_core::ToldEvacuations;
 use iristhread_core::ToldLoads;
 use slog::info;
 use slog::warn;
@@ -126,6 +129,7 @@
                 "peer" => &heartbeat.instance, "incarnation" => &heartbeat.incarnation,
                 "directly" => is_direct, "config_version" => heartbeat.config_version);
         }
+        self.take_evacuations(heartbeat.evacuations, &heartbeat.instance);
         for news in heartbeat.news {
             self.take_news(news, &heartbeat.instance, is_relay);
         }
@@ -156,6 +160,19 @@
         true
     }
 
+    /// Most heartbeats bring nothing new; the decisions are not bothered with those.
+    fn take_evacuations(&self, told: ToldEvacuations, source: &str) {
+        let heard = self
+            .evacuations_heard
+            .fetch_max(told.revision, Ordering::Relaxed);
+        if told.revision > heard {
+            self.control.tell(GatewayMessage::Evacuations {
+                news: EvacuationNews::Whole(told),
+                source: source.to_owned(),
+            });
+        }
+    }
+
     /// A relay tells the other zones what it hears: theirs may not read the
     /// platform just now.
     fn take_news(&self, news: ListNews, source: &str, is_relay: bool) {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -117,6 +117,13 @@
         engine.map_or(1, |engine| engine.tokens_per_event.max(1))
     }
 
+    /// Whether nothing may be sent any more to an availability zone, since the operators
+    /// evacuate it.
+    pub fn is_closed(&self, zone: &str) -> bool {
+        let evacuations = self.views.evacuations.borrow();
+        evacuations.is_closed(self.clock.now(), zone)
+    }
+
     /// Without a list of backend servers every request would be refused: the
     /// balancer knows another instance.
     fn is_ready(&self) -> bool {
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -6,6 +6,7 @@
 use iristhread_core::CarryTarget;
 use iristhread_core::ConfigVersion;
 use iristhread_core::EngineChecks;
+use iristhread_core::EvacuationNews;
 use iristhread_core::GatewayConfig;
 use iristhread_core::GatewayTerms;
 use iristhread_core::LoadShares;
@@ -16,6 +17,7 @@
 use iristhread_core::RequestId;
 use iristhread_core::RunEnd;
 use iristhread_core::SessionSignal;
+use iristhread_core::ToldEvacuations;
 use iristhread_core::ToldList;
 use iristhread_core::ToldLoads;
 use iristhread_core::ZoneDigest;
@@ -40,6 +42,8 @@
     pub said_leaving: Vec<BackendId>,
     /// Replicas that took no connection of it lately.
     pub unreachable: Vec<BackendId>,
+    /// The evacuated zones.
+    pub evacuations: ToldEvacuations,
 }
 
 /// What a peer can learn of the platform from this instance.
@@ -180,6 +184,13 @@
         /// Who had it.
         source: String,
     },
+    /// Evacuations of zones were read or heard.
+    Evacuations {
+        /// What is known of them.
+        news: EvacuationNews,
+        /// Who had it.
+        source: String,
+    },
     /// The whole list of replicas was read.
     Replicas {
         /// Its revision.
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -55,6 +55,7 @@
     list_revision: Gauge,
     peers: Gauge,
     running: Gauge,
+    evacuated_zones: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -78,6 +79,7 @@
             list_revision: Gauge::default(),
             peers: Gauge::default(),
             running: Gauge::default(),
+            evacuated_zones: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -129,6 +131,8 @@
         r.register("list_revision", "Revision of the server list", revision);
         r.register("peers", "Other instances heard lately", self.peers.clone());
         r.register("running", "Requests under way", self.running.clone());
+        let evacuated = self.evacuated_zones.clone();
+        r.register("evacuated_zones", "Zones that get nothing new", evacuated);
     }
 
     /// All figures in the text format of OpenMetrics.
@@ -199,6 +203,12 @@
         self.placing_time.observe(took.as_secs_f64());
     }
 
+    /// So many zones are evacuated.
+    pub fn evacuated_zones(&self, count: usize) {
+        self.evacuated_zones
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// What this instance knows and has under way.
     pub fn state(&self, config_version: u64, list_revision: u64, peers: usize, running: usize) {
         let signed = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -17,6 +17,7 @@
 use iristhread_core::RouteTable;
 use iristhread_core::RunEnd;
 use iristhread_core::SessionSignal;
+use iristhread_core::ZoneEvacuations;
 use slog::Logger;
 use slog::debug;
 use slog::info;
@@ -33,7 +34,8 @@
 use crate::gateway_message::Placed;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_views::GatewayViews;
-use crate::heartbeat::ListNews;
+
+mod beliefs;
 
 /// Time between two ticks: lapsed entries and silent peers are noticed this
 /// late; both bounds are seconds.
@@ -72,6 +74,7 @@
     let (sender, inbox) = ControlSender::new();
     let (table, tables) = watch::channel(None);
     let (list_known, knows_list) = watch::channel(false);
+    let (evacuations, evacuated) = watch::channel(ZoneEvacuations::default());
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .build()?;
@@ -82,13 +85,19 @@
         log,
         table,
         list_known,
+        evacuations,
         metrics,
         news,
     };
     std::thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || runtime.block_on(thread.run(inbox)))?;
-    Ok((sender, GatewayViews { tables, knows_list }))
+    let views = GatewayViews {
+        tables,
+        knows_list,
+        evacuations: evacuated,
+    };
+    Ok((sender, views))
 }
 
 struct GatewayThread {
@@ -98,6 +107,7 @@
     log: Logger,
     table: watch::Sender<Option<Arc<RouteTable>>>,
     list_known: watch::Sender<bool>,
+    evacuations: watch::Sender<ZoneEvacuations>,
     metrics: Arc<GatewayMetrics>,
     news: Arc<Notify>,
 }
@@ -183,6 +193,7 @@
             }
             GatewayMessage::Ended { request, end } => self.ended(&request, end),
             GatewayMessage::Config { config, source } => self.config(config, &source),
+            GatewayMessage::Evacuations { news, source } => self.evacuations(news, &source),
             GatewayMessage::Replicas {
                 revision,
                 replicas,
@@ -294,71 +305,6 @@
         }
     }
 
-    fn leaves(&mut self, replica: &str, source: Option<String>) {
-        let now = self.clock.now();
-        let to_us = source.is_none();
-        let Some(evacuations) = self.control.leaves(now, replica, to_us) else {
-            return;
-        };
-        info!(self.log, "backend server says that it leaves";
-            "backend_server" => replica, "source" => source);
-        if to_us {
-            self.news.notify_one();
-        }
-        self.evacuate(evacuations);
-    }
-
-    fn takes_no_connection(&mut self, replica: &str) {
-        let now = self.clock.now();
-        if self.control.takes_no_connection(now, replica) {
-            info!(self.log, "others are told that a backend server can't be reached";
-                "backend_server" => replica);
-            self.news.notify_one();
-        }
-    }
-
-    fn list_lost(&mut self, is_lost: bool) {
-        if self.control.list_lost(is_lost) {
-            let message = match is_lost {
-                true => "list of backend servers is no longer confirmed",
-                false => "list of backend servers is confirmed again",
-            };
-            info!(self.log, "{}", message;
-                "list_revision" => self.control.list().revision());
-        }
-    }
-
-    fn list_taken(&mut self, evacuations: Vec<Evacuation>) {
-        self.list_known
-            .send_replace(self.control.list().revision() > 0);
-        self.evacuate(evacuations);
-    }
-
-    fn list_news(&mut self, news: ListNews, source: &str) {
-        let now = self.clock.now();
-        let before = self.control.list().revision();
-        if news.revision <= before {
-            return;
-        }
-        if news.after > before {
-            debug!(self.log, "changes of the list are missing in between";
-                "revision" => before, "after" => news.after, "source" => source);
-            return;
-        }
-        info!(self.log, "list of backend servers changed";
-            "revision" => news.revision, "source" => source,
-            "outage_ended_ms" => news.outage_ended_ms,
-            "changes" => news.summary());
-        if let Some(ago) = news.outage_ended_ms {
-            let ago = Duration::from_millis(ago);
-            self.control.outage_ended(now.saturating_sub(ago));
-        }
-        let evacuations = self
-            .control
-            .change_replicas(now, news.revision, news.changes);
-        self.evacuate(evacuations);
-    }
-
     fn evacuate(&mut self, evacuations: Vec<Evacuation>) {
         for Evacuation { request, target } in evacuations {
             info!(self.log, "session should move off its engine";
@@ -378,6 +324,7 @@
             digest: is_relay.then(|| self.control.digest()),
             said_leaving: self.control.said_leaving(self.clock.now(), is_relay),
             unreachable: self.control.found_unreachable(self.clock.now()),
+            evacuations: self.control.evacuations().told(),
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -0,0 +1,109 @@
+//! What the control thread does with news of backend servers and zones: each change of
+//! a belief is logged once.
+
+use std::time::Duration;
+
+use iristhread_core::Evacuation;
+use iristhread_core::EvacuationChange;
+use iristhread_core::EvacuationNews;
+use slog::debug;
+use slog::info;
+
+use super::GatewayThread;
+use crate::heartbeat::ListNews;
+
+impl GatewayThread {
+    pub(super) fn evacuations(&mut self, news: EvacuationNews, source: &str) {
+        let now = self.clock.now();
+        let Some(changes) = self.control.offer_evacuations(now, news) else {
+            return;
+        };
+        for change in &changes {
+            self.log_evacuation(change, source);
+        }
+        if changes.is_empty() {
+            return;
+        }
+        let evacuations = self.control.evacuations();
+        self.metrics.evacuated_zones(evacuations.count());
+        self.evacuations.send_replace(evacuations.clone());
+        // The others should know it at once.
+        self.news.notify_one();
+    }
+
+    /// A zone without listed backend servers may be a name that was mistyped.
+    fn log_evacuation(&self, change: &EvacuationChange, source: &str) {
+        let (message, zone) = match change {
+            EvacuationChange::Began(zone) => ("zone is evacuated: nothing new goes there", zone),
+            EvacuationChange::Ended(zone) => ("zone is no longer evacuated", zone),
+        };
+        info!(self.log, "{}", message; "evacuated_zone" => zone, "source" => source,
+            "directory_revision" => self.control.evacuations().revision(),
+            "backend_servers_there" => self.control.listed_in(zone));
+    }
+
+    pub(super) fn leaves(&mut self, replica: &str, source: Option<String>) {
+        let now = self.clock.now();
+        let to_us = source.is_none();
+        let Some(evacuations) = self.control.leaves(now, replica, to_us) else {
+            return;
+        };
+        info!(self.log, "backend server says that it leaves";
+            "backend_server" => replica, "source" => source);
+        if to_us {
+            self.news.notify_one();
+        }
+        self.evacuate(evacuations);
+    }
+
+    pub(super) fn takes_no_connection(&mut self, replica: &str) {
+        let now = self.clock.now();
+        if self.control.takes_no_connection(now, replica) {
+            info!(self.log, "others are told that a backend server can't be reached";
+                "backend_server" => replica);
+            self.news.notify_one();
+        }
+    }
+
+    pub(super) fn list_lost(&mut self, is_lost: bool) {
+        if self.control.list_lost(is_lost) {
+            let message = match is_lost {
+                true => "list of backend servers is no longer confirmed",
+                false => "list of backend servers is confirmed again",
+            };
+            info!(self.log, "{}", message;
+                "list_revision" => self.control.list().revision());
+        }
+    }
+
+    pub(super) fn list_taken(&mut self, evacuations: Vec<Evacuation>) {
+        self.list_known
+            .send_replace(self.control.list().revision() > 0);
+        self.evacuate(evacuations);
+    }
+
+    pub(super) fn list_news(&mut self, news: ListNews, source: &str) {
+        let now = self.clock.now();
+        let before = self.control.list().revision();
+        if news.revision <= before {
+            return;
+        }
+        if news.after > before {
+            debug!(self.log, "changes of the list are missing in between";
+                "revision" => before, "after" => news.after, "source" => source);
+            return;
+        }
+        info!(self.log, "list of backend servers changed";
+            "revision" => news.revision, "source" => source,
+            "outage_ended_ms" => news.outage_ended_ms,
+            "changes" => news.summary());
+        if let Some(ago) = news.outage_ended_ms {
+            let ago = Duration::from_millis(ago);
+            self.control.outage_ended(now.saturating_sub(ago));
+        }
+        let evacuations = self
+            .control
+            .change_replicas(now, news.revision, news.changes);
+        self.evacuate(evacuations);
+    }
+}
--- a/crates/daemon/src/gateway_views.rs
+++ b/crates/daemon/src/gateway_views.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use iristhread_core::RouteTable;
+use iristhread_core::ZoneEvacuations;
 use tokio::sync::watch;
 
 /// The configuration in force, `None` before the first.
@@ -15,4 +16,6 @@
     pub tables: TableView,
     /// Whether any list of backend servers is known.
     pub knows_list: watch::Receiver<bool>,
+    /// The evacuated zones.
+    pub evacuations: watch::Receiver<ZoneEvacuations>,
 }
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -11,6 +11,7 @@
 use iristhread_core::Keyring;
 use iristhread_core::LoadShares;
 use iristhread_core::ReplicaChange;
+use iristhread_core::ToldEvacuations;
 use iristhread_core::ZoneDigest;
 use iristhread_core::ZoneId;
 use serde::Deserialize;
@@ -93,6 +94,8 @@
     pub said_leaving: Vec<BackendId>,
     /// Backend servers that took no connection of it lately.
     pub unreachable: Vec<BackendId>,
+    /// The zones that are evacuated.
+    pub evacuations: ToldEvacuations,
     /// The latest changes of the list.
     pub news: Vec<ListNews>,
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -83,6 +83,8 @@
 pub use dialect::SendOrder;
 pub use directory::Directory;
 pub use directory::DirectoryError;
+pub use directory::Published;
+pub use directory::PublishedChanges;
 pub use directory::Read;
 pub use directory::Revision;
 pub use engine_port::EngineError;
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -102,11 +102,6 @@
             "result" => format!("{result:?}"));
         app.metrics.tried(result.as_str());
         guard.ends(end_of(result));
-        if matches!(result, SendResult::Lost | SendResult::NotConnected) {
-            app.control.tell(GatewayMessage::Failed {
-                replica: replica.id.clone(),
-            });
-        }
         decisions.sent(result);
         previous = Some(result);
         last = answer.or(last);
@@ -119,8 +114,25 @@
     repeatable: bool,
 ) -> (SendResult, Option<WholeAnswer>) {
     let by = exchange.try_until(repeatable);
-    match exchange.send(replica, None, None, by).await {
-        Sent::NotConnected(_) => (SendResult::NotConnected, None),
+    let sent = exchange.send(replica, None, None, by).await;
+    let is_evacuated = matches!(sent, Sent::ZoneClosed);
+    let (result, answer) = judged(exchange, replica, sent, by).await;
+    if matches!(result, SendResult::Lost | SendResult::NotConnected) && !is_evacuated {
+        exchange.app.control.tell(GatewayMessage::Failed {
+            replica: replica.id.clone(),
+        });
+    }
+    (result, answer)
+}
+
+async fn judged(
+    exchange: &Exchange,
+    replica: &Replica,
+    sent: Sent,
+    by: Now,
+) -> (SendResult, Option<WholeAnswer>) {
+    match sent {
+        Sent::NotConnected(_) | Sent::ZoneClosed => (SendResult::NotConnected, None),
         Sent::Lost(cause) => {
             info!(exchange.app.log, "try broke off";
                 "request" => &exchange.head.request,
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/stream_call.rs
@@ -120,6 +120,11 @@
                 });
                 SendResult::NotConnected
             }
+            Sent::ZoneClosed => {
+                info!(app.log, "not sent: the zone of the engine is evacuated";
+                    "request" => &exchange.head.request, "backend_server" => &replica.id);
+                SendResult::NotConnected
+            }
             Sent::Lost(why) => {
                 info!(app.log, "engine broke off before its answer";
                     "request" => &exchange.head.request,
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -329,6 +329,7 @@
                 });
                 (cause, Resumed::NotRun)
             }
+            Sent::ZoneClosed => ("its zone is evacuated".to_owned(), Resumed::NotRun),
             Sent::Lost(cause) => (cause, Resumed::Lost),
             Sent::TimedOut => ("no answer in time".to_owned(), Resumed::Lost),
         };
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -49,6 +49,7 @@
             shares,
         }),
         said_leaving: vec!["i-9".to_owned()],
+        evacuations: iristhread_core::ToldEvacuations::default(),
         unreachable: vec!["i-8".to_owned()],
         news: Vec::new(),
     }
