Bound what cold servers get together, and keep requests in their home regions

Cause: nothing bounded what 66 or 300 instances send to one cold server together, and home regions of routes and workspaces weren't read. Both are filters of the same ranking and came with one change of it.

Ways for cold servers, by reckoning: a share for each living instance (with 300 instances all may send their first in one second: 300 beside a bound of 45); a count by heartbeats with a margin for its age (66 instances choose the same engine in the 0.1 to 0.3 s before they hear of each other: the margin is the whole bound); a rate by rank among the instances of a zone, built: each zone that is heard hands out an equal part of half of what the server bears, to so many instances that each sends about once a second. Two parts of a fleet that don't hear each other then stay below what it bears.

Change: that; the cost of warm-up now ends when the server is warm (it stayed at what the entry had said); an entry read again isn't cold anew; what is told of it ages. Homes: both bind where route and workspace have them; placing, copies, moves and streams that are run again stay there; what may go nowhere is refused at once. Instances pass no request on to each other.

--- a/crates/core/src/gateway_config.rs
+++ b/crates/core/src/gateway_config.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration of the gateway: routes, services, limits and
 //! the workspaces whose callers may use them.
 
+use std::collections::BTreeSet;
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use serde::Serialize;
 
 use crate::ConfigVersion;
+use crate::RegionId;
 use crate::WorkspaceId;
 
 /// What may be done with a request after a failure.
@@ -58,6 +60,9 @@
     pub can_resume: bool,
     /// Whether callers without a key are served.
     pub allow_anonymous: bool,
+    /// Regions whose backend servers alone may get its requests; `None` for all.
+    #[serde(default)]
+    pub homes: Option<BTreeSet<RegionId>>,
 }
 
 /// What the engines of a service can do.
@@ -82,6 +87,10 @@
     pub name: String,
     /// Connections that one backend server takes from all callers together.
     pub max_connections: u32,
+    /// Requests a second that a backend server bears while it is cold; 0 where no such
+    /// bound is known.
+    #[serde(default)]
+    pub cold_per_s: f64,
     /// Present when its backend servers are engines.
     pub engine: Option<EngineTraits>,
 }
@@ -108,6 +117,9 @@
     pub key_hashes: Vec<String>,
     /// Urgency of its requests, 0 is the most urgent; goes before the route's.
     pub rank: u8,
+    /// Regions whose backend servers alone may get its requests; `None` for all.
+    #[serde(default)]
+    pub homes: Option<BTreeSet<RegionId>>,
 }
 
 /// One version of the whole configuration.
--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -23,6 +23,7 @@
 use crate::Ranking;
 use crate::Refusal;
 use crate::RefusalKind;
+use crate::RegionId;
 use crate::Replica;
 use crate::ReplicaChange;
 use crate::ReplicaList;
@@ -39,12 +40,14 @@
 use crate::own_shares;
 
 mod carrying;
+mod cold;
 mod engine_watch;
 mod evacuating;
 mod ranking;
 
 pub use engine_watch::EngineChecks;
 
+use cold::ColdSends;
 use engine_watch::EngineWatch;
 
 /// Advice to a caller when every replica is full.
@@ -75,6 +78,8 @@
     pub copy_limit: f64,
     /// Fewest likely tokens of a session that is worth a copy.
     pub least_copied_tokens: u32,
+    /// The region of each availability zone.
+    pub regions: BTreeMap<ZoneId, RegionId>,
     /// Seed of every random choice.
     pub seed: u64,
 }
@@ -122,6 +127,7 @@
     list_is_lost: bool,
     watch: EngineWatch,
     evacuations: ZoneEvacuations,
+    cold_sends: ColdSends,
 }
 
 impl GatewayControl {
@@ -139,6 +145,7 @@
             list_is_lost: false,
             watch: EngineWatch::default(),
             evacuations: ZoneEvacuations::default(),
+            cold_sends: ColdSends::default(),
             terms,
         };
         control.share_budget();
@@ -282,6 +289,7 @@
             instances: self.peers.count(),
         };
         let first = first.replica.clone();
+        self.note_send(now, &first.id);
         let backup = self.choose_backup(now, &ask, &first);
         self.budget.earn(&ask.service);
         self.runs.insert(
@@ -304,7 +312,8 @@
 
     /// Counts a request as sent to another replica than the first of its
     /// ranking.
-    pub fn moved(&mut self, request: &str, replica: BackendId) {
+    pub fn moved(&mut self, now: Now, request: &str, replica: BackendId) {
+        self.note_send(now, &replica);
         if let Some(run) = self.runs.get_mut(request) {
             run.replica = replica;
             run.has_begun = false;
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -46,6 +46,7 @@
         if !self.spend_retry(&ask.service) {
             return None;
         }
+        self.note_send(now, &first.replica.id);
         let target = self.carry_to(now, request, first.replica)?;
         let run = self.runs.get_mut(request)?;
         run.has_begun = false;
@@ -129,6 +130,7 @@
     /// an engine that leaves is of no more use.
     pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
         self.forget_left();
+        self.forget_cold();
         self.pauses
             .retain(|id, _| self.list.state(id) != ListedState::Removed);
         let table = self.table.clone();
@@ -199,6 +201,7 @@
             |score: &ReplicaScore| score.memory <= MOVE_LIMIT && !tried.contains(&score.replica.id);
         let fitting = scores.into_iter().filter(fits).map(|score| score.replica);
         let target = self.one_of_the_better(fitting.collect(), &zone)?;
+        self.note_send(now, &target.id);
         let run = self.runs.get_mut(request)?;
         run.moving = Moving::Moves;
         // Counts there from now on, so that not all sessions choose the same.
--- a/crates/core/src/gateway_control/evacuating.rs
+++ b/crates/core/src/gateway_control/evacuating.rs
@@ -1,5 +1,7 @@
-//! What an evacuated availability zone means for requests and sessions.
+//! Where requests and sessions may go at all: not to zones that the operators evacuate,
+//! and only to regions that are their home.
 
+use super::FULL_RETRY_AFTER;
 use super::GatewayControl;
 use super::NOTHING_THERE_RETRY_AFTER;
 use crate::BackendId;
@@ -44,14 +46,33 @@
         !self.evacuations.is_evacuated(&replica.availability_zone)
     }
 
-    /// Why no backend server takes a request; the caller can't know that it is the
+    /// Whether a replica is in a region that is home to a request. A zone whose region
+    /// is not known is home to none.
+    pub(super) fn is_at_home(&self, replica: &Replica, ask: &PlacementAsk) -> bool {
+        let Some(homes) = &ask.homes else {
+            return true;
+        };
+        let region = self.terms.regions.get(&replica.availability_zone);
+        region.is_some_and(|region| homes.contains(region))
+    }
+
+    /// Why no backend server takes a request; the caller can't know whether it is the
     /// operators' doing.
     pub(super) fn nothing_takes(&self, now: Now, ask: &PlacementAsk) -> Refusal {
         let service = &ask.service;
-        let mut serving = self.list.serving(now).filter(|r| r.service == *service);
-        let message = match serving.any(|replica| !self.is_open(replica)) {
-            true => format!("the zones of all backend servers of {service} are evacuated"),
-            false => format!("no backend server of {service} takes requests now"),
+        let serving = self.list.serving(now).filter(|r| r.service == *service);
+        let serving: Vec<&Replica> = serving.collect();
+        let at_home = || serving.iter().filter(|r| self.is_at_home(r, ask));
+        let mut open = at_home().filter(|replica| self.is_open(replica));
+        let message = if serving.is_empty() {
+            format!("no backend server of {service} takes requests now")
+        } else if at_home().next().is_none() {
+            format!("no backend server of {service} is in a home region of the request")
+        } else if open.next().is_none() {
+            format!("the zones of all backend servers of {service} are evacuated")
+        } else {
+            let message = format!("the backend servers of {service} are cold and bear no more");
+            return Refusal::new(RefusalKind::QueueFull, FULL_RETRY_AFTER, message);
         };
         Refusal::new(RefusalKind::NoBackend, NOTHING_THERE_RETRY_AFTER, message)
     }
--- a/crates/core/src/gateway_control/ranking.rs
+++ b/crates/core/src/gateway_control/ranking.rs
@@ -68,7 +68,8 @@
             .serving(now)
             .filter(|replica| replica.service == ask.service)
             .filter(|replica| Some(replica.id.as_str()) != besides)
-            .filter(|replica| self.is_open(replica))
+            .filter(|replica| self.is_open(replica) && self.is_at_home(replica, ask))
+            .filter(|replica| self.may_send_cold(now, replica, service.cold_per_s))
             .cloned()
             .collect();
         let pause_of = |id: &str| self.pauses.get(id).copied().unwrap_or_default();
@@ -92,6 +93,7 @@
                 zones: &zones,
                 engine,
                 ask,
+                cold_for: self.list.cold_for(now, &replica.id),
                 noise: f64::from(self.random.next_u32()) / f64::from(u32::MAX),
                 by_relays: self.peers.by_relays(),
             };
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -23,6 +23,9 @@
 /// Name of an availability zone.
 pub type ZoneId = String;
 
+/// Name of a region, which holds availability zones.
+pub type RegionId = String;
+
 /// Name of a workspace.
 pub type WorkspaceId = String;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -114,6 +114,7 @@
 pub use ids::Incarnation;
 pub use ids::InstanceId;
 pub use ids::Now;
+pub use ids::RegionId;
 pub use ids::RequestId;
 pub use ids::WorkspaceId;
 pub use ids::ZoneId;
--- a/crates/core/src/peer_loads.rs
+++ b/crates/core/src/peer_loads.rs
@@ -215,6 +215,11 @@
         near.map(|(name, _)| name)
     }
 
+    /// Zones of which an instance is known to live.
+    pub fn zones(&self) -> impl Iterator<Item = &ZoneId> {
+        self.zones.keys()
+    }
+
     /// Whether any instance of a zone is known to live.
     pub fn knows_zone(&self, zone: &str) -> bool {
         self.zones.contains_key(zone)
--- a/crates/core/src/placement_ask.rs
+++ b/crates/core/src/placement_ask.rs
@@ -1,6 +1,9 @@
 //! What one request asks of the backend servers of a service, and the answer.
 
+use std::collections::BTreeSet;
+
 use crate::BackendId;
+use crate::RegionId;
 use crate::Replica;
 use crate::RequestClass;
 use crate::RequestId;
@@ -20,6 +23,8 @@
     pub max_tokens: u32,
     /// The caller's guess of the tokens that come out, if it gave one.
     pub expected_tokens: Option<u32>,
+    /// Regions whose backend servers alone may get it; `None` for all.
+    pub homes: Option<BTreeSet<RegionId>>,
 }
 
 impl PlacementAsk {
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -25,6 +25,7 @@
     pub slots: u32,
     /// Whether it is leaving: no new work goes there.
     pub leaving: bool,
-    /// How much longer it is slow after its start, when it was listed.
+    /// How much longer it is cold, when this was written: after a start, and at times
+    /// later, it is slow and bears few requests.
     pub warm_up: Duration,
 }
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -65,6 +65,18 @@
     replica: Replica,
     /// When a lapsed entry stops counting.
     lapses_at: Option<Now>,
+    /// Until when it is cold, as it said itself.
+    cold_until: Now,
+}
+
+impl Line {
+    /// The replica as another instance hears of it now.
+    fn told(&self, now: Now) -> Replica {
+        Replica {
+            warm_up: self.cold_until.saturating_sub(now),
+            ..self.replica.clone()
+        }
+    }
 }
 
 /// Replicas by id, at a revision of the platform's list.
@@ -95,7 +107,7 @@
             self.remove(now, &id);
         }
         for replica in replicas {
-            self.insert(replica);
+            self.insert(now, replica);
         }
         true
     }
@@ -115,7 +127,7 @@
         let ago = ago.filter(|ago| *ago < LAPSE_GRACE);
         ToldList {
             revision: self.revision,
-            replicas: listed.map(|line| line.replica.clone()).collect(),
+            replicas: listed.map(|line| line.told(now)).collect(),
             outage_ended_ms: ago.map(|ago| ago.as_millis() as u64),
         }
     }
@@ -128,7 +140,7 @@
         self.revision = revision;
         for change in changes {
             match change {
-                ReplicaChange::Listed(replica) => self.insert(replica),
+                ReplicaChange::Listed(replica) => self.insert(now, replica),
                 ReplicaChange::Removed(id) => self.remove(now, &id),
             }
         }
@@ -203,8 +215,18 @@
         self.lines.get(id).map(|line| &line.replica)
     }
 
-    fn insert(&mut self, replica: Replica) {
+    /// How much longer a replica is cold.
+    pub fn cold_for(&self, now: Now, id: &str) -> Duration {
+        let line = self.lines.get(id);
+        line.map_or(Duration::ZERO, |line| line.cold_until.saturating_sub(now))
+    }
+
+    /// An entry that is read again as it was does not begin to be cold anew.
+    fn insert(&mut self, now: Now, replica: Replica) {
+        let known = self.lines.get(&replica.id);
+        let known = known.filter(|line| line.replica == replica);
         let line = Line {
+            cold_until: known.map_or(now + replica.warm_up, |line| line.cold_until),
             replica,
             lapses_at: None,
         };
--- a/crates/core/src/replica_view.rs
+++ b/crates/core/src/replica_view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::BackendId;
 use crate::EngineTraits;
@@ -128,6 +129,8 @@
     pub engine: Option<&'a EngineTraits>,
     /// The request.
     pub ask: &'a PlacementAsk,
+    /// How much longer the replica is cold.
+    pub cold_for: Duration,
     /// A number from 0 to 1 for the random part.
     pub noise: f64,
     /// Whether instances hear of each other's sessions by way of relays.
@@ -159,7 +162,7 @@
     if pause.on_probation() {
         cost += PROBATION_COST;
     }
-    cost += replica.warm_up.as_secs_f64() * WARM_UP_COST_PER_S;
+    cost += context.cold_for.as_secs_f64() * WARM_UP_COST_PER_S;
     cost += context.noise
         * match context.by_relays {
             true => RELAYED_NOISE_COST,
--- a/crates/core/tests/gateway_carrying.rs
+++ b/crates/core/tests/gateway_carrying.rs
@@ -122,7 +122,7 @@
         let engines = ids.map(|id| engine(id, "z1")).to_vec();
         control.offer_replicas(ZERO, 1, engines);
         control.place(ZERO, ask("r1")).unwrap();
-        control.moved("r1", "e1".to_owned());
+        control.moved(Duration::ZERO, "r1", "e1".to_owned());
         let loads = ids.iter().zip(0..).map(|(id, place)| {
             let load = LoadShare {
                 session_tokens: place * 300,
@@ -178,7 +178,7 @@
     let mut alone = ask("r1");
     alone.expected_tokens = Some(10);
     control.place(ZERO, alone).unwrap();
-    control.moved("r1", "e1".to_owned());
+    control.moved(Duration::ZERO, "r1", "e1".to_owned());
     assert_eq!(control.evacuate(ZERO, "r1", &[]).unwrap().target.id, "e2");
     let tried = ["e2".to_owned()];
     assert_eq!(
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -49,6 +49,7 @@
         max_attempts: 1,
         can_resume: false,
         allow_anonymous: false,
+        homes: None,
     }
 }
 
@@ -57,10 +58,12 @@
         name: name.to_owned(),
         key_hashes: vec![blake3::hash(key.as_bytes()).to_hex().to_string()],
         rank: 0,
+        homes: None,
     };
     let service = |name: &str, engine| GatewayService {
         name: name.to_owned(),
         max_connections: 100,
+        cold_per_s: 0.0,
         engine,
     };
     let engine = EngineTraits {
@@ -101,6 +104,7 @@
         memory_limit: 1.0,
         copy_limit: 0.75,
         least_copied_tokens: 100,
+        regions: BTreeMap::new(),
         seed: 1,
     }
 }
@@ -149,6 +153,7 @@
         prompt_tokens: 1_000,
         max_tokens: 800,
         expected_tokens: Some(400),
+        homes: None,
     }
 }
 
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, resolved, and the sending of it to one backend
 //! server.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use iristhread_core::Now;
 use iristhread_core::PlacementAsk;
 use iristhread_core::Ranking;
+use iristhread_core::RegionId;
 use iristhread_core::Replica;
 use iristhread_core::Route;
 use iristhread_core::RunEnd;
@@ -73,6 +75,8 @@
     pub hides_key: bool,
     /// Rank of the workspace, 0 is the most urgent.
     pub workspace_rank: u8,
+    /// Regions whose backend servers alone may get it; `None` for all.
+    pub homes: Option<BTreeSet<RegionId>>,
     /// Id of the last event that the caller holds of this stream, 0 for none.
     pub after_event: u64,
     /// When it arrived.
@@ -164,6 +168,7 @@
             prompt_tokens: self.head.prompt_tokens.saturating_add(held),
             max_tokens: self.head.max_tokens - held,
             expected_tokens: expected.map(|tokens| tokens.saturating_sub(held)),
+            homes: self.homes.clone(),
         }
     }
 
--- a/crates/daemon/src/gateway_front.rs
+++ b/crates/daemon/src/gateway_front.rs
@@ -1,6 +1,7 @@
 //! Answers callers: finds the route, the workspace and the service, reads the
 //! body, and hands the request on.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,10 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use iristhread_core::GatewayWorkspace;
+use iristhread_core::RegionId;
 use iristhread_core::RequestClass;
+use iristhread_core::Route;
 use iristhread_core::RouteFault;
 use iristhread_core::RouteTable;
 use slog::info;
@@ -98,6 +102,7 @@
         workspace: workspace.map(|workspace| workspace.name.clone()),
         hides_key: table.config().workspaces.is_some(),
         workspace_rank: workspace.map_or(0, |workspace| workspace.rank),
+        homes: homes_of(route, workspace),
         route: route.clone(),
         head,
         after_event,
@@ -106,6 +111,15 @@
     })
 }
 
+/// Both bind where both have homes.
+fn homes_of(route: &Route, workspace: Option<&GatewayWorkspace>) -> Option<BTreeSet<RegionId>> {
+    let workspace = workspace.and_then(|workspace| workspace.homes.as_ref());
+    match (&route.homes, workspace) {
+        (Some(route), Some(workspace)) => Some(route & workspace),
+        (one, other) => one.as_ref().or(other).cloned(),
+    }
+}
+
 fn refused(
     app: &GatewayApp,
     table: &RouteTable,
--- a/crates/daemon/src/gateway_settings.rs
+++ b/crates/daemon/src/gateway_settings.rs
@@ -1,11 +1,13 @@
 //! Settings of an instance that serves as a gateway.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use iristhread_core::GatewayTerms;
 use iristhread_core::InstanceId;
 use iristhread_core::Keyring;
+use iristhread_core::RegionId;
 use iristhread_core::ZoneId;
 
 use crate::settings_reader::SettingsFault;
@@ -37,6 +39,9 @@
     pub directory_address: SocketAddr,
     /// Other instances to begin with.
     pub seed_peers: Vec<SocketAddr>,
+    /// The region of each availability zone; needed where routes or workspaces have
+    /// home regions.
+    pub regions: BTreeMap<ZoneId, RegionId>,
     /// Thousandths of a processor core that the instance may use: the strongest of
     /// a zone relay for the others.
     pub core_millis: u32,
@@ -77,6 +82,7 @@
             metrics_address: reader.address_or_none("metrics_address"),
             directory_address: reader.address("directory_address"),
             seed_peers: read_seeds(&mut reader),
+            regions: read_regions(&mut reader),
             core_millis: (reader.share("processor_share", 1.0, 0.001..=1_000.0) * 1_000.0) as u32,
             keyring: read_keyring(&mut reader),
             log_level: read_level(&mut reader),
@@ -114,6 +120,7 @@
             memory_limit: self.memory_limit,
             copy_limit: self.copy_limit,
             least_copied_tokens: self.least_copied_tokens,
+            regions: self.regions.clone(),
             seed,
         }
     }
@@ -127,6 +134,20 @@
 /// the users' two deployments of today.
 const LEAST_SHARERS: u32 = 9;
 
+fn read_regions(reader: &mut SettingsReader) -> BTreeMap<ZoneId, RegionId> {
+    let fix = "list the region of each availability zone as \"ZONE=REGION\"";
+    let mut regions = BTreeMap::new();
+    for text in reader.texts_or_none("zone_regions", fix) {
+        match text.split_once('=') {
+            Some((zone, region)) if !zone.is_empty() && !region.is_empty() => {
+                regions.insert(zone.to_owned(), region.to_owned());
+            }
+            _ => reader.fault("zone_regions", &format!("{text:?}"), fix),
+        }
+    }
+    regions
+}
+
 fn read_seeds(reader: &mut SettingsReader) -> Vec<SocketAddr> {
     let fix = "list addresses as \"IP:PORT\"";
     let mut seeds = Vec::new();
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -138,7 +138,9 @@
             } => {
                 let _ = reply.send(self.place(ask, signals));
             }
-            GatewayMessage::Moved { request, replica } => self.control.moved(&request, replica),
+            GatewayMessage::Moved { request, replica } => {
+                self.control.moved(now, &request, replica);
+            }
             GatewayMessage::SpendRetry { service, reply } => {
                 let _ = reply.send(self.control.spend_retry(&service));
             }
