Give up a connection to a backend server after 0.2 s instead of 1 s

Cause: behind a cut in silence an opening packet gets no answer. A connection was waited for 1 s, longer than the route's timeout of calls (0.8 s) and than a try (0.3 s): the call ended as if it might have run (502), although no byte had left.

Ruled out: gone engines that nobody told of: the list was confirmed by 46 of 66 instances again at 35 s, and the calls went on to fail until 41 s.

Change: sends to backend servers wait 0.2 s for a connection; a server that gives none counts as not connected, so that the next of the ranking gets the call, with no retry spent.

--- a/crates/api/src/http_client.rs
+++ b/crates/api/src/http_client.rs
@@ -103,7 +103,7 @@
     /// A client that keeps connections for the next request.
     pub fn pooled(limit: BodyLimit) -> Self {
         HttpClient {
-            client: Client::builder(TokioExecutor::new()).build(connector()),
+            client: Client::builder(TokioExecutor::new()).build(connector(CONNECT_TIMEOUT)),
             limit,
         }
     }
@@ -112,11 +112,16 @@
     /// by itself, so that [`HttpClientError::Connect`] proves that no byte of
     /// the request was written.
     pub fn unpooled(limit: BodyLimit) -> Self {
+        Self::impatient(limit, CONNECT_TIMEOUT)
+    }
+
+    /// The same with another longest wait for a connection.
+    pub fn impatient(limit: BodyLimit, connect_timeout: Duration) -> Self {
         let mut builder = Client::builder(TokioExecutor::new());
         builder.pool_max_idle_per_host(0);
         builder.retry_canceled_requests(false);
         HttpClient {
-            client: builder.build(connector()),
+            client: builder.build(connector(connect_timeout)),
             limit,
         }
     }
@@ -262,10 +267,10 @@
     }
 }
 
-fn connector() -> HttpConnector {
+fn connector(timeout: Duration) -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_connect_timeout(Some(timeout));
     connector
 }
 
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -53,6 +53,12 @@
 /// Most bytes of an answer that the client reads whole.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// Longest wait for a connection to a backend server, which takes one in a few
+/// milliseconds also from another zone; a lost opening packet goes again after a second.
+/// Behind a cut in silence 380 of 15,000 simulated requests waited until they were late
+/// and ended as if they might have run, although nothing had been written.
+const BACKEND_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Longest rest of a caller's connection between two requests, until the
 /// configuration tells: the platform's today.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -172,7 +178,7 @@
             control: control.clone(),
             dialect: ports.dialect,
             mover: ports.mover,
-            client: HttpClient::unpooled(MAX_ANSWER_BYTES),
+            client: HttpClient::impatient(MAX_ANSWER_BYTES, BACKEND_CONNECT_TIMEOUT),
             metrics: metrics.clone(),
             log: log.clone(),
             views,
