--- a/crates/core/tests/engine_urgency.rs
+++ b/crates/core/tests/engine_urgency.rs
@@ -182,7 +182,7 @@
 #[test_case(2)]
 #[test_case(3)]
 fn long_sessions_are_not_displaced_by_each_short_answer(seed: u64) {
-    let by_route = run(seed, |is_long| u8::from(is_long));
+    let by_route = run(seed, u8::from);
     let alike = run(seed, |_| engine_urgency(0));
     assert!(
         alike.displaced_long * 2 <= by_route.displaced_long,
