Count lost requests by cause, and tell a request's story, from gateways' logs

Both read a line at a time, with other text before the JSON, and say what they left out. The time line by logs, progress on a terminal and worked examples in OPERATIONS are not done.

Tests: losses (15).

--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -105,10 +105,22 @@
             /// Go on with what comes.
             optional --follow
         }
-        /// Tell why each decision about a request was made.
+        /// Tell why each decision about a request was made: asked of an instance, or read
+        /// from gateways' logs.
         cmd explain {
             /// Id of the request.
             required id: String
+            /// Log of a gateway, also with other text before the JSON; may be repeated.
+            repeated --logs file: PathBuf
+        }
+        /// Count the requests in gateways' logs that were not served well, by cause.
+        cmd losses {
+            /// Longest time to a stream's first event that is in time, in milliseconds.
+            required --first-event-ms ms: u64
+            /// Longest pause between two events that is in time, in milliseconds.
+            required --pause-ms ms: u64
+            /// Log of a gateway; may be repeated. Standard input if there is none.
+            repeated --logs file: PathBuf
         }
         /// Print the hash of a key, as a configuration holds it.
         cmd hash-key {
--- /dev/null
+++ b/crates/cli/src/log_commands.rs
@@ -0,0 +1,86 @@
+//! Commands that read gateways' logs and need no instance.
+
+use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::path::Path;
+use std::path::PathBuf;
+
+use iristhread_cli::CliError;
+use iristhread_cli::LogStory;
+use iristhread_cli::Losses;
+use iristhread_cli::Objectives;
+use iristhread_cli::loss_text;
+use iristhread_cli::read_lines;
+
+use crate::flags;
+
+const STANDARD_INPUT: &str = "standard input";
+
+/// Prints the story of a request.
+pub fn explain(request: &str, files: &[PathBuf]) -> Result<(), CliError> {
+    let mut story = LogStory::of(request);
+    for file in files {
+        let read = story.read(open(file)?);
+        read.map_err(|error| unreadable(&file.display().to_string(), &error))?;
+    }
+    match story.text() {
+        Some(text) => {
+            print!("{text}");
+            Ok(())
+        }
+        None => Err(CliError::Usage(format!(
+            "no line of these logs is about request {request}; are they those of all instances?"
+        ))),
+    }
+}
+
+/// Prints requests by cause.
+pub fn losses(flags: &flags::Losses) -> Result<(), CliError> {
+    let mut losses = Losses::default();
+    if flags.logs.is_empty() {
+        take_all(&mut losses, STANDARD_INPUT, std::io::stdin().lock())?;
+    }
+    for file in &flags.logs {
+        take_all(&mut losses, &file.display().to_string(), open(file)?)?;
+    }
+    let objectives = Objectives {
+        first_event_ms: flags.first_event_ms,
+        pause_ms: flags.pause_ms,
+    };
+    print!("{}", loss_text(&losses.table(objectives)));
+    if losses.not_kept > 0 {
+        let count = losses.not_kept;
+        eprintln!("{count} lines are about more requests than are kept in memory");
+    }
+    Ok(())
+}
+
+fn take_all(losses: &mut Losses, name: &str, source: impl BufRead) -> Result<(), CliError> {
+    let read = read_lines(source, |line| losses.take(line));
+    let read = read.map_err(|error| unreadable(name, &error))?;
+    if read.taken == 0 {
+        return Err(CliError::Usage(format!(
+            "{name}: no line is one of a gateway's log"
+        )));
+    }
+    if read.left_out > 0 {
+        eprintln!(
+            "{name}: {} lines left out, which are none of a gateway",
+            read.left_out
+        );
+    }
+    Ok(())
+}
+
+fn open(file: &Path) -> Result<BufReader<File>, CliError> {
+    let opened = File::open(file).map(BufReader::new);
+    opened.map_err(|error| unreadable(&file.display().to_string(), &error))
+}
+
+fn unreadable(file: &str, error: &std::io::Error) -> CliError {
+    CliError::File {
+        file: file.to_owned(),
+        cause: error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/losses.rs
@@ -0,0 +1,185 @@
+//! Requests that were not served well, by cause, told from gateways' logs.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use crate::gateway_log::GatewayLine;
+
+/// Most requests that are kept in memory; about 200 bytes each.
+const MAX_REQUESTS: usize = 2_000_000;
+
+/// Unread prompts before a session from which on they are counted as one.
+const MANY_AHEAD: usize = 4;
+
+/// What is in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Objectives {
+    /// Longest time to the first event of a stream.
+    pub first_event_ms: u64,
+    /// Longest pause between two events.
+    pub pause_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Story {
+    /// Where it was sent first, and when.
+    chosen: Option<(String, i64)>,
+    began_at_ms: Option<i64>,
+    end: Option<GatewayLine>,
+}
+
+/// Collects the lines of all instances in any order.
+#[derive(Debug, Default)]
+pub struct Losses {
+    stories: HashMap<String, Story>,
+    /// Lines about requests beyond those that are kept.
+    pub not_kept: u64,
+}
+
+/// Requests by route and cause.
+pub type LossTable = BTreeMap<(String, String), u64>;
+
+impl Losses {
+    /// Takes a line.
+    pub fn take(&mut self, line: GatewayLine) {
+        let Some(request) = line.request.clone() else {
+            return;
+        };
+        if self.stories.len() >= MAX_REQUESTS && !self.stories.contains_key(&request) {
+            self.not_kept += 1;
+            return;
+        }
+        let story = self.stories.entry(request).or_default();
+        match line.msg.as_str() {
+            "backend server chosen" => {
+                let at_ms = line.at_ms();
+                story.chosen = line.chosen().map(|server| (server, at_ms));
+            }
+            "stream ended" => {
+                story.began_at_ms = began_at(&line, story);
+                story.end = Some(line);
+            }
+            "stream ended before it began" | "call ended" | "request refused" => {
+                story.end = Some(line);
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts requests by route and cause.
+    pub fn table(&self, objectives: Objectives) -> LossTable {
+        let waits = self.waits_by_server();
+        let mut table = LossTable::new();
+        for story in self.stories.values() {
+            let Some(end) = &story.end else {
+                continue;
+            };
+            let route = end.route.clone().unwrap_or_else(|| "-".to_owned());
+            let cause = cause(story, end, objectives, &waits);
+            *table.entry((route, cause)).or_default() += 1;
+        }
+        table
+    }
+
+    /// From when to when each stream waited for its first event, by server.
+    fn waits_by_server(&self) -> HashMap<&str, Vec<(i64, i64)>> {
+        let mut waits: HashMap<&str, Vec<(i64, i64)>> = HashMap::new();
+        for story in self.stories.values() {
+            if let (Some((server, from_ms)), Some(to_ms)) = (&story.chosen, story.began_at_ms) {
+                waits.entry(server).or_default().push((*from_ms, to_ms));
+            }
+        }
+        waits
+    }
+}
+
+fn began_at(end: &GatewayLine, story: &Story) -> Option<i64> {
+    let (_, chosen_ms) = story.chosen.as_ref()?;
+    let waited_ms = i64::try_from(end.first_event_ms?).ok()?;
+    Some(chosen_ms + waited_ms)
+}
+
+fn cause(
+    story: &Story,
+    end: &GatewayLine,
+    objectives: Objectives,
+    waits: &HashMap<&str, Vec<(i64, i64)>>,
+) -> String {
+    let said = end.end.as_deref().unwrap_or("-");
+    match end.msg.as_str() {
+        "request refused" => format!("refused: {}", end.reason.as_deref().unwrap_or("-")),
+        "stream ended before it began" => format!("not begun: {said}"),
+        "call ended" => call_cause(end),
+        _ if said != "whole" => format!("stream {said}"),
+        _ => stream_cause(story, end, objectives, waits),
+    }
+}
+
+fn call_cause(end: &GatewayLine) -> String {
+    match (end.outcome.as_deref(), end.status) {
+        (Some("ran"), _) => "served".to_owned(),
+        (_, Some(status)) => format!("the server's own failure: {status}"),
+        (Some("not_run"), None) => "not run".to_owned(),
+        _ => "no answer; may have run".to_owned(),
+    }
+}
+
+fn stream_cause(
+    story: &Story,
+    end: &GatewayLine,
+    objectives: Objectives,
+    waits: &HashMap<&str, Vec<(i64, i64)>>,
+) -> String {
+    if end
+        .first_event_ms
+        .is_some_and(|took| took > objectives.first_event_ms)
+    {
+        return format!(
+            "first event late behind {} unread prompts",
+            ahead(story, waits)
+        );
+    }
+    if end
+        .longest_gap_ms
+        .is_some_and(|gap| gap > objectives.pause_ms)
+    {
+        return match end.carried.unwrap_or(0) {
+            0 => "paused at its engine".to_owned(),
+            _ => "paused, and taken to another engine".to_owned(),
+        };
+    }
+    "served".to_owned()
+}
+
+/// Streams that waited at the same server when this one was sent there.
+fn ahead(story: &Story, waits: &HashMap<&str, Vec<(i64, i64)>>) -> String {
+    let Some((server, at_ms)) = &story.chosen else {
+        return "unknown".to_owned();
+    };
+    let waiting = waits.get(server.as_str()).into_iter().flatten();
+    let before = waiting.filter(|(from_ms, to_ms)| from_ms < at_ms && at_ms < to_ms);
+    match before.count() {
+        count if count >= MANY_AHEAD => format!("{MANY_AHEAD} or more"),
+        count => count.to_string(),
+    }
+}
+
+/// The table as text, the most frequent causes of each route first.
+pub fn loss_text(table: &LossTable) -> String {
+    let mut sums: BTreeMap<&str, u64> = BTreeMap::new();
+    for ((route, _), count) in table {
+        *sums.entry(route).or_default() += count;
+    }
+    let mut text = String::new();
+    for (route, sum) in sums {
+        text += &format!("{route}: {sum} requests\n");
+        let of_route = table.iter().filter(|((of, _), _)| of == route);
+        let mut rows: Vec<(&String, u64)> = of_route.map(|((_, c), n)| (c, *n)).collect();
+        rows.sort_by_key(|(cause, count)| (std::cmp::Reverse(*count), *cause));
+        for (cause, count) in rows {
+            let share = count as f64 / sum as f64 * 100.0;
+            text += &format!("  {count:>8}  {share:>5.1}%  {cause}\n");
+        }
+    }
+    text
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 use crate::tool::Tool;
 
 mod flags;
+mod log_commands;
 mod tool;
 
 #[tokio::main(flavor = "current_thread")]
--- a/crates/cli/src/tool.rs
+++ b/crates/cli/src/tool.rs
@@ -23,6 +23,7 @@
 
 use crate::flags;
 use crate::flags::IristhreadCmd;
+use crate::log_commands;
 
 const DEFAULT_WAIT: Duration = Duration::from_secs(60);
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
@@ -71,7 +72,11 @@
             IristhreadCmd::Check(flags) => self.check(&flags.file),
             IristhreadCmd::Wait(flags) => self.wait(flags).await,
             IristhreadCmd::Timeline(flags) => self.timeline(flags).await,
+            IristhreadCmd::Explain(flags) if !flags.logs.is_empty() => {
+                log_commands::explain(&flags.id, &flags.logs)
+            }
             IristhreadCmd::Explain(flags) => self.explain(&flags.id).await,
+            IristhreadCmd::Losses(flags) => log_commands::losses(&flags),
             IristhreadCmd::HashKey(flags) => {
                 println!("{}", blake3::hash(flags.key.as_bytes()).to_hex());
                 Ok(())
--- /dev/null
+++ b/crates/cli/tests/losses.rs
@@ -0,0 +1,126 @@
+//! Requests told by cause, and a request's story, out of gateways' logs.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use iristhread_cli::LogStory;
+use iristhread_cli::Losses;
+use iristhread_cli::Objectives;
+use iristhread_cli::loss_text;
+use iristhread_cli::read_lines;
+use test_case::test_case;
+
+const IN_TIME: Objectives = Objectives {
+    first_event_ms: 1_800,
+    pause_ms: 180,
+};
+
+fn line(at_ms: u32, request: &str, rest: &str) -> String {
+    let (seconds, millis) = (at_ms / 1_000, at_ms % 1_000);
+    format!(
+        r#"{{"msg":{rest},"level":"INFO","ts":"2026-03-04T05:06:{seconds:02}.{millis:03}Z","availability_zone":"z1","instance":"i1","request":"{request}"}}"#
+    )
+}
+
+fn chosen(at_ms: u32, request: &str, server: &str) -> String {
+    let ranking = format!(r#""backend server chosen","ranking":"[\"{server}\", \"other\"]""#);
+    line(at_ms, request, &ranking)
+}
+
+fn ended(at_ms: u32, request: &str, first_event_ms: u32, gap_ms: u32, carried: u32) -> String {
+    let rest = format!(
+        r#""stream ended","end":"whole","route":"chat","first_event_ms":{first_event_ms},"longest_gap_ms":{gap_ms},"carried":{carried}"#
+    );
+    line(at_ms, request, &rest)
+}
+
+/// Causes of all requests with their counts, as the table shows them.
+fn causes(lines: &[String]) -> String {
+    let mut losses = Losses::default();
+    let text = lines.join("\n");
+    read_lines(text.as_bytes(), |line| losses.take(line)).unwrap();
+    loss_text(&losses.table(IN_TIME))
+}
+
+#[test_case(ended(9_000, "r", 900, 120, 0), "served"; "in time")]
+#[test_case(ended(9_000, "r", 1_801, 120, 0), "first event late behind 0 unread prompts"; "late")]
+#[test_case(ended(9_000, "r", 900, 181, 0), "paused at its engine"; "paused")]
+#[test_case(ended(9_000, "r", 900, 300, 1), "paused, and taken to another engine"; "carried")]
+#[test_case(line(900, "r", r#""stream ended","end":"lost","route":"chat""#), "stream lost"; "lost")]
+#[test_case(line(900, "r", r#""request refused","reason":"no memory""#), "refused: no memory"; "refused")]
+#[test_case(line(900, "r", r#""stream ended before it began","end":"no engine took it","route":"chat""#), "not begun: no engine took it"; "not begun")]
+#[test_case(line(900, "r", r#""call ended","end":"Lost","outcome":"unknown","status":null,"route":"book""#), "no answer; may have run"; "a call without an answer")]
+#[test_case(line(900, "r", r#""call ended","end":"Answer","outcome":"unknown","status":500,"route":"book""#), "the server's own failure: 500"; "a service's own failure")]
+#[test_case(line(900, "r", r#""call ended","end":"Answer","outcome":"ran","status":200,"route":"book""#), "served"; "a call")]
+fn a_request_has_a_cause(end: String, expected: &str) {
+    let text = causes(&[chosen(100, "r", "e1"), end]);
+    assert!(text.ends_with(&format!("100.0%  {expected}\n")), "{text}");
+}
+
+/// Lines of different instances come in any order.
+#[test]
+fn streams_that_waited_at_the_same_engine_are_counted() {
+    let mut lines = vec![
+        chosen(100, "a", "e1"),
+        ended(6_000, "a", 1_700, 50, 0),
+        chosen(200, "b", "e1"),
+        ended(6_000, "b", 1_500, 50, 0),
+        chosen(300, "elsewhere", "e2"),
+        ended(6_000, "elsewhere", 1_500, 50, 0),
+        chosen(400, "late", "e1"),
+        ended(6_000, "late", 2_500, 50, 0),
+        chosen(500, "after", "e1"),
+        ended(6_000, "after", 100, 50, 0),
+    ];
+    let expected = "first event late behind 2 unread prompts";
+    assert!(causes(&lines).contains(expected), "{}", causes(&lines));
+    lines.reverse();
+    // The end of a stream is known before its choice: its wait can't be told.
+    assert!(
+        causes(&lines).contains("first event late"),
+        "{}",
+        causes(&lines)
+    );
+}
+
+#[test]
+fn lines_that_are_none_of_a_gateway_are_counted_and_left_out() {
+    let good = ended(9_000, "r", 900, 10, 0);
+    let cut = &good[..good.len() / 2];
+    let text = format!("  12.5 front-1 {good}\nsomething else\n{cut}\n{{\"a\":1}}\n\n");
+    let mut losses = Losses::default();
+    let read = read_lines(text.as_bytes(), |line| losses.take(line)).unwrap();
+    assert_eq!((read.taken, read.left_out), (1, 4));
+    assert!(loss_text(&losses.table(IN_TIME)).starts_with("chat: 1 requests"));
+}
+
+#[test]
+fn a_request_under_way_is_not_counted() {
+    assert_eq!(causes(&[chosen(100, "r", "e1")]), "");
+}
+
+#[test]
+fn the_story_of_a_request_is_in_order_over_all_logs() {
+    let mut story = LogStory::of("r");
+    let later = format!(
+        "x {}\n{}",
+        ended(9_000, "r", 900, 10, 0),
+        ended(1, "r2", 1, 1, 0)
+    );
+    story.read(later.as_bytes()).unwrap();
+    story.read(chosen(8_100, "r", "e1").as_bytes()).unwrap();
+    let text = story.text().unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 2);
+    assert!(
+        lines[0].starts_with("+0 ms  i1: backend server chosen"),
+        "{text}"
+    );
+    assert!(lines[1].starts_with("+900 ms  i1: stream ended"), "{text}");
+    assert!(lines[1].contains("first_event_ms 900"), "{text}");
+}
+
+#[test]
+fn a_request_that_is_nowhere_has_no_story() {
+    let mut story = LogStory::of("r");
+    story.read(chosen(1, "r2", "e1").as_bytes()).unwrap();
+    assert_eq!(story.text(), None);
+}
