--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Nothing in this crate reads a clock, opens a socket or draws from a global
 //! source of randomness: time is passed in as the [`Now`] of the process that
-//! drives it, randomness as a seed. Any driver (the daemon, a test, a bench)
+//! drives it, randomness as a seed. Any driver (the daemon, a test, a simulation)
 //! feeds [`Event`]s to [`Control::handle`] and carries out the [`Command`]s it
 //! returns.
 
