--- a/crates/core/src/placement_ask.rs
+++ b/crates/core/src/placement_ask.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::BackendId;
+use crate::Fingerprint;
 use crate::RegionId;
 use crate::Replica;
 use crate::RequestClass;
@@ -13,6 +14,8 @@
 pub struct PlacementAsk {
     /// The request.
     pub request: RequestId,
+    /// What it consists of.
+    pub fingerprint: Fingerprint,
     /// Service that runs it.
     pub service: String,
     /// What may be done after a failure.
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use iristhread_core::CallerLimits;
+use iristhread_core::Content;
 use iristhread_core::EngineTraits;
+use iristhread_core::Fingerprint;
 use iristhread_core::GatewayConfig;
 use iristhread_core::GatewayControl;
 use iristhread_core::GatewayService;
@@ -144,10 +146,22 @@
     control
 }
 
+/// The content of a request whose body is `body`.
+pub fn fingerprint(body: &str) -> Fingerprint {
+    Fingerprint::of(&Content {
+        workspace: Some("one"),
+        method: "POST",
+        host: "shop.example",
+        path: "/chat/x",
+        body: body.as_bytes(),
+    })
+}
+
 /// A session of 1,000 tokens of prompt and a guess of 400 tokens.
 pub fn ask(request: &str) -> PlacementAsk {
     PlacementAsk {
         request: request.to_owned(),
+        fingerprint: fingerprint(request),
         service: "engines".to_owned(),
         class: RequestClass::Stream,
         prompt_tokens: 1_000,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use iristhread_api::HttpClientError;
+use iristhread_core::Fingerprint;
 use iristhread_core::Now;
 use iristhread_core::PlacementAsk;
 use iristhread_core::Ranking;
@@ -60,6 +61,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// What it consists of.
+    pub fingerprint: Fingerprint,
     /// Its route.
     pub route: Route,
     /// The service that runs it.
@@ -158,6 +161,7 @@
         let expected = self.head.expected_tokens;
         PlacementAsk {
             request: self.head.request.clone(),
+            fingerprint: self.fingerprint,
             service: self.service.clone(),
             class: self.route.class,
             prompt_tokens: self.head.prompt_tokens.saturating_add(held),
--- a/crates/daemon/src/gateway_front.rs
+++ b/crates/daemon/src/gateway_front.rs
@@ -14,6 +14,8 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use iristhread_core::Content;
+use iristhread_core::Fingerprint;
 use iristhread_core::GatewayWorkspace;
 use iristhread_core::RegionId;
 use iristhread_core::RequestClass;
@@ -92,14 +94,23 @@
             let message = "the body did not arrive in time";
             Err(refuse(StatusCode::REQUEST_TIMEOUT, message))
         })?;
+    let workspace_name = workspace.map(|workspace| workspace.name.clone());
+    let fingerprint = Fingerprint::of(&Content {
+        workspace: workspace_name.as_deref(),
+        method: parts.method.as_str(),
+        host,
+        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+        body: &body,
+    });
     Ok(Exchange {
         app: app.clone(),
+        fingerprint,
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
         body,
         service: service.to_owned(),
-        workspace: workspace.map(|workspace| workspace.name.clone()),
+        workspace: workspace_name,
         hides_key: table.config().workspaces.is_some(),
         workspace_rank: workspace.map_or(0, |workspace| workspace.rank),
         homes: homes_of(route, workspace),
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -247,6 +247,7 @@
         signals: mpsc::UnboundedSender<SessionSignal>,
     ) -> Placed {
         let request = ask.request.clone();
+        let fingerprint = ask.fingerprint;
         let is_session = ask.class == RequestClass::Stream;
         match self.control.place(self.clock.now(), ask) {
             Ok(ranking) => {
@@ -256,6 +257,7 @@
                 }
                 info!(self.log, "backend server chosen";
                     "request" => &request,
+                    "content" => fingerprint.to_string(),
                     "ranking" => format!("{:?}", ids(&ranking)),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
                     "requests_there" => ranking.belief.requests,
@@ -269,6 +271,7 @@
                 self.metrics.refused(refusal.kind.as_str());
                 info!(self.log, "request refused";
                     "request" => &request,
+                    "content" => fingerprint.to_string(),
                     "reason" => &refusal.message,
                     "retry_after_ms" => refusal.retry_after.as_millis() as u64,
                     "list_revision" => self.control.list().revision());
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -136,6 +136,7 @@
         Sent::Lost(cause) => {
             info!(exchange.app.log, "try broke off";
                 "request" => &exchange.head.request,
+                "content" => exchange.fingerprint.to_string(),
                 "backend_server" => &replica.id,
                 "cause" => cause);
             (SendResult::Lost, None)
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/stream_call.rs
@@ -128,6 +128,7 @@
             Sent::Lost(why) => {
                 info!(app.log, "engine broke off before its answer";
                     "request" => &exchange.head.request,
+                    "content" => exchange.fingerprint.to_string(),
                     "backend_server" => &replica.id, "cause" => why);
                 cause = "its engine broke off before the answer";
                 SendResult::Lost
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -61,6 +61,7 @@
     pub(super) async fn broken(&mut self, cause: &'static str) -> Option<End> {
         info!(self.exchange.app.log, "stream broke off at its engine";
             "request" => &self.exchange.head.request,
+            "content" => self.exchange.fingerprint.to_string(),
             "backend_server" => &self.replica.id,
             "cause" => cause,
             "last_event" => self.order.last(),
