Quarantine requests under which backend servers end, over all instances

Cause: nothing linked the tries of a request that ends its servers: each has an id of its own, was placed as if nothing had been, and the end was put down to the server alone. Within one try a call also went on to the next server. Ruled out: ends without any request (the test has none); the retry budget, which bounds what one id is sent, not what comes under new ones. Change: a run that breaks off before it has gone well for a second is put down to its content once its server is seen to have ended (nothing listens there, the entry goes, or it is back with a later start). Instances tell each other what they suspect with heartbeats; what ran well clears it. From three ends on that no stronger suspect explains the content is refused at once for a minute and more; first sends, further tries, carries, second runs and moves all ask. After that one instance of all tries it once.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -20,6 +20,7 @@
 use crate::OwnRun;
 use crate::PeerLoads;
 use crate::PlacementAsk;
+use crate::ProvenContents;
 use crate::Ranking;
 use crate::Refusal;
 use crate::RefusalKind;
@@ -32,6 +33,7 @@
 use crate::RetryBudget;
 use crate::RouteTable;
 use crate::RunEnd;
+use crate::Suspicions;
 use crate::ToldList;
 use crate::ToldLoads;
 use crate::ZoneDigest;
@@ -44,11 +46,13 @@
 mod engine_watch;
 mod evacuating;
 mod ranking;
+mod suspecting;
 
 pub use engine_watch::EngineChecks;
 
 use cold::ColdSends;
 use engine_watch::EngineWatch;
+use suspecting::BrokenRuns;
 
 /// Advice to a caller when every replica is full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -128,6 +132,9 @@
     watch: EngineWatch,
     evacuations: ZoneEvacuations,
     cold_sends: ColdSends,
+    broken_runs: BrokenRuns,
+    suspicions: Suspicions,
+    proven: ProvenContents,
 }
 
 impl GatewayControl {
@@ -146,6 +153,9 @@
             watch: EngineWatch::default(),
             evacuations: ZoneEvacuations::default(),
             cold_sends: ColdSends::default(),
+            broken_runs: BrokenRuns::default(),
+            suspicions: Suspicions::default(),
+            proven: ProvenContents::default(),
             terms,
         };
         control.share_budget();
@@ -258,6 +268,7 @@
             false => self.replicas_changed(now),
         };
         evacuations.extend(self.seek_again(now));
+        self.suspicions.expire(now);
         Ticked {
             evacuations,
             silent,
@@ -270,6 +281,7 @@
     ///
     /// A refusal; nothing was sent.
     pub fn place(&mut self, now: Now, ask: PlacementAsk) -> Result<Ranking, Refusal> {
+        self.check_quarantine(now, ask.fingerprint)?;
         let scores = self.scores(now, &ask, None);
         if scores.is_empty() {
             return Err(self.nothing_takes(now, &ask));
@@ -300,6 +312,8 @@
                 ask,
                 generated: 0,
                 has_begun: false,
+                begun_at: None,
+                is_proven: false,
                 moving: Moving::Stays,
             },
         );
@@ -317,6 +331,7 @@
         if let Some(run) = self.runs.get_mut(request) {
             run.replica = replica;
             run.has_begun = false;
+            run.begun_at = None;
         }
     }
 
@@ -326,15 +341,22 @@
     }
 
     /// Notes how far a session is; returns whether it has just begun where it runs.
-    pub fn progress(&mut self, request: &str, generated: u32) -> bool {
+    pub fn progress(&mut self, now: Now, request: &str, generated: u32) -> bool {
         let Some(run) = self.runs.get_mut(request) else {
             return false;
         };
         run.generated = generated;
         let had_begun = std::mem::replace(&mut run.has_begun, true);
+        run.begun_at.get_or_insert(now);
+        let is_proof = !run.is_proven && run.went_well(now);
+        run.is_proven |= is_proof;
+        let fingerprint = run.ask.fingerprint;
         if let Some(pause) = self.pauses.get_mut(&run.replica) {
             pause.succeed();
         }
+        if is_proof {
+            self.ran_well(now, fingerprint);
+        }
         !had_begun
     }
 
@@ -351,6 +373,7 @@
         match end {
             RunEnd::Answered => {
                 self.pauses.remove(&run.replica);
+                self.ran_well(now, run.ask.fingerprint);
             }
             RunEnd::Failed => self.failed(now, &run.replica),
             RunEnd::Refused | RunEnd::Withdrawn => {}
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -24,7 +24,7 @@
     /// Decides where a session goes on whose engine broke off; `None` when no
     /// copy of it is usable.
     pub fn carry(&mut self, now: Now, request: &str) -> Option<CarryTarget> {
-        let run = self.runs.get(request)?;
+        let run = self.runs.get(request).filter(|_| self.may_go_on(request))?;
         if run.moving != Moving::Stays {
             // The copy that it moves to was never complete.
             return None;
@@ -36,7 +36,7 @@
     /// Decides where a stream is run again whose engine broke off and that has no
     /// copy; `None` when no engine takes it or the retry budget is spent.
     pub fn place_again(&mut self, now: Now, request: &str) -> Option<CarryTarget> {
-        let run = self.runs.get(request)?;
+        let run = self.runs.get(request).filter(|_| self.may_go_on(request))?;
         let from = run.replica.clone();
         let mut ask = run.ask.clone();
         ask.prompt_tokens += run.generated;
@@ -73,6 +73,7 @@
         let next = self.choose_backup_besides(now, &ask, &replica, Some(&from));
         let run = self.runs.get_mut(request)?;
         run.moving = Moving::Stays;
+        run.begun_at = None;
         run.replica = replica.id.clone();
         run.backup = next.as_ref().map(|replica| replica.id.clone());
         Some(CarryTarget {
@@ -129,6 +130,7 @@
     /// Sessions without a copy have to move when their engine leaves; a copy on
     /// an engine that leaves is of no more use.
     pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
+        self.confirm_by_list(now);
         self.forget_left();
         self.forget_cold();
         self.pauses
@@ -186,6 +188,9 @@
     /// has not tried, first in the zone of its engine, where moves take half
     /// the time.
     pub fn evacuate(&mut self, now: Now, request: &str, tried: &[BackendId]) -> Option<Evacuation> {
+        if !self.may_go_on(request) {
+            return None;
+        }
         let run = self.runs.get_mut(request)?;
         run.moving = Moving::Seeks;
         let from = run.replica.clone();
--- /dev/null
+++ b/crates/core/src/gateway_control/suspecting.rs
@@ -0,0 +1,214 @@
+//! Requests that end the backend servers that run them: which ends are put down to which
+//! request, and what is sent no more.
+
+use std::time::Duration;
+
+use super::GatewayControl;
+use crate::BackendId;
+use crate::Fingerprint;
+use crate::LifeId;
+use crate::ListedState;
+use crate::Now;
+use crate::Refusal;
+use crate::RefusalKind;
+use crate::Replica;
+use crate::ServerEnd;
+use crate::SuspicionNews;
+use crate::ToldSuspect;
+use crate::Verdict;
+use crate::rendezvous_rank;
+
+/// Time after its first event from which on a stream is taken to have run well where it
+/// is: servers ended 0.05 to 0.13 s after they had begun with the request at fault.
+const RAN_WELL_AFTER: Duration = Duration::from_secs(1);
+
+/// How long a broken run waits for a word that its server has ended: an entry goes after
+/// three heartbeats of 1.2 s, or changes when the server is back after some seconds.
+const UNCONFIRMED_FOR: Duration = Duration::from_secs(10);
+
+/// Broken runs that wait for it: all of an instance's when an availability zone goes.
+const MOST_UNCONFIRMED: usize = 1_024;
+
+/// Longest and shortest advice to callers whose request is quarantined.
+const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(60);
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Time in which a request that is tried after its quarantine should end or go on well.
+const TRIAL: Duration = Duration::from_secs(10);
+
+/// A run that broke off; its server may have ended.
+#[derive(Clone, Debug)]
+struct BrokenRun {
+    fingerprint: Fingerprint,
+    replica: BackendId,
+    life: LifeId,
+    at: Now,
+}
+
+/// What this instance makes of broken runs.
+#[derive(Debug, Default)]
+pub(super) struct BrokenRuns {
+    unconfirmed: Vec<BrokenRun>,
+    /// The content that is tried after its quarantine, and until when.
+    trial: Option<(Fingerprint, Now)>,
+}
+
+impl GatewayControl {
+    /// Notes that the run of a request broke off or fell silent at a replica. Not when the
+    /// replica was leaving, or the run had gone well for a while.
+    pub fn broke_off(&mut self, now: Now, request: &str, replica: &Replica) {
+        let Some(run) = self.runs.get(request) else {
+            return;
+        };
+        if run.went_well(now) {
+            return;
+        }
+        let broken = BrokenRun {
+            fingerprint: run.ask.fingerprint,
+            replica: replica.id.clone(),
+            life: replica.life(),
+            at: now,
+        };
+        let listed = self.list.replica(&replica.id);
+        if listed.is_some_and(|listed| listed.life() != broken.life) {
+            // It is back already.
+            return self.put_down(now, &broken);
+        }
+        if self.list.state(&replica.id).is_leaving() {
+            return;
+        }
+        let waiting = &self.broken_runs.unconfirmed;
+        let waits = |known: &BrokenRun| {
+            (known.fingerprint, known.life) == (broken.fingerprint, broken.life)
+        };
+        if waiting.len() < MOST_UNCONFIRMED && !waiting.iter().any(waits) {
+            self.broken_runs.unconfirmed.push(broken);
+        }
+    }
+
+    /// Notes that nothing listens any more where a replica was.
+    pub fn server_ended(&mut self, now: Now, replica: &str) {
+        self.confirm(now, |_, broken| broken.replica == replica);
+    }
+
+    /// Looks whether the list tells of an end that broken runs wait for.
+    pub(super) fn confirm_by_list(&mut self, now: Now) {
+        self.confirm(now, |control, broken| {
+            match control.list.replica(&broken.replica) {
+                Some(listed) => listed.life() != broken.life,
+                None => control.list.state(&broken.replica) == ListedState::Removed,
+            }
+        });
+    }
+
+    fn confirm(&mut self, now: Now, is_confirmed: impl Fn(&Self, &BrokenRun) -> bool) {
+        let unconfirmed = std::mem::take(&mut self.broken_runs.unconfirmed);
+        let (ended, open): (Vec<BrokenRun>, Vec<BrokenRun>) = unconfirmed
+            .into_iter()
+            .filter(|broken| now.saturating_sub(broken.at) < UNCONFIRMED_FOR)
+            .partition(|broken| is_confirmed(self, broken));
+        self.broken_runs.unconfirmed = open;
+        for broken in &ended {
+            self.put_down(now, broken);
+        }
+    }
+
+    fn put_down(&mut self, now: Now, broken: &BrokenRun) {
+        let end = ServerEnd {
+            life: broken.life,
+            at: broken.at,
+        };
+        let proven_at = self.proven.proven_at(broken.fingerprint);
+        self.suspicions
+            .server_ended(now, broken.fingerprint, proven_at, end);
+    }
+
+    /// Takes what a peer suspects.
+    pub fn hear_suspects(&mut self, now: Now, told: &[ToldSuspect]) {
+        for told in told {
+            let proven_at = self.proven.proven_at(told.fingerprint);
+            self.suspicions.hear(now, proven_at, told);
+        }
+    }
+
+    /// What the others should know of suspicions now.
+    pub fn told_suspects(&mut self, now: Now) -> Vec<ToldSuspect> {
+        self.suspicions.told(now)
+    }
+
+    /// The suspicions that have changed since this was asked last.
+    pub fn suspicion_news(&mut self) -> Vec<SuspicionNews> {
+        self.suspicions.take_news()
+    }
+
+    /// Contents that are suspected.
+    pub fn suspected(&self) -> usize {
+        self.suspicions.count()
+    }
+
+    /// Notes that a request ran well.
+    pub(super) fn ran_well(&mut self, now: Now, fingerprint: Fingerprint) {
+        self.proven.note(now, fingerprint);
+        self.suspicions.ran_well(now, fingerprint);
+    }
+
+    /// Whether a request under way may be sent to a further replica.
+    pub fn may_go_on(&self, request: &str) -> bool {
+        let Some(run) = self.runs.get(request) else {
+            return true;
+        };
+        run.is_proven || self.suspicions.verdict(run.ask.fingerprint) == Verdict::Free
+    }
+
+    /// Refuses a request whose content is quarantined. After its quarantine it is tried
+    /// once, by one instance of all.
+    pub(super) fn check_quarantine(
+        &mut self,
+        now: Now,
+        fingerprint: Fingerprint,
+    ) -> Result<(), Refusal> {
+        let Verdict::Quarantined { ends, until } = self.suspicions.verdict(fingerprint) else {
+            return Ok(());
+        };
+        let is_tried = self.broken_runs.trial.is_some_and(|(_, until)| now < until);
+        if now >= until && !is_tried && self.is_trier(fingerprint) {
+            self.broken_runs.trial = Some((fingerprint, now + TRIAL));
+            return Ok(());
+        }
+        let left = until.saturating_sub(now);
+        Err(Refusal::new(
+            RefusalKind::Quarantined,
+            left.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER),
+            format!("{ends} backend servers have ended under requests like this one"),
+        ))
+    }
+
+    /// Whether this is the instance that tries a content: all that hear each other agree
+    /// on one, and one that is cut off from the other zones tries none.
+    fn is_trier(&self, fingerprint: Fingerprint) -> bool {
+        let topic = format!("{:032x}", fingerprint.content);
+        let own = &self.terms.zone;
+        let zones = self.terms.regions.keys().map(String::as_str);
+        let others = zones.clone().filter(|zone| *zone != own);
+        let heard = others.clone().filter(|zone| self.peers.knows_zone(zone));
+        if heard.count() * 2 < others.count() {
+            return false;
+        }
+        let first = rendezvous_rank(&topic, zones).first().copied();
+        if first.is_some_and(|zone| zone != own) {
+            return false;
+        }
+        let instance = self.terms.instance.as_str();
+        let names = self.peers.neighbours().map(String::as_str);
+        let rank = rendezvous_rank(&topic, names.chain([instance]));
+        rank.first() == Some(&instance)
+    }
+}
+
+impl crate::OwnRun {
+    /// Whether it has gone on well for a while where it runs, or did so before.
+    pub(super) fn went_well(&self, now: Now) -> bool {
+        let since = |begun: Now| now.saturating_sub(begun) >= RAN_WELL_AFTER;
+        self.is_proven || self.begun_at.is_some_and(since)
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -32,5 +32,8 @@
 /// Name of a backend server.
 pub type BackendId = String;
 
+/// Tells apart the lives of backend servers, also of those that are back under their name.
+pub type LifeId = u64;
+
 /// Version of the configuration, assigned by the platform; only grows.
 pub type ConfigVersion = u64;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -24,6 +24,8 @@
     RetryBudget,
     /// The instance has no configuration in force.
     NotReady,
+    /// Backend servers have ended under requests with the same content.
+    Quarantined,
 }
 
 impl RefusalKind {
@@ -37,6 +39,7 @@
             RefusalKind::NoBackend => "no_backend",
             RefusalKind::RetryBudget => "retry_budget",
             RefusalKind::NotReady => "not_ready",
+            RefusalKind::Quarantined => "quarantined",
         }
     }
 }
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -7,14 +7,19 @@
 use serde::Serialize;
 
 use crate::BackendId;
+use crate::LifeId;
 use crate::ZoneId;
+use crate::rendezvous::weight;
 
-/// One life of a backend server: a restart is another replica, and an address
-/// may later belong to a replica of another service.
+/// One life of a backend server. A restart is another life, at times under the same id,
+/// and an address may later belong to a replica of another service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Replica {
-    /// Identifies this life of the process.
+    /// Names it; at times kept over a restart.
     pub id: BackendId,
+    /// When this life began, in milliseconds since 1970; `None` where the platform does
+    /// not tell.
+    pub born_ms: Option<u64>,
     /// The service that it runs.
     pub service: String,
     /// Where it listens.
@@ -29,3 +34,11 @@
     /// later, it is slow and bears few requests.
     pub warm_up: Duration,
 }
+
+impl Replica {
+    /// Identifies this life of it.
+    pub fn life(&self) -> LifeId {
+        let born = self.born_ms.map_or(String::new(), |born| born.to_string());
+        weight(&self.id, &born)
+    }
+}
--- a/crates/core/src/replica_view.rs
+++ b/crates/core/src/replica_view.rs
@@ -75,6 +75,10 @@
     pub generated: u32,
     /// Whether its first event is there.
     pub has_begun: bool,
+    /// When its first event came from this replica.
+    pub begun_at: Option<Now>,
+    /// Whether a replica has run it well for a while.
+    pub is_proven: bool,
     /// Whether it is being moved off its replica.
     pub moving: Moving,
 }
--- a/crates/core/tests/gateway_carrying.rs
+++ b/crates/core/tests/gateway_carrying.rs
@@ -151,7 +151,7 @@
     };
     let (revision, changes) = news(2);
     assert!(control.change_replicas(ZERO, revision, changes).is_empty());
-    control.progress("r1", 200);
+    control.progress(ms(0), "r1", 200);
     let (revision, changes) = news(3);
     let evacuations = control.change_replicas(ZERO, revision, changes);
     assert_eq!(evacuations.len(), 1, "it is longer than it seemed");
--- a/crates/core/tests/gateway_placing.rs
+++ b/crates/core/tests/gateway_placing.rs
@@ -257,10 +257,10 @@
     let mut control = control_with(&["e1"]);
     first(&mut control, "r1");
     assert_eq!(control.shares()["e1"].unread_tokens, 1_000);
-    assert!(control.progress("r1", 4));
+    assert!(control.progress(ms(0), "r1", 4));
     assert_eq!(control.shares()["e1"].unread_tokens, 0);
-    assert!(!control.progress("r1", 64));
-    assert!(!control.progress("another", 4));
+    assert!(!control.progress(ms(0), "r1", 64));
+    assert!(!control.progress(ms(0), "another", 4));
 }
 
 /// Instances of zones without room hear of each other late; they must not all turn
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -120,6 +120,7 @@
 pub fn engine(id: &str, zone: &str) -> Replica {
     Replica {
         id: id.to_owned(),
+        born_ms: None,
         service: "engines".to_owned(),
         address: ([10, 0, 0, 1], 8_000).into(),
         availability_zone: zone.to_owned(),
--- a/crates/daemon/src/engine_watch.rs
+++ b/crates/daemon/src/engine_watch.rs
@@ -20,6 +20,10 @@
 /// Time in which a live engine takes a connection.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time until a backend server that broke off and takes connections is looked at once
+/// more: one that ends may close its connections first, and is back after seconds.
+const SECOND_LOOK: Duration = Duration::from_millis(100);
+
 /// Asks for the life of the process; the decisions say whom.
 pub async fn run(app: Arc<GatewayApp>) {
     loop {
@@ -49,22 +53,53 @@
     }
 }
 
-async fn look(app: &GatewayApp, engine: Replica) {
-    if !takes_connections(engine.address).await {
-        app.control
-            .tell(GatewayMessage::Unreachable { replica: engine.id });
+async fn look(app: &GatewayApp, engine: Replica) -> Door {
+    let door = door_at(engine.address).await;
+    let replica = engine.id;
+    if door == Door::Closed {
+        app.control.tell(GatewayMessage::ServerEnded {
+            replica: replica.clone(),
+        });
+    }
+    if door != Door::Open {
+        app.control.tell(GatewayMessage::Unreachable { replica });
+    }
+    door
+}
+
+/// Notes that a request broke off at a backend server and looks whether that has ended:
+/// what is decided next should know. Where something listens still, one more look follows.
+pub async fn look_at_broken(app: &Arc<GatewayApp>, request: &str, server: &Replica) {
+    app.control.tell(GatewayMessage::BrokeOff {
+        request: request.to_owned(),
+        replica: server.clone(),
+    });
+    if look(app, server.clone()).await == Door::Open {
+        let (app, server) = (app.clone(), server.clone());
+        tokio::spawn(async move {
+            tokio::time::sleep(SECOND_LOOK).await;
+            look(&app, server).await;
+        });
     }
 }
 
-/// Looks at an engine that broke off, without holding up whoever asks.
-pub fn look_soon(app: &Arc<GatewayApp>, engine: Replica) {
-    let app = app.clone();
-    tokio::spawn(async move { look(&app, engine).await });
+/// What stands at an address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Door {
+    /// Something takes connections.
+    Open,
+    /// Nothing listens there: whatever did has ended.
+    Closed,
+    /// No answer in the time that a live engine needs.
+    Silent,
 }
 
-/// Whether something takes a connection at an address in the time that a live
-/// engine needs.
-pub async fn takes_connections(address: SocketAddr) -> bool {
+/// Looks whether something takes a connection at an address.
+pub async fn door_at(address: SocketAddr) -> Door {
     let connect = tokio::net::TcpStream::connect(address);
-    matches!(tokio::time::timeout(LOOK_TIMEOUT, connect).await, Ok(Ok(_)))
+    match tokio::time::timeout(LOOK_TIMEOUT, connect).await {
+        Ok(Ok(_)) => Door::Open,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Door::Closed,
+        Ok(Err(_)) | Err(_) => Door::Silent,
+    }
 }
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -38,6 +38,7 @@
 use crate::gateway::GatewayApp;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::Placed;
+use crate::gateway_message::SendAgain;
 use crate::patience;
 
 /// Advice while the process stops: the balancer knows another instance.
@@ -188,18 +189,23 @@
             request: self.head.request.clone(),
             replica: replica.to_owned(),
         });
-        if before == SendResult::NotConnected {
-            return true;
-        }
-        let service = self.service.clone();
-        let asked = control.ask(|reply| GatewayMessage::SpendRetry { service, reply });
-        let granted = asked.await.unwrap_or(false);
-        if !granted {
-            info!(self.app.log, "no further try: the retry budget is spent";
-                "request" => &self.head.request,
-                "service" => &self.service);
-        }
-        granted
+        let asked = control.ask(|reply| GatewayMessage::SendAgain {
+            request: self.head.request.clone(),
+            service: self.service.clone(),
+            spends_budget: before != SendResult::NotConnected,
+            reply,
+        });
+        let cause = match asked.await {
+            Some(SendAgain::Granted) => return true,
+            Some(SendAgain::BudgetSpent) => "the retry budget is spent",
+            Some(SendAgain::Quarantined) => "backend servers end under requests like it",
+            None => "the instance is stopping",
+        };
+        info!(self.app.log, "no further try";
+            "request" => &self.head.request, "cause" => cause,
+            "content" => self.fingerprint.to_string(),
+            "service" => &self.service);
+        false
     }
 
     /// When a try that may be followed by another is given up.
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -323,6 +323,7 @@
             said_leaving: own.said_leaving,
             unreachable: own.unreachable,
             evacuations: own.evacuations,
+            suspects: own.suspects,
             news: Vec::new(),
         }
     }
--- a/crates/daemon/src/fleet_link/receiving.rs
+++ b/crates/daemon/src/fleet_link/receiving.rs
@@ -133,6 +133,11 @@
         for news in heartbeat.news {
             self.take_news(news, &heartbeat.instance, is_relay);
         }
+        if !heartbeat.suspects.is_empty() {
+            self.control.tell(GatewayMessage::SuspectsHeard {
+                suspects: heartbeat.suspects,
+            });
+        }
         for replica in heartbeat.said_leaving {
             self.control.tell(GatewayMessage::Leaves {
                 replica,
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -21,6 +21,7 @@
 use iristhread_core::ToldEvacuations;
 use iristhread_core::ToldList;
 use iristhread_core::ToldLoads;
+use iristhread_core::ToldSuspect;
 use iristhread_core::ZoneDigest;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -45,6 +46,9 @@
     pub unreachable: Vec<BackendId>,
     /// The evacuated zones.
     pub evacuations: ToldEvacuations,
+    /// Contents that are suspected to end backend servers; none where the state is not
+    /// for a heartbeat.
+    pub suspects: Vec<ToldSuspect>,
 }
 
 impl OwnState {
@@ -57,6 +61,18 @@
     }
 }
 
+/// Who gets the state of an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Audience {
+    /// A task of its own.
+    Own,
+    /// The peers, by a heartbeat.
+    Peers {
+        /// Whether this instance relays: the other zones get the sums of its zone.
+        is_relay: bool,
+    },
+}
+
 /// What a peer can learn of the platform from this instance.
 #[derive(Clone, Debug)]
 pub struct KnownState {
@@ -74,6 +90,17 @@
     Refused(Refusal),
 }
 
+/// Whether a request may be sent once more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendAgain {
+    /// It may.
+    Granted,
+    /// The retry budget of its service is spent.
+    BudgetSpent,
+    /// Backend servers end under requests with its content.
+    Quarantined,
+}
+
 /// A message to the control thread.
 pub enum GatewayMessage {
     /// A request wants a backend server.
@@ -93,11 +120,32 @@
         replica: BackendId,
     },
     /// A request wants to be sent once more.
-    SpendRetry {
+    SendAgain {
+        /// The request.
+        request: RequestId,
         /// Its service.
         service: String,
+        /// Whether that spends the budget of the service.
+        spends_budget: bool,
         /// Whether it may.
-        reply: oneshot::Sender<bool>,
+        reply: oneshot::Sender<SendAgain>,
+    },
+    /// The run of a request broke off or fell silent at a replica, which may have ended.
+    BrokeOff {
+        /// The request.
+        request: RequestId,
+        /// The replica as it was when the request was sent.
+        replica: Replica,
+    },
+    /// Nothing listens any more where a replica was.
+    ServerEnded {
+        /// The replica.
+        replica: BackendId,
+    },
+    /// A peer tells which contents it suspects to end backend servers.
+    SuspectsHeard {
+        /// The contents.
+        suspects: Vec<ToldSuspect>,
     },
     /// A session has come this far.
     Progress {
@@ -244,8 +292,8 @@
     },
     /// What to tell the peers.
     OwnState {
-        /// Whether this instance relays: the other zones get the sums of its zone.
-        is_relay: bool,
+        /// Who gets it.
+        audience: Audience,
         /// The answer.
         reply: oneshot::Sender<OwnState>,
     },
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -56,6 +56,8 @@
     peers: Gauge,
     running: Gauge,
     evacuated_zones: Gauge,
+    server_ends: Counter,
+    suspects: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -80,6 +82,8 @@
             peers: Gauge::default(),
             running: Gauge::default(),
             evacuated_zones: Gauge::default(),
+            server_ends: Counter::default(),
+            suspects: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -133,6 +137,10 @@
         r.register("running", "Requests under way", self.running.clone());
         let evacuated = self.evacuated_zones.clone();
         r.register("evacuated_zones", "Zones that get nothing new", evacuated);
+        let ends = self.server_ends.clone();
+        r.register("server_ends", "Servers that ended under a request", ends);
+        let suspects = self.suspects.clone();
+        r.register("suspects", "Contents under which servers ended", suspects);
     }
 
     /// All figures in the text format of OpenMetrics.
@@ -209,6 +217,16 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// A backend server ended under a request of this instance.
+    pub fn server_ended(&self) {
+        self.server_ends.inc();
+    }
+
+    /// So many contents of requests are suspected to end backend servers.
+    pub fn suspects(&self, count: usize) {
+        self.suspects.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// What this instance knows and has under way.
     pub fn state(&self, config_version: u64, list_revision: u64, peers: usize, running: usize) {
         let signed = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -29,10 +29,12 @@
 use crate::clock::Clock;
 use crate::control_sender::ControlSender;
 use crate::directory::Revision;
+use crate::gateway_message::Audience;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::KnownState;
 use crate::gateway_message::OwnState;
 use crate::gateway_message::Placed;
+use crate::gateway_message::SendAgain;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_views::GatewayViews;
 
@@ -49,12 +51,16 @@
     /// What this instance knows and has put on the replicas; `None` when the
     /// process is stopping.
     pub async fn own_state(&self) -> Option<OwnState> {
-        self.told_state(false).await
+        self.state_for(Audience::Own).await
     }
 
     /// The same as it is told the others, by a relay with the sums of its zone.
     pub async fn told_state(&self, is_relay: bool) -> Option<OwnState> {
-        self.ask(|reply| GatewayMessage::OwnState { is_relay, reply })
+        self.state_for(Audience::Peers { is_relay }).await
+    }
+
+    async fn state_for(&self, audience: Audience) -> Option<OwnState> {
+        self.ask(|reply| GatewayMessage::OwnState { audience, reply })
             .await
     }
 }
@@ -120,7 +126,10 @@
         loop {
             tokio::select! {
                 message = inbox.recv() => match message {
-                    Some(message) => self.take(message),
+                    Some(message) => {
+                        self.take(message);
+                        self.tell_suspicions();
+                    }
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
@@ -142,11 +151,25 @@
             GatewayMessage::Moved { request, replica } => {
                 self.control.moved(now, &request, replica);
             }
-            GatewayMessage::SpendRetry { service, reply } => {
-                let _ = reply.send(self.control.spend_retry(&service));
+            GatewayMessage::SendAgain {
+                request,
+                service,
+                spends_budget,
+                reply,
+            } => {
+                let _ = reply.send(self.send_again(&request, &service, spends_budget));
+            }
+            GatewayMessage::BrokeOff { request, replica } => {
+                self.control.broke_off(now, &request, &replica);
+            }
+            GatewayMessage::ServerEnded { replica } => {
+                self.control.server_ended(now, &replica);
+            }
+            GatewayMessage::SuspectsHeard { suspects } => {
+                self.control.hear_suspects(now, &suspects);
             }
             GatewayMessage::Progress { request, generated } => {
-                if self.control.progress(&request, generated) {
+                if self.control.progress(now, &request, generated) {
                     // Its prompt waits there no longer: the others may choose it again.
                     self.news.notify_one();
                 }
@@ -220,8 +243,8 @@
             GatewayMessage::ListLost { is_lost } => self.list_lost(is_lost),
             GatewayMessage::OutageEnded => self.control.outage_ended(now),
             GatewayMessage::PeerHeard { told } => self.control.hear_peer(now, told),
-            GatewayMessage::OwnState { is_relay, reply } => {
-                let _ = reply.send(self.own_state(is_relay));
+            GatewayMessage::OwnState { audience, reply } => {
+                let _ = reply.send(self.own_state(audience));
             }
             GatewayMessage::KnownState { list_above, reply } => {
                 let _ = reply.send(self.known_state(list_above));
@@ -229,6 +252,16 @@
         }
     }
 
+    fn send_again(&mut self, request: &str, service: &str, spends_budget: bool) -> SendAgain {
+        if !self.control.may_go_on(request) {
+            return SendAgain::Quarantined;
+        }
+        match !spends_budget || self.control.spend_retry(service) {
+            true => SendAgain::Granted,
+            false => SendAgain::BudgetSpent,
+        }
+    }
+
     fn tick(&mut self) {
         let ticked = self.control.tick(self.clock.now());
         for instance in ticked.silent {
@@ -239,6 +272,7 @@
         let (version, revision) = (control.config_version(), control.list().revision());
         self.metrics
             .state(version, revision, control.peers(), control.running());
+        self.metrics.suspects(control.suspected());
     }
 
     fn place(
@@ -323,14 +357,21 @@
         }
     }
 
-    fn own_state(&self, is_relay: bool) -> OwnState {
+    fn own_state(&mut self, audience: Audience) -> OwnState {
+        let now = self.clock.now();
+        let is_relay = audience == Audience::Peers { is_relay: true };
+        let suspects = match audience {
+            Audience::Own => Vec::new(),
+            Audience::Peers { .. } => self.control.told_suspects(now),
+        };
         OwnState {
+            suspects,
             config_version: self.control.config_version(),
             list_revision: self.control.list().revision(),
             shares: self.control.shares(),
             digest: is_relay.then(|| self.control.digest()),
-            said_leaving: self.control.said_leaving(self.clock.now(), is_relay),
-            unreachable: self.control.found_unreachable(self.clock.now()),
+            said_leaving: self.control.said_leaving(now, is_relay),
+            unreachable: self.control.found_unreachable(now),
             evacuations: self.control.evacuations().told(),
         }
     }
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -6,8 +6,10 @@
 use iristhread_core::Evacuation;
 use iristhread_core::EvacuationChange;
 use iristhread_core::EvacuationNews;
+use iristhread_core::SuspicionNews;
 use slog::debug;
 use slog::info;
+use slog::warn;
 
 use super::GatewayThread;
 use crate::heartbeat::ListNews;
@@ -106,4 +108,39 @@
             .change_replicas(now, news.revision, news.changes);
         self.evacuate(evacuations);
     }
+
+    /// Logs what has changed of the suspicions; the others should know it at once.
+    pub(super) fn tell_suspicions(&mut self) {
+        let news = self.control.suspicion_news();
+        if !news.is_empty() {
+            self.news.notify_one();
+        }
+        for news in news {
+            self.log_suspicion(&news);
+        }
+    }
+
+    fn log_suspicion(&self, news: &SuspicionNews) {
+        match news {
+            SuspicionNews::Ended { fingerprint, ends } => {
+                self.metrics.server_ended();
+                info!(self.log, "backend server ended under a request";
+                    "content" => fingerprint.to_string(), "ends" => ends);
+            }
+            SuspicionNews::Quarantined {
+                fingerprint,
+                ends,
+                until,
+            } => {
+                let left = until.saturating_sub(self.clock.now());
+                warn!(self.log, "requests like one are quarantined: backend servers end under them";
+                    "content" => fingerprint.to_string(), "ends" => ends,
+                    "quarantine_ms" => left.as_millis() as u64);
+            }
+            SuspicionNews::Cleared { fingerprint } => {
+                info!(self.log, "request like one that was suspected ran well";
+                    "content" => fingerprint.to_string());
+            }
+        }
+    }
 }
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -12,6 +12,7 @@
 use iristhread_core::LoadShares;
 use iristhread_core::ReplicaChange;
 use iristhread_core::ToldEvacuations;
+use iristhread_core::ToldSuspect;
 use iristhread_core::ZoneDigest;
 use iristhread_core::ZoneId;
 use serde::Deserialize;
@@ -96,6 +97,8 @@
     pub unreachable: Vec<BackendId>,
     /// The zones that are evacuated.
     pub evacuations: ToldEvacuations,
+    /// Contents of requests that it suspects to end backend servers.
+    pub suspects: Vec<ToldSuspect>,
     /// The latest changes of the list.
     pub news: Vec<ListNews>,
 }
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -22,6 +22,7 @@
 use slog::info;
 use tokio::sync::mpsc;
 
+use crate::engine_watch::look_at_broken;
 use crate::exchange::BackendAnswer;
 use crate::exchange::Exchange;
 use crate::exchange::RunGuard;
@@ -139,10 +140,17 @@
                 "content" => exchange.fingerprint.to_string(),
                 "backend_server" => &replica.id,
                 "cause" => cause);
+            look_at_broken(&exchange.app, &exchange.head.request, replica).await;
             (SendResult::Lost, None)
         }
         Sent::TimedOut => (SendResult::Lost, None),
-        Sent::Answer(answer) => collected(exchange, *answer, by).await,
+        Sent::Answer(answer) => {
+            let collected = collected(exchange, *answer, by).await;
+            if collected.0 == SendResult::Lost {
+                look_at_broken(&exchange.app, &exchange.head.request, replica).await;
+            }
+            collected
+        }
     }
 }
 
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/stream_call.rs
@@ -15,6 +15,7 @@
 use slog::info;
 use tokio::sync::mpsc;
 
+use crate::engine_watch::look_at_broken;
 use crate::exchange::BackendAnswer;
 use crate::exchange::Exchange;
 use crate::exchange::RunGuard;
@@ -130,6 +131,7 @@
                     "request" => &exchange.head.request,
                     "content" => exchange.fingerprint.to_string(),
                     "backend_server" => &replica.id, "cause" => why);
+                look_at_broken(app, &exchange.head.request, replica).await;
                 cause = "its engine broke off before the answer";
                 SendResult::Lost
             }
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -21,7 +21,8 @@
 use tokio::time::sleep_until;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::engine_watch::takes_connections;
+use crate::engine_watch::Door;
+use crate::engine_watch::door_at;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Exchange;
 use crate::exchange::RunGuard;
@@ -88,6 +89,8 @@
     splitter: EventSplitter,
     order: EventOrder,
     events: u32,
+    /// Events that came from this engine.
+    events_here: u32,
     tokens_per_event: u32,
     heard_at: Now,
     last_event_at: Now,
@@ -125,6 +128,7 @@
             to_caller,
             splitter: EventSplitter::default(),
             events: 0,
+            events_here: 0,
             last_event_at: Now::ZERO,
             first_event_took: None,
             longest_gap: Duration::ZERO,
@@ -190,6 +194,7 @@
             match self.order.next(event.id) {
                 EventVerdict::Deliver => {
                     self.events += 1;
+                    self.events_here += 1;
                     piece.extend_from_slice(&event.bytes);
                 }
                 EventVerdict::Repeated => {}
@@ -236,9 +241,9 @@
     /// go on with it.
     async fn look_at_engine(&mut self) -> Step {
         self.heard_at = self.exchange.app.clock.now();
-        match takes_connections(self.replica.address).await {
-            true => Step::Continue,
-            false => Step::Unreachable,
+        match door_at(self.replica.address).await {
+            Door::Open => Step::Continue,
+            Door::Closed | Door::Silent => Step::Unreachable,
         }
     }
 
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -14,7 +14,7 @@
 use super::next_frame;
 use crate::dialect::CopyName;
 use crate::dialect::ResumePoint;
-use crate::engine_watch::look_soon;
+use crate::engine_watch::look_at_broken;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Sent;
 use crate::gateway_message::GatewayMessage;
@@ -66,7 +66,7 @@
             "cause" => cause,
             "last_event" => self.order.last(),
             "moving" => self.moving.is_some());
-        look_soon(&self.exchange.app, self.replica.clone());
+        self.look_at_broken().await;
         match self.go_on_elsewhere().await {
             Elsewhere::GoesOn => None,
             Elsewhere::Ended(end) => Some(end),
@@ -79,6 +79,19 @@
         }
     }
 
+    /// A stream that has just begun may have ended its engine: whether it goes on waits
+    /// for that. Others are not held up.
+    async fn look_at_broken(&self) {
+        let app = self.exchange.app.clone();
+        let request = self.exchange.head.request.clone();
+        let replica = self.replica.clone();
+        let look = async move { look_at_broken(&app, &request, &replica).await };
+        match self.events_here {
+            0 => look.await,
+            _ => drop(tokio::spawn(look)),
+        }
+    }
+
     /// The engine is silent and takes no connection: it is gone, or behind a cut.
     /// A session that can't go on elsewhere may still run there; its stream goes
     /// on when the cut heals before the caller leaves.
@@ -90,6 +103,11 @@
                 "last_event" => self.order.last(),
                 "moving" => self.moving.is_some());
         }
+        // The list tells later whether it has ended.
+        self.exchange.app.control.tell(GatewayMessage::BrokeOff {
+            request: self.exchange.head.request.clone(),
+            replica: self.replica.clone(),
+        });
         match self.go_on_elsewhere().await {
             Elsewhere::GoesOn => None,
             Elsewhere::Ended(end) => Some(end),
@@ -331,7 +349,10 @@
                 (cause, Resumed::NotRun)
             }
             Sent::ZoneClosed => ("its zone is evacuated".to_owned(), Resumed::NotRun),
-            Sent::Lost(cause) => (cause, Resumed::Lost),
+            Sent::Lost(cause) => {
+                look_at_broken(&app, &self.exchange.head.request, &target.replica).await;
+                (cause, Resumed::Lost)
+            }
             Sent::TimedOut => ("no answer in time".to_owned(), Resumed::Lost),
         };
         app.metrics.carried(kind, "refused", pause);
@@ -359,6 +380,7 @@
         self.splitter = EventSplitter::default();
         self.order.resume();
         self.heard_at = app.clock.now();
+        self.events_here = 0;
         self.carried += 1;
         if target_is_new {
             self.tried.clear();
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -51,6 +51,7 @@
         said_leaving: vec!["i-9".to_owned()],
         evacuations: iristhread_core::ToldEvacuations::default(),
         unreachable: vec!["i-8".to_owned()],
+        suspects: Vec::new(),
         news: Vec::new(),
     }
 }
--- a/crates/daemon/tests/packed.rs
+++ b/crates/daemon/tests/packed.rs
@@ -10,6 +10,7 @@
 fn list(count: usize) -> ToldList {
     let replica = |number: usize| Replica {
         id: format!("i-{number:010x}"),
+        born_ms: None,
         service: "engines".to_owned(),
         address: ([10, 1, (number >> 8) as u8, number as u8], 8_080).into(),
         availability_zone: "zone-one".to_owned(),
--- a/crates/daemon/tests/session_move.rs
+++ b/crates/daemon/tests/session_move.rs
@@ -60,6 +60,7 @@
 fn started(mover: &TimedMover) -> SessionMove {
     let target = Replica {
         id: "e2".to_owned(),
+        born_ms: None,
         service: "engines".to_owned(),
         address: ([10, 0, 0, 2], 8_000).into(),
         availability_zone: "z1".to_owned(),
