Withdraw streams that wait at engines when requests like them are quarantined

Change: a session with a content that has just been quarantined and that has not begun is ended; its connection closes, and its engine drops it. Ruled out: withdrawing what has begun (it shows that it doesn't end its engine). Test: without the change the waiting stream ends as lost when its time is over, with it as withdrawn.

--- a/crates/core/src/gateway_control/suspecting.rs
+++ b/crates/core/src/gateway_control/suspecting.rs
@@ -12,6 +12,7 @@
 use crate::Refusal;
 use crate::RefusalKind;
 use crate::Replica;
+use crate::RequestId;
 use crate::ServerEnd;
 use crate::SuspicionNews;
 use crate::ToldSuspect;
@@ -141,6 +142,16 @@
         self.suspicions.take_news()
     }
 
+    /// Sessions of this instance with a content that have not begun: they wait at their
+    /// engines, on a simulated day with crowded ones for 0.7 s each.
+    pub fn waiting_with(&self, fingerprint: Fingerprint) -> Vec<RequestId> {
+        let runs = self.runs.iter();
+        let waits = runs.filter(|(_, run)| {
+            run.ask.fingerprint == fingerprint && !run.has_begun && !run.is_proven
+        });
+        waits.map(|(request, _)| request.clone()).collect()
+    }
+
     /// Contents that are suspected.
     pub fn suspected(&self) -> usize {
         self.suspicions.count()
--- a/crates/core/src/placement_ask.rs
+++ b/crates/core/src/placement_ask.rs
@@ -67,6 +67,8 @@
 pub enum SessionSignal {
     /// Its engine is leaving and no usable copy exists: move to this engine.
     MoveTo(Replica),
+    /// Backend servers end under requests like it, and it has not begun: end it.
+    Withdraw,
 }
 
 /// How a request left its backend server.
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -6,6 +6,8 @@
 use iristhread_core::Evacuation;
 use iristhread_core::EvacuationChange;
 use iristhread_core::EvacuationNews;
+use iristhread_core::Fingerprint;
+use iristhread_core::SessionSignal;
 use iristhread_core::SuspicionNews;
 use slog::debug;
 use slog::info;
@@ -117,6 +119,19 @@
         }
         for news in news {
             self.log_suspicion(&news);
+            if let SuspicionNews::Quarantined { fingerprint, .. } = news {
+                self.withdraw(fingerprint);
+            }
+        }
+    }
+
+    /// What waits at engines would end them as well.
+    fn withdraw(&self, fingerprint: Fingerprint) {
+        for request in self.control.waiting_with(fingerprint) {
+            if let Some(signals) = self.signals.get(&request) {
+                // It may have ended in the meantime, and calls take no signals.
+                let _ = signals.send(SessionSignal::Withdraw);
+            }
         }
     }
 
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -55,6 +55,7 @@
     Moved(Result<String, MoveError>),
     CallerGone,
     TimeOver,
+    Withdrawn,
 }
 
 /// How a stream ended.
@@ -64,6 +65,7 @@
     Lost,
     CallerGone,
     TimeOver,
+    Withdrawn,
 }
 
 impl End {
@@ -73,6 +75,7 @@
             End::Lost => "lost",
             End::CallerGone => "caller_gone",
             End::TimeOver => "time_over",
+            End::Withdrawn => "withdrawn",
         }
     }
 }
@@ -152,6 +155,7 @@
                 Step::Moved(outcome) => self.moved(outcome).await,
                 Step::CallerGone => Some(End::CallerGone),
                 Step::TimeOver => Some(End::TimeOver),
+                Step::Withdrawn => Some(End::Withdrawn),
             };
             if let Some(end) = end {
                 return self.end(end).await;
@@ -168,10 +172,7 @@
             () = self.to_caller.closed() => return Step::CallerGone,
             () = sleep_until(time_over) => return Step::TimeOver,
             moved = finished(&mut self.moving) => return Step::Moved(moved),
-            Some(signal) = self.signals.recv() => {
-                self.signalled(signal);
-                return Step::Continue;
-            }
+            Some(signal) = self.signals.recv() => return self.signalled(signal),
             frame = next_frame(&mut self.body) => frame,
             () = sleep_until(silent_at) => return self.look_at_engine().await,
         };
@@ -247,11 +248,16 @@
         }
     }
 
-    fn signalled(&mut self, signal: SessionSignal) {
-        let SessionSignal::MoveTo(target) = signal;
-        if self.moving.is_some() {
-            return;
+    fn signalled(&mut self, signal: SessionSignal) -> Step {
+        match signal {
+            SessionSignal::MoveTo(target) if self.moving.is_none() => self.move_to(target),
+            SessionSignal::Withdraw if self.events == 0 => return Step::Withdrawn,
+            SessionSignal::MoveTo(_) | SessionSignal::Withdraw => {}
         }
+        Step::Continue
+    }
+
+    fn move_to(&mut self, target: Replica) {
         let order = MoveOrder {
             source: self.replica.address,
             request: self.exchange.head.request.clone(),
@@ -268,7 +274,7 @@
         self.guard.ends(match end {
             End::Whole => RunEnd::Answered,
             End::Lost => RunEnd::Failed,
-            End::CallerGone | End::TimeOver => RunEnd::Withdrawn,
+            End::CallerGone | End::TimeOver | End::Withdrawn => RunEnd::Withdrawn,
         });
         info!(app.log, "stream ended";
             "request" => &self.exchange.head.request,
