--- a/crates/api/src/engine_api.rs
+++ b/crates/api/src/engine_api.rs
@@ -103,6 +103,8 @@
 pub struct EngineFaults {
     /// Exit when any session has this many tokens; 0 exits at once.
     pub die_at_token: Option<u32>,
+    /// Exit once a session with this prompt runs.
+    pub die_under_prompt: Option<String>,
     /// Generate nothing while connections stay open.
     pub stall: bool,
     /// Factor on the time of a step.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -112,6 +112,12 @@
         lengths.max().unwrap_or(0)
     }
 
+    /// Whether a session with a prompt runs, for the fault that exits then.
+    pub fn runs_prompt(&self, prompt: &str) -> bool {
+        let mut sessions = self.sessions.values();
+        sessions.any(|s| s.state == SessionState::Running && s.request.prompt == prompt)
+    }
+
     /// The load report of a while ago.
     pub fn load(&self, now: Instant) -> LoadReport {
         let old_enough = |(at, _): &&(Instant, LoadReport)| now - *at >= self.settings.report_lag;
--- a/crates/standin/src/engine_server.rs
+++ b/crates/standin/src/engine_server.rs
@@ -101,10 +101,11 @@
     fn step(&self) {
         let mut engine = self.lock();
         engine.step(Instant::now());
-        if engine
-            .faults
-            .die_at_token
-            .is_some_and(|at| engine.longest() >= at)
+        let faults = &engine.faults;
+        let dies_at = faults.die_at_token;
+        let dies_under = faults.die_under_prompt.as_ref();
+        if dies_at.is_some_and(|at| engine.longest() >= at)
+            || dies_under.is_some_and(|prompt| engine.runs_prompt(prompt))
         {
             std::process::exit(DIED);
         }
