Quarantine requests under which servers end on the completion interface, too

Cause: as on the gateway; and one request was carried to up to twelve engines. Change: the same suspicions; instances exchange them with their versions, once a second in a zone and at once after an end. First sends, further attempts and calls ask; what has itself run well for a second goes on. Backend servers have no name for a life there: ends of one name within a second are one. Ruled out: fewer attempts (a stream in its middle outlives several crashes that way, and its caller's next request would begin anew).

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -15,12 +15,14 @@
 use crate::ConfigOrder;
 use crate::Event;
 use crate::FairQueue;
+use crate::Fingerprint;
 use crate::HybridClock;
 use crate::HybridTime;
 use crate::Incarnation;
 use crate::InstanceId;
 use crate::LengthEstimator;
 use crate::Now;
+use crate::ProvenContents;
 use crate::ReaderRota;
 use crate::Refusal;
 use crate::RequestId;
@@ -29,6 +31,7 @@
 use crate::Router;
 use crate::RoutingPolicy;
 use crate::SpendVerdict;
+use crate::Suspicions;
 use crate::Ticket;
 use crate::TicketBook;
 use crate::Timeline;
@@ -38,6 +41,7 @@
 
 mod membership;
 mod placing;
+mod suspecting;
 
 /// Settings of the decisions.
 #[derive(Clone, Debug)]
@@ -67,6 +71,9 @@
 struct Running {
     engine: BackendId,
     class: String,
+    fingerprint: Fingerprint,
+    /// When it made progress there first.
+    begun_at: Option<Now>,
 }
 
 /// All decisions of one instance. Every method is a function of state, its
@@ -94,6 +101,10 @@
     wall_ms: u64,
     timeline: Timeline,
     random: Pcg32,
+    suspicions: Suspicions,
+    proven: ProvenContents,
+    /// Open requests that have run well for a while.
+    proven_requests: HashSet<RequestId>,
 }
 
 impl Control {
@@ -127,6 +138,9 @@
             wall_ms: 0,
             timeline: Timeline::new(instance, settings.timeline_records),
             random: Pcg32::seed_from_u64(settings.seed),
+            suspicions: Suspicions::default(),
+            proven: ProvenContents::default(),
+            proven_requests: HashSet::new(),
             settings,
         }
     }
@@ -139,7 +153,10 @@
         match event {
             Event::Submit(submission) => self.submit(now, submission, &mut commands),
             Event::Adopt { submission, engine } => self.adopt(&submission, engine),
-            Event::Progress { request, generated } => self.progress(&request, generated),
+            Event::Progress { request, generated } => {
+                self.note_running(now, &request);
+                self.progress(&request, generated);
+            }
             Event::AttemptFinished { request, generated } => {
                 self.attempt_finished(now, &request, generated, &mut commands);
             }
@@ -147,6 +164,13 @@
                 request,
                 engine_failed,
             } => self.attempt_lost(now, &request, engine_failed, &mut commands),
+            Event::ServerEnded {
+                backend,
+                fingerprint,
+                ran_for,
+            } => self.server_ended(now, &backend, fingerprint, ran_for, &mut commands),
+            Event::CallAnswered { fingerprint } => self.ran_well(now, fingerprint),
+            Event::SuspectsHeard { suspects } => self.suspects_heard(now, &suspects),
             Event::Closed { request, workspace } => self.closed(&request, &workspace),
             Event::Report { backend, report } => {
                 self.book.report(now, &backend, report, &self.estimator);
@@ -186,6 +210,7 @@
         self.expire(now, commands);
         self.drain_all(now, commands);
         self.tick_membership(now, commands);
+        self.suspicions.expire(now);
     }
 
     /// Issues a ticket of this process under a unique number.
@@ -218,8 +243,10 @@
         now: Now,
         request: RequestId,
         workspace: &str,
+        fingerprint: Fingerprint,
     ) -> Result<(), Refusal> {
         let workspace = self.workspace(workspace)?;
+        self.check_quarantine(now, &request, fingerprint)?;
         self.admission.open(now, &workspace)?;
         self.open.insert(request);
         Ok(())
--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -81,7 +81,7 @@
         }
     }
 
-    fn spread(&mut self, commands: &mut Vec<Command>) {
+    pub(super) fn spread(&mut self, commands: &mut Vec<Command>) {
         let own_zone = self.settings.zone.clone();
         self.exchange_with_random(Some(&own_zone), FANOUT, commands);
         self.exchange_with_random(None, 1, commands);
--- a/crates/core/src/control/placing.rs
+++ b/crates/core/src/control/placing.rs
@@ -58,6 +58,7 @@
                 attempt: submission.attempt,
             },
         );
+        self.check_quarantine(now, &submission.request, submission.fingerprint)?;
         self.admit(now, &workspace, &submission)?;
         let waits = self
             .queues
@@ -206,7 +207,12 @@
         if let Some(view) = self.book.view_mut(&engine) {
             view.start(submission.request.clone(), session, &self.estimator);
         }
-        let running = Running { engine, class };
+        let running = Running {
+            engine,
+            class,
+            fingerprint: submission.fingerprint,
+            begun_at: None,
+        };
         self.running.insert(submission.request.clone(), running);
     }
 
@@ -233,6 +239,7 @@
             return;
         };
         self.estimator.finished(&running.class, generated);
+        self.ran_well(now, running.fingerprint);
         self.drain_engine(now, &running.engine, commands);
     }
 
@@ -255,6 +262,7 @@
 
     pub(super) fn closed(&mut self, request: &RequestId, workspace: &WorkspaceId) {
         self.release(request);
+        self.proven_requests.remove(request);
         for queue in self.queues.values_mut() {
             queue.remove(request);
         }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -7,6 +7,7 @@
 use crate::BackendId;
 use crate::ConfigVersion;
 use crate::Document;
+use crate::Fingerprint;
 use crate::HybridTime;
 use crate::Incarnation;
 use crate::InstanceEntry;
@@ -15,6 +16,7 @@
 use crate::Now;
 use crate::RequestId;
 use crate::TimelineEvent;
+use crate::ToldSuspect;
 use crate::WorkspaceId;
 
 /// A request for an engine, for a first or a further attempt.
@@ -24,6 +26,8 @@
     pub request: RequestId,
     /// Whose it is.
     pub workspace: WorkspaceId,
+    /// What it consists of.
+    pub fingerprint: Fingerprint,
     /// Model asked for.
     pub model: String,
     /// Adapter asked for.
@@ -80,6 +84,25 @@
         /// Whether the engine is to blame; a caller that left is not.
         engine_failed: bool,
     },
+    /// A backend server ended under a request.
+    ServerEnded {
+        /// The backend server.
+        backend: BackendId,
+        /// What the request consists of.
+        fingerprint: Fingerprint,
+        /// How long it had run there since its first token; zero before it.
+        ran_for: Duration,
+    },
+    /// A call to a plain service was answered.
+    CallAnswered {
+        /// What it consists of.
+        fingerprint: Fingerprint,
+    },
+    /// A peer told which requests it suspects to end backend servers.
+    SuspectsHeard {
+        /// Their contents.
+        suspects: Vec<ToldSuspect>,
+    },
     /// The request is over for its caller.
     Closed {
         /// The request.
--- a/crates/core/src/fingerprint.rs
+++ b/crates/core/src/fingerprint.rs
@@ -11,7 +11,9 @@
 
 /// Identifies the workspace and the content of a request. Digests of two workspaces
 /// never meet, and nobody can make one that belongs to another's request (BLAKE3).
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct Fingerprint {
     /// Digest of the workspace, so that each can be given its share of what is kept.
     pub workspace: u64,
--- a/crates/core/src/gateway_control/suspecting.rs
+++ b/crates/core/src/gateway_control/suspecting.rs
@@ -9,8 +9,8 @@
 use crate::LifeId;
 use crate::ListedState;
 use crate::Now;
+use crate::RAN_WELL_AFTER;
 use crate::Refusal;
-use crate::RefusalKind;
 use crate::Replica;
 use crate::RequestId;
 use crate::ServerEnd;
@@ -19,10 +19,6 @@
 use crate::Verdict;
 use crate::rendezvous_rank;
 
-/// Time after its first event from which on a stream is taken to have run well where it
-/// is: servers ended 0.05 to 0.13 s after they had begun with the request at fault.
-const RAN_WELL_AFTER: Duration = Duration::from_secs(1);
-
 /// How long a broken run waits for a word that its server has ended: an entry goes after
 /// three heartbeats of 1.2 s, or changes when the server is back after some seconds.
 const UNCONFIRMED_FOR: Duration = Duration::from_secs(10);
@@ -30,10 +26,6 @@
 /// Broken runs that wait for it: all of an instance's when an availability zone goes.
 const MOST_UNCONFIRMED: usize = 1_024;
 
-/// Longest and shortest advice to callers whose request is quarantined.
-const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(60);
-const SHORTEST_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Time in which a request that is tried after its quarantine should end or go on well.
 const TRIAL: Duration = Duration::from_secs(10);
 
@@ -186,12 +178,7 @@
             self.broken_runs.trial = Some((fingerprint, now + TRIAL));
             return Ok(());
         }
-        let left = until.saturating_sub(now);
-        Err(Refusal::new(
-            RefusalKind::Quarantined,
-            left.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER),
-            format!("{ends} backend servers have ended under requests like this one"),
-        ))
+        Err(Refusal::quarantined(ends, until.saturating_sub(now)))
     }
 
     /// Whether this is the instance that tries a content: all that hear each other agree
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -185,6 +185,7 @@
 pub use session::Session;
 pub use session::TokenVerdict;
 pub use stall_bound::StallBound;
+pub use suspect::RAN_WELL_AFTER;
 pub use suspect::ServerEnd;
 pub use suspect::Suspect;
 pub use suspicions::SuspicionNews;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -47,6 +47,12 @@
 /// Advice to a caller when nothing is there that could serve it.
 const NOTHING_THERE_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Longest advice to a caller whose request is quarantined: past the patience of any.
+const LONGEST_QUARANTINE_ADVICE: Duration = Duration::from_secs(60);
+
+/// Shortest: the time in which one instance tries such a request.
+const SHORTEST_QUARANTINE_ADVICE: Duration = Duration::from_secs(1);
+
 /// A refusal with the time after which a retry makes sense.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -77,6 +83,16 @@
         )
     }
 
+    /// So many backend servers have ended under requests with the same content, which is
+    /// quarantined for a time.
+    pub fn quarantined(ends: usize, left: Duration) -> Self {
+        Refusal::new(
+            RefusalKind::Quarantined,
+            left.clamp(SHORTEST_QUARANTINE_ADVICE, LONGEST_QUARANTINE_ADVICE),
+            format!("{ends} backend servers have ended under requests like this one"),
+        )
+    }
+
     /// No backend server can serve a model now.
     pub fn no_backend(model: &str) -> Self {
         Refusal::new(
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -5,6 +5,10 @@
 use crate::LifeId;
 use crate::Now;
 
+/// Time after its first event from which on a stream is taken to have run well where it
+/// is: servers ended 0.05 to 0.13 s after they had begun with the request at fault.
+pub const RAN_WELL_AFTER: Duration = Duration::from_secs(1);
+
 /// Ends that are remembered of one content; the latest count.
 const MOST_ENDS: usize = 32;
 
--- a/crates/core/src/suspicions.rs
+++ b/crates/core/src/suspicions.rs
@@ -224,6 +224,11 @@
         stronger.any(|other| other.has_ended(end.life))
     }
 
+    /// All that is known, for an instance that asks: the gravest and the latest first.
+    pub fn known(&self, now: Now) -> Vec<ToldSuspect> {
+        first_told(now, self.suspects().collect())
+    }
+
     /// What the others should know now.
     pub fn told(&mut self, now: Now) -> Vec<ToldSuspect> {
         let is_due = |at: Now| now.saturating_sub(at) >= RETOLD_EVERY;
@@ -231,19 +236,11 @@
         if retells {
             self.retold_at = Some(now);
         }
-        let mut told: Vec<(Fingerprint, &Suspect)> = self
-            .suspects()
-            .filter(|(_, suspect)| {
-                let is_news = now.saturating_sub(suspect.changed_at()) < NEWS_TOLD_FOR;
-                is_news || (retells && suspect.ends().len() > 1)
-            })
-            .collect();
-        told.sort_by_key(|(_, suspect)| {
-            let is_quarantined = suspect.ends().len() >= ENDS_TO_QUARANTINE;
-            std::cmp::Reverse((is_quarantined, suspect.changed_at()))
+        let told = self.suspects().filter(|(_, suspect)| {
+            let is_news = now.saturating_sub(suspect.changed_at()) < NEWS_TOLD_FOR;
+            is_news || (retells && suspect.ends().len() > 1)
         });
-        told.truncate(MOST_TOLD);
-        told.into_iter().map(|(f, s)| as_told(now, f, s)).collect()
+        first_told(now, told.collect())
     }
 
     /// The beliefs that have changed since this was asked last.
@@ -336,6 +333,15 @@
     time.min(LONGEST_QUARANTINE)
 }
 
+fn first_told(now: Now, mut told: Vec<(Fingerprint, &Suspect)>) -> Vec<ToldSuspect> {
+    told.sort_by_key(|(_, suspect)| {
+        let is_quarantined = suspect.ends().len() >= ENDS_TO_QUARANTINE;
+        std::cmp::Reverse((is_quarantined, suspect.changed_at()))
+    });
+    told.truncate(MOST_TOLD);
+    told.into_iter().map(|(f, s)| as_told(now, f, s)).collect()
+}
+
 fn as_told(now: Now, fingerprint: Fingerprint, suspect: &Suspect) -> ToldSuspect {
     let age_ms = |at: Now| now.saturating_sub(at).as_millis() as u64;
     let latest = suspect.ends().iter().rev().take(MOST_ENDS_TOLD);
--- a/crates/daemon/src/completion_order.rs
+++ b/crates/daemon/src/completion_order.rs
@@ -1,8 +1,10 @@
 //! A completion request that was checked against the configuration.
 
 use iristhread_api::CompletionRequest;
+use iristhread_core::Content;
 use iristhread_core::Cursor;
 use iristhread_core::Document;
+use iristhread_core::Fingerprint;
 use iristhread_core::Keyring;
 use iristhread_core::Model;
 use iristhread_core::Now;
@@ -116,6 +118,17 @@
         hasher.finalize().to_hex().to_string()
     }
 
+    /// What it consists of, for callers that come again.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&Content {
+            workspace: Some(&self.workspace),
+            method: "POST",
+            host: "",
+            path: &self.model,
+            body: self.owner().as_bytes(),
+        })
+    }
+
     /// Identifies the prefix that prompts of the same kind share.
     pub fn prefix(&self) -> u64 {
         let mut hasher = blake3::Hasher::new();
--- a/crates/daemon/src/control_message.rs
+++ b/crates/daemon/src/control_message.rs
@@ -9,6 +9,7 @@
 use iristhread_core::Document;
 use iristhread_core::DocumentFault;
 use iristhread_core::Event;
+use iristhread_core::Fingerprint;
 use iristhread_core::HybridTime;
 use iristhread_core::Incarnation;
 use iristhread_core::InstanceEntry;
@@ -21,6 +22,7 @@
 use iristhread_core::Submission;
 use iristhread_core::Ticket;
 use iristhread_core::TimelineRecord;
+use iristhread_core::ToldSuspect;
 use iristhread_core::WorkspaceId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -63,6 +65,17 @@
         request: RequestId,
         /// The workspace.
         workspace: WorkspaceId,
+        /// What it consists of.
+        fingerprint: Fingerprint,
+        /// Gets the decision.
+        reply: oneshot::Sender<Result<(), Refusal>>,
+    },
+    /// A call to a plain service wants to be sent to a further runner.
+    CallAgain {
+        /// The request.
+        request: RequestId,
+        /// What it consists of.
+        fingerprint: Fingerprint,
         /// Gets the decision.
         reply: oneshot::Sender<Result<(), Refusal>>,
     },
@@ -121,6 +134,8 @@
     pub running: usize,
     /// Hybrid time of this moment.
     pub time: HybridTime,
+    /// Contents of requests that it suspects to end backend servers.
+    pub suspects: Vec<ToldSuspect>,
 }
 
 /// What an instance knows, at one moment.
--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -28,6 +28,7 @@
 use crate::control_message::Snapshot;
 use crate::control_message::Versions;
 use crate::control_sender::ControlSender;
+use crate::suspicion_log::log_suspicion;
 use crate::view::View;
 
 /// Time between two ticks of the decisions.
@@ -164,9 +165,21 @@
             ControlMessage::OpenCall {
                 request,
                 workspace,
+                fingerprint,
                 reply,
             } => {
-                let _ = reply.send(self.control.open_call(now, request, &workspace));
+                let opened = self
+                    .control
+                    .open_call(now, request, &workspace, fingerprint);
+                let _ = reply.send(opened);
+            }
+            ControlMessage::CallAgain {
+                request,
+                fingerprint,
+                reply,
+            } => {
+                let may = self.control.check_quarantine(now, &request, fingerprint);
+                let _ = reply.send(may);
             }
             ControlMessage::Runners { service, reply } => {
                 let _ = reply.send(self.control.runners(now, &service));
@@ -202,6 +215,9 @@
         for command in commands {
             self.carry_out(command);
         }
+        for news in self.control.suspicion_news() {
+            log_suspicion(&self.log, self.clock.now(), &news);
+        }
     }
 
     fn carry_out(&mut self, command: Command) {
@@ -267,6 +283,7 @@
             roster_version: self.control.roster().version(),
             queued: self.control.queued(),
             running: self.control.running(),
+            suspects: self.control.known_suspects(now),
             time,
         }
     }
--- a/crates/daemon/src/engine_port.rs
+++ b/crates/daemon/src/engine_port.rs
@@ -37,6 +37,13 @@
     Unreadable(String),
 }
 
+impl EngineError {
+    /// Whether not a byte was sent.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, EngineError::Http(HttpClientError::Connect { .. }))
+    }
+}
+
 /// Events of one attempt.
 pub type EngineStream = BoxStream<'static, Result<EngineEvent, EngineError>>;
 
--- a/crates/daemon/src/engine_watch.rs
+++ b/crates/daemon/src/engine_watch.rs
@@ -83,6 +83,17 @@
     }
 }
 
+/// Whether nothing listens any more where a backend server was. One that ends may close
+/// its connections first: where that matters, it is looked at once more.
+pub async fn has_ended(address: SocketAddr, looks_again: bool) -> bool {
+    let mut door = door_at(address).await;
+    if door == Door::Open && looks_again {
+        tokio::time::sleep(SECOND_LOOK).await;
+        door = door_at(address).await;
+    }
+    door == Door::Closed
+}
+
 /// What stands at an address.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Door {
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -11,10 +11,10 @@
 use iristhread_core::SuspicionNews;
 use slog::debug;
 use slog::info;
-use slog::warn;
 
 use super::GatewayThread;
 use crate::heartbeat::ListNews;
+use crate::suspicion_log::log_suspicion;
 
 impl GatewayThread {
     pub(super) fn evacuations(&mut self, news: EvacuationNews, source: &str) {
@@ -118,7 +118,10 @@
             self.news.notify_one();
         }
         for news in news {
-            self.log_suspicion(&news);
+            if matches!(news, SuspicionNews::Ended { .. }) {
+                self.metrics.server_ended();
+            }
+            log_suspicion(&self.log, self.clock.now(), &news);
             if let SuspicionNews::Quarantined { fingerprint, .. } = news {
                 self.withdraw(fingerprint);
             }
@@ -134,28 +137,4 @@
             }
         }
     }
-
-    fn log_suspicion(&self, news: &SuspicionNews) {
-        match news {
-            SuspicionNews::Ended { fingerprint, ends } => {
-                self.metrics.server_ended();
-                info!(self.log, "backend server ended under a request";
-                    "content" => fingerprint.to_string(), "ends" => ends);
-            }
-            SuspicionNews::Quarantined {
-                fingerprint,
-                ends,
-                until,
-            } => {
-                let left = until.saturating_sub(self.clock.now());
-                warn!(self.log, "requests like one are quarantined: backend servers end under them";
-                    "content" => fingerprint.to_string(), "ends" => ends,
-                    "quarantine_ms" => left.as_millis() as u64);
-            }
-            SuspicionNews::Cleared { fingerprint } => {
-                info!(self.log, "request like one that was suspected ran well";
-                    "content" => fingerprint.to_string());
-            }
-        }
-    }
 }
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/generation.rs
@@ -58,6 +58,8 @@
     is_relaying: bool,
     is_closed: bool,
     last_progress: iristhread_core::Now,
+    /// When this attempt's first token came.
+    attempt_begun_at: Option<iristhread_core::Now>,
     longest_gap: Duration,
 }
 
@@ -89,6 +91,7 @@
             is_relaying: false,
             is_closed: false,
             last_progress: now,
+            attempt_begun_at: None,
             longest_gap: Duration::ZERO,
             app,
             order,
@@ -180,6 +183,7 @@
 
     async fn deliver(&mut self, text: &str, sink: &mut CallerSink) -> Step {
         self.measure_gap();
+        self.attempt_begun_at.get_or_insert(self.last_progress);
         self.idle_attaches = 0;
         let known = self.session.known();
         if known == 1 {
--- a/crates/daemon/src/generation/attempts.rs
+++ b/crates/daemon/src/generation/attempts.rs
@@ -15,6 +15,7 @@
 use super::Generation;
 use crate::api_error::ApiError;
 use crate::control_message::ControlMessage;
+use crate::engine_watch::has_ended;
 
 /// Attempts of one generation before it ends with an error.
 const MAX_ATTEMPTS: Attempt = 12;
@@ -108,6 +109,7 @@
         let (attempt, engine) = (placement.attempt, placement.engine.clone());
         self.session.begin_attempt(attempt, engine, now);
         self.idle_attaches = 0;
+        self.attempt_begun_at = None;
         self.placement = placement;
         let request = GenerateRequest {
             generation: self.session.generation().clone(),
@@ -129,6 +131,9 @@
             Err(error) => {
                 info!(self.app.log, "engine did not take an attempt";
                     "request" => &self.order.request, "error" => %error);
+                if !error.is_unsent() {
+                    self.look_at_engine().await;
+                }
                 self.lose("not taken", true);
                 false
             }
@@ -153,6 +158,9 @@
         engine_failed: bool,
     ) -> Result<(), ApiError> {
         self.cancel();
+        if engine_failed {
+            self.look_at_engine().await;
+        }
         self.lose(cause, engine_failed);
         if !self.session.can_continue() {
             return Err(stream_lost());
@@ -160,6 +168,20 @@
         self.place().await
     }
 
+    /// Looks whether the engine of the lost attempt has ended, before another gets it.
+    async fn look_at_engine(&mut self) {
+        let begun_at = self.attempt_begun_at;
+        let is_new = begun_at.is_none();
+        if has_ended(self.placement.address, is_new).await {
+            let ran_for = begun_at.map(|at| self.app.clock.now().saturating_sub(at));
+            self.app.control.tell(Event::ServerEnded {
+                backend: self.placement.engine.clone(),
+                fingerprint: self.order.fingerprint(),
+                ran_for: ran_for.unwrap_or_default(),
+            });
+        }
+    }
+
     pub(super) fn lose(&mut self, cause: &str, engine_failed: bool) {
         self.app.metrics.attempt_lost(cause);
         self.note(TimelineEvent::AttemptLost {
@@ -203,6 +225,7 @@
         Submission {
             request: self.order.request.clone(),
             workspace: self.order.workspace.clone(),
+            fingerprint: self.order.fingerprint(),
             model: self.order.model.clone(),
             adapter: self.order.adapter.clone(),
             prompt_tokens: self.order.prompt_tokens,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -68,6 +68,7 @@
 mod settings_reader;
 mod stream_call;
 mod stream_relay;
+mod suspicion_log;
 mod view;
 mod whole_lines;
 
--- a/crates/daemon/src/peer_answers.rs
+++ b/crates/daemon/src/peer_answers.rs
@@ -13,6 +13,7 @@
 use crate::control_message::ControlMessage;
 use crate::control_message::Identity;
 use crate::control_message::Versions;
+use crate::packed::Packed;
 use crate::peer_message::News;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
@@ -114,6 +115,11 @@
         config_version: versions.config_version,
         time: versions.time,
     });
+    if !versions.suspects.0.is_empty() {
+        app.control.tell(Event::SuspectsHeard {
+            suspects: versions.suspects.0.clone(),
+        });
+    }
     if let Some(age_ms) = versions.config_age_ms {
         app.control.tell(Event::ConfigConfirmed {
             version: versions.config_version,
@@ -130,6 +136,7 @@
         config_age_ms: versions.config_age_ms,
         roster_version: versions.roster_version,
         time: versions.time,
+        suspects: Packed(versions.suspects.clone()),
     }
 }
 
--- a/crates/daemon/src/peer_message.rs
+++ b/crates/daemon/src/peer_message.rs
@@ -3,6 +3,8 @@
 use iristhread_api::ConfigReply;
 use iristhread_api::InstancesReply;
 use iristhread_core::ConfigVersion;
+use iristhread_core::Content;
+use iristhread_core::Fingerprint;
 use iristhread_core::GatewayConfig;
 use iristhread_core::HybridTime;
 use iristhread_core::Incarnation;
@@ -10,6 +12,7 @@
 use iristhread_core::RequestId;
 use iristhread_core::TimelineRecord;
 use iristhread_core::ToldList;
+use iristhread_core::ToldSuspect;
 use iristhread_core::WorkspaceId;
 use serde::Deserialize;
 use serde::Serialize;
@@ -50,6 +53,8 @@
     pub roster_version: u64,
     /// Hybrid time.
     pub time: HybridTime,
+    /// Contents of requests that it suspects to end backend servers.
+    pub suspects: Packed<Vec<ToldSuspect>>,
 }
 
 /// A call to a plain service, for the instance of its ticket.
@@ -75,6 +80,19 @@
     pub deadline_ms: u64,
 }
 
+impl ForwardedCall {
+    /// What it consists of, for callers that come again.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint::of(&Content {
+            workspace: Some(&self.workspace),
+            method: &self.method,
+            host: &self.service,
+            path: &self.path,
+            body: &self.body,
+        })
+    }
+}
+
 /// What one process has and another lacks.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct News {
--- a/crates/daemon/src/service_api.rs
+++ b/crates/daemon/src/service_api.rs
@@ -95,6 +95,7 @@
         let ask = |reply| ControlMessage::OpenCall {
             request: call.request.clone(),
             workspace: call.workspace.clone(),
+            fingerprint: call.fingerprint(),
             reply,
         };
         let opened = app.control.ask(ask).await;
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -31,6 +31,7 @@
 use crate::call_answer::CallAnswer;
 use crate::call_book::AnswerSlot;
 use crate::control_message::ControlMessage;
+use crate::engine_watch::has_ended;
 use crate::patience;
 use crate::peer_message::ForwardedCall;
 use crate::peer_message::PeerReply;
@@ -122,7 +123,14 @@
                 let Some(runner) = runners.iter().find(|runner| runner.name == name) else {
                     continue;
                 };
+                if !may_be_sent(app, call).await {
+                    let CallStep::End { outcome, end } = decisions.give_up() else {
+                        continue;
+                    };
+                    return answer_at_end(outcome, end, last);
+                }
                 let (result, reply) = send(app, call, runner, key, deadline).await;
+                note_end(app, call, runner, result).await;
                 decisions.sent(result);
                 last = reply.or(last);
             }
@@ -131,6 +139,34 @@
     }
 }
 
+/// Asked before each send, also those of forwarded calls.
+async fn may_be_sent(app: &App, call: &ForwardedCall) -> bool {
+    let ask = |reply| ControlMessage::CallAgain {
+        request: call.request.clone(),
+        fingerprint: call.fingerprint(),
+        reply,
+    };
+    matches!(app.control.ask(ask).await, Some(Ok(())))
+}
+
+/// Tells the decisions whether the runner answered, or ended under the call.
+async fn note_end(app: &App, call: &ForwardedCall, runner: &BackendServer, result: SendResult) {
+    let fingerprint = call.fingerprint();
+    match result {
+        SendResult::Answered | SendResult::Failed => {
+            app.control.tell(Event::CallAnswered { fingerprint });
+        }
+        SendResult::Lost if has_ended(runner.address, true).await => {
+            app.control.tell(Event::ServerEnded {
+                backend: runner.name.clone(),
+                fingerprint,
+                ran_for: Duration::ZERO,
+            });
+        }
+        SendResult::Lost | SendResult::NotConnected | SendResult::SaidNotRun => {}
+    }
+}
+
 fn answer_at_end(outcome: Outcome, end: CallEnd, reply: Option<Reply>) -> CallAnswer {
     let mut answer = match (end, reply) {
         (CallEnd::Answer, Some(reply)) => passed_on(&reply),
