Take an entry that can't be used for no server, whatever stood there before

Ruled out: removal as the change (for two seconds after an outage the server would have counted as there).

--- a/crates/api/src/http_client.rs
+++ b/crates/api/src/http_client.rs
@@ -15,6 +15,7 @@
 use http::header;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
@@ -49,6 +50,14 @@
         /// What the system said.
         cause: String,
     },
+    /// The answer is larger than what is read.
+    #[error("the answer of {uri} has more than {limit_bytes} bytes")]
+    TooLarge {
+        /// Target.
+        uri: String,
+        /// What is read at most.
+        limit_bytes: usize,
+    },
     /// The answer is not what the interface promises.
     #[error("the answer of {uri} can't be read: {cause}")]
     Unreadable {
@@ -157,9 +166,15 @@
         let body = Limited::new(body, self.limit)
             .collect()
             .await
-            .map_err(|error| HttpClientError::Broken {
-                uri,
-                cause: error.to_string(),
+            .map_err(|error| match error.is::<LengthLimitError>() {
+                true => HttpClientError::TooLarge {
+                    uri,
+                    limit_bytes: self.limit,
+                },
+                false => HttpClientError::Broken {
+                    uri,
+                    cause: error.to_string(),
+                },
             })?;
         Ok(Reply {
             status: parts.status,
--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -212,6 +212,12 @@
         self.replicas_changed(now)
     }
 
+    /// Notes entries of the whole list that can't be used; returns what sessions must do.
+    pub fn mark_unusable(&mut self, now: Now, ids: Vec<BackendId>) -> Vec<Evacuation> {
+        self.list.mark_unusable(ids);
+        self.replicas_changed(now)
+    }
+
     /// Takes the list of another instance; returns what sessions must do.
     pub fn hear_list(&mut self, now: Now, told: ToldList) -> Vec<Evacuation> {
         self.list.hear(now, told);
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -24,12 +24,18 @@
     Listed(Replica),
     /// An entry was removed.
     Removed(BackendId),
+    /// An entry was written that can't be used, by whoever.
+    Unusable(BackendId),
 }
 
 /// Removals that are remembered to be told: 500 servers replaced every 3.3 s, which a
 /// fleet of 3,000 sees, for half a minute.
 const REMOVALS_KEPT: usize = 4_096;
 
+/// Unusable entries that are remembered to be told. Whoever writes more of them writes
+/// keys of no server.
+const UNUSABLE_KEPT: usize = 1_024;
+
 /// The list as one instance tells it to another: what the platform lists, or what has
 /// changed since the other read it, and how long ago an outage ended, so that both draw
 /// the same conclusions from entries that are missing.
@@ -43,6 +49,8 @@
     pub replicas: Vec<Replica>,
     /// Entries that were removed since, where the list is not whole.
     pub removed: Vec<BackendId>,
+    /// Entries that can't be used; they are gone at once, also after an outage.
+    pub unusable: Vec<BackendId>,
     /// Milliseconds since the platform answered again after an outage, while
     /// entries may be missing because of it.
     pub outage_ended_ms: Option<u64>,
@@ -102,6 +110,8 @@
     complete_from: u64,
     /// Replicas that said themselves that they leave; none ever takes that back.
     said_leaving: BTreeSet<BackendId>,
+    /// Ids whose entry is there and can't be used.
+    unusable: BTreeSet<BackendId>,
 }
 
 impl ReplicaList {
@@ -136,14 +146,34 @@
             self.outage_ended(now.saturating_sub(Duration::from_millis(ago_ms)));
         }
         if told.above == 0 {
-            return self.snapshot(now, told.revision, told.replicas);
+            let is_taken = self.snapshot(now, told.revision, told.replicas);
+            if is_taken {
+                self.mark_unusable(told.unusable);
+            }
+            return is_taken;
         }
         if told.above > self.revision {
             return false;
         }
         let removed = told.removed.into_iter().map(ReplicaChange::Removed);
         let listed = told.replicas.into_iter().map(ReplicaChange::Listed);
-        self.change(now, told.revision, removed.chain(listed).collect())
+        let unusable = told.unusable.into_iter().map(ReplicaChange::Unusable);
+        let changes = removed.chain(listed).chain(unusable);
+        self.change(now, told.revision, changes.collect())
+    }
+
+    /// Notes entries that are there and can't be used: whatever they said before counts
+    /// no longer.
+    pub fn mark_unusable(&mut self, ids: impl IntoIterator<Item = BackendId>) {
+        for id in ids {
+            if self.lines.remove(&id).is_some() {
+                self.note_removal(&id);
+            }
+            self.said_leaving.remove(&id);
+            if self.unusable.len() < UNUSABLE_KEPT {
+                self.unusable.insert(id);
+            }
+        }
     }
 
     /// The list for another instance that has it as it was at a revision: what has
@@ -179,6 +209,7 @@
             above: 0,
             revision: self.revision,
             removed: Vec::new(),
+            unusable: self.unusable.iter().cloned().collect(),
             replicas: listed.map(|line| line.told(now)).collect(),
             outage_ended_ms: ago.map(|ago| ago.as_millis() as u64),
         }
@@ -194,6 +225,7 @@
             match change {
                 ReplicaChange::Listed(replica) => self.insert(now, replica),
                 ReplicaChange::Removed(id) => self.remove(now, &id),
+                ReplicaChange::Unusable(id) => self.mark_unusable([id]),
             }
         }
         true
@@ -284,20 +316,20 @@
             replica,
             lapses_at: None,
         };
+        self.unusable.remove(&line.replica.id);
         self.lines.insert(line.replica.id.clone(), line);
     }
 
     fn remove(&mut self, now: Now, id: &str) {
         let grace_ends = self.outage_ended.map(|ended| ended + LAPSE_GRACE);
+        self.unusable.remove(id);
+        if !self.lines.contains_key(id) {
+            return;
+        }
+        self.note_removal(id);
         let Some(line) = self.lines.get_mut(id) else {
             return;
         };
-        self.removed.push_back((self.revision, id.to_owned()));
-        if self.removed.len() > REMOVALS_KEPT
-            && let Some((revision, _)) = self.removed.pop_front()
-        {
-            self.complete_from = self.complete_from.max(revision);
-        }
         let is_leaving = line.replica.leaving || self.said_leaving.contains(id);
         match grace_ends {
             Some(ends) if now < ends && !is_leaving => line.lapses_at = Some(ends),
@@ -307,4 +339,14 @@
             }
         }
     }
+
+    /// Remembers a removal, for whoever asks what has changed.
+    fn note_removal(&mut self, id: &str) {
+        self.removed.push_back((self.revision, id.to_owned()));
+        if self.removed.len() > REMOVALS_KEPT
+            && let Some((revision, _)) = self.removed.pop_front()
+        {
+            self.complete_from = self.complete_from.max(revision);
+        }
+    }
 }
--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/config_reader.rs
@@ -8,7 +8,6 @@
 use iristhread_core::ToldEvacuations;
 use slog::Logger;
 use slog::info;
-use slog::warn;
 
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
@@ -23,6 +22,7 @@
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_thread::GatewayHandle;
+use crate::skipped_entries::SkippedEntries;
 
 /// Reads what is published while the rota says so, and tells the others what
 /// changed. Evacuations come with the same calls, since each call has a price.
@@ -43,6 +43,7 @@
     /// Runs for the life of the process.
     pub async fn run(self) {
         let mut trouble = Trouble::new("configuration");
+        let mut skipped = SkippedEntries::default();
         let mut revision: Option<Revision> = None;
         let mut was_reading = false;
         loop {
@@ -60,7 +61,9 @@
             }
             // After a failure, a short question tells sooner than a watch whether
             // the directory is back.
-            let read = self.read(revision.filter(|_| !trouble.is_lost())).await;
+            let read = self
+                .read(revision.filter(|_| !trouble.is_lost()), &mut skipped)
+                .await;
             self.metrics.directory_called("config", end_of(&read));
             match read {
                 Ok(read) => {
@@ -88,16 +91,23 @@
         Some(self.link.reads_config(own.config_version))
     }
 
-    async fn read(&self, after: Option<Revision>) -> Result<PublishedRead, DirectoryError> {
+    async fn read(
+        &self,
+        after: Option<Revision>,
+        skipped: &mut SkippedEntries,
+    ) -> Result<PublishedRead, DirectoryError> {
         match after {
-            None => self.read_whole().await,
-            Some(after) => self.watch(after).await,
+            None => self.read_whole(skipped).await,
+            Some(after) => self.watch(after, skipped).await,
         }
     }
 
-    async fn read_whole(&self) -> Result<PublishedRead, DirectoryError> {
+    async fn read_whole(
+        &self,
+        skipped: &mut SkippedEntries,
+    ) -> Result<PublishedRead, DirectoryError> {
         let read = self.directory.published().await?;
-        self.warn_of(&read.skipped);
+        skipped.note(&self.log, &self.metrics, &read.skipped);
         Ok(PublishedRead {
             revision: read.revision,
             configs: read.value.config.into_iter().collect(),
@@ -108,9 +118,13 @@
         })
     }
 
-    async fn watch(&self, after: Revision) -> Result<PublishedRead, DirectoryError> {
+    async fn watch(
+        &self,
+        after: Revision,
+        skipped: &mut SkippedEntries,
+    ) -> Result<PublishedRead, DirectoryError> {
         let read = self.directory.published_after(after, WATCH).await?;
-        self.warn_of(&read.skipped);
+        skipped.note(&self.log, &self.metrics, &read.skipped);
         Ok(PublishedRead {
             revision: read.revision,
             configs: read.value.configs,
@@ -122,12 +136,6 @@
         })
     }
 
-    fn warn_of(&self, skipped: &[String]) {
-        for entry in skipped {
-            warn!(self.log, "entry of the operators left out"; "cause" => entry);
-        }
-    }
-
     fn tell(&self, read: PublishedRead) {
         // First: an instance that has just started calls itself ready with the
         // configuration, and must know by then where nothing may go.
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use futures::future::BoxFuture;
+use iristhread_core::BackendId;
 use iristhread_core::EvacuationChange;
 use iristhread_core::GatewayConfig;
 use iristhread_core::Replica;
@@ -41,8 +42,28 @@
     pub value: T,
     /// The directory's revision when it answered.
     pub revision: Revision,
-    /// Entries that could not be read and are left out, each with the reason.
-    pub skipped: Vec<String>,
+    /// Entries that could not be read and are left out.
+    pub skipped: Vec<SkippedEntry>,
+}
+
+/// An entry that can't be read, perhaps by another writer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SkippedEntry {
+    /// Its key.
+    pub key: String,
+    /// Revision of its writing.
+    pub revision: Revision,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+/// The whole list of backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// Those that can be used.
+    pub replicas: Vec<Replica>,
+    /// Ids whose entry is there and can't be used.
+    pub unusable: Vec<BackendId>,
 }
 
 /// What the operators have published.
@@ -76,7 +97,7 @@
     ) -> BoxFuture<'_, Result<Read<PublishedChanges>, DirectoryError>>;
 
     /// The whole list of backend servers.
-    fn replicas(&self) -> BoxFuture<'_, Result<Read<Vec<Replica>>, DirectoryError>>;
+    fn replicas(&self) -> BoxFuture<'_, Result<Read<Listing>, DirectoryError>>;
 
     /// Waits for changes of the list after a revision.
     fn replicas_after(
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -26,6 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::directory::Listing;
 use crate::directory::Revision;
 use crate::heartbeat::ListNews;
 
@@ -255,7 +256,7 @@
         /// Its revision.
         revision: Revision,
         /// The list.
-        replicas: Vec<Replica>,
+        listing: Listing,
         /// Who had it.
         source: String,
     },
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -58,6 +58,7 @@
     evacuated_zones: Gauge,
     server_ends: Counter,
     suspects: Gauge,
+    skipped_entries: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -84,6 +85,7 @@
             evacuated_zones: Gauge::default(),
             server_ends: Counter::default(),
             suspects: Gauge::default(),
+            skipped_entries: Counter::default(),
         };
         metrics.register();
         metrics
@@ -141,6 +143,8 @@
         r.register("server_ends", "Servers that ended under a request", ends);
         let suspects = self.suspects.clone();
         r.register("suspects", "Contents under which servers ended", suspects);
+        let skipped = self.skipped_entries.clone();
+        r.register("skipped_entries", "Entries that can't be used", skipped);
     }
 
     /// All figures in the text format of OpenMetrics.
@@ -222,6 +226,11 @@
         self.server_ends.inc();
     }
 
+    /// An entry of the directory could not be used.
+    pub fn entry_skipped(&self) {
+        self.skipped_entries.inc();
+    }
+
     /// So many contents of requests are suspected to end backend servers.
     pub fn suspects(&self, count: usize) {
         self.suspects.set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -222,18 +222,22 @@
             GatewayMessage::Evacuations { news, source } => self.evacuations(news, &source),
             GatewayMessage::Replicas {
                 revision,
-                replicas,
+                listing,
                 source,
             } => {
                 info!(self.log, "list of backend servers read";
-                    "revision" => revision, "count" => replicas.len(), "source" => source);
-                let evacuations = self.control.offer_replicas(now, revision, replicas);
+                    "revision" => revision, "count" => listing.replicas.len(),
+                    "unusable" => listing.unusable.len(), "source" => source);
+                let control = &mut self.control;
+                let mut evacuations = control.offer_replicas(now, revision, listing.replicas);
+                evacuations.extend(control.mark_unusable(now, listing.unusable));
                 self.list_taken(evacuations);
             }
             GatewayMessage::PeerList { list, source } => {
                 info!(self.log, "list of backend servers fetched";
                     "revision" => list.revision, "above" => list.above,
                     "count" => list.replicas.len(), "removed" => list.removed.len(),
+                    "unusable" => list.unusable.len(),
                     "outage_ended_ms" => list.outage_ended_ms, "source" => source);
                 let evacuations = self.control.hear_list(now, list);
                 self.list_taken(evacuations);
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -45,6 +45,7 @@
             ReplicaChange::Listed(replica) if replica.leaving => format!("{} leaves", replica.id),
             ReplicaChange::Listed(replica) => format!("{} serves", replica.id),
             ReplicaChange::Removed(id) => format!("{id} removed"),
+            ReplicaChange::Unusable(id) => format!("{id} unusable"),
         });
         words.collect::<Vec<_>>().join(", ")
     }
--- a/crates/daemon/src/list_reader.rs
+++ b/crates/daemon/src/list_reader.rs
@@ -5,14 +5,13 @@
 use std::time::Duration;
 
 use iristhread_core::Now;
-use iristhread_core::Replica;
 use slog::Logger;
 use slog::info;
-use slog::warn;
 
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
+use crate::directory::Listing;
 use crate::directory::Revision;
 use crate::directory_trouble::FIRST_PAUSE;
 use crate::directory_trouble::ROTA_CHECK;
@@ -25,6 +24,7 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_thread::GatewayHandle;
 use crate::heartbeat::ListNews;
+use crate::skipped_entries::SkippedEntries;
 
 /// Pause between two watches, in which changes add up to one answer: each call
 /// has a price, and changes have seconds to take effect.
@@ -55,6 +55,7 @@
     /// Runs for the life of the process.
     pub async fn run(self) {
         let mut trouble = Trouble::new("backend servers");
+        let mut skipped = SkippedEntries::default();
         let mut forgotten = false;
         let mut outage_ended: Option<Now> = None;
         let mut was_reading = false;
@@ -76,8 +77,8 @@
             }
             let after = own.list_revision;
             let read = match after == 0 || forgotten {
-                true => self.read_whole().await,
-                false => self.watch(after, outage_ended).await,
+                true => self.read_whole(&mut skipped).await,
+                false => self.watch(after, outage_ended, &mut skipped).await,
             };
             self.metrics.directory_called("list", end_of(&read));
             match read {
@@ -111,10 +112,10 @@
     fn tell(&self, read: ListRead) {
         match read {
             ListRead::Same => self.link.list_read(None),
-            ListRead::Whole { revision, replicas } => {
+            ListRead::Whole { revision, listing } => {
                 self.control.tell(GatewayMessage::Replicas {
                     revision,
-                    replicas,
+                    listing,
                     source: SOURCE.to_owned(),
                 });
                 self.link.list_read(None);
@@ -129,19 +130,12 @@
         }
     }
 
-    /// One entry that can't be read must not hide the others.
-    fn warn_of(&self, skipped: &[String]) {
-        for entry in skipped {
-            warn!(self.log, "entry of a backend server left out"; "cause" => entry);
-        }
-    }
-
-    async fn read_whole(&self) -> Result<ListRead, DirectoryError> {
+    async fn read_whole(&self, skipped: &mut SkippedEntries) -> Result<ListRead, DirectoryError> {
         let read = self.directory.replicas().await?;
-        self.warn_of(&read.skipped);
+        skipped.note(&self.log, &self.metrics, &read.skipped);
         Ok(ListRead::Whole {
             revision: read.revision,
-            replicas: read.value,
+            listing: read.value,
         })
     }
 
@@ -149,9 +143,10 @@
         &self,
         after: Revision,
         outage_ended: Option<Now>,
+        skipped: &mut SkippedEntries,
     ) -> Result<ListRead, DirectoryError> {
         let read = self.directory.replicas_after(after, WATCH).await?;
-        self.warn_of(&read.skipped);
+        skipped.note(&self.log, &self.metrics, &read.skipped);
         // What was left out counts as seen, too.
         if read.value.is_empty() && read.skipped.is_empty() {
             return Ok(ListRead::Same);
@@ -176,6 +171,6 @@
     /// The whole list.
     Whole {
         revision: Revision,
-        replicas: Vec<Replica>,
+        listing: Listing,
     },
 }
--- a/crates/daemon/tests/packed.rs
+++ b/crates/daemon/tests/packed.rs
@@ -23,6 +23,7 @@
         revision: 9,
         replicas: (0..count).map(replica).collect(),
         removed: vec!["gone".to_owned()],
+        unusable: vec!["e-x".to_owned()],
         outage_ended_ms: Some(3),
     }
 }
