Believe nothing of a backend server's earlier life once it is back under its id

Cause: beliefs went by the id: failed tries, unreachable, leaving, cold sends, sessions and copies held. The platform now lets a server start again under the id that it had; its start (born) wasn't read. Change: a life is the id with its start; the list's revision orders lives. What the list newly brings begins with nothing believed; peers name the life in what they tell of servers that leave or can't be reached, and late news of another life are dropped. Sessions that were sent to an earlier life are told so and go on elsewhere once they are silent; copies there count no longer. Ruled out: ordering lives by their start (a time of day, which steps); breaking such a session off at once (where the list comes late it may run at the new life: an event of it takes the word back).

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -13,6 +13,7 @@
 use crate::ConfigVersion;
 use crate::FailurePause;
 use crate::GatewayConfig;
+use crate::GatewayTerms;
 use crate::InstanceId;
 use crate::LoadShares;
 use crate::Moving;
@@ -24,7 +25,6 @@
 use crate::Ranking;
 use crate::Refusal;
 use crate::RefusalKind;
-use crate::RegionId;
 use crate::Replica;
 use crate::ReplicaChange;
 use crate::ReplicaList;
@@ -38,13 +38,13 @@
 use crate::ToldLoads;
 use crate::ZoneDigest;
 use crate::ZoneEvacuations;
-use crate::ZoneId;
 use crate::own_shares;
 
 mod carrying;
 mod cold;
 mod engine_watch;
 mod evacuating;
+mod lives;
 mod ranking;
 mod suspecting;
 
@@ -61,33 +61,6 @@
 /// is read again.
 const NOTHING_THERE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Settings of the gateway's decisions.
-#[derive(Clone, Debug)]
-pub struct GatewayTerms {
-    /// Name of this instance.
-    pub instance: InstanceId,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// Further sends that each request earns, over all instances.
-    pub retry_ratio: f64,
-    /// Further sends that may come on top within the operators' window, over
-    /// all instances.
-    pub retry_extra: f64,
-    /// Instances among which the extra is shared at least, for as long as an
-    /// instance does not know how many there are.
-    pub least_sharers: u32,
-    /// Share of an engine's memory up to which new sessions start.
-    pub memory_limit: f64,
-    /// Share of an engine's memory up to which it takes new copies.
-    pub copy_limit: f64,
-    /// Fewest likely tokens of a session that is worth a copy.
-    pub least_copied_tokens: u32,
-    /// The region of each availability zone.
-    pub regions: BTreeMap<ZoneId, RegionId>,
-    /// Seed of every random choice.
-    pub seed: u64,
-}
-
 /// What became of an offered configuration.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ConfigVerdict {
@@ -135,6 +108,7 @@
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: ProvenContents,
+    outlived: Vec<RequestId>,
 }
 
 impl GatewayControl {
@@ -156,6 +130,7 @@
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: ProvenContents::default(),
+            outlived: Vec::new(),
             terms,
         };
         control.share_budget();
@@ -307,6 +282,7 @@
             instances: self.peers.count(),
         };
         let first = first.replica.clone();
+        let life = first.life();
         self.note_send(now, &first.id);
         let backup = self.choose_backup(now, &ask, &first);
         self.budget.earn(&ask.service);
@@ -314,7 +290,9 @@
             ask.request.clone(),
             OwnRun {
                 replica: first.id,
+                life: Some(life),
                 backup: backup.as_ref().map(|replica| replica.id.clone()),
+                backup_life: backup.as_ref().map(Replica::life),
                 ask,
                 generated: 0,
                 has_begun: false,
@@ -334,8 +312,10 @@
     /// ranking.
     pub fn moved(&mut self, now: Now, request: &str, replica: BackendId) {
         self.note_send(now, &replica);
+        let life = self.list.replica(&replica).map(Replica::life);
         if let Some(run) = self.runs.get_mut(request) {
             run.replica = replica;
+            run.life = life;
             run.has_begun = false;
             run.begun_at = None;
         }
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -56,8 +56,10 @@
     /// Counts a session as running where it was: its copy could not be used and
     /// is of no more use.
     pub fn not_carried(&mut self, request: &str, replica: BackendId) {
+        let life = self.list.replica(&replica).map(Replica::life);
         if let Some(run) = self.runs.get_mut(request) {
             run.replica = replica;
+            run.life = life;
             run.backup = None;
         }
     }
@@ -75,7 +77,9 @@
         run.moving = Moving::Stays;
         run.begun_at = None;
         run.replica = replica.id.clone();
+        run.life = Some(replica.life());
         run.backup = next.as_ref().map(|replica| replica.id.clone());
+        run.backup_life = next.as_ref().map(Replica::life);
         Some(CarryTarget {
             replica,
             backup: next,
@@ -131,6 +135,7 @@
     /// an engine that leaves is of no more use.
     pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
         self.confirm_by_list(now);
+        self.welcome_lives();
         self.forget_left();
         self.forget_cold();
         self.pauses
@@ -211,6 +216,7 @@
         run.moving = Moving::Moves;
         // Counts there from now on, so that not all sessions choose the same.
         run.backup = Some(target.id.clone());
+        run.backup_life = Some(target.life());
         Some(Evacuation {
             request: request.to_owned(),
             target,
--- a/crates/core/src/gateway_control/cold.rs
+++ b/crates/core/src/gateway_control/cold.rs
@@ -22,6 +22,13 @@
     last: BTreeMap<BackendId, Now>,
 }
 
+impl ColdSends {
+    /// Drops what was sent to a replica.
+    pub(super) fn forget(&mut self, id: &str) {
+        self.last.remove(id);
+    }
+}
+
 impl GatewayControl {
     /// Whether a replica that bears `per_s` requests a second while it is cold may get
     /// one more of this instance.
--- a/crates/core/src/gateway_control/engine_watch.rs
+++ b/crates/core/src/gateway_control/engine_watch.rs
@@ -49,6 +49,15 @@
 }
 
 impl EngineWatch {
+    /// Drops what is known of a replica.
+    pub(super) fn forget(&mut self, id: &str) {
+        self.said_leaving.remove(id);
+        self.heard_leaving.remove(id);
+        self.looked_at.remove(id);
+        self.unreachable_until.remove(id);
+        self.found_unreachable.remove(id);
+    }
+
     /// Whether a replica could not be reached lately.
     pub(super) fn is_unreachable(&self, now: Now, id: &str) -> bool {
         let until = self.unreachable_until.get(id);
--- a/crates/core/src/gateway_control/suspecting.rs
+++ b/crates/core/src/gateway_control/suspecting.rs
@@ -14,6 +14,7 @@
 use crate::Replica;
 use crate::RequestId;
 use crate::ServerEnd;
+use crate::ServerLife;
 use crate::SuspicionNews;
 use crate::ToldSuspect;
 use crate::Verdict;
@@ -79,9 +80,9 @@
         }
     }
 
-    /// Notes that nothing listens any more where a replica was.
-    pub fn server_ended(&mut self, now: Now, replica: &str) {
-        self.confirm(now, |_, broken| broken.replica == replica);
+    /// Notes that nothing listens any more where a backend server was.
+    pub fn server_ended(&mut self, now: Now, server: &ServerLife) {
+        self.confirm(now, |_, broken| broken.life == server.life);
     }
 
     /// Looks whether the list tells of an end that broken runs wait for.
--- a/crates/core/src/placement_ask.rs
+++ b/crates/core/src/placement_ask.rs
@@ -67,6 +67,8 @@
 pub enum SessionSignal {
     /// Its engine is leaving and no usable copy exists: move to this engine.
     MoveTo(Replica),
+    /// Its engine has started anew since it was sent there, and knows nothing of it.
+    EngineBegunAnew,
     /// Backend servers end under requests like it, and it has not begun: end it.
     Withdraw,
 }
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -35,7 +35,24 @@
     pub warm_up: Duration,
 }
 
+/// A backend server in one of its lives.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServerLife {
+    /// Its name.
+    pub id: BackendId,
+    /// Which life.
+    pub life: LifeId,
+}
+
 impl Replica {
+    /// This life of it, for news about it.
+    pub fn server_life(&self) -> ServerLife {
+        ServerLife {
+            id: self.id.clone(),
+            life: self.life(),
+        }
+    }
+
     /// Identifies this life of it.
     pub fn life(&self) -> LifeId {
         let born = self.born_ms.map_or(String::new(), |born| born.to_string());
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -112,6 +112,8 @@
     said_leaving: BTreeSet<BackendId>,
     /// Ids whose entry is there and can't be used.
     unusable: BTreeSet<BackendId>,
+    /// Replicas that are new here or have begun another life.
+    begun: Vec<BackendId>,
 }
 
 impl ReplicaList {
@@ -236,6 +238,11 @@
         self.outage_ended = self.outage_ended.max(Some(at));
     }
 
+    /// Replicas that are new here or have begun another life since this was asked last.
+    pub fn take_begun(&mut self) -> Vec<BackendId> {
+        std::mem::take(&mut self.begun)
+    }
+
     /// Whether entries may be missing, or stand for servers that are gone, because of
     /// an outage that has just ended.
     pub fn is_settling(&self, now: Now) -> bool {
@@ -307,6 +314,11 @@
 
     /// An entry that is read again as it was does not begin to be cold anew.
     fn insert(&mut self, now: Now, replica: Replica) {
+        let life = self.lines.get(&replica.id).map(|line| line.replica.life());
+        if life != Some(replica.life()) {
+            self.said_leaving.remove(&replica.id);
+            self.begun.push(replica.id.clone());
+        }
         let known = self.lines.get(&replica.id);
         let known = known.filter(|line| line.replica == replica);
         let as_before = known.filter(|line| line.lapses_at.is_none());
--- a/crates/core/src/replica_view.rs
+++ b/crates/core/src/replica_view.rs
@@ -7,6 +7,7 @@
 use crate::BackendId;
 use crate::EngineTraits;
 use crate::FailurePause;
+use crate::LifeId;
 use crate::LoadShare;
 use crate::LoadShares;
 use crate::Now;
@@ -67,8 +68,12 @@
 pub struct OwnRun {
     /// The replica that runs it.
     pub replica: BackendId,
+    /// Its life when it was sent there; `None` where it wasn't listed.
+    pub life: Option<LifeId>,
     /// The engine that keeps a copy.
     pub backup: Option<BackendId>,
+    /// The life of that engine when it was chosen.
+    pub backup_life: Option<LifeId>,
     /// What it asked for.
     pub ask: PlacementAsk,
     /// Tokens that came out.
--- a/crates/core/tests/gateway_ending.rs
+++ b/crates/core/tests/gateway_ending.rs
@@ -45,7 +45,7 @@
     let ranking = control.place(now, again(request)).unwrap();
     let replica = &ranking.replicas[0];
     control.broke_off(now + ms(100), request, replica);
-    control.server_ended(now + ms(102), &replica.id);
+    control.server_ended(now + ms(102), &replica.server_life());
     control.ended(now + ms(102), request, RunEnd::Failed);
     replica.id.clone()
 }
@@ -115,7 +115,7 @@
         let ranking = control.place(now, again(&request)).unwrap();
         control.progress(now + ms(50), &request, 4);
         control.broke_off(now + ms(1_100), &request, &ranking.replicas[0]);
-        control.server_ended(now + ms(1_100), &ranking.replicas[0].id);
+        control.server_ended(now + ms(1_100), &ranking.replicas[0].server_life());
         control.ended(now + ms(1_100), &request, RunEnd::Failed);
     }
     assert_eq!(refusal(&mut control, NOW + ms(9_000)), None);
@@ -145,7 +145,7 @@
         let leaves = ReplicaChange::Listed(leaving(&replica.id, "z1"));
         control.change_replicas(now, 2 + number, vec![leaves]);
         control.broke_off(now + ms(400), &request, &replica);
-        control.server_ended(now + ms(400), &replica.id);
+        control.server_ended(now + ms(400), &replica.server_life());
     }
     assert_eq!(refusal(&mut control, NOW + ms(5_000)), None);
 }
@@ -231,7 +231,7 @@
             }
         }
         control.broke_off(now + ms(100), &format!("end-{number}"), replica);
-        control.server_ended(now + ms(101), &replica.id);
+        control.server_ended(now + ms(101), &replica.server_life());
     }
     assert_eq!(
         refusal(&mut control, NOW + ms(5_000)),
--- a/crates/daemon/src/engine_watch.rs
+++ b/crates/daemon/src/engine_watch.rs
@@ -43,7 +43,7 @@
 async fn ask(app: &GatewayApp, engine: Replica) {
     match app.mover.is_leaving(engine.address).await {
         Ok(true) => app.control.tell(GatewayMessage::Leaves {
-            replica: engine.id,
+            replica: engine.server_life(),
             source: None,
         }),
         Ok(false) => {}
@@ -55,7 +55,7 @@
 
 async fn look(app: &GatewayApp, engine: Replica) -> Door {
     let door = door_at(engine.address).await;
-    let replica = engine.id;
+    let replica = engine.server_life();
     if door == Door::Closed {
         app.control.tell(GatewayMessage::ServerEnded {
             replica: replica.clone(),
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -17,6 +17,7 @@
 use iristhread_core::Replica;
 use iristhread_core::RequestId;
 use iristhread_core::RunEnd;
+use iristhread_core::ServerLife;
 use iristhread_core::SessionSignal;
 use iristhread_core::ToldEvacuations;
 use iristhread_core::ToldList;
@@ -42,9 +43,9 @@
     /// What its whole zone has put on them, if it is a relay.
     pub digest: Option<ZoneDigest>,
     /// Replicas that told it lately that they leave.
-    pub said_leaving: Vec<BackendId>,
+    pub said_leaving: Vec<ServerLife>,
     /// Replicas that took no connection of it lately.
-    pub unreachable: Vec<BackendId>,
+    pub unreachable: Vec<ServerLife>,
     /// The evacuated zones.
     pub evacuations: ToldEvacuations,
     /// Contents that are suspected to end backend servers; none where the state is not
@@ -141,7 +142,7 @@
     /// Nothing listens any more where a replica was.
     ServerEnded {
         /// The replica.
-        replica: BackendId,
+        replica: ServerLife,
     },
     /// A peer tells which contents it suspects to end backend servers.
     SuspectsHeard {
@@ -206,29 +207,29 @@
     /// A replica says that it leaves.
     Leaves {
         /// The replica.
-        replica: BackendId,
+        replica: ServerLife,
         /// The peer that it was said to, `None` for this instance.
         source: Option<String>,
     },
     /// A replica takes no connection.
     Unreachable {
         /// The replica.
-        replica: BackendId,
+        replica: ServerLife,
     },
     /// A replica took no connection for a request, which goes on elsewhere.
     NotConnected {
         /// The replica.
-        replica: BackendId,
+        replica: ServerLife,
     },
     /// A replica takes no connection of a peer of this zone.
     HeardUnreachable {
         /// The replica.
-        replica: BackendId,
+        replica: ServerLife,
     },
     /// A replica failed a try; the request goes on elsewhere.
     Failed {
         /// The replica.
-        replica: BackendId,
+        replica: ServerLife,
     },
     /// A request is over.
     Ended {
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -129,6 +129,7 @@
                     Some(message) => {
                         self.take(message);
                         self.tell_suspicions();
+                        self.tell_outlived();
                     }
                     None => return,
                 },
@@ -195,25 +196,24 @@
             GatewayMessage::EngineChecks { reply } => {
                 let _ = reply.send(self.control.engine_checks(now));
             }
-            GatewayMessage::Leaves { replica, source } => self.leaves(&replica, source),
-            GatewayMessage::Unreachable { replica } => {
-                info!(self.log, "backend server can't be reached";
-                    "backend_server" => &replica,
-                    "list_revision" => self.control.list().revision());
-                self.takes_no_connection(&replica);
-                self.control.unreachable(now, &replica);
+            GatewayMessage::Leaves { replica, source } => {
+                if self.is_current(&replica) {
+                    self.leaves(&replica.id, source);
+                }
             }
+            GatewayMessage::Unreachable { replica } => self.unreachable(&replica),
             GatewayMessage::NotConnected { replica } => {
-                self.takes_no_connection(&replica);
-                self.control.failed(now, &replica);
+                if self.is_current(&replica) {
+                    self.takes_no_connection(&replica.id);
+                    self.control.failed(now, &replica.id);
+                }
             }
             GatewayMessage::HeardUnreachable { replica } => {
-                self.control.hear_unreachable(now, &replica);
-            }
-            GatewayMessage::Failed { replica } => {
-                info!(self.log, "backend server failed a try"; "backend_server" => &replica);
-                self.control.failed(now, &replica);
+                if self.is_current(&replica) {
+                    self.control.hear_unreachable(now, &replica.id);
+                }
             }
+            GatewayMessage::Failed { replica } => self.failed(&replica),
             GatewayMessage::NotCarried { request, replica } => {
                 self.control.not_carried(&request, replica);
             }
@@ -368,14 +368,15 @@
             Audience::Own => Vec::new(),
             Audience::Peers { .. } => self.control.told_suspects(now),
         };
+        let control = &self.control;
         OwnState {
             suspects,
             config_version: self.control.config_version(),
             list_revision: self.control.list().revision(),
             shares: self.control.shares(),
             digest: is_relay.then(|| self.control.digest()),
-            said_leaving: self.control.said_leaving(now, is_relay),
-            unreachable: self.control.found_unreachable(now),
+            said_leaving: control.lives_of(control.said_leaving(now, is_relay)),
+            unreachable: control.lives_of(control.found_unreachable(now)),
             evacuations: self.control.evacuations().told(),
         }
     }
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -7,6 +7,7 @@
 use iristhread_core::EvacuationChange;
 use iristhread_core::EvacuationNews;
 use iristhread_core::Fingerprint;
+use iristhread_core::ServerLife;
 use iristhread_core::SessionSignal;
 use iristhread_core::SuspicionNews;
 use slog::debug;
@@ -60,6 +61,46 @@
         self.evacuate(evacuations);
     }
 
+    /// Late news of an earlier life speak of nothing that is there now.
+    pub(super) fn is_current(&self, server: &ServerLife) -> bool {
+        let is_current = self.control.is_current(server);
+        if !is_current {
+            debug!(self.log, "news of an earlier life of a backend server";
+                "backend_server" => &server.id);
+        }
+        is_current
+    }
+
+    pub(super) fn unreachable(&mut self, server: &ServerLife) {
+        if !self.is_current(server) {
+            return;
+        }
+        info!(self.log, "backend server can't be reached";
+            "backend_server" => &server.id,
+            "list_revision" => self.control.list().revision());
+        self.takes_no_connection(&server.id);
+        self.control.unreachable(self.clock.now(), &server.id);
+    }
+
+    pub(super) fn failed(&mut self, server: &ServerLife) {
+        if !self.is_current(server) {
+            return;
+        }
+        info!(self.log, "backend server failed a try"; "backend_server" => &server.id);
+        self.control.failed(self.clock.now(), &server.id);
+    }
+
+    /// Sessions are not looked for at engines that have started anew.
+    pub(super) fn tell_outlived(&mut self) {
+        for request in self.control.take_outlived() {
+            info!(self.log, "engine of a request has started anew"; "request" => &request);
+            if let Some(signals) = self.signals.get(&request) {
+                // It may have ended in the meantime.
+                let _ = signals.send(SessionSignal::EngineBegunAnew);
+            }
+        }
+    }
+
     pub(super) fn takes_no_connection(&mut self, replica: &str) {
         let now = self.clock.now();
         if self.control.takes_no_connection(now, replica) {
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use iristhread_core::BackendId;
 use iristhread_core::ConfigVersion;
 use iristhread_core::Incarnation;
 use iristhread_core::InstanceId;
 use iristhread_core::Keyring;
 use iristhread_core::LoadShares;
 use iristhread_core::ReplicaChange;
+use iristhread_core::ServerLife;
 use iristhread_core::ToldEvacuations;
 use iristhread_core::ToldSuspect;
 use iristhread_core::ZoneDigest;
@@ -93,9 +93,9 @@
     /// What its whole zone has put on them, from a relay to other zones.
     pub digest: Option<ZoneDigest>,
     /// Backend servers that told it lately that they leave.
-    pub said_leaving: Vec<BackendId>,
+    pub said_leaving: Vec<ServerLife>,
     /// Backend servers that took no connection of it lately.
-    pub unreachable: Vec<BackendId>,
+    pub unreachable: Vec<ServerLife>,
     /// The zones that are evacuated.
     pub evacuations: ToldEvacuations,
     /// Contents of requests that it suspects to end backend servers.
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -120,7 +120,7 @@
     let (result, answer) = judged(exchange, replica, sent, by).await;
     if matches!(result, SendResult::Lost | SendResult::NotConnected) && !is_evacuated {
         exchange.app.control.tell(GatewayMessage::Failed {
-            replica: replica.id.clone(),
+            replica: replica.server_life(),
         });
     }
     (result, answer)
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/stream_call.rs
@@ -117,7 +117,7 @@
                     "request" => &exchange.head.request,
                     "backend_server" => &replica.id, "cause" => why);
                 app.control.tell(GatewayMessage::NotConnected {
-                    replica: replica.id.clone(),
+                    replica: replica.server_life(),
                 });
                 SendResult::NotConnected
             }
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -105,6 +105,8 @@
     begun: u32,
     moving: Option<SessionMove>,
     tried: Vec<BackendId>,
+    /// Whether the engine is said to have started anew since it was sent there.
+    engine_begun_anew: bool,
     /// Whether it was said that the engine is waited for.
     waits_for_engine: bool,
 }
@@ -139,6 +141,7 @@
             begun: 1,
             moving: None,
             tried: Vec::new(),
+            engine_begun_anew: false,
             waits_for_engine: false,
         };
         (relay, ReceiverStream::new(pieces))
@@ -221,6 +224,8 @@
     fn measure(&mut self, now: Now, had: u32) {
         self.heard_at = now;
         self.waits_for_engine = false;
+        // Whoever goes on with it has not forgotten it: the list came late.
+        self.engine_begun_anew = false;
         if had == 0 {
             let took = now - self.exchange.arrived;
             self.first_event_took = Some(took);
@@ -242,6 +247,9 @@
     /// go on with it.
     async fn look_at_engine(&mut self) -> Step {
         self.heard_at = self.exchange.app.clock.now();
+        if self.engine_begun_anew {
+            return Step::Broken("its engine has started anew");
+        }
         match door_at(self.replica.address).await {
             Door::Open => Step::Continue,
             Door::Closed | Door::Silent => Step::Unreachable,
@@ -251,6 +259,7 @@
     fn signalled(&mut self, signal: SessionSignal) -> Step {
         match signal {
             SessionSignal::MoveTo(target) if self.moving.is_none() => self.move_to(target),
+            SessionSignal::EngineBegunAnew => self.engine_begun_anew = true,
             SessionSignal::Withdraw if self.events == 0 => return Step::Withdrawn,
             SessionSignal::MoveTo(_) | SessionSignal::Withdraw => {}
         }
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -136,7 +136,7 @@
         let request = self.exchange.head.request.clone();
         let control = &self.exchange.app.control;
         control.tell(GatewayMessage::Failed {
-            replica: self.replica.id.clone(),
+            replica: self.replica.server_life(),
         });
         let asked = control.ask(|reply| GatewayMessage::Carry { request, reply });
         let Some(target) = asked.await.flatten() else {
@@ -344,7 +344,7 @@
             Sent::Answer(answer) => (format!("status {}", answer.status), Resumed::Lost),
             Sent::NotConnected(cause) => {
                 app.control.tell(GatewayMessage::Failed {
-                    replica: target.replica.id.clone(),
+                    replica: target.replica.server_life(),
                 });
                 (cause, Resumed::NotRun)
             }
@@ -381,6 +381,7 @@
         self.order.resume();
         self.heard_at = app.clock.now();
         self.events_here = 0;
+        self.engine_begun_anew = false;
         self.carried += 1;
         if target_is_new {
             self.tried.clear();
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -6,6 +6,7 @@
 
 use iristhread_core::Keyring;
 use iristhread_core::LoadShare;
+use iristhread_core::ServerLife;
 use iristhread_core::ZoneDigest;
 use iristhread_daemon::Datagram;
 use iristhread_daemon::Heartbeat;
@@ -20,6 +21,13 @@
     Keyring::from_hex(&[String::from(digit).repeat(64)]).unwrap()
 }
 
+fn server(id: &str) -> ServerLife {
+    ServerLife {
+        id: id.to_owned(),
+        life: 7,
+    }
+}
+
 fn heartbeat(sequence: u64, engines: u32) -> Heartbeat {
     let share = LoadShare {
         requests: 2,
@@ -48,9 +56,9 @@
             instances: 59,
             shares,
         }),
-        said_leaving: vec!["i-9".to_owned()],
+        said_leaving: vec![server("i-9")],
         evacuations: iristhread_core::ToldEvacuations::default(),
-        unreachable: vec!["i-8".to_owned()],
+        unreachable: vec![server("i-8")],
         suspects: Vec::new(),
         news: Vec::new(),
     }
