--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -27,6 +27,7 @@
 use tokio::sync::watch;
 
 use crate::clock::Clock;
+use crate::clock::SuspensionWatch;
 use crate::control_sender::ControlSender;
 use crate::directory::Revision;
 use crate::gateway_message::Audience;
@@ -95,6 +96,7 @@
         evacuations,
         metrics,
         news,
+        suspensions: SuspensionWatch::new(clock),
     };
     std::thread::Builder::new()
         .name("control".to_owned())
@@ -117,6 +119,7 @@
     evacuations: watch::Sender<ZoneEvacuations>,
     metrics: Arc<GatewayMetrics>,
     news: Arc<Notify>,
+    suspensions: SuspensionWatch,
 }
 
 impl GatewayThread {
@@ -267,6 +270,7 @@
     }
 
     fn tick(&mut self) {
+        self.notice_suspension();
         let ticked = self.control.tick(self.clock.now());
         for instance in ticked.silent {
             warn!(self.log, "peer fell silent"; "peer" => instance);
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -12,6 +12,7 @@
 use iristhread_core::SuspicionNews;
 use slog::debug;
 use slog::info;
+use slog::warn;
 
 use super::GatewayThread;
 use crate::heartbeat::ListNews;
@@ -61,6 +62,15 @@
         self.evacuate(evacuations);
     }
 
+    /// All ages have gone on meanwhile; the others should be heard and told soon.
+    pub(super) fn notice_suspension(&mut self) {
+        if let Some(time) = self.suspensions.suspended_for() {
+            warn!(self.log, "the machine was suspended";
+                "suspended_ms" => time.as_millis() as u64);
+            self.news.notify_one();
+        }
+    }
+
     /// Late news of an earlier life speak of nothing that is there now.
     pub(super) fn is_current(&self, server: &ServerLife) -> bool {
         let is_current = self.control.is_current(server);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -73,6 +73,9 @@
 mod view;
 mod whole_lines;
 
+pub use clock::Clock;
+pub use clock::ClockSource;
+pub use clock::SuspensionWatch;
 pub use daemon::Daemon;
 pub use daemon::DaemonError;
 pub use daemon::ListenAddresses;
