--- a/crates/core/src/gateway_control/suspecting.rs
+++ b/crates/core/src/gateway_control/suspecting.rs
@@ -150,6 +150,11 @@
         self.suspicions.count()
     }
 
+    /// Contents that are quarantined.
+    pub fn quarantined(&self) -> usize {
+        self.suspicions.quarantined()
+    }
+
     /// Notes that a request ran well.
     pub(super) fn ran_well(&mut self, now: Now, fingerprint: Fingerprint) {
         self.proven.note(now, fingerprint);
--- a/crates/core/src/suspicions.rs
+++ b/crates/core/src/suspicions.rs
@@ -254,6 +254,14 @@
         suspects.filter(|(_, s)| !s.ends().is_empty()).count()
     }
 
+    /// How many contents are quarantined.
+    pub fn quarantined(&self) -> usize {
+        let contents = self.suspects().map(|(fingerprint, _)| fingerprint);
+        contents
+            .filter(|content| self.verdict(*content) != Verdict::Free)
+            .count()
+    }
+
     /// Forgets what is old.
     pub fn expire(&mut self, now: Now) {
         for contents in self.workspaces.values_mut() {
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -58,6 +58,7 @@
     evacuated_zones: Gauge,
     server_ends: Counter,
     suspects: Gauge,
+    quarantined: Gauge,
     skipped_entries: Counter,
 }
 
@@ -85,6 +86,7 @@
             evacuated_zones: Gauge::default(),
             server_ends: Counter::default(),
             suspects: Gauge::default(),
+            quarantined: Gauge::default(),
             skipped_entries: Counter::default(),
         };
         metrics.register();
@@ -143,6 +145,8 @@
         r.register("server_ends", "Servers that ended under a request", ends);
         let suspects = self.suspects.clone();
         r.register("suspects", "Contents under which servers ended", suspects);
+        let quarantined = self.quarantined.clone();
+        r.register("quarantined", "Contents that are refused", quarantined);
         let skipped = self.skipped_entries.clone();
         r.register("skipped_entries", "Entries that can't be used", skipped);
     }
@@ -231,9 +235,12 @@
         self.skipped_entries.inc();
     }
 
-    /// So many contents of requests are suspected to end backend servers.
-    pub fn suspects(&self, count: usize) {
-        self.suspects.set(i64::try_from(count).unwrap_or(i64::MAX));
+    /// So many contents of requests are suspected to end backend servers, and so many of
+    /// these are quarantined.
+    pub fn suspects(&self, suspected: usize, quarantined: usize) {
+        let signed = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.suspects.set(signed(suspected));
+        self.quarantined.set(signed(quarantined));
     }
 
     /// What this instance knows and has under way.
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -280,7 +280,8 @@
         let (version, revision) = (control.config_version(), control.list().revision());
         self.metrics
             .state(version, revision, control.peers(), control.running());
-        self.metrics.suspects(control.suspected());
+        self.metrics
+            .suspects(control.suspected(), control.quarantined());
     }
 
     fn place(
