Name connections, probes and orphaned sessions as other projects do

Reading the diff as a newcomer: a door, a trier and outlived sessions are names of our own; what a connection meets, a probe after a quarantine and orphaned sessions are the field's.

--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -108,7 +108,7 @@
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: ProvenContents,
-    outlived: Vec<RequestId>,
+    orphaned: Vec<RequestId>,
 }
 
 impl GatewayControl {
@@ -130,7 +130,7 @@
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: ProvenContents::default(),
-            outlived: Vec::new(),
+            orphaned: Vec::new(),
             terms,
         };
         control.share_budget();
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -135,7 +135,7 @@
     /// an engine that leaves is of no more use.
     pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
         self.confirm_by_list(now);
-        self.welcome_lives();
+        self.reset_new_lives();
         self.forget_left();
         self.forget_cold();
         self.pauses
--- a/crates/core/src/gateway_control/lives.rs
+++ b/crates/core/src/gateway_control/lives.rs
@@ -24,22 +24,22 @@
 
     /// Sessions of this instance whose engine has started anew since they were sent
     /// there, each once.
-    pub fn take_outlived(&mut self) -> Vec<RequestId> {
-        std::mem::take(&mut self.outlived)
+    pub fn take_orphaned(&mut self) -> Vec<RequestId> {
+        std::mem::take(&mut self.orphaned)
     }
 
     /// Begins with nothing believed of the lives that the list has newly brought.
-    pub(super) fn welcome_lives(&mut self) {
+    pub(super) fn reset_new_lives(&mut self) {
         for id in self.list.take_begun() {
             self.pauses.remove(&id);
             self.watch.forget(&id);
             self.cold_sends.forget(&id);
-            self.outlive(&id);
+            self.orphan_runs_of(&id);
         }
     }
 
     /// Sessions and copies that an earlier life held are gone with it.
-    fn outlive(&mut self, id: &str) {
+    fn orphan_runs_of(&mut self, id: &str) {
         let Some(life) = self.list.replica(id).map(|replica| replica.life()) else {
             return;
         };
@@ -50,7 +50,7 @@
             }
             if run.replica == id && run.life.is_some_and(|known| known != life) {
                 run.life = Some(life);
-                self.outlived.push(request.clone());
+                self.orphaned.push(request.clone());
             }
         }
     }
--- a/crates/core/src/gateway_control/suspecting.rs
+++ b/crates/core/src/gateway_control/suspecting.rs
@@ -1,4 +1,4 @@
-//! Requests that end the backend servers that run them: which ends are put down to which
+//! Requests that end the backend servers that run them: which ends are attributed to which
 //! request, and what is sent no more.
 
 use std::time::Duration;
@@ -27,8 +27,8 @@
 /// Broken runs that wait for it: all of an instance's when an availability zone goes.
 const MOST_UNCONFIRMED: usize = 1_024;
 
-/// Time in which a request that is tried after its quarantine should end or go on well.
-const TRIAL: Duration = Duration::from_secs(10);
+/// Time in which a request that is sent as a probe should end or go on well.
+const PROBE: Duration = Duration::from_secs(10);
 
 /// A run that broke off; its server may have ended.
 #[derive(Clone, Debug)]
@@ -43,8 +43,8 @@
 #[derive(Debug, Default)]
 pub(super) struct BrokenRuns {
     unconfirmed: Vec<BrokenRun>,
-    /// The content that is tried after its quarantine, and until when.
-    trial: Option<(Fingerprint, Now)>,
+    /// The content that is probed after its quarantine, and until when.
+    probe: Option<(Fingerprint, Now)>,
 }
 
 impl GatewayControl {
@@ -66,7 +66,7 @@
         let listed = self.list.replica(&replica.id);
         if listed.is_some_and(|listed| listed.life() != broken.life) {
             // It is back already.
-            return self.put_down(now, &broken);
+            return self.attribute(now, &broken);
         }
         if self.list.state(&replica.id).is_leaving() {
             return;
@@ -103,11 +103,11 @@
             .partition(|broken| is_confirmed(self, broken));
         self.broken_runs.unconfirmed = open;
         for broken in &ended {
-            self.put_down(now, broken);
+            self.attribute(now, broken);
         }
     }
 
-    fn put_down(&mut self, now: Now, broken: &BrokenRun) {
+    fn attribute(&mut self, now: Now, broken: &BrokenRun) {
         let end = ServerEnd {
             life: broken.life,
             at: broken.at,
@@ -169,8 +169,8 @@
         run.is_proven || self.suspicions.verdict(run.ask.fingerprint) == Verdict::Free
     }
 
-    /// Refuses a request whose content is quarantined. After its quarantine it is tried
-    /// once, by one instance of all.
+    /// Refuses a request whose content is quarantined. After its quarantine one
+    /// instance of all sends it once, as a probe.
     pub(super) fn check_quarantine(
         &mut self,
         now: Now,
@@ -179,17 +179,17 @@
         let Verdict::Quarantined { ends, until } = self.suspicions.verdict(fingerprint) else {
             return Ok(());
         };
-        let is_tried = self.broken_runs.trial.is_some_and(|(_, until)| now < until);
-        if now >= until && !is_tried && self.is_trier(fingerprint) {
-            self.broken_runs.trial = Some((fingerprint, now + TRIAL));
+        let is_probed = self.broken_runs.probe.is_some_and(|(_, until)| now < until);
+        if now >= until && !is_probed && self.probes(fingerprint) {
+            self.broken_runs.probe = Some((fingerprint, now + PROBE));
             return Ok(());
         }
         Err(Refusal::quarantined(ends, until.saturating_sub(now)))
     }
 
-    /// Whether this is the instance that tries a content: all that hear each other agree
-    /// on one, and one that is cut off from the other zones tries none.
-    fn is_trier(&self, fingerprint: Fingerprint) -> bool {
+    /// Whether this is the instance that probes a content: all that hear each other agree
+    /// on one, and one that is cut off from the other zones probes none.
+    fn probes(&self, fingerprint: Fingerprint) -> bool {
         let topic = format!("{:032x}", fingerprint.content);
         let own = &self.terms.zone;
         let zones = self.terms.regions.keys().map(String::as_str);
--- a/crates/core/tests/gateway_ending.rs
+++ b/crates/core/tests/gateway_ending.rs
@@ -164,7 +164,7 @@
     Back,
 }
 
-/// Nobody saw a closed door: the engine was cut off, or this instance stood still.
+/// Nobody saw a refused connection: the engine was cut off, or this instance stood still.
 #[test_case(Listed::Removed, false; "its entry goes")]
 #[test_case(Listed::Back, false; "it is back under its id")]
 #[test_case(Listed::Back, true; "it is back before the break is seen")]
@@ -309,9 +309,9 @@
         .iter_mut()
         .map(|control| refusal(control, after + ms(50)));
     assert_eq!(refused.flatten().count(), 4, "it tries one");
-    let trier = fleet.iter().position(|c| c.running() > 0).unwrap();
-    fleet[trier].ended(after + ms(900), "one more", RunEnd::Answered);
-    let cleared = fleet[trier].told_suspects(after + ms(900));
+    let prober = fleet.iter().position(|c| c.running() > 0).unwrap();
+    fleet[prober].ended(after + ms(900), "one more", RunEnd::Answered);
+    let cleared = fleet[prober].told_suspects(after + ms(900));
     for control in &mut fleet {
         control.hear_suspects(after + ms(910), &cleared);
         assert_eq!(refusal(control, after + ms(920)), None);
--- a/crates/core/tests/gateway_lives.rs
+++ b/crates/core/tests/gateway_lives.rs
@@ -160,10 +160,10 @@
     let mut control = one_engine();
     control.place(NOW, ask("running")).unwrap();
     is_back(&mut control, News::Written, 1);
-    assert!(control.take_outlived().is_empty());
+    assert!(control.take_orphaned().is_empty());
     is_back(&mut control, news, 2);
-    assert_eq!(control.take_outlived(), ["running"]);
-    assert!(control.take_outlived().is_empty(), "told once");
+    assert_eq!(control.take_orphaned(), ["running"]);
+    assert!(control.take_orphaned().is_empty(), "told once");
 }
 
 #[test]
@@ -176,7 +176,7 @@
     control.change_replicas(NOW, 3, vec![ReplicaChange::Listed(back)]);
     assert!(control.carry(NOW, "running").is_none());
     assert!(
-        control.take_outlived().is_empty(),
+        control.take_orphaned().is_empty(),
         "the session runs elsewhere"
     );
 }
--- a/crates/daemon/src/engine_watch.rs
+++ b/crates/daemon/src/engine_watch.rs
@@ -53,18 +53,18 @@
     }
 }
 
-async fn look(app: &GatewayApp, engine: Replica) -> Door {
-    let door = door_at(engine.address).await;
+async fn look(app: &GatewayApp, engine: Replica) -> Reach {
+    let reach = reach_of(engine.address).await;
     let replica = engine.server_life();
-    if door == Door::Closed {
+    if reach == Reach::Refuses {
         app.control.tell(GatewayMessage::ServerEnded {
             replica: replica.clone(),
         });
     }
-    if door != Door::Open {
+    if reach != Reach::Accepts {
         app.control.tell(GatewayMessage::Unreachable { replica });
     }
-    door
+    reach
 }
 
 /// Notes that a request broke off at a backend server and looks whether that has ended:
@@ -74,7 +74,7 @@
         request: request.to_owned(),
         replica: server.clone(),
     });
-    if look(app, server.clone()).await == Door::Open {
+    if look(app, server.clone()).await == Reach::Accepts {
         let (app, server) = (app.clone(), server.clone());
         tokio::spawn(async move {
             tokio::time::sleep(SECOND_LOOK).await;
@@ -86,31 +86,31 @@
 /// Whether nothing listens any more where a backend server was. One that ends may close
 /// its connections first: where that matters, it is looked at once more.
 pub async fn has_ended(address: SocketAddr, looks_again: bool) -> bool {
-    let mut door = door_at(address).await;
-    if door == Door::Open && looks_again {
+    let mut reach = reach_of(address).await;
+    if reach == Reach::Accepts && looks_again {
         tokio::time::sleep(SECOND_LOOK).await;
-        door = door_at(address).await;
+        reach = reach_of(address).await;
     }
-    door == Door::Closed
+    reach == Reach::Refuses
 }
 
-/// What stands at an address.
+/// What a connection to an address meets.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Door {
-    /// Something takes connections.
-    Open,
-    /// Nothing listens there: whatever did has ended.
-    Closed,
+pub enum Reach {
+    /// Something accepts it.
+    Accepts,
+    /// It is refused: whatever listened there has ended.
+    Refuses,
     /// No answer in the time that a live engine needs.
     Silent,
 }
 
 /// Looks whether something takes a connection at an address.
-pub async fn door_at(address: SocketAddr) -> Door {
+pub async fn reach_of(address: SocketAddr) -> Reach {
     let connect = tokio::net::TcpStream::connect(address);
     match tokio::time::timeout(LOOK_TIMEOUT, connect).await {
-        Ok(Ok(_)) => Door::Open,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Door::Closed,
-        Ok(Err(_)) | Err(_) => Door::Silent,
+        Ok(Ok(_)) => Reach::Accepts,
+        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Reach::Refuses,
+        Ok(Err(_)) | Err(_) => Reach::Silent,
     }
 }
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -132,7 +132,7 @@
                     Some(message) => {
                         self.take(message);
                         self.tell_suspicions();
-                        self.tell_outlived();
+                        self.tell_orphaned();
                     }
                     None => return,
                 },
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -101,8 +101,8 @@
     }
 
     /// Sessions are not looked for at engines that have started anew.
-    pub(super) fn tell_outlived(&mut self) {
-        for request in self.control.take_outlived() {
+    pub(super) fn tell_orphaned(&mut self) {
+        for request in self.control.take_orphaned() {
             info!(self.log, "engine of a request has started anew"; "request" => &request);
             if let Some(signals) = self.signals.get(&request) {
                 // It may have ended in the meantime.
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -21,8 +21,8 @@
 use tokio::time::sleep_until;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::engine_watch::Door;
-use crate::engine_watch::door_at;
+use crate::engine_watch::Reach;
+use crate::engine_watch::reach_of;
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Exchange;
 use crate::exchange::RunGuard;
@@ -250,9 +250,9 @@
         if self.engine_begun_anew {
             return Step::Broken("its engine has started anew");
         }
-        match door_at(self.replica.address).await {
-            Door::Open => Step::Continue,
-            Door::Closed | Door::Silent => Step::Unreachable,
+        match reach_of(self.replica.address).await {
+            Reach::Accepts => Step::Continue,
+            Reach::Refuses | Reach::Silent => Step::Unreachable,
         }
     }
 
