Show in logs and metrics what answers say of their servers

Ruled out: nothing yet; this changes no decision.

Change: answers' heads are read for both words (platform/ decodes the names, core weighs the odd times: missing, 0, past any number, unreadable); a line 'answer tells of its backend server', the counter notices, and the server in 'call ended'.

--- a/crates/daemon/src/dialect.rs
+++ b/crates/daemon/src/dialect.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use iristhread_core::BackendId;
 use iristhread_core::RequestId;
+use iristhread_core::ServerNotice;
 use thiserror::Error;
 
 /// What the head of a caller's request says.
@@ -106,6 +107,8 @@
     pub is_stamped: bool,
     /// Whether the backend server says that it did not run the request.
     pub is_not_run: bool,
+    /// What it says of the backend server itself.
+    pub notice: ServerNotice,
 }
 
 /// Translates between headers and the product's types. Decides nothing.
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -39,6 +39,7 @@
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::Placed;
 use crate::gateway_message::SendAgain;
+use crate::notice;
 use crate::patience;
 
 /// Advice while the process stops: the balancer knows another instance.
@@ -253,7 +254,7 @@
             None => Sent::TimedOut,
             Some(Err(HttpClientError::Connect { cause, .. })) => Sent::NotConnected(cause),
             Some(Err(error)) => Sent::Lost(error.to_string()),
-            Some(Ok(response)) => self.checked(response),
+            Some(Ok(response)) => self.checked(replica, response),
         }
     }
 
@@ -273,9 +274,11 @@
         Ok(request)
     }
 
-    fn checked(&self, response: http::Response<Incoming>) -> Sent {
+    fn checked(&self, replica: &Replica, response: http::Response<Incoming>) -> Sent {
         let (parts, body) = response.into_parts();
         let head = self.app.dialect.read_answer(parts.status, &parts.headers);
+        // Also when the answer is no answer of this request: the connection is its own.
+        notice::heard(&self.app, replica, &head.notice, &self.head.request);
         let is_ours = match &head.request {
             Some(request) => *request == self.head.request,
             None => head.is_not_run,
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -42,6 +42,7 @@
     requests: Family<KindAndEnd, Counter>,
     refusals: Family<Kind, Counter>,
     tries: Family<Kind, Counter>,
+    notices: Family<Kind, Counter>,
     carries: Family<KindAndEnd, Counter>,
     moves: Family<Kind, Counter>,
     directory_calls: Family<KindAndEnd, Counter>,
@@ -70,6 +71,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             tries: Family::default(),
+            notices: Family::default(),
             carries: Family::default(),
             moves: Family::default(),
             directory_calls: Family::default(),
@@ -101,6 +103,8 @@
         r.register("requests", "Requests that ended", self.requests.clone());
         r.register("refusals", "Requests refused unsent", self.refusals.clone());
         r.register("tries", "Sends to backend servers", self.tries.clone());
+        let notices = self.notices.clone();
+        r.register("notices", "What answers say of their servers", notices);
         r.register(
             "carries",
             "Streams taken to another engine",
@@ -192,6 +196,11 @@
         self.tries.get_or_create(&Kind { kind }).inc();
     }
 
+    /// An answer said something of its backend server.
+    pub fn noticed(&self, kind: &'static str) {
+        self.notices.get_or_create(&Kind { kind }).inc();
+    }
+
     /// A stream was taken to another engine, or was lost.
     pub fn carried(&self, kind: &'static str, end: &'static str, pause: Duration) {
         self.carries.get_or_create(&KindAndEnd { kind, end }).inc();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -45,6 +45,7 @@
 mod log_limit;
 mod logging;
 mod metrics;
+mod notice;
 mod operator_api;
 mod packed;
 mod patience;
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
+use iristhread_core::BackendId;
 use iristhread_core::CallEnd;
 use iristhread_core::CallRun;
 use iristhread_core::CallStep;
@@ -46,6 +47,16 @@
     body: Bytes,
 }
 
+/// How a call ended.
+struct EndedCall {
+    outcome: Outcome,
+    end: CallEnd,
+    /// The last answer that may be passed on.
+    answer: Option<WholeAnswer>,
+    /// The backend server that was tried last.
+    last_server: Option<BackendId>,
+}
+
 /// Runs a request and answers its caller.
 pub async fn run(exchange: &Exchange) -> FrontAnswer {
     let app = &exchange.app;
@@ -56,31 +67,29 @@
         Err(answer) => return *answer,
     };
     let mut guard = RunGuard::new(app.clone(), exchange.head.request.clone());
-    let (outcome, end, last) = drive(exchange, &ranking, &mut guard).await;
+    let call = drive(exchange, &ranking, &mut guard).await;
     info!(app.log, "call ended";
         "request" => &exchange.head.request,
+        "backend_server" => &call.last_server,
         "route" => &exchange.route.name,
-        "outcome" => outcome.as_str(),
-        "end" => format!("{end:?}"),
-        "status" => last.as_ref().map(|answer| answer.status.as_u16()),
+        "outcome" => call.outcome.as_str(),
+        "end" => format!("{:?}", call.end),
+        "status" => call.answer.as_ref().map(|answer| answer.status.as_u16()),
         "took_ms" => (app.clock.now() - exchange.arrived).as_millis() as u64);
     let took = app.clock.now() - exchange.arrived;
-    app.metrics.call_ended(outcome.as_str(), took);
-    told(outcome, end, last)
+    app.metrics.call_ended(call.outcome.as_str(), took);
+    told(call.outcome, call.end, call.answer)
 }
 
 /// Drives the decisions of a [`CallRun`].
-async fn drive(
-    exchange: &Exchange,
-    ranking: &Ranking,
-    guard: &mut RunGuard,
-) -> (Outcome, CallEnd, Option<WholeAnswer>) {
+async fn drive(exchange: &Exchange, ranking: &Ranking, guard: &mut RunGuard) -> EndedCall {
     let app = &exchange.app;
     let repeatable = exchange.route.class == RequestClass::Repeatable;
     let names = ranking.replicas.iter().map(|r| r.id.clone()).collect();
     let mut decisions = CallRun::new(repeatable, names, exchange.answer_by)
         .with_tries(exchange.route.max_attempts.max(1));
     let mut last = None;
+    let mut last_server = None;
     let mut previous = None;
     loop {
         let mut step = decisions.next(app.clock.now());
@@ -91,11 +100,19 @@
         }
         let name = match step {
             CallStep::Send(name) => name,
-            CallStep::End { outcome, end } => return (outcome, end, last),
+            CallStep::End { outcome, end } => {
+                return EndedCall {
+                    outcome,
+                    end,
+                    answer: last,
+                    last_server,
+                };
+            }
         };
         let Some(replica) = ranking.replicas.iter().find(|r| r.id == name) else {
             continue;
         };
+        last_server = Some(replica.id.clone());
         let (result, answer) = attempt(exchange, replica, repeatable).await;
         debug!(app.log, "try ended";
             "request" => &exchange.head.request,
