Show in tests that nobody hears what answers say of their servers (red)

Change: tests only. The stand-ins of both interfaces say that they leave, name a time to come back and count what arrives.

--- a/crates/api/src/engine_api.rs
+++ b/crates/api/src/engine_api.rs
@@ -111,6 +111,10 @@
     pub slow_factor: u32,
     /// Refuse new sessions with 503.
     pub refuse: bool,
+    /// The time to come back that such a refusal names.
+    pub retry_after: Option<String>,
+    /// Say in the answers to new sessions that the engine is leaving; take them.
+    pub say_leaving: bool,
     /// Send each token twice.
     pub duplicate: bool,
     /// Send tokens of a foreign generation in between.
--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -12,6 +12,9 @@
 /// Milliseconds that the caller still waits; shrinks at each hop.
 pub const DEADLINE_HEADER: &str = "iristhread-deadline-ms";
 
+/// 1 in the answers of an engine or plain service that leaves.
+pub const LEAVING_HEADER: &str = "iristhread-leaving";
+
 /// The idempotency key sent to a plain service (IETF draft of that name).
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
--- a/crates/api/src/service_api.rs
+++ b/crates/api/src/service_api.rs
@@ -39,4 +39,8 @@
     pub delay_ms: u64,
     /// Refuse with 503 before executing.
     pub refuse: bool,
+    /// The time to come back that such a refusal names.
+    pub retry_after: Option<String>,
+    /// Say in all answers that the runner is leaving.
+    pub say_leaving: bool,
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -35,6 +35,8 @@
     sequence: u64,
     highest_fence: u64,
     adapters: Vec<String>,
+    /// New sessions and questions after the load that reached it.
+    pub(crate) arrivals: u64,
 }
 
 impl Engine {
@@ -51,6 +53,7 @@
             sequence: 0,
             highest_fence: 0,
             adapters: Vec::new(),
+            arrivals: 0,
         }
     }
 
--- a/crates/standin/src/engine_server.rs
+++ b/crates/standin/src/engine_server.rs
@@ -63,6 +63,7 @@
         .delete("/generate/:generation/:attempt", server.handler(cancel))
         .get("/load", server.handler(load))
         .post("/orders", server.handler(order))
+        .get("/arrivals", server.handler(arrivals))
         .post("/faults", server.handler(set_faults));
     viz::serve(listener, router).await
 }
@@ -137,12 +138,27 @@
 async fn generate(server: Server, mut request: Request) -> Result<Response, Response> {
     let generate: GenerateRequest = json_reply::parse(&mut request).await?;
     let mut engine = server.lock();
-    if engine.faults.refuse || engine.faults.leaving {
-        return Err(json_reply::status(StatusCode::SERVICE_UNAVAILABLE));
+    engine.arrivals += 1;
+    let faults = engine.faults.clone();
+    if faults.refuse || faults.leaving {
+        let mut refused = json_reply::status(StatusCode::SERVICE_UNAVAILABLE);
+        json_reply::say(
+            &mut refused,
+            faults.say_leaving,
+            faults.retry_after.as_deref(),
+        );
+        return Err(refused);
     }
     let key = engine.start(generate, Instant::now());
     drop(engine);
-    Ok(server.stream(key))
+    let mut stream = server.stream(key);
+    json_reply::say(&mut stream, faults.say_leaving, None);
+    Ok(stream)
+}
+
+/// Sessions that reached it, refused ones too, and questions after its load.
+async fn arrivals(server: Server, _: Request) -> Result<Response, Response> {
+    Ok(json_reply::json(&server.lock().arrivals))
 }
 
 async fn attach(server: Server, request: Request) -> Result<Response, Response> {
@@ -170,7 +186,9 @@
 }
 
 async fn load(server: Server, _: Request) -> Result<Response, Response> {
-    let report = server.lock().load(Instant::now());
+    let mut engine = server.lock();
+    engine.arrivals += 1;
+    let report = engine.load(Instant::now());
     Ok(json_reply::json(&report))
 }
 
--- a/crates/standin/src/json_reply.rs
+++ b/crates/standin/src/json_reply.rs
@@ -1,5 +1,6 @@
 //! Answers of the stand-ins.
 
+use iristhread_api::LEAVING_HEADER;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use viz::Body;
@@ -8,6 +9,8 @@
 use viz::RequestLimitsExt;
 use viz::Response;
 use viz::StatusCode;
+use viz::header::HeaderValue;
+use viz::header::RETRY_AFTER;
 
 /// Most bytes of a request that a stand-in reads.
 const MAX_BODY_BYTES: usize = 8 << 20;
@@ -41,3 +44,15 @@
     let text = text(request).await?;
     serde_json::from_str(&text).map_err(|_| status(StatusCode::UNPROCESSABLE_ENTITY))
 }
+
+/// Says in an answer that its server leaves, or when to come back.
+pub fn say(response: &mut Response, leaving: bool, retry_after: Option<&str>) {
+    let headers = response.headers_mut();
+    if leaving {
+        headers.insert(LEAVING_HEADER, HeaderValue::from_static("1"));
+    }
+    let retry_after = retry_after.and_then(|text| HeaderValue::from_str(text).ok());
+    if let Some(retry_after) = retry_after {
+        headers.insert(RETRY_AFTER, retry_after);
+    }
+}
--- a/crates/standin/src/service_server.rs
+++ b/crates/standin/src/service_server.rs
@@ -42,6 +42,8 @@
     executions: Executions,
     answers: BTreeMap<String, ServiceAnswer>,
     count: u64,
+    /// Calls that reached it, refused ones too.
+    arrivals: u64,
 }
 
 type Shared = Arc<Mutex<State>>;
@@ -61,6 +63,7 @@
     }));
     let counted = state.clone();
     let faulty = state.clone();
+    let arrived = state.clone();
     let router = Router::new()
         .get("/executions", move |_: Request| {
             let executions = lock(&counted).executions.clone();
@@ -69,7 +72,13 @@
         .post("/faults", move |request: Request| {
             set_faults(faulty.clone(), request)
         })
-        .any("/*", move |request: Request| call(state.clone(), request));
+        .get("/arrivals", move |_: Request| {
+            let arrivals = lock(&arrived).arrivals;
+            async move { Ok::<_, viz::Error>(json_reply::json(&arrivals)) }
+        })
+        .any("/*", move |request: Request| {
+            answered(state.clone(), request)
+        });
     viz::serve(listener, router).await
 }
 
@@ -85,6 +94,18 @@
     Ok(json_reply::status(StatusCode::NO_CONTENT))
 }
 
+async fn answered(state: Shared, request: Request) -> Result<Response> {
+    let faults = {
+        let mut state = lock(&state);
+        state.arrivals += 1;
+        state.faults.clone()
+    };
+    let mut response = call(state, request).await?;
+    let retry_after = faults.retry_after.as_deref().filter(|_| faults.refuse);
+    json_reply::say(&mut response, faults.say_leaving, retry_after);
+    Ok(response)
+}
+
 async fn call(state: Shared, mut request: Request) -> Result<Response> {
     let key: String = request.header(IDEMPOTENCY_KEY_HEADER).unwrap_or_default();
     let body = match json_reply::text(&mut request).await {
--- a/crates/testbed/src/scene.rs
+++ b/crates/testbed/src/scene.rs
@@ -280,6 +280,18 @@
         Ok(count.map_err(refused)?.unwrap_or_default().reads)
     }
 
+    /// What has reached an engine or a service runner, refused or not.
+    ///
+    /// # Errors
+    ///
+    /// [`SceneError::Standin`].
+    pub async fn arrivals(&self, name: &str) -> Result<u64, SceneError> {
+        let uri = format!("http://{}/arrivals", self.standin_address(name));
+        let request = HttpClient::get(&uri).map_err(refused)?;
+        let count = self.client.json::<u64>(request).await;
+        Ok(count.map_err(refused)?.unwrap_or_default())
+    }
+
     /// Executions of all service runners together.
     ///
     /// # Errors
