--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -45,13 +45,16 @@
 mod engine_watch;
 mod evacuating;
 mod lives;
+mod notices;
 mod ranking;
 mod suspecting;
 
 pub use engine_watch::EngineChecks;
+pub use notices::SendStops;
 
 use cold::ColdSends;
 use engine_watch::EngineWatch;
+use notices::Rests;
 use suspecting::BrokenRuns;
 
 /// Advice to a caller when every replica is full.
@@ -105,6 +108,7 @@
     watch: EngineWatch,
     evacuations: ZoneEvacuations,
     cold_sends: ColdSends,
+    rests: Rests,
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: ProvenContents,
@@ -127,6 +131,7 @@
             watch: EngineWatch::default(),
             evacuations: ZoneEvacuations::default(),
             cold_sends: ColdSends::default(),
+            rests: Rests::default(),
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: ProvenContents::default(),
@@ -189,7 +194,7 @@
 
     /// Notes entries of the whole list that can't be used; returns what sessions must do.
     pub fn mark_unusable(&mut self, now: Now, ids: Vec<BackendId>) -> Vec<Evacuation> {
-        self.list.mark_unusable(ids);
+        self.list.mark_unusable(now, ids);
         self.replicas_changed(now)
     }
 
@@ -250,6 +255,7 @@
         };
         evacuations.extend(self.seek_again(now));
         self.suspicions.expire(now);
+        self.forget_rests(now);
         Ticked {
             evacuations,
             silent,
@@ -284,6 +290,7 @@
         let first = first.replica.clone();
         let life = first.life();
         self.note_send(now, &first.id);
+        self.rests.sent(now, life, &ask.request);
         let backup = self.choose_backup(now, &ask, &first);
         self.budget.earn(&ask.service);
         self.runs.insert(
@@ -313,6 +320,10 @@
     pub fn moved(&mut self, now: Now, request: &str, replica: BackendId) {
         self.note_send(now, &replica);
         let life = self.list.replica(&replica).map(Replica::life);
+        self.rests.gone(request);
+        if let Some(life) = life {
+            self.rests.sent(now, life, request);
+        }
         if let Some(run) = self.runs.get_mut(request) {
             run.replica = replica;
             run.life = life;
@@ -332,6 +343,7 @@
             return false;
         };
         run.generated = generated;
+        self.rests.served(request);
         let had_begun = std::mem::replace(&mut run.has_begun, true);
         run.begun_at.get_or_insert(now);
         let is_proof = !run.is_proven && run.went_well(now);
@@ -356,6 +368,10 @@
         let Some(run) = self.runs.remove(request) else {
             return;
         };
+        if end == RunEnd::Answered {
+            self.rests.served(request);
+        }
+        self.rests.gone(request);
         match end {
             RunEnd::Answered => {
                 self.pauses.remove(&run.replica);
--- a/crates/core/src/gateway_control/engine_watch.rs
+++ b/crates/core/src/gateway_control/engine_watch.rs
@@ -12,6 +12,7 @@
 use crate::Now;
 use crate::Replica;
 use crate::RequestClass;
+use crate::ServerLife;
 use crate::rendezvous_rank;
 
 /// Time between two looks at an engine that keeps copies of own sessions.
@@ -83,6 +84,11 @@
                 && rendezvous_rank(&replica.id, names).first() == Some(&own.as_str())
         };
         let engines = self.serving_engines(now);
+        // One that rests wants no questions either.
+        let engines: Vec<Replica> = engines
+            .into_iter()
+            .filter(|replica| !self.rests.rests(now, replica.life()))
+            .collect();
         let ask = engines.iter().filter(|replica| is_ours(replica)).cloned();
         EngineChecks {
             ask: ask.collect(),
@@ -92,12 +98,22 @@
 
     /// Notes that a replica says that it leaves, to us or to a peer; returns what
     /// sessions must do, `None` when it is no news.
-    pub fn leaves(&mut self, now: Now, id: &str, to_us: bool) -> Option<Vec<Evacuation>> {
-        let is_news = self.list.says_it_leaves(id);
+    pub fn leaves(
+        &mut self,
+        now: Now,
+        server: &ServerLife,
+        to_us: bool,
+    ) -> Option<Vec<Evacuation>> {
+        let is_news = self.list.says_it_leaves(now, server);
+        if !self.is_current(server) {
+            // Kept for when the list tells of that life, and told nobody.
+            return None;
+        }
+        let id = server.id.clone();
         if to_us {
-            self.watch.said_leaving.insert(id.to_owned(), now);
+            self.watch.said_leaving.insert(id, now);
         } else if is_news {
-            self.watch.heard_leaving.insert(id.to_owned(), now);
+            self.watch.heard_leaving.insert(id, now);
         }
         is_news.then(|| self.replicas_changed(now))
     }
--- a/crates/core/src/gateway_control/evacuating.rs
+++ b/crates/core/src/gateway_control/evacuating.rs
@@ -58,7 +58,10 @@
 
     /// Why no backend server takes a request; the caller can't know whether it is the
     /// operators' doing.
-    pub(super) fn nothing_takes(&self, now: Now, ask: &PlacementAsk) -> Refusal {
+    pub(super) fn nothing_takes(&mut self, now: Now, ask: &PlacementAsk) -> Refusal {
+        if let Some(refusal) = self.all_rest(now, ask) {
+            return refusal;
+        }
         let service = &ask.service;
         let serving = self.list.serving(now).filter(|r| r.service == *service);
         let serving: Vec<&Replica> = serving.collect();
--- /dev/null
+++ b/crates/core/src/gateway_control/notices.rs
@@ -0,0 +1,168 @@
+//! What backend servers say of themselves in their answers: that they leave, or that they
+//! want nothing from this instance for a time. It binds this instance towards that life of
+//! the server. That it leaves is told the others, since it holds for all; a rest is not:
+//! the server asked for it in view of this instance's requests, and answers the others.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand_core::Rng;
+
+use super::Evacuation;
+use super::FULL_RETRY_AFTER;
+use super::GatewayControl;
+use crate::LifeId;
+use crate::Now;
+use crate::PlacementAsk;
+use crate::Refusal;
+use crate::RefusalKind;
+use crate::Replica;
+use crate::ServerLife;
+use crate::ServerNotice;
+use crate::ServerRest;
+
+/// Part of the time that is left of a rest over which callers that were refused because of
+/// it are spread after its end: told the same moment, they would all come back in it.
+const RETURN_SPREAD: f64 = 0.25;
+
+/// What the tasks that send must know at once, also of requests that were placed before.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SendStops {
+    /// Lives that leave: nothing new is sent.
+    pub leaving: BTreeSet<LifeId>,
+    /// Until when lives rest: nothing at all is sent.
+    pub resting: BTreeMap<LifeId, Now>,
+}
+
+impl SendStops {
+    /// When the rest of a life is over, if it rests now.
+    pub fn rests_until(&self, now: Now, life: LifeId) -> Option<Now> {
+        self.resting
+            .get(&life)
+            .copied()
+            .filter(|until| now < *until)
+    }
+}
+
+/// What this instance was asked for by answers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Rests {
+    by_life: BTreeMap<LifeId, ServerRest>,
+}
+
+impl Rests {
+    pub(super) fn may_send(&self, now: Now, life: LifeId) -> bool {
+        let rest = self.by_life.get(&life);
+        rest.is_none_or(|rest| rest.may_send(now))
+    }
+
+    pub(super) fn rests(&self, now: Now, life: LifeId) -> bool {
+        let rest = self.by_life.get(&life);
+        rest.is_some_and(|rest| !rest.left(now).is_zero())
+    }
+
+    pub(super) fn sent(&mut self, now: Now, life: LifeId, request: &str) {
+        if let Some(rest) = self.by_life.get_mut(&life) {
+            rest.sent(now, request);
+        }
+    }
+
+    pub(super) fn gone(&mut self, request: &str) {
+        for rest in self.by_life.values_mut() {
+            rest.gone(request);
+        }
+    }
+
+    pub(super) fn served(&mut self, request: &str) {
+        self.by_life.retain(|_, rest| !rest.is_over_by(request));
+    }
+}
+
+impl GatewayControl {
+    /// Notes what an answer said of its backend server; returns what sessions must do.
+    /// Late words of an earlier life say nothing of what is listed, and are kept in case
+    /// the list is late, too.
+    pub fn noticed(
+        &mut self,
+        now: Now,
+        server: &ServerLife,
+        notice: &ServerNotice,
+    ) -> Option<Vec<Evacuation>> {
+        if let Some(rest) = notice.rest() {
+            let known = self.rests.by_life.entry(server.life).or_default();
+            known.asked(now, rest);
+        }
+        match notice.is_leaving {
+            true => self.leaves(now, server, true),
+            false => None,
+        }
+    }
+
+    /// What may not be sent now.
+    pub fn send_stops(&self, now: Now) -> SendStops {
+        let rests = self.rests.by_life.iter();
+        let resting = rests.filter(|(_, rest)| !rest.left(now).is_zero());
+        SendStops {
+            leaving: self.list.lives_that_leave(),
+            resting: resting.map(|(life, rest)| (*life, rest.until())).collect(),
+        }
+    }
+
+    /// Backend servers that rest now.
+    pub fn resting(&self, now: Now) -> usize {
+        let rests = self.rests.by_life.values();
+        rests.filter(|rest| !rest.left(now).is_zero()).count()
+    }
+
+    /// Whether a replica may be sent a request as far as its rest goes.
+    pub(super) fn has_rested(&self, now: Now, replica: &Replica) -> bool {
+        self.rests.may_send(now, replica.life())
+    }
+
+    /// When a caller should come back whose request found nobody, placed or sent: at once
+    /// where a backend server takes requests, else when the first rest is over.
+    pub fn return_after(&mut self, now: Now, ask: &PlacementAsk, otherwise: Duration) -> Duration {
+        let left = self.shortest_rest(now, ask);
+        left.map_or(otherwise, |left| self.spread(left))
+    }
+
+    /// Why nobody takes a request, if that is because all who could have asked for rest.
+    pub(super) fn all_rest(&mut self, now: Now, ask: &PlacementAsk) -> Option<Refusal> {
+        let left = self.shortest_rest(now, ask)?;
+        let retry_after = self.spread(left);
+        let service = &ask.service;
+        let message = format!("all backend servers of {service} have asked for rest");
+        Some(Refusal::new(RefusalKind::Resting, retry_after, message))
+    }
+
+    /// The shortest time until a replica that could take a request has rested; `None` when
+    /// one takes requests now, or there is none.
+    fn shortest_rest(&self, now: Now, ask: &PlacementAsk) -> Option<Duration> {
+        let serving = self.list.serving(now).filter(|r| r.service == ask.service);
+        let open = serving.filter(|r| self.is_open(r) && self.is_at_home(r, ask));
+        let left = |replica: &Replica| {
+            let rest = self.rests.by_life.get(&replica.life())?;
+            match rest.left(now) {
+                left if !left.is_zero() => Some(left),
+                // Another request tries it.
+                _ if !rest.may_send(now) => Some(FULL_RETRY_AFTER),
+                _ => None,
+            }
+        };
+        let lefts: Option<Vec<Duration>> = open.map(left).collect();
+        lefts?.into_iter().min()
+    }
+
+    fn spread(&mut self, left: Duration) -> Duration {
+        let part = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
+        left + left.mul_f64(RETURN_SPREAD * part)
+    }
+
+    /// Drops rests that are over of lives that are listed no more.
+    pub(super) fn forget_rests(&mut self, now: Now) {
+        let listed = self.list.lives();
+        let rests = &mut self.rests.by_life;
+        rests.retain(|life, rest| listed.contains(life) || !rest.left(now).is_zero());
+    }
+}
--- a/crates/core/src/gateway_control/ranking.rs
+++ b/crates/core/src/gateway_control/ranking.rs
@@ -69,6 +69,7 @@
             .filter(|replica| replica.service == ask.service)
             .filter(|replica| Some(replica.id.as_str()) != besides)
             .filter(|replica| self.is_open(replica) && self.is_at_home(replica, ask))
+            .filter(|replica| self.has_rested(now, replica))
             .filter(|replica| self.may_send_cold(now, replica, service.cold_per_s))
             .cloned()
             .collect();
--- /dev/null
+++ b/crates/core/src/leaving_marks.rs
@@ -0,0 +1,63 @@
+//! Lives of backend servers that said that they leave. None ever takes that back, so the
+//! mark outlives the entry in the platform's list: an entry that lapsed, or is read again as
+//! it was before, doesn't bring a leaving server back into use.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::LifeId;
+use crate::Now;
+
+/// How long the mark of a life that is listed no more is kept: an entry that lapsed in an
+/// outage is back within 2 s of its end, and the longest outage that the users play is 20 s.
+const KEPT_FOR: Duration = Duration::from_secs(60);
+
+/// Marks by life, with the time from which on a life is not listed.
+#[derive(Clone, Debug, Default)]
+pub struct LeavingMarks {
+    unlisted_at: BTreeMap<LifeId, Option<Now>>,
+}
+
+impl LeavingMarks {
+    /// Marks a life; returns whether that is news.
+    pub fn mark(&mut self, now: Now, life: LifeId, is_listed: bool) -> bool {
+        let unlisted_at = (!is_listed).then_some(now);
+        self.unlisted_at.insert(life, unlisted_at).is_none()
+    }
+
+    /// Whether a life is marked.
+    pub fn has(&self, life: LifeId) -> bool {
+        self.unlisted_at.contains_key(&life)
+    }
+
+    /// Notes that a life is listed.
+    pub fn listed(&mut self, life: LifeId) {
+        if let Some(unlisted_at) = self.unlisted_at.get_mut(&life) {
+            *unlisted_at = None;
+        }
+    }
+
+    /// Notes that a life is listed no more.
+    pub fn unlisted(&mut self, now: Now, life: LifeId) {
+        if let Some(unlisted_at) = self.unlisted_at.get_mut(&life) {
+            unlisted_at.get_or_insert(now);
+        }
+    }
+
+    /// Drops the mark of a life that can't be told from the next one under its id.
+    pub fn forget(&mut self, life: LifeId) {
+        self.unlisted_at.remove(&life);
+    }
+
+    /// Drops marks of lives that are long gone.
+    pub fn expire(&mut self, now: Now) {
+        let is_kept = |at: &Option<Now>| at.is_none_or(|at| now.saturating_sub(at) < KEPT_FOR);
+        self.unlisted_at.retain(|_, at| is_kept(at));
+    }
+
+    /// The marked lives.
+    pub fn lives(&self) -> BTreeSet<LifeId> {
+        self.unlisted_at.keys().copied().collect()
+    }
+}
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -26,6 +26,8 @@
     NotReady,
     /// Backend servers have ended under requests with the same content.
     Quarantined,
+    /// All backend servers that could serve the request have asked for rest.
+    Resting,
 }
 
 impl RefusalKind {
@@ -40,6 +42,7 @@
             RefusalKind::RetryBudget => "retry_budget",
             RefusalKind::NotReady => "not_ready",
             RefusalKind::Quarantined => "quarantined",
+            RefusalKind::Resting => "resting",
         }
     }
 }
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -9,8 +9,11 @@
 use serde::Serialize;
 
 use crate::BackendId;
+use crate::LeavingMarks;
+use crate::LifeId;
 use crate::Now;
 use crate::Replica;
+use crate::ServerLife;
 
 /// How long after an outage of the platform a missing entry still counts as
 /// present: a live server writes its entry again within two heartbeats of
@@ -80,6 +83,8 @@
 #[derive(Clone, Debug)]
 struct Line {
     replica: Replica,
+    /// Identifies the life that is listed.
+    life: LifeId,
     /// Revision by which it was as it is.
     revision: u64,
     /// When a lapsed entry stops counting.
@@ -90,8 +95,9 @@
 
 impl Line {
     /// The replica as another instance hears of it now.
-    fn told(&self, now: Now) -> Replica {
+    fn told(&self, now: Now, leaving: bool) -> Replica {
         Replica {
+            leaving,
             warm_up: self.cold_until.saturating_sub(now),
             ..self.replica.clone()
         }
@@ -108,8 +114,8 @@
     removed: VecDeque<(u64, BackendId)>,
     /// Revision from which on all removals are in `removed`.
     complete_from: u64,
-    /// Replicas that said themselves that they leave; none ever takes that back.
-    said_leaving: BTreeSet<BackendId>,
+    /// Lives that said themselves that they leave.
+    said_leaving: LeavingMarks,
     /// Ids whose entry is there and can't be used.
     unusable: BTreeSet<BackendId>,
     /// Replicas that are new here or have begun another life.
@@ -150,7 +156,7 @@
         if told.above == 0 {
             let is_taken = self.snapshot(now, told.revision, told.replicas);
             if is_taken {
-                self.mark_unusable(told.unusable);
+                self.mark_unusable(now, told.unusable);
             }
             return is_taken;
         }
@@ -166,12 +172,12 @@
 
     /// Notes entries that are there and can't be used: whatever they said before counts
     /// no longer.
-    pub fn mark_unusable(&mut self, ids: impl IntoIterator<Item = BackendId>) {
+    pub fn mark_unusable(&mut self, now: Now, ids: impl IntoIterator<Item = BackendId>) {
         for id in ids {
-            if self.lines.remove(&id).is_some() {
+            if let Some(line) = self.lines.remove(&id) {
                 self.note_removal(&id);
+                self.said_leaving.unlisted(now, line.life);
             }
-            self.said_leaving.remove(&id);
             if self.unusable.len() < UNUSABLE_KEPT {
                 self.unusable.insert(id);
             }
@@ -212,7 +218,9 @@
             revision: self.revision,
             removed: Vec::new(),
             unusable: self.unusable.iter().cloned().collect(),
-            replicas: listed.map(|line| line.told(now)).collect(),
+            replicas: listed
+                .map(|line| line.told(now, self.leaves(line)))
+                .collect(),
             outage_ended_ms: ago.map(|ago| ago.as_millis() as u64),
         }
     }
@@ -227,7 +235,7 @@
             match change {
                 ReplicaChange::Listed(replica) => self.insert(now, replica),
                 ReplicaChange::Removed(id) => self.remove(now, &id),
-                ReplicaChange::Unusable(id) => self.mark_unusable([id]),
+                ReplicaChange::Unusable(id) => self.mark_unusable(now, [id]),
             }
         }
         true
@@ -250,10 +258,27 @@
         ago.is_some_and(|ago| ago < LAPSE_GRACE)
     }
 
-    /// Notes that a replica itself says that it leaves. Returns whether that is
-    /// news.
-    pub fn says_it_leaves(&mut self, id: &str) -> bool {
-        self.state(id) == ListedState::Serving && self.said_leaving.insert(id.to_owned())
+    /// Notes that a replica itself says that it leaves, in a life that is listed or not.
+    /// Returns whether that changes what is known of a listed one.
+    pub fn says_it_leaves(&mut self, now: Now, server: &ServerLife) -> bool {
+        let line = self.lines.get(&server.id);
+        let is_listed = line.is_some_and(|line| line.life == server.life);
+        let takes_work = matches!(
+            self.state(&server.id),
+            ListedState::Serving | ListedState::Lapsed
+        );
+        let is_news = self.said_leaving.mark(now, server.life, is_listed);
+        is_news && is_listed && takes_work
+    }
+
+    /// Lives that said that they leave.
+    pub fn lives_that_leave(&self) -> BTreeSet<LifeId> {
+        self.said_leaving.lives()
+    }
+
+    /// Listed lives.
+    pub fn lives(&self) -> BTreeSet<LifeId> {
+        self.lines.values().map(|line| line.life).collect()
     }
 
     /// Drops entries whose grace is over; returns them.
@@ -262,9 +287,11 @@
         let over = self.lines.iter().filter(|(_, line)| is_over(line));
         let ids: Vec<BackendId> = over.map(|(id, _)| id.clone()).collect();
         for id in &ids {
-            self.lines.remove(id);
-            self.said_leaving.remove(id);
+            if let Some(line) = self.lines.remove(id) {
+                self.said_leaving.unlisted(now, line.life);
+            }
         }
+        self.said_leaving.expire(now);
         ids
     }
 
@@ -272,9 +299,8 @@
     pub fn state(&self, id: &str) -> ListedState {
         match self.lines.get(id) {
             None => ListedState::Removed,
+            Some(line) if self.leaves(line) => ListedState::Leaving,
             Some(line) if line.lapses_at.is_some() => ListedState::Lapsed,
-            Some(line) if line.replica.leaving => ListedState::Leaving,
-            Some(_) if self.said_leaving.contains(id) => ListedState::Leaving,
             Some(_) => ListedState::Serving,
         }
     }
@@ -288,8 +314,7 @@
     pub fn serving(&self, now: Now) -> impl Iterator<Item = &Replica> {
         let counts = move |line: &&Line| {
             let is_over = line.lapses_at.is_some_and(|at| now >= at);
-            let is_leaving = line.replica.leaving || self.said_leaving.contains(&line.replica.id);
-            !is_leaving && !is_over
+            !self.leaves(line) && !is_over
         };
         self.lines.values().filter(counts).map(|line| &line.replica)
     }
@@ -314,17 +339,22 @@
 
     /// An entry that is read again as it was does not begin to be cold anew.
     fn insert(&mut self, now: Now, replica: Replica) {
-        let life = self.lines.get(&replica.id).map(|line| line.replica.life());
-        if life != Some(replica.life()) {
-            self.said_leaving.remove(&replica.id);
+        let life = replica.life();
+        let listed = self.lines.get(&replica.id).map(|line| line.life);
+        if listed != Some(life) {
             self.begun.push(replica.id.clone());
         }
+        if let Some(ended) = listed.filter(|listed| *listed != life) {
+            self.said_leaving.unlisted(now, ended);
+        }
+        self.mark_listed(now, life, &replica);
         let known = self.lines.get(&replica.id);
         let known = known.filter(|line| line.replica == replica);
         let as_before = known.filter(|line| line.lapses_at.is_none());
         let line = Line {
             revision: as_before.map_or(self.revision, |line| line.revision),
             cold_until: known.map_or(now + replica.warm_up, |line| line.cold_until),
+            life,
             replica,
             lapses_at: None,
         };
@@ -332,6 +362,22 @@
         self.lines.insert(line.replica.id.clone(), line);
     }
 
+    /// Where lives aren't told apart, an entry that is listed anew is another life.
+    fn mark_listed(&mut self, now: Now, life: LifeId, replica: &Replica) {
+        let tells_lives = replica.born_ms.is_some();
+        if !tells_lives && !self.lines.contains_key(&replica.id) {
+            self.said_leaving.forget(life);
+        }
+        self.said_leaving.listed(life);
+        if replica.leaving && tells_lives {
+            self.said_leaving.mark(now, life, true);
+        }
+    }
+
+    fn leaves(&self, line: &Line) -> bool {
+        line.replica.leaving || self.said_leaving.has(line.life)
+    }
+
     fn remove(&mut self, now: Now, id: &str) {
         let grace_ends = self.outage_ended.map(|ended| ended + LAPSE_GRACE);
         self.unusable.remove(id);
@@ -339,16 +385,15 @@
             return;
         }
         self.note_removal(id);
-        let Some(line) = self.lines.get_mut(id) else {
-            return;
-        };
-        let is_leaving = line.replica.leaving || self.said_leaving.contains(id);
-        match grace_ends {
-            Some(ends) if now < ends && !is_leaving => line.lapses_at = Some(ends),
-            _ => {
+        let is_leaving = self.lines.get(id).is_some_and(|line| self.leaves(line));
+        let lapses = grace_ends.filter(|ends| now < *ends && !is_leaving);
+        match (lapses, self.lines.get_mut(id)) {
+            (Some(ends), Some(line)) => line.lapses_at = Some(ends),
+            (_, Some(line)) => {
+                self.said_leaving.unlisted(now, line.life);
                 self.lines.remove(id);
-                self.said_leaving.remove(id);
             }
+            (_, None) => {}
         }
     }
 
--- a/crates/core/tests/gateway_engine_watch.rs
+++ b/crates/core/tests/gateway_engine_watch.rs
@@ -83,9 +83,16 @@
     assert!(ranking.backup.is_none());
     let both = vec![engine("e1", "z1"), engine("e2", "z1")];
     control.offer_replicas(ms(10), 2, both.clone());
-    let evacuations = control.leaves(ms(100), "e1", true).unwrap();
+    let evacuations = control
+        .leaves(ms(100), &engine("e1", "z1").server_life(), true)
+        .unwrap();
     assert_eq!(evacuations[0].target.id, "e2");
-    assert_eq!(control.leaves(ms(200), "e1", false).map(|e| e.len()), None);
+    assert_eq!(
+        control
+            .leaves(ms(200), &engine("e1", "z1").server_life(), false)
+            .map(|e| e.len()),
+        None
+    );
     assert_eq!(control.said_leaving(ms(9_000), false), ["e1"]);
     assert!(control.said_leaving(ms(11_000), false).is_empty());
     // The list may still show it as serving for a while.
@@ -99,7 +106,11 @@
 #[test]
 fn what_a_peer_was_told_is_not_told_again() {
     let mut control = control_with(&["e1", "e2"]);
-    assert!(control.leaves(ms(100), "e1", false).is_some());
+    assert!(
+        control
+            .leaves(ms(100), &engine("e1", "z1").server_life(), false)
+            .is_some()
+    );
     assert!(control.said_leaving(ms(200), false).is_empty());
 }
 
@@ -131,7 +142,7 @@
     let ranking = control.place(Duration::ZERO, ask("r1")).unwrap();
     control.unreachable(ms(100), &ranking.backup.unwrap().id);
     assert!(control.carry(ms(200), "r1").is_none());
-    let leaves = control.leaves(ms(300), &ranking.replicas[0].id, true);
+    let leaves = control.leaves(ms(300), &ranking.replicas[0].server_life(), true);
     assert_eq!(leaves.unwrap().len(), 1, "it has to move now");
 }
 
@@ -142,7 +153,9 @@
     let mut control = control_with(&["e1"]);
     control.place(Duration::ZERO, ask("r1")).unwrap();
     control.offer_replicas(ms(10), 2, vec![engine("e1", "z1"), engine("e2", "z1")]);
-    control.leaves(ms(100), "e1", true).unwrap();
+    control
+        .leaves(ms(100), &engine("e1", "z1").server_life(), true)
+        .unwrap();
     control.move_delayed("r1");
     assert_eq!(control.tick(ms(200)).evacuations.len(), 1);
     assert!(control.tick(ms(400)).evacuations.is_empty(), "it moves");
--- a/crates/core/tests/gateway_lives.rs
+++ b/crates/core/tests/gateway_lives.rs
@@ -52,7 +52,7 @@
     match belief {
         Belief::Failed => (0..6).for_each(|_| control.failed(NOW, "a")),
         Belief::Unreachable => control.unreachable(NOW, "a"),
-        Belief::Leaves => drop(control.leaves(NOW, "a", true)),
+        Belief::Leaves => drop(control.leaves(NOW, &life(1), true)),
     }
 }
 
--- a/crates/daemon/src/engine_watch.rs
+++ b/crates/daemon/src/engine_watch.rs
@@ -41,7 +41,7 @@
 }
 
 async fn ask(app: &GatewayApp, engine: Replica) {
-    match app.mover.is_leaving(engine.address).await {
+    match app.mover.is_leaving(engine.clone()).await.result {
         Ok(true) => app.control.tell(GatewayMessage::Leaves {
             replica: engine.server_life(),
             source: None,
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -39,7 +39,8 @@
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::Placed;
 use crate::gateway_message::SendAgain;
-use crate::notice;
+use crate::notices::SendKind;
+use crate::notices::SendStop;
 use crate::patience;
 
 /// Advice while the process stops: the balancer knows another instance.
@@ -105,6 +106,8 @@
     NotConnected(String),
     /// Nothing was tried: the availability zone of the backend server is evacuated.
     ZoneClosed,
+    /// Nothing was tried: the backend server has said that it wants nothing of the kind.
+    Withheld(SendStop),
     /// The connection broke, or what came is no answer of this request.
     Lost(String),
     /// No answer in time.
@@ -119,6 +122,7 @@
             Sent::Answer(_) => "answered",
             Sent::NotConnected(_) => "not_connected",
             Sent::ZoneClosed => "zone_closed",
+            Sent::Withheld(_) => "withheld",
             Sent::Lost(_) => "lost",
             Sent::TimedOut => "timed_out",
         }
@@ -235,6 +239,12 @@
         if self.app.is_closed(&replica.availability_zone) {
             return Sent::ZoneClosed;
         }
+        // A request placed before the server spoke, or sent on by a process that stood still.
+        let kind = SendKind::of(resume.as_ref());
+        if let Some(stop) = self.app.notices.stop(replica, kind) {
+            self.log_withheld(replica, stop);
+            return Sent::Withheld(stop);
+        }
         let order = SendOrder {
             request: self.head.request.clone(),
             replica: replica.id.clone(),
@@ -274,11 +284,37 @@
         Ok(request)
     }
 
+    fn log_withheld(&self, replica: &Replica, stop: SendStop) {
+        info!(self.app.log, "not sent: the backend server wants nothing of the kind";
+            "request" => &self.head.request,
+            "backend_server" => &replica.id,
+            "cause" => stop.as_str());
+    }
+
+    /// When the caller of a request that nobody took should come back: `otherwise` while
+    /// one of the backend servers takes requests.
+    pub async fn return_after(&self, otherwise: Duration) -> Duration {
+        let ask = self.ask();
+        let control = &self.app.control;
+        let asked = control.ask(|reply| GatewayMessage::ReturnAfter {
+            ask,
+            otherwise,
+            reply,
+        });
+        asked.await.unwrap_or(otherwise)
+    }
+
     fn checked(&self, replica: &Replica, response: http::Response<Incoming>) -> Sent {
         let (parts, body) = response.into_parts();
         let head = self.app.dialect.read_answer(parts.status, &parts.headers);
         // Also when the answer is no answer of this request: the connection is its own.
-        notice::heard(&self.app, replica, &head.notice, &self.head.request);
+        let notices = &self.app.notices;
+        notices.heard(replica, &head.notice, &self.head.request);
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+            self.app.control.tell(GatewayMessage::AnotherThere {
+                replica: replica.server_life(),
+            });
+        }
         let is_ours = match &head.request {
             Some(request) => *request == self.head.request,
             None => head.is_not_run,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -45,6 +45,8 @@
 use crate::http_server;
 use crate::http_server::ConnectionLimits;
 use crate::list_reader::ListReader;
+use crate::notices::HeedfulMover;
+use crate::notices::Notices;
 use crate::peer_port::JsonRpcPeers;
 use crate::peer_server;
 use crate::peer_server::PeerIdentity;
@@ -97,6 +99,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Orders to engines.
     pub mover: Arc<dyn SessionMover>,
+    /// What backend servers say of themselves.
+    pub notices: Notices,
     /// Sends requests, each on a connection of its own.
     pub client: HttpClient,
     /// Figures for operators.
@@ -171,13 +175,25 @@
         let terms = settings.terms(rand::random());
         let (control, views) =
             gateway_thread::start(terms, clock, log.clone(), metrics.clone(), news.clone())?;
+        let notices = Notices {
+            control: control.clone(),
+            stops: views.stops.clone(),
+            clock,
+            metrics: metrics.clone(),
+            log: log.clone(),
+        };
+        let mover = Arc::new(HeedfulMover {
+            mover: ports.mover,
+            notices: notices.clone(),
+        });
         let app = Arc::new(GatewayApp {
             settings,
             identity,
             clock,
             control: control.clone(),
             dialect: ports.dialect,
-            mover: ports.mover,
+            mover,
+            notices,
             client: HttpClient::impatient(MAX_ANSWER_BYTES, BACKEND_CONNECT_TIMEOUT),
             metrics: metrics.clone(),
             log: log.clone(),
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -1,6 +1,7 @@
 //! What traffic tasks tell and ask the gateway's control thread.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use iristhread_core::BackendId;
 use iristhread_core::CarryTarget;
@@ -18,6 +19,7 @@
 use iristhread_core::RequestId;
 use iristhread_core::RunEnd;
 use iristhread_core::ServerLife;
+use iristhread_core::ServerNotice;
 use iristhread_core::SessionSignal;
 use iristhread_core::ToldEvacuations;
 use iristhread_core::ToldList;
@@ -211,6 +213,27 @@
         /// The peer that it was said to, `None` for this instance.
         source: Option<String>,
     },
+    /// An answer said something of its replica.
+    Noticed {
+        /// The replica.
+        replica: ServerLife,
+        /// What it said.
+        notice: ServerNotice,
+    },
+    /// Another has the address of a replica.
+    AnotherThere {
+        /// The replica.
+        replica: ServerLife,
+    },
+    /// When should a caller come back whose request no replica took?
+    ReturnAfter {
+        /// What it asked for.
+        ask: PlacementAsk,
+        /// When one of them takes requests now.
+        otherwise: Duration,
+        /// The answer.
+        reply: oneshot::Sender<Duration>,
+    },
     /// A replica takes no connection.
     Unreachable {
         /// The replica.
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -61,6 +61,7 @@
     suspects: Gauge,
     quarantined: Gauge,
     skipped_entries: Counter,
+    resting: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -90,6 +91,7 @@
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
             skipped_entries: Counter::default(),
+            resting: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -153,6 +155,8 @@
         r.register("quarantined", "Contents that are refused", quarantined);
         let skipped = self.skipped_entries.clone();
         r.register("skipped_entries", "Entries that can't be used", skipped);
+        let resting = self.resting.clone();
+        r.register("resting", "Servers that asked for rest", resting);
     }
 
     /// All figures in the text format of OpenMetrics.
@@ -252,6 +256,11 @@
         self.quarantined.set(signed(quarantined));
     }
 
+    /// So many backend servers have asked this instance for rest that is not over.
+    pub fn resting(&self, count: usize) {
+        self.resting.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// What this instance knows and has under way.
     pub fn state(&self, config_version: u64, list_revision: u64, peers: usize, running: usize) {
         let signed = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -16,6 +16,7 @@
 use iristhread_core::RequestId;
 use iristhread_core::RouteTable;
 use iristhread_core::RunEnd;
+use iristhread_core::SendStops;
 use iristhread_core::SessionSignal;
 use iristhread_core::ZoneEvacuations;
 use slog::Logger;
@@ -83,6 +84,7 @@
     let (table, tables) = watch::channel(None);
     let (list_known, knows_list) = watch::channel(false);
     let (evacuations, evacuated) = watch::channel(ZoneEvacuations::default());
+    let (stops, stopped) = watch::channel(Arc::default());
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .build()?;
@@ -94,6 +96,7 @@
         table,
         list_known,
         evacuations,
+        stops,
         metrics,
         news,
         suspensions: SuspensionWatch::new(clock),
@@ -105,6 +108,7 @@
         tables,
         knows_list,
         evacuations: evacuated,
+        stops: stopped,
     };
     Ok((sender, views))
 }
@@ -117,6 +121,7 @@
     table: watch::Sender<Option<Arc<RouteTable>>>,
     list_known: watch::Sender<bool>,
     evacuations: watch::Sender<ZoneEvacuations>,
+    stops: watch::Sender<Arc<SendStops>>,
     metrics: Arc<GatewayMetrics>,
     news: Arc<Notify>,
     suspensions: SuspensionWatch,
@@ -200,9 +205,16 @@
                 let _ = reply.send(self.control.engine_checks(now));
             }
             GatewayMessage::Leaves { replica, source } => {
-                if self.is_current(&replica) {
-                    self.leaves(&replica.id, source);
-                }
+                self.leaves(&replica, source);
+            }
+            GatewayMessage::Noticed { replica, notice } => self.noticed(&replica, &notice),
+            GatewayMessage::AnotherThere { replica } => self.another_there(&replica),
+            GatewayMessage::ReturnAfter {
+                ask,
+                otherwise,
+                reply,
+            } => {
+                let _ = reply.send(self.control.return_after(now, &ask, otherwise));
             }
             GatewayMessage::Unreachable { replica } => self.unreachable(&replica),
             GatewayMessage::NotConnected { replica } => {
@@ -245,7 +257,10 @@
                 let evacuations = self.control.hear_list(now, list);
                 self.list_taken(evacuations);
             }
-            GatewayMessage::ListNews { news, source } => self.list_news(news, &source),
+            GatewayMessage::ListNews { news, source } => {
+                self.list_news(news, &source);
+                self.tell_stops();
+            }
             GatewayMessage::Terms { terms } => self.control.set_terms(*terms),
             GatewayMessage::ListLost { is_lost } => self.list_lost(is_lost),
             GatewayMessage::OutageEnded => self.control.outage_ended(now),
@@ -276,12 +291,14 @@
             warn!(self.log, "peer fell silent"; "peer" => instance);
         }
         self.evacuate(ticked.evacuations);
+        self.tell_stops();
         let control = &self.control;
         let (version, revision) = (control.config_version(), control.list().revision());
         self.metrics
             .state(version, revision, control.peers(), control.running());
         self.metrics
             .suspects(control.suspected(), control.quarantined());
+        self.metrics.resting(control.resting(self.clock.now()));
     }
 
     fn place(
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -1,6 +1,7 @@
 //! What the control thread does with news of backend servers and zones: each change of
 //! a belief is logged once.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use iristhread_core::Evacuation;
@@ -8,6 +9,7 @@
 use iristhread_core::EvacuationNews;
 use iristhread_core::Fingerprint;
 use iristhread_core::ServerLife;
+use iristhread_core::ServerNotice;
 use iristhread_core::SessionSignal;
 use iristhread_core::SuspicionNews;
 use slog::debug;
@@ -48,20 +50,67 @@
             "backend_servers_there" => self.control.listed_in(zone));
     }
 
-    pub(super) fn leaves(&mut self, replica: &str, source: Option<String>) {
+    pub(super) fn leaves(&mut self, server: &ServerLife, source: Option<String>) {
         let now = self.clock.now();
         let to_us = source.is_none();
-        let Some(evacuations) = self.control.leaves(now, replica, to_us) else {
-            return;
-        };
+        if let Some(evacuations) = self.control.leaves(now, server, to_us) {
+            self.said_it_leaves(server, source, evacuations);
+        }
+        self.tell_stops();
+    }
+
+    fn said_it_leaves(
+        &mut self,
+        server: &ServerLife,
+        source: Option<String>,
+        evacuations: Vec<Evacuation>,
+    ) {
         info!(self.log, "backend server says that it leaves";
-            "backend_server" => replica, "source" => source);
-        if to_us {
+            "backend_server" => &server.id, "source" => &source,
+            "list_revision" => self.control.list().revision());
+        if source.is_none() {
             self.news.notify_one();
         }
         self.evacuate(evacuations);
     }
 
+    /// What an answer said binds this instance from now on.
+    pub(super) fn noticed(&mut self, server: &ServerLife, notice: &ServerNotice) {
+        let now = self.clock.now();
+        if let Some(rest) = notice.rest() {
+            info!(self.log, "backend server rests";
+                "backend_server" => &server.id, "rest_ms" => rest.as_millis() as u64,
+                "list_revision" => self.control.list().revision());
+        }
+        if let Some(evacuations) = self.control.noticed(now, server, notice) {
+            self.said_it_leaves(server, None, evacuations);
+        }
+        self.tell_stops();
+    }
+
+    /// What is sent checks this before each send.
+    pub(super) fn tell_stops(&self) {
+        let stops = self.control.send_stops(self.clock.now());
+        self.stops.send_if_modified(|known| {
+            let is_news = **known != stops;
+            if is_news {
+                *known = Arc::new(stops);
+            }
+            is_news
+        });
+    }
+
+    /// The address of a backend server has another: the list is late.
+    pub(super) fn another_there(&mut self, server: &ServerLife) {
+        if !self.is_current(server) {
+            return;
+        }
+        info!(self.log, "another has the address of a backend server";
+            "backend_server" => &server.id,
+            "list_revision" => self.control.list().revision());
+        self.control.unreachable(self.clock.now(), &server.id);
+    }
+
     /// All ages have gone on meanwhile; the others should be heard and told soon.
     pub(super) fn notice_suspension(&mut self) {
         if let Some(time) = self.suspensions.suspended_for() {
--- a/crates/daemon/src/gateway_views.rs
+++ b/crates/daemon/src/gateway_views.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use iristhread_core::RouteTable;
+use iristhread_core::SendStops;
 use iristhread_core::ZoneEvacuations;
 use tokio::sync::watch;
 
@@ -18,4 +19,6 @@
     pub knows_list: watch::Receiver<bool>,
     /// The evacuated zones.
     pub evacuations: watch::Receiver<ZoneEvacuations>,
+    /// Backend servers that leave or rest.
+    pub stops: watch::Receiver<Arc<SendStops>>,
 }
--- /dev/null
+++ b/crates/daemon/src/notices.rs
@@ -0,0 +1,169 @@
+//! Hears what answers say of their backend servers, and keeps what is about to be sent to
+//! it.
+
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use iristhread_core::Now;
+use iristhread_core::Replica;
+use iristhread_core::RetryAfter;
+use iristhread_core::SendStops;
+use iristhread_core::ServerNotice;
+use slog::Logger;
+use slog::info;
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::dialect::ResumePoint;
+use crate::gateway_message::GatewayMessage;
+use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway_thread::GatewayHandle;
+use crate::session_mover::EngineAnswer;
+use crate::session_mover::MoveError;
+use crate::session_mover::MoveOrder;
+use crate::session_mover::SessionMover;
+
+/// What is to be sent to a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendKind {
+    /// A request that has not begun there.
+    New,
+    /// A session whose memory is there.
+    Session,
+}
+
+impl SendKind {
+    /// What goes on from a copy is a session.
+    pub fn of(resume: Option<&ResumePoint>) -> SendKind {
+        match resume.is_some_and(|point| point.copy.is_some()) {
+            true => SendKind::Session,
+            false => SendKind::New,
+        }
+    }
+}
+
+/// Why nothing is sent to a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SendStop {
+    /// It said that it leaves.
+    Leaving,
+    /// It asked for rest, until then.
+    Resting(Now),
+}
+
+impl SendStop {
+    /// The form used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SendStop::Leaving => "it said that it leaves",
+            SendStop::Resting(_) => "it asked for rest",
+        }
+    }
+}
+
+/// The words of backend servers, from the answers of all requests, orders and questions.
+#[derive(Clone)]
+pub struct Notices {
+    /// Decisions.
+    pub control: GatewayHandle,
+    /// What the decisions made of them.
+    pub stops: watch::Receiver<Arc<SendStops>>,
+    /// Clocks.
+    pub clock: Clock,
+    /// Figures for operators.
+    pub metrics: Arc<GatewayMetrics>,
+    /// Logger.
+    pub log: Logger,
+}
+
+impl Notices {
+    /// Notes what an answer said of its backend server. `asked` names the request, order or
+    /// question that was answered.
+    pub fn heard(&self, replica: &Replica, notice: &ServerNotice, asked: &str) {
+        if notice.is_empty() {
+            return;
+        }
+        self.count(notice);
+        info!(self.log, "answer tells of its backend server";
+            "request" => asked,
+            "backend_server" => &replica.id,
+            "leaving" => notice.is_leaving,
+            "rest_ms" => notice.rest().map(|rest| rest.as_millis() as u64),
+            "unreadable" => notice.retry_after == RetryAfter::Unreadable);
+        let is_known = self.stops.borrow().leaving.contains(&replica.life());
+        if notice.rest().is_some() || notice.is_leaving && !is_known {
+            self.control.tell(GatewayMessage::Noticed {
+                replica: replica.server_life(),
+                notice: *notice,
+            });
+        }
+    }
+
+    /// Why nothing may be sent to a backend server now, if so. Asked before each send: it
+    /// may have said something since the request was placed.
+    pub fn stop(&self, replica: &Replica, kind: SendKind) -> Option<SendStop> {
+        let stops = self.stops.borrow();
+        if stops.leaving.is_empty() && stops.resting.is_empty() {
+            return None;
+        }
+        let life = replica.life();
+        if let Some(until) = stops.rests_until(self.clock.now(), life) {
+            return Some(SendStop::Resting(until));
+        }
+        // A session that can go on nowhere else is not lost for a server's leaving.
+        let leaves = kind == SendKind::New && stops.leaving.contains(&life);
+        leaves.then_some(SendStop::Leaving)
+    }
+
+    fn count(&self, notice: &ServerNotice) {
+        if notice.is_leaving {
+            self.metrics.noticed("leaving");
+        }
+        if notice.rest().is_some() {
+            self.metrics.noticed("rest");
+        }
+        if notice.retry_after == RetryAfter::Unreadable {
+            self.metrics.noticed("unreadable");
+        }
+    }
+}
+
+/// Gives orders only to engines that want them, and hears what their answers say.
+pub struct HeedfulMover {
+    /// Gives the orders.
+    pub mover: Arc<dyn SessionMover>,
+    /// The words of engines.
+    pub notices: Notices,
+}
+
+impl HeedfulMover {
+    fn rests(&self, engine: &Replica) -> bool {
+        self.notices.stop(engine, SendKind::Session).is_some()
+    }
+}
+
+impl SessionMover for HeedfulMover {
+    fn copy(&self, order: MoveOrder) -> BoxFuture<'_, EngineAnswer<String>> {
+        Box::pin(async move {
+            let source = order.source.clone();
+            if self.rests(&source) {
+                return EngineAnswer::bare(Err(MoveError::Resting));
+            }
+            let request = order.request.clone();
+            let answer = self.mover.copy(order).await;
+            self.notices.heard(&source, &answer.notice, &request);
+            answer
+        })
+    }
+
+    fn is_leaving(&self, engine: Replica) -> BoxFuture<'_, EngineAnswer<bool>> {
+        Box::pin(async move {
+            if self.rests(&engine) {
+                return EngineAnswer::bare(Err(MoveError::Resting));
+            }
+            let answer = self.mover.is_leaving(engine.clone()).await;
+            self.notices.heard(&engine, &answer.notice, "report");
+            answer
+        })
+    }
+}
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -78,7 +78,11 @@
         "took_ms" => (app.clock.now() - exchange.arrived).as_millis() as u64);
     let took = app.clock.now() - exchange.arrived;
     app.metrics.call_ended(call.outcome.as_str(), took);
-    told(call.outcome, call.end, call.answer)
+    let retry_after = match call.outcome {
+        Outcome::NotRun => exchange.return_after(REFUSED_RETRY_AFTER).await,
+        Outcome::Ran | Outcome::Unknown => REFUSED_RETRY_AFTER,
+    };
+    told(call, retry_after)
 }
 
 /// Drives the decisions of a [`CallRun`].
@@ -133,9 +137,9 @@
 ) -> (SendResult, Option<WholeAnswer>) {
     let by = exchange.try_until(repeatable);
     let sent = exchange.send(replica, None, None, by).await;
-    let is_evacuated = matches!(sent, Sent::ZoneClosed);
+    let is_unsent = matches!(sent, Sent::ZoneClosed | Sent::Withheld(_));
     let (result, answer) = judged(exchange, replica, sent, by).await;
-    if matches!(result, SendResult::Lost | SendResult::NotConnected) && !is_evacuated {
+    if matches!(result, SendResult::Lost | SendResult::NotConnected) && !is_unsent {
         exchange.app.control.tell(GatewayMessage::Failed {
             replica: replica.server_life(),
         });
@@ -150,7 +154,9 @@
     by: Now,
 ) -> (SendResult, Option<WholeAnswer>) {
     match sent {
-        Sent::NotConnected(_) | Sent::ZoneClosed => (SendResult::NotConnected, None),
+        Sent::NotConnected(_) | Sent::ZoneClosed | Sent::Withheld(_) => {
+            (SendResult::NotConnected, None)
+        }
         Sent::Lost(cause) => {
             info!(exchange.app.log, "try broke off";
                 "request" => &exchange.head.request,
@@ -212,16 +218,16 @@
     }
 }
 
-fn told(outcome: Outcome, end: CallEnd, last: Option<WholeAnswer>) -> FrontAnswer {
-    if let Some(answer) = last
-        && end == CallEnd::Answer
+fn told(call: EndedCall, retry_after: Duration) -> FrontAnswer {
+    if let Some(answer) = call.answer
+        && call.end == CallEnd::Answer
     {
         let body = front_answer::whole(answer.body);
         return front_answer::passed_on(answer.status, &answer.headers, body);
     }
-    match outcome {
+    match call.outcome {
         Outcome::NotRun => front_answer::not_run(
-            REFUSED_RETRY_AFTER,
+            retry_after,
             "no backend server took the request; it was not run",
         ),
         Outcome::Ran | Outcome::Unknown => front_answer::own(
@@ -238,5 +244,11 @@
         SendResult::SaidNotRun => Outcome::NotRun,
         _ => Outcome::Unknown,
     };
-    told(outcome, CallEnd::Answer, answer)
+    let call = EndedCall {
+        outcome,
+        end: CallEnd::Answer,
+        answer,
+        last_server: None,
+    };
+    told(call, REFUSED_RETRY_AFTER)
 }
--- a/crates/daemon/src/session_move.rs
+++ b/crates/daemon/src/session_move.rs
@@ -34,7 +34,7 @@
         let task = tokio::spawn(async move {
             loop {
                 let copy_began = Instant::now();
-                let handle = mover.copy(order.clone()).await?;
+                let handle = mover.copy(order.clone()).await.result?;
                 copied_in.send_replace(Some(handle));
                 if copy_began.elapsed() <= QUICK_COPY {
                     break;
@@ -44,7 +44,7 @@
                 stop_first: true,
                 ..order
             };
-            mover.copy(last).await
+            mover.copy(last).await.result
         });
         SessionMove {
             target,
--- a/crates/daemon/src/session_mover.rs
+++ b/crates/daemon/src/session_mover.rs
@@ -3,14 +3,16 @@
 use std::net::SocketAddr;
 
 use futures::future::BoxFuture;
+use iristhread_core::Replica;
 use iristhread_core::RequestId;
+use iristhread_core::ServerNotice;
 use thiserror::Error;
 
 /// An order to copy the memory of a running session to another engine.
 #[derive(Clone, Debug)]
 pub struct MoveOrder {
     /// The engine that runs it.
-    pub source: SocketAddr,
+    pub source: Replica,
     /// The session.
     pub request: RequestId,
     /// The engine that gets the copy.
@@ -36,6 +38,9 @@
         /// Names the memory at the source, when the session stopped there.
         handle: Option<String>,
     },
+    /// Nothing was ordered: the engine has asked for rest.
+    #[error("the engine has asked for rest")]
+    Resting,
     /// The order got no answer; the session may have stopped.
     #[error("the engine gave no answer: {0}")]
     NoAnswer(String),
@@ -48,19 +53,36 @@
             MoveError::NoSession => "no_session",
             MoveError::Busy => "busy",
             MoveError::NoRoom { .. } => "no_room",
+            MoveError::Resting => "resting",
             MoveError::NoAnswer(_) => "no_answer",
         }
     }
 }
 
+/// An engine's answer to an order or a question.
+#[derive(Clone, Debug)]
+pub struct EngineAnswer<T> {
+    /// What became of it.
+    pub result: Result<T, MoveError>,
+    /// What the answer says of the engine.
+    pub notice: ServerNotice,
+}
+
+impl<T> EngineAnswer<T> {
+    /// An answer that says nothing of the engine, or none at all.
+    pub fn bare(result: Result<T, MoveError>) -> Self {
+        EngineAnswer {
+            result,
+            notice: ServerNotice::default(),
+        }
+    }
+}
+
 /// Gives engines orders about running sessions.
 pub trait SessionMover: Send + Sync {
-    /// Copies the memory of a running session; returns the name of the copy.
-    fn copy(&self, order: MoveOrder) -> BoxFuture<'_, Result<String, MoveError>>;
+    /// Copies the memory of a running session; the answer is the name of the copy.
+    fn copy(&self, order: MoveOrder) -> BoxFuture<'_, EngineAnswer<String>>;
 
     /// Asks an engine whether it is about to leave. Each question has a price.
-    fn is_leaving(&self, engine: SocketAddr) -> BoxFuture<'_, Result<bool, MoveError>>;
-
-    /// Frees a copy that nobody will use.
-    fn release(&self, engine: SocketAddr, handle: String) -> BoxFuture<'_, ()>;
+    fn is_leaving(&self, engine: Replica) -> BoxFuture<'_, EngineAnswer<bool>>;
 }
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/stream_call.rs
@@ -58,7 +58,8 @@
         Start::NotRun => {
             guard.ends(RunEnd::Refused);
             log_end(&exchange, "no engine took it", None);
-            front_answer::not_run(REFUSED_RETRY_AFTER, "no engine took the request")
+            let retry_after = exchange.return_after(REFUSED_RETRY_AFTER).await;
+            front_answer::not_run(retry_after, "no engine took the request")
         }
         Start::MayHaveRun(cause) => {
             guard.ends(RunEnd::Failed);
@@ -126,6 +127,7 @@
                     "request" => &exchange.head.request, "backend_server" => &replica.id);
                 SendResult::NotConnected
             }
+            Sent::Withheld(_) => SendResult::NotConnected,
             Sent::Lost(why) => {
                 info!(app.log, "engine broke off before its answer";
                     "request" => &exchange.head.request,
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -268,7 +268,7 @@
 
     fn move_to(&mut self, target: Replica) {
         let order = MoveOrder {
-            source: self.replica.address,
+            source: self.replica.clone(),
             request: self.exchange.head.request.clone(),
             target: target.address,
             stop_first: false,
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -5,6 +5,7 @@
 
 use hyper::body::Incoming;
 use iristhread_core::CarryTarget;
+use iristhread_core::Now;
 use iristhread_core::Replica;
 use slog::info;
 use slog::warn;
@@ -18,6 +19,8 @@
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Sent;
 use crate::gateway_message::GatewayMessage;
+use crate::notices::SendKind;
+use crate::notices::SendStop;
 use crate::session_mover::MoveError;
 
 /// Longest wait for the head of a resumed stream.
@@ -222,7 +225,9 @@
     fn move_failed(&mut self, target: Replica, error: &MoveError) {
         let request = self.exchange.head.request.clone();
         let message = match error {
-            MoveError::NoSession | MoveError::Busy => GatewayMessage::MoveDelayed { request },
+            MoveError::NoSession | MoveError::Busy | MoveError::Resting => {
+                GatewayMessage::MoveDelayed { request }
+            }
             MoveError::NoRoom { .. } | MoveError::NoAnswer(_) => {
                 self.tried.push(target.id);
                 let tried = self.tried.clone();
@@ -323,6 +328,7 @@
             None => "again",
         };
         let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
+        self.let_it_rest(&target.replica, copy.as_ref(), by).await;
         let point = ResumePoint {
             copy,
             after_event: self.order.last(),
@@ -349,6 +355,7 @@
                 (cause, Resumed::NotRun)
             }
             Sent::ZoneClosed => ("its zone is evacuated".to_owned(), Resumed::NotRun),
+            Sent::Withheld(stop) => (stop.as_str().to_owned(), Resumed::NotRun),
             Sent::Lost(cause) => {
                 look_at_broken(&app, &self.exchange.head.request, &target.replica).await;
                 (cause, Resumed::Lost)
@@ -365,6 +372,18 @@
         resumed
     }
 
+    /// The one engine that has a copy may have asked for rest: the session waits for the end
+    /// of a short one, since it has nowhere else to go.
+    async fn let_it_rest(&self, engine: &Replica, copy: Option<&CopyName>, by: Now) {
+        let app = &self.exchange.app;
+        let stop = app.notices.stop(engine, SendKind::Session);
+        if let (Some(SendStop::Resting(until)), Some(_)) = (stop, copy)
+            && until < by
+        {
+            tokio::time::sleep_until(app.clock.instant(until)).await;
+        }
+    }
+
     fn go_on(&mut self, target: CarryTarget, body: Incoming, pause: Duration) {
         let app = self.exchange.app.clone();
         info!(app.log, "stream goes on at another engine";
--- a/crates/daemon/tests/session_move.rs
+++ b/crates/daemon/tests/session_move.rs
@@ -2,14 +2,13 @@
 //! only when it will be quick.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
 use iristhread_core::Replica;
-use iristhread_daemon::MoveError;
+use iristhread_daemon::EngineAnswer;
 use iristhread_daemon::MoveOrder;
 use iristhread_daemon::SessionMove;
 use iristhread_daemon::SessionMover;
@@ -40,36 +39,36 @@
 }
 
 impl SessionMover for TimedMover {
-    fn copy(&self, order: MoveOrder) -> BoxFuture<'_, Result<String, MoveError>> {
+    fn copy(&self, order: MoveOrder) -> BoxFuture<'_, EngineAnswer<String>> {
         Box::pin(async move {
             self.orders.lock().unwrap().push(order.stop_first);
             tokio::time::sleep(Duration::from_millis(self.next_ms())).await;
-            Ok("handle".to_owned())
+            EngineAnswer::bare(Ok("handle".to_owned()))
         })
     }
 
-    fn is_leaving(&self, _: SocketAddr) -> BoxFuture<'_, Result<bool, MoveError>> {
-        Box::pin(std::future::ready(Ok(false)))
-    }
-
-    fn release(&self, _: SocketAddr, _: String) -> BoxFuture<'_, ()> {
-        Box::pin(std::future::ready(()))
+    fn is_leaving(&self, _: Replica) -> BoxFuture<'_, EngineAnswer<bool>> {
+        Box::pin(std::future::ready(EngineAnswer::bare(Ok(false))))
     }
 }
 
-fn started(mover: &TimedMover) -> SessionMove {
-    let target = Replica {
-        id: "e2".to_owned(),
+fn engine(number: u8) -> Replica {
+    Replica {
+        id: format!("e{number}"),
         born_ms: None,
         service: "engines".to_owned(),
-        address: ([10, 0, 0, 2], 8_000).into(),
+        address: ([10, 0, 0, number], 8_000).into(),
         availability_zone: "z1".to_owned(),
         slots: 24,
         leaving: false,
         warm_up: Duration::ZERO,
-    };
+    }
+}
+
+fn started(mover: &TimedMover) -> SessionMove {
+    let target = engine(2);
     let order = MoveOrder {
-        source: ([10, 0, 0, 1], 8_000).into(),
+        source: engine(1),
         request: "r1".to_owned(),
         target: target.address,
         stop_first: false,
