Keep to what engines and runners say of themselves on the completion interface, too

Cause: the same class: engines were believed by their load reports alone, runners by the configuration; words in answers went unread, and a refusal counted as a failure.

Change: heads of all answers are read (sessions, attaching, cancelling, load, calls; 'iristhread-leaving' and Retry-After). An engine that rests gets no session, question or cancel; one request tries it afterwards; load reports that count anew make words of before void. A call asks before each send. Where all rest, the refusal names the time that is left, and what waits in the queue and can't outlast it is refused then.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -1,4 +1,9 @@
-//! Names of the headers that are not standard ones.
+//! Names of the headers that are not standard ones, and what they say.
+
+use http::HeaderMap;
+use http::StatusCode;
+use http::header;
+use iristhread_core::ServerNotice;
 
 /// One of `not_run`, `ran`, `unknown`.
 pub const OUTCOME_HEADER: &str = "iristhread-outcome";
@@ -20,3 +25,14 @@
 
 /// The cursor that a caller holds (HTML standard, server-sent events).
 pub const LAST_EVENT_ID_HEADER: &str = "last-event-id";
+
+/// What the head of an answer says of its engine or plain service.
+pub fn notice_of(status: StatusCode, headers: &HeaderMap) -> ServerNotice {
+    let text = |name: &str| {
+        let value = headers.get(name);
+        value.map(|value| value.to_str().unwrap_or_default())
+    };
+    let is_leaving = text(LEAVING_HEADER) == Some("1");
+    let time = text(header::RETRY_AFTER.as_str());
+    ServerNotice::of(status.as_u16(), is_leaving, time)
+}
--- a/crates/api/src/http_client.rs
+++ b/crates/api/src/http_client.rs
@@ -74,6 +74,8 @@
         uri: String,
         /// Its status.
         status: StatusCode,
+        /// Its headers.
+        headers: Box<http::HeaderMap>,
         /// Its body.
         body: String,
     },
@@ -202,8 +204,12 @@
         }
         if !reply.status.is_success() {
             let body = String::from_utf8_lossy(&reply.body).into_owned();
-            let status = reply.status;
-            return Err(HttpClientError::Status { uri, status, body });
+            return Err(HttpClientError::Status {
+                uri,
+                status: reply.status,
+                headers: Box::new(reply.headers),
+                body,
+            });
         }
         let answer = serde_json::from_slice(&reply.body);
         answer
@@ -234,7 +240,12 @@
                 .await;
             let body = body.map(|body| body.to_bytes()).unwrap_or_default();
             let body = String::from_utf8_lossy(&body).into_owned();
-            return Err(HttpClientError::Status { uri, status, body });
+            return Err(HttpClientError::Status {
+                uri,
+                status,
+                headers: Box::new(headers),
+                body,
+            });
         }
         Ok((headers, events_of(response.into_body(), uri).boxed()))
     }
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -37,6 +37,7 @@
 pub use headers::OUTCOME_HEADER;
 pub use headers::REQUEST_ID_HEADER;
 pub use headers::TICKET_HEADER;
+pub use headers::notice_of;
 pub use http_client::BodyLimit;
 pub use http_client::EventStream;
 pub use http_client::HttpClient;
--- a/crates/api/tests/http_client_error.rs
+++ b/crates/api/tests/http_client_error.rs
@@ -9,6 +9,7 @@
     let error = HttpClientError::Status {
         uri: "http://127.0.0.1:1/generate".to_owned(),
         status: StatusCode::BAD_REQUEST,
+        headers: Box::default(),
         body: "secret prompt".to_owned(),
     };
     let shown = error.to_string();
--- a/crates/core/src/backend_view.rs
+++ b/crates/core/src/backend_view.rs
@@ -13,6 +13,8 @@
 use crate::OwnSession;
 use crate::RequestId;
 use crate::RoutingContext;
+use crate::ServerNotice;
+use crate::ServerRest;
 
 /// Lag that reports are taken to have when they arrive.
 const REPORT_LAG: Duration = Duration::from_millis(300);
@@ -32,6 +34,10 @@
     started_since: MemoryDemand,
     sessions: HashMap<RequestId, OwnSession>,
     pause: FailurePause,
+    /// The rest that it asked for, until it has taken work again.
+    rest: Option<ServerRest>,
+    /// Whether one of its answers said that it leaves.
+    said_leaving: bool,
 }
 
 impl BackendView {
@@ -46,6 +52,8 @@
             started_since: MemoryDemand::default(),
             sessions: HashMap::new(),
             pause: FailurePause::default(),
+            rest: None,
+            said_leaving: false,
         }
     }
 
@@ -63,6 +71,15 @@
         if repeated {
             return;
         }
+        let is_new_life = self
+            .report
+            .as_ref()
+            .is_some_and(|last| report.sequence < last.sequence);
+        if is_new_life {
+            // It counts its reports from its start: what the life before said is void.
+            self.rest = None;
+            self.said_leaving = false;
+        }
         let own_tokens = self.sessions.values().map(OwnSession::size).sum();
         self.own_at_report = (self.own_sessions(), own_tokens);
         self.report = Some(report);
@@ -83,6 +100,7 @@
     /// Counts a session of this instance.
     pub(crate) fn start(
         &mut self,
+        now: Now,
         request: RequestId,
         mut session: OwnSession,
         estimator: &LengthEstimator,
@@ -91,6 +109,9 @@
         self.own.add(&session.counted, 1.0);
         self.started_since.add(&session.counted, 1.0);
         self.end(&request);
+        if let Some(rest) = &mut self.rest {
+            rest.sent(now, &request);
+        }
         self.sessions.insert(request, session);
     }
 
@@ -101,6 +122,7 @@
         generated: u32,
         estimator: &LengthEstimator,
     ) {
+        self.rest.take_if(|rest| rest.is_over_by(request));
         if let Some(session) = self.sessions.get_mut(request) {
             self.own.add(&session.counted, -1.0);
             session.generated = generated;
@@ -111,6 +133,9 @@
 
     /// Counts a session no longer.
     pub(crate) fn end(&mut self, request: &RequestId) {
+        if let Some(rest) = &mut self.rest {
+            rest.gone(request);
+        }
         if let Some(session) = self.sessions.remove(request) {
             self.own.add(&session.counted, -1.0);
         }
@@ -127,14 +152,59 @@
         self.pause.succeed();
     }
 
+    /// Notes what one of its answers said of it.
+    pub(crate) fn noticed(&mut self, now: Now, notice: &ServerNotice) {
+        self.said_leaving |= notice.is_leaving;
+        if let Some(time) = notice.rest() {
+            let rest = self.rest.get_or_insert_default();
+            rest.asked(now, time);
+        }
+    }
+
+    /// Notes that it answered a call: it takes work, unless it asked for rest since.
+    pub(crate) fn answered(&mut self, now: Now) {
+        self.pause.succeed();
+        self.rest.take_if(|rest| rest.is_over(now));
+    }
+
+    /// Whether a call may be sent now; the first one after a rest tries it.
+    pub(crate) fn may_call(&mut self, now: Now, request: &RequestId) -> bool {
+        if self.leaves() || !self.has_rested(now) {
+            return false;
+        }
+        if let Some(rest) = &mut self.rest {
+            rest.sent(now, request);
+        }
+        true
+    }
+
+    /// Whether it leaves, by whatever word.
+    pub(crate) fn leaves(&self) -> bool {
+        let reported = self.report.as_ref().is_some_and(|report| report.leaving);
+        self.server.leaving || reported || self.said_leaving
+    }
+
+    /// How much longer it rests, if it does.
+    pub(crate) fn rest_left(&self, now: Now) -> Option<Duration> {
+        let left = self.rest.as_ref().map(|rest| rest.left(now));
+        left.filter(|left| !left.is_zero())
+    }
+
+    fn has_rested(&self, now: Now) -> bool {
+        self.rest.as_ref().is_none_or(|rest| rest.may_send(now))
+    }
+
     /// Why no new work may go there now, if so.
     pub(crate) fn ruled_out(&self, now: Now) -> Option<&'static str> {
         if self.server.leaving {
             return Some("leaving by configuration");
         }
-        if self.report.as_ref().is_some_and(|report| report.leaving) {
+        if self.leaves() {
             return Some("leaving by its own notice");
         }
+        if !self.has_rested(now) {
+            return Some("resting at its own request");
+        }
         if self.pause.is_paused(now) {
             return Some("paused after failures");
         }
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -40,6 +40,7 @@
 use crate::ZoneId;
 
 mod membership;
+mod notices;
 mod placing;
 mod suspecting;
 
@@ -152,7 +153,7 @@
         let mut commands = Vec::new();
         match event {
             Event::Submit(submission) => self.submit(now, submission, &mut commands),
-            Event::Adopt { submission, engine } => self.adopt(&submission, engine),
+            Event::Adopt { submission, engine } => self.adopt(now, &submission, engine),
             Event::Progress { request, generated } => {
                 self.note_running(now, &request);
                 self.progress(&request, generated);
@@ -177,7 +178,8 @@
                 self.drain_engine(now, &backend, &mut commands);
             }
             Event::BackendFailed { backend } => self.backend_failed(now, &backend),
-            Event::BackendAnswered { backend } => self.backend_answered(&backend),
+            Event::BackendAnswered { backend } => self.backend_answered(now, &backend),
+            Event::Noticed { backend, notice } => self.noticed(now, &backend, &notice),
             Event::ConfigOffered {
                 version,
                 document,
@@ -208,6 +210,7 @@
 
     fn tick(&mut self, now: Now, commands: &mut Vec<Command>) {
         self.expire(now, commands);
+        self.refuse_outlasted(now, commands);
         self.drain_all(now, commands);
         self.tick_membership(now, commands);
         self.suspicions.expire(now);
--- /dev/null
+++ b/crates/core/src/control/notices.rs
@@ -0,0 +1,83 @@
+//! What backend servers say of themselves in their answers, on the completion interface.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Control;
+use crate::BackendId;
+use crate::Command;
+use crate::Now;
+use crate::Refusal;
+use crate::RequestId;
+use crate::ServerNotice;
+
+impl Control {
+    /// Notes what an answer said of its backend server.
+    pub(super) fn noticed(&mut self, now: Now, backend: &str, notice: &ServerNotice) {
+        if let Some(view) = self.book.view_mut(backend) {
+            view.noticed(now, notice);
+        }
+    }
+
+    /// Whether a call may be sent to a runner now: it may have said something since the
+    /// runners were ranked.
+    pub fn may_call(&mut self, now: Now, backend: &str, request: &RequestId) -> bool {
+        let view = self.book.view_mut(backend);
+        view.is_some_and(|view| view.may_call(now, request))
+    }
+
+    /// Whether a backend server has asked for rest that is not over.
+    pub fn rests(&self, now: Now, backend: &str) -> bool {
+        let view = self.book.view(backend);
+        view.is_some_and(|view| view.rest_left(now).is_some())
+    }
+
+    /// The time until the first runner of a service has rested; `None` unless all that
+    /// could run a call rest.
+    pub fn runners_rest(&self, now: Now, service: &str) -> Option<Duration> {
+        let views = self.book.views().map(|(_, view)| view);
+        let runners = views.filter(|view| view.server().service.as_deref() == Some(service));
+        let staying = runners.filter(|view| !view.leaves());
+        let lefts: Option<Vec<Duration>> = staying.map(|view| view.rest_left(now)).collect();
+        lefts?.into_iter().min()
+    }
+
+    /// The same for the engines of a model.
+    fn engines_rest(&self, now: Now, model: &str) -> Option<Duration> {
+        let staying = self.book.subset(model).filter(|view| !view.leaves());
+        let lefts: Option<Vec<Duration>> = staying.map(|view| view.rest_left(now)).collect();
+        lefts?.into_iter().min()
+    }
+
+    /// Why no engine takes a request.
+    pub(super) fn nothing_takes(&self, now: Now, model: &str) -> Refusal {
+        match self.engines_rest(now, model) {
+            Some(left) => Refusal::resting(model, left),
+            None => Refusal::no_backend(model),
+        }
+    }
+
+    /// Refuses what waits for a model whose engines all rest for longer than it can wait:
+    /// it is known already that it can't be served.
+    pub(super) fn refuse_outlasted(&mut self, now: Now, commands: &mut Vec<Command>) {
+        let models: Vec<String> = self.queues.keys().cloned().collect();
+        for model in models {
+            let Some(left) = self.engines_rest(now, &model) else {
+                continue;
+            };
+            let queue = self.queues.get_mut(&model);
+            let hopeless = queue.map(|queue| queue.take_expired(now.saturating_add(left)));
+            for queued in hopeless.unwrap_or_default() {
+                let refusal = Refusal::resting(&model, left);
+                self.refuse(queued.submission.request, refusal, commands);
+            }
+        }
+    }
+
+    /// Engines whose reports this instance needs, those that rest left out.
+    pub fn watched(&self, now: Now) -> Vec<(BackendId, SocketAddr)> {
+        let mut watched = self.book.watched();
+        watched.retain(|(backend, _)| !self.rests(now, backend));
+        watched
+    }
+}
--- a/crates/core/src/control/placing.rs
+++ b/crates/core/src/control/placing.rs
@@ -69,11 +69,11 @@
             let nothing_there = choice.engine.is_none() && !choice.may_wait;
             if choice.engine.is_some() {
                 self.charge(&workspace, &submission);
-                self.start(submission, choice, commands);
+                self.start(now, submission, choice, commands);
                 return Ok(());
             }
             if nothing_there && !submission.delivering {
-                return Err(Refusal::no_backend(&submission.model));
+                return Err(self.nothing_takes(now, &submission.model));
             }
         }
         self.enqueue(now, &workspace, submission)
@@ -167,7 +167,13 @@
         sharers.clamp(1, MAX_SHARERS)
     }
 
-    fn start(&mut self, submission: Submission, choice: Choice, commands: &mut Vec<Command>) {
+    fn start(
+        &mut self,
+        now: Now,
+        submission: Submission,
+        choice: Choice,
+        commands: &mut Vec<Command>,
+    ) {
         let Some(engine) = choice.engine else {
             return;
         };
@@ -183,7 +189,7 @@
                 candidates: choice.candidates,
             },
         );
-        self.adopt(&submission, engine.clone());
+        self.adopt(now, &submission, engine.clone());
         self.remember_warm(submission.prefix, &engine);
         commands.push(Command::Start {
             request,
@@ -196,7 +202,7 @@
     }
 
     /// Counts an attempt as running on an engine.
-    pub(super) fn adopt(&mut self, submission: &Submission, engine: BackendId) {
+    pub(super) fn adopt(&mut self, now: Now, submission: &Submission, engine: BackendId) {
         let class = class_of(&submission.workspace, &submission.model);
         let session = OwnSession {
             class: class.clone(),
@@ -205,7 +211,7 @@
             ..OwnSession::default()
         };
         if let Some(view) = self.book.view_mut(&engine) {
-            view.start(submission.request.clone(), session, &self.estimator);
+            view.start(now, submission.request.clone(), session, &self.estimator);
         }
         let running = Running {
             engine,
@@ -285,9 +291,9 @@
         }
     }
 
-    pub(super) fn backend_answered(&mut self, backend: &str) {
+    pub(super) fn backend_answered(&mut self, now: Now, backend: &str) {
         if let Some(view) = self.book.view_mut(backend) {
-            view.succeed();
+            view.answered(now);
         }
     }
 
@@ -319,7 +325,7 @@
             if let Some(queue) = self.queues.get_mut(model) {
                 queue.pop(cost);
             }
-            self.start(next, choice, commands);
+            self.start(now, next, choice, commands);
         }
     }
 
@@ -344,7 +350,12 @@
         }
     }
 
-    fn refuse(&mut self, request: RequestId, refusal: Refusal, commands: &mut Vec<Command>) {
+    pub(super) fn refuse(
+        &mut self,
+        request: RequestId,
+        refusal: Refusal,
+        commands: &mut Vec<Command>,
+    ) {
         self.note(
             Some(request.clone()),
             TimelineEvent::Refused {
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -15,6 +15,7 @@
 use crate::LoadReport;
 use crate::Now;
 use crate::RequestId;
+use crate::ServerNotice;
 use crate::TimelineEvent;
 use crate::ToldSuspect;
 use crate::WorkspaceId;
@@ -122,6 +123,13 @@
         /// Which.
         backend: BackendId,
     },
+    /// An answer of a backend server said something of it.
+    Noticed {
+        /// Which.
+        backend: BackendId,
+        /// What it said.
+        notice: ServerNotice,
+    },
     /// A backend server answered a call.
     BackendAnswered {
         /// Which.
--- a/crates/core/src/gateway_control/notices.rs
+++ b/crates/core/src/gateway_control/notices.rs
@@ -16,7 +16,6 @@
 use crate::Now;
 use crate::PlacementAsk;
 use crate::Refusal;
-use crate::RefusalKind;
 use crate::Replica;
 use crate::ServerLife;
 use crate::ServerNotice;
@@ -131,9 +130,7 @@
     pub(super) fn all_rest(&mut self, now: Now, ask: &PlacementAsk) -> Option<Refusal> {
         let left = self.shortest_rest(now, ask)?;
         let retry_after = self.spread(left);
-        let service = &ask.service;
-        let message = format!("all backend servers of {service} have asked for rest");
-        Some(Refusal::new(RefusalKind::Resting, retry_after, message))
+        Some(Refusal::resting(&ask.service, retry_after))
     }
 
     /// The shortest time until a replica that could take a request has rested; `None` when
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -96,6 +96,15 @@
         )
     }
 
+    /// All backend servers that could serve a request have asked for rest.
+    pub fn resting(of: &str, left: Duration) -> Self {
+        Refusal::new(
+            RefusalKind::Resting,
+            left,
+            format!("all backend servers of {of} have asked for rest"),
+        )
+    }
+
     /// No backend server can serve a model now.
     pub fn no_backend(model: &str) -> Self {
         Refusal::new(
--- a/crates/core/src/server_rest.rs
+++ b/crates/core/src/server_rest.rs
@@ -6,6 +6,11 @@
 use crate::Now;
 use crate::RequestId;
 
+/// Time after which another request may try although nothing is known of the first: its task
+/// may have ended with its caller. Calls that the users play end within 1.5 s, and streams
+/// begin within 1.8 s.
+const LONGEST_TRIAL: Duration = Duration::from_secs(10);
+
 /// Rest of one backend server, as this instance was asked for it.
 ///
 /// A rest is no failure: the server is there, and its load is its own matter. But one that
@@ -15,8 +20,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServerRest {
     until: Now,
-    /// The request that tries it.
-    trial: Option<RequestId>,
+    /// The request that tries it, and since when.
+    trial: Option<(RequestId, Now)>,
 }
 
 impl ServerRest {
@@ -39,19 +44,24 @@
 
     /// Whether a request may be sent: the rest is over and no other one is trying.
     pub fn may_send(&self, now: Now) -> bool {
-        self.left(now).is_zero() && self.trial.is_none()
+        let trial_ends = |(_, since): &(RequestId, Now)| *since + LONGEST_TRIAL;
+        let is_tried = self
+            .trial
+            .as_ref()
+            .is_some_and(|trial| now < trial_ends(trial));
+        self.left(now).is_zero() && !is_tried
     }
 
     /// Notes that a request is sent.
     pub fn sent(&mut self, now: Now, request: &str) {
         if self.may_send(now) {
-            self.trial = Some(request.to_owned());
+            self.trial = Some((request.to_owned(), now));
         }
     }
 
     /// Notes that a request is at the server no longer; the next one may try if it did.
     pub fn gone(&mut self, request: &str) {
-        if self.trial.as_deref() == Some(request) {
+        if self.is_tried_by(request) {
             self.trial = None;
         }
     }
@@ -59,6 +69,16 @@
     /// Whether the server, by taking a request, has shown that the rest is behind it.
     /// Requests that it had taken before it asked show nothing.
     pub fn is_over_by(&self, request: &str) -> bool {
-        self.trial.as_deref() == Some(request)
+        self.is_tried_by(request)
+    }
+
+    /// Whether the rest is over, so that an answer shows that the server takes work.
+    pub fn is_over(&self, now: Now) -> bool {
+        self.left(now).is_zero()
+    }
+
+    fn is_tried_by(&self, request: &str) -> bool {
+        let trial = self.trial.as_ref();
+        trial.is_some_and(|(trial, _)| trial == request)
     }
 }
--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -17,7 +17,9 @@
 use iristhread_core::LoadReport;
 use iristhread_core::Model;
 use iristhread_core::RefusalKind;
+use iristhread_core::RetryAfter;
 use iristhread_core::RoutingPolicy;
+use iristhread_core::ServerNotice;
 use iristhread_core::Submission;
 use iristhread_core::Workspace;
 use test_case::test_case;
@@ -115,6 +117,16 @@
         }))
     }
 
+    /// An answer of an engine asks for rest, or says that it leaves.
+    fn notice(&mut self, engine: &str, is_leaving: bool, rest: Duration) {
+        let notice = ServerNotice {
+            is_leaving,
+            retry_after: RetryAfter::In(rest),
+        };
+        let backend = engine.to_owned();
+        self.tell(Event::Noticed { backend, notice });
+    }
+
     fn lose(&mut self, request: &str) {
         let request = request.to_owned();
         self.tell(Event::AttemptLost {
@@ -290,3 +302,53 @@
     }
     starts
 }
+
+#[test]
+fn one_request_tries_an_engine_that_has_rested() {
+    let mut scene = Scene::new(1);
+    scene.report("e0", 1, |_| {});
+    scene.notice("e0", false, Duration::from_secs(2));
+    assert_eq!(
+        refused(&scene.submit("r1", 1, false)),
+        Some(RefusalKind::Resting)
+    );
+    assert!(
+        scene.control.watched(scene.now).is_empty(),
+        "nor is it asked"
+    );
+    scene.now += Duration::from_secs(2);
+    assert_eq!(started(&scene.submit("r2", 1, false)), Some("e0"));
+    assert_eq!(started(&scene.submit("r3", 1, false)), None);
+    scene.tell(Event::Progress {
+        request: "r2".to_owned(),
+        generated: 1,
+    });
+    assert_eq!(started(&scene.submit("r4", 1, false)), Some("e0"));
+}
+
+#[test]
+fn an_engine_that_has_started_anew_is_bound_by_no_word_of_before() {
+    let mut scene = Scene::new(1);
+    scene.report("e0", 7, |_| {});
+    scene.notice("e0", true, Duration::from_secs(60));
+    assert_eq!(started(&scene.submit("r1", 1, false)), None);
+    scene.report("e0", 1, |_| {});
+    assert_eq!(started(&scene.submit("r2", 1, false)), Some("e0"));
+}
+
+/// It is known at once that the rest outlasts their deadline.
+#[test]
+fn what_waits_is_refused_when_all_engines_rest_for_too_long() {
+    let mut scene = Scene::new(1);
+    scene.report("e0", 1, |r| r.waiting = 2);
+    assert!(scene.submit("waits", 1, false).is_empty());
+    scene.notice("e0", false, Duration::from_secs(4));
+    assert_eq!(
+        refused(&scene.tell(Event::Tick)),
+        None,
+        "it may still be in time"
+    );
+    scene.notice("e0", false, Duration::from_secs(60));
+    let commands = scene.tell(Event::Tick);
+    assert_eq!(refused(&commands), Some(RefusalKind::Resting));
+}
--- a/crates/daemon/src/api_error.rs
+++ b/crates/daemon/src/api_error.rs
@@ -91,7 +91,6 @@
     /// Adds when to come back; at least a second.
     #[must_use]
     pub fn with_retry_after(mut self, retry_after: Option<Duration>) -> Self {
-        let whole_seconds = |time: Duration| time.as_secs_f64().ceil().max(1.0) as u64;
         self.detail.retry_after_s = retry_after.map(whole_seconds);
         self
     }
@@ -140,3 +139,8 @@
         self
     }
 }
+
+/// A time to come back in whole seconds, never too short, at least one.
+pub fn whole_seconds(time: Duration) -> u64 {
+    time.as_secs_f64().ceil().max(1.0) as u64
+}
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -5,7 +5,11 @@
 use std::sync::atomic::Ordering;
 
 use iristhread_api::HttpClient;
+use iristhread_core::Event;
+use iristhread_core::RetryAfter;
+use iristhread_core::ServerNotice;
 use slog::Logger;
+use slog::info;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
@@ -58,6 +62,22 @@
         self.views.borrow().clone()
     }
 
+    /// Notes what an answer said of its engine or runner.
+    pub fn noticed(&self, backend: &str, notice: &ServerNotice) {
+        if notice.is_empty() {
+            return;
+        }
+        info!(self.log, "answer tells of its backend server";
+            "backend_server" => backend,
+            "leaving" => notice.is_leaving,
+            "rest_ms" => notice.rest().map(|rest| rest.as_millis() as u64),
+            "unreadable" => notice.retry_after == RetryAfter::Unreadable);
+        self.control.tell(Event::Noticed {
+            backend: backend.to_owned(),
+            notice: *notice,
+        });
+    }
+
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         !self.stopping.load(Ordering::Relaxed) && self.view().version > 0
--- a/crates/daemon/src/control_message.rs
+++ b/crates/daemon/src/control_message.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use iristhread_core::BackendId;
 use iristhread_core::BackendServer;
@@ -79,6 +80,29 @@
         /// Gets the decision.
         reply: oneshot::Sender<Result<(), Refusal>>,
     },
+    /// A call is about to be sent to a runner.
+    MayCall {
+        /// The runner.
+        backend: BackendId,
+        /// The request.
+        request: RequestId,
+        /// Whether it may: the runner may have said something since it was ranked.
+        reply: oneshot::Sender<bool>,
+    },
+    /// Something is about to be sent to an engine about a generation there.
+    Rests {
+        /// The engine.
+        backend: BackendId,
+        /// Whether it has asked for rest, and wants nothing.
+        reply: oneshot::Sender<bool>,
+    },
+    /// No runner of a service took a call: is that because all rest?
+    RunnersRest {
+        /// The service.
+        service: String,
+        /// The time until the first has rested, if so.
+        reply: oneshot::Sender<Option<Duration>>,
+    },
     /// The runners of a service are wanted, the best first.
     Runners {
         /// The service.
--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -181,6 +181,19 @@
                 let may = self.control.check_quarantine(now, &request, fingerprint);
                 let _ = reply.send(may);
             }
+            ControlMessage::MayCall {
+                backend,
+                request,
+                reply,
+            } => {
+                let _ = reply.send(self.control.may_call(now, &backend, &request));
+            }
+            ControlMessage::Rests { backend, reply } => {
+                let _ = reply.send(self.control.rests(now, &backend));
+            }
+            ControlMessage::RunnersRest { service, reply } => {
+                let _ = reply.send(self.control.runners_rest(now, &service));
+            }
             ControlMessage::Runners { service, reply } => {
                 let _ = reply.send(self.control.runners(now, &service));
             }
@@ -195,7 +208,7 @@
                 let _ = reply.send(self.versions(now));
             }
             ControlMessage::Watched { reply } => {
-                let _ = reply.send(self.control.book().watched());
+                let _ = reply.send(self.control.watched(now));
             }
             ControlMessage::Roster { reply } => {
                 let entries = self.control.roster().entries();
--- a/crates/daemon/src/engine_port.rs
+++ b/crates/daemon/src/engine_port.rs
@@ -7,13 +7,19 @@
 use futures::future::BoxFuture;
 use futures::stream::BoxStream;
 use http::Method;
+use http::StatusCode;
 use iristhread_api::EngineEvent;
 use iristhread_api::GenerateRequest;
 use iristhread_api::HttpClient;
 use iristhread_api::HttpClientError;
+use iristhread_api::Reply;
+use iristhread_api::notice_of;
 use iristhread_core::LoadReport;
+use iristhread_core::ServerNotice;
 use thiserror::Error;
 
+use crate::answered::Answered;
+
 /// Most bytes of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -38,6 +44,16 @@
 }
 
 impl EngineError {
+    /// What a refusal says of the engine.
+    pub fn notice(&self) -> ServerNotice {
+        match self {
+            EngineError::Http(HttpClientError::Status {
+                status, headers, ..
+            }) => notice_of(*status, headers),
+            _ => ServerNotice::default(),
+        }
+    }
+
     /// Whether not a byte was sent.
     pub fn is_unsent(&self) -> bool {
         matches!(self, EngineError::Http(HttpClientError::Connect { .. }))
@@ -47,6 +63,9 @@
 /// Events of one attempt.
 pub type EngineStream = BoxStream<'static, Result<EngineEvent, EngineError>>;
 
+/// An engine's answer.
+pub type EngineReply<T> = Answered<T, EngineError>;
+
 /// Generates, attaches, cancels and reports.
 pub trait EnginePort: Send + Sync {
     /// Starts an attempt, or attaches to it when it is there.
@@ -54,7 +73,7 @@
         &self,
         address: SocketAddr,
         request: GenerateRequest,
-    ) -> BoxFuture<'_, Result<EngineStream, EngineError>>;
+    ) -> BoxFuture<'_, EngineReply<EngineStream>>;
 
     /// Attaches to an attempt that is there, from its first token on.
     fn attach(
@@ -63,7 +82,7 @@
         generation: &str,
         attempt: u32,
         reader: &str,
-    ) -> BoxFuture<'_, Result<EngineStream, EngineError>>;
+    ) -> BoxFuture<'_, EngineReply<EngineStream>>;
 
     /// Cancels an attempt unless a newer reader has attached.
     fn cancel(
@@ -72,10 +91,10 @@
         generation: &str,
         attempt: u32,
         reader: &str,
-    ) -> BoxFuture<'_, Result<(), EngineError>>;
+    ) -> BoxFuture<'_, EngineReply<()>>;
 
     /// Asks for the load.
-    fn load(&self, address: SocketAddr) -> BoxFuture<'_, Result<LoadReport, EngineError>>;
+    fn load(&self, address: SocketAddr) -> BoxFuture<'_, EngineReply<LoadReport>>;
 }
 
 /// Engines over HTTP.
@@ -92,12 +111,32 @@
 }
 
 impl HttpEngines {
+    /// Sends a short request and reads the whole answer, whatever its status.
+    async fn fetched(
+        &self,
+        request: Result<EngineRequest, HttpClientError>,
+    ) -> Result<Reply, EngineError> {
+        let answer = tokio::time::timeout(SHORT_TIMEOUT, self.client.fetch(request?));
+        Ok(answer.await.map_err(|_| EngineError::Silent)??)
+    }
+
     async fn stream(
         &self,
-        request: http::Request<http_body_util::Full<hyper::body::Bytes>>,
+        request: Result<EngineRequest, HttpClientError>,
+    ) -> EngineReply<EngineStream> {
+        let mut notice = ServerNotice::default();
+        let result = self.begun(request, &mut notice).await;
+        heard(result, notice)
+    }
+
+    async fn begun(
+        &self,
+        request: Result<EngineRequest, HttpClientError>,
+        notice: &mut ServerNotice,
     ) -> Result<EngineStream, EngineError> {
-        let answer = tokio::time::timeout(START_TIMEOUT, self.client.events(request));
-        let (_, events) = answer.await.map_err(|_| EngineError::Silent)??;
+        let answer = tokio::time::timeout(START_TIMEOUT, self.client.events(request?));
+        let (headers, events) = answer.await.map_err(|_| EngineError::Silent)??;
+        *notice = notice_of(StatusCode::OK, &headers);
         let parsed = events.map(|event| {
             let event = event?;
             serde_json::from_str(&event.data)
@@ -112,10 +151,10 @@
         &self,
         address: SocketAddr,
         request: GenerateRequest,
-    ) -> BoxFuture<'_, Result<EngineStream, EngineError>> {
+    ) -> BoxFuture<'_, EngineReply<EngineStream>> {
         Box::pin(async move {
             let uri = format!("http://{address}/generate");
-            let request = HttpClient::request(Method::POST, &uri, None, Some(&request))?;
+            let request = HttpClient::request(Method::POST, &uri, None, Some(&request));
             self.stream(request).await
         })
     }
@@ -126,9 +165,9 @@
         generation: &str,
         attempt: u32,
         reader: &str,
-    ) -> BoxFuture<'_, Result<EngineStream, EngineError>> {
+    ) -> BoxFuture<'_, EngineReply<EngineStream>> {
         let uri = format!("http://{address}/generate/{generation}/{attempt}?reader={reader}");
-        Box::pin(async move { self.stream(HttpClient::get(&uri)?).await })
+        Box::pin(async move { self.stream(HttpClient::get(&uri)).await })
     }
 
     fn cancel(
@@ -137,23 +176,49 @@
         generation: &str,
         attempt: u32,
         reader: &str,
-    ) -> BoxFuture<'_, Result<(), EngineError>> {
+    ) -> BoxFuture<'_, EngineReply<()>> {
         let uri = format!("http://{address}/generate/{generation}/{attempt}?reader={reader}");
+        let request = HttpClient::request::<()>(Method::DELETE, &uri, None, None);
         Box::pin(async move {
-            let request = HttpClient::request::<()>(Method::DELETE, &uri, None, None)?;
-            let answer = tokio::time::timeout(SHORT_TIMEOUT, self.client.fetch(request));
-            answer.await.map_err(|_| EngineError::Silent)??;
-            Ok(())
+            match self.fetched(request).await {
+                Ok(reply) => Answered {
+                    notice: notice_of(reply.status, &reply.headers),
+                    result: Ok(()),
+                },
+                Err(error) => heard(Err(error), ServerNotice::default()),
+            }
         })
     }
 
-    fn load(&self, address: SocketAddr) -> BoxFuture<'_, Result<LoadReport, EngineError>> {
+    fn load(&self, address: SocketAddr) -> BoxFuture<'_, EngineReply<LoadReport>> {
+        let request = HttpClient::get(&format!("http://{address}/load"));
         Box::pin(async move {
-            let uri = format!("http://{address}/load");
-            let answer = self.client.json(HttpClient::get(&uri)?);
-            let report = tokio::time::timeout(SHORT_TIMEOUT, answer).await;
-            let report = report.map_err(|_| EngineError::Silent)??;
-            report.ok_or_else(|| EngineError::Unreadable("no report".to_owned()))
+            match self.fetched(request).await {
+                Ok(reply) => Answered {
+                    notice: notice_of(reply.status, &reply.headers),
+                    result: report_of(&reply),
+                },
+                Err(error) => heard(Err(error), ServerNotice::default()),
+            }
         })
     }
 }
+
+type EngineRequest = http::Request<http_body_util::Full<hyper::body::Bytes>>;
+
+/// The words of a refusal are those of the engine, too.
+fn heard<T>(result: Result<T, EngineError>, notice: ServerNotice) -> EngineReply<T> {
+    let notice = match &result {
+        Ok(_) => notice,
+        Err(error) => error.notice(),
+    };
+    Answered { result, notice }
+}
+
+fn report_of(reply: &Reply) -> Result<LoadReport, EngineError> {
+    if !reply.status.is_success() {
+        return Err(EngineError::Unreadable(format!("status {}", reply.status)));
+    }
+    let report = serde_json::from_slice(&reply.body);
+    report.map_err(|error| EngineError::Unreadable(error.to_string()))
+}
--- a/crates/daemon/src/generation/attempts.rs
+++ b/crates/daemon/src/generation/attempts.rs
@@ -14,6 +14,7 @@
 
 use super::Generation;
 use crate::api_error::ApiError;
+use crate::app::App;
 use crate::control_message::ControlMessage;
 use crate::engine_watch::has_ended;
 
@@ -72,13 +73,18 @@
     }
 
     async fn attach(&mut self) -> bool {
+        if engine_rests(&self.app, &self.placement.engine).await {
+            return false;
+        }
         let attached = self.app.engines.attach(
             self.placement.address,
             self.session.generation(),
             self.placement.attempt,
             &self.reader,
         );
-        match attached.await {
+        let answer = attached.await;
+        self.app.noticed(&self.placement.engine, &answer.notice);
+        match answer.result {
             Ok(stream) => {
                 self.stream = stream;
                 true
@@ -123,7 +129,10 @@
             reader: self.reader.clone(),
         };
         let address = self.placement.address;
-        match self.app.engines.generate(address, request).await {
+        let answer = self.app.engines.generate(address, request).await;
+        self.app.noticed(&self.placement.engine, &answer.notice);
+        let asks_for_rest = answer.notice.rest().is_some();
+        match answer.result {
             Ok(stream) => {
                 self.stream = stream;
                 true
@@ -131,10 +140,11 @@
             Err(error) => {
                 info!(self.app.log, "engine did not take an attempt";
                     "request" => &self.order.request, "error" => %error);
-                if !error.is_unsent() {
+                if !error.is_unsent() && !asks_for_rest {
                     self.look_at_engine().await;
                 }
-                self.lose("not taken", true);
+                // Rest is no failure.
+                self.lose("not taken", !asks_for_rest);
                 false
             }
         }
@@ -206,12 +216,14 @@
         let (address, attempt) = (self.placement.address, self.placement.attempt);
         let generation = self.session.generation().clone();
         let reader = self.reader.clone();
+        let engine = self.placement.engine.clone();
         tokio::spawn(async move {
-            // An engine that can't be reached drops what nobody reads.
-            let _ = app
-                .engines
-                .cancel(address, &generation, attempt, &reader)
-                .await;
+            // An engine that rests or can't be reached drops what nobody reads.
+            if engine_rests(&app, &engine).await {
+                return;
+            }
+            let cancelled = app.engines.cancel(address, &generation, attempt, &reader);
+            app.noticed(&engine, &cancelled.await.notice);
         });
     }
 
@@ -240,6 +252,15 @@
     }
 }
 
+/// Whether an engine has asked for rest: then it wants to hear of no generation.
+async fn engine_rests(app: &App, engine: &str) -> bool {
+    let ask = |reply| ControlMessage::Rests {
+        backend: engine.to_owned(),
+        reply,
+    };
+    app.control.ask(ask).await.unwrap_or_default()
+}
+
 fn stream_lost() -> ApiError {
     ApiError::unknown(
         StatusCode::CONFLICT,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! traffic runs on other threads and talks to it by messages. Every outside
 //! system stands behind a trait: [`PlatformPort`], [`EnginePort`], [`PeerPort`].
 
+mod answered;
 mod api_error;
 mod app;
 mod call_answer;
@@ -74,6 +75,7 @@
 mod view;
 mod whole_lines;
 
+pub use answered::Answered;
 pub use clock::Clock;
 pub use clock::ClockSource;
 pub use clock::SuspensionWatch;
--- a/crates/daemon/src/load_poller.rs
+++ b/crates/daemon/src/load_poller.rs
@@ -35,9 +35,13 @@
 }
 
 async fn poll(app: Arc<App>, backend: BackendId, address: SocketAddr) {
-    let event = match app.engines.load(address).await {
+    let answer = app.engines.load(address).await;
+    let asks_for_rest = answer.notice.rest().is_some();
+    app.noticed(&backend, &answer.notice);
+    app.control.tell(match answer.result {
         Ok(report) => Event::Report { backend, report },
+        // Rest is no failure.
+        Err(_) if asks_for_rest => return,
         Err(_) => Event::BackendFailed { backend },
-    };
-    app.control.tell(event);
+    });
 }
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -13,6 +13,7 @@
 use iristhread_api::IDEMPOTENCY_KEY_HEADER;
 use iristhread_api::OUTCOME_HEADER;
 use iristhread_api::Reply;
+use iristhread_api::notice_of;
 use iristhread_core::BackendServer;
 use iristhread_core::CallEnd;
 use iristhread_core::CallRun;
@@ -27,6 +28,7 @@
 use iristhread_core::TimelineEvent;
 use slog::info;
 
+use crate::api_error::whole_seconds;
 use crate::app::App;
 use crate::call_answer::CallAnswer;
 use crate::call_book::AnswerSlot;
@@ -123,6 +125,10 @@
                 let Some(runner) = runners.iter().find(|runner| runner.name == name) else {
                     continue;
                 };
+                if !runner_takes(app, call, runner).await {
+                    decisions.sent(SendResult::NotConnected);
+                    continue;
+                }
                 if !may_be_sent(app, call).await {
                     let CallStep::End { outcome, end } = decisions.give_up() else {
                         continue;
@@ -134,11 +140,49 @@
                 decisions.sent(result);
                 last = reply.or(last);
             }
+            CallStep::End {
+                end: CallEnd::NoRunner,
+                outcome: Outcome::NotRun,
+            } => return no_runner(app, call).await,
             CallStep::End { outcome, end } => return answer_at_end(outcome, end, last),
         }
     }
 }
 
+/// Nobody could run a call: tells when to come back, where that is known.
+async fn no_runner(app: &App, call: &ForwardedCall) -> CallAnswer {
+    match runners_rest(app, &call.service).await {
+        Some(left) => all_rest(left),
+        None => answer_at_end(Outcome::NotRun, CallEnd::NoRunner, None),
+    }
+}
+
+/// A runner may have said something since the runners were ranked.
+async fn runner_takes(app: &App, call: &ForwardedCall, runner: &BackendServer) -> bool {
+    let ask = |reply| ControlMessage::MayCall {
+        backend: runner.name.clone(),
+        request: call.request.clone(),
+        reply,
+    };
+    app.control.ask(ask).await.unwrap_or_default()
+}
+
+async fn runners_rest(app: &App, service: &str) -> Option<Duration> {
+    let ask = |reply| ControlMessage::RunnersRest {
+        service: service.to_owned(),
+        reply,
+    };
+    app.control.ask(ask).await.flatten()
+}
+
+fn all_rest(left: Duration) -> CallAnswer {
+    let message = "all runners of the service have asked for rest";
+    CallAnswer {
+        retry_after_s: Some(whole_seconds(left)),
+        ..CallAnswer::not_run(503, "resting", message)
+    }
+}
+
 /// Asked before each send, also those of forwarded calls.
 async fn may_be_sent(app: &App, call: &ForwardedCall) -> bool {
     let ask = |reply| ControlMessage::CallAgain {
@@ -217,6 +261,10 @@
             "result" => result.as_str(), "cause" => cause);
     }
     let reply = fetched.and_then(Result::ok);
+    let notice = reply
+        .as_ref()
+        .map(|reply| notice_of(reply.status, &reply.headers));
+    app.noticed(&backend, &notice.unwrap_or_default());
     app.control.tell(match reply {
         Some(_) => Event::BackendAnswered { backend },
         None => Event::BackendFailed { backend },
--- a/crates/daemon/src/session_mover.rs
+++ b/crates/daemon/src/session_mover.rs
@@ -5,9 +5,10 @@
 use futures::future::BoxFuture;
 use iristhread_core::Replica;
 use iristhread_core::RequestId;
-use iristhread_core::ServerNotice;
 use thiserror::Error;
 
+use crate::answered::Answered;
+
 /// An order to copy the memory of a running session to another engine.
 #[derive(Clone, Debug)]
 pub struct MoveOrder {
@@ -60,23 +61,7 @@
 }
 
 /// An engine's answer to an order or a question.
-#[derive(Clone, Debug)]
-pub struct EngineAnswer<T> {
-    /// What became of it.
-    pub result: Result<T, MoveError>,
-    /// What the answer says of the engine.
-    pub notice: ServerNotice,
-}
-
-impl<T> EngineAnswer<T> {
-    /// An answer that says nothing of the engine, or none at all.
-    pub fn bare(result: Result<T, MoveError>) -> Self {
-        EngineAnswer {
-            result,
-            notice: ServerNotice::default(),
-        }
-    }
-}
+pub type EngineAnswer<T> = Answered<T, MoveError>;
 
 /// Gives engines orders about running sessions.
 pub trait SessionMover: Send + Sync {
