Order readings of the directory by era, then revision

Cause: a directory that comes back from an older copy counts from lower; bare counts were compared in the list, the evacuations, the members, the knowledge of peers and the readers, so its news looked old: refused, and asked for again without end.

Ruled out: following at once what a copy lacks of evacuations (sends to a zone that is to be empty); dropping an earlier life that a copy lists for good (a generated schedule shows that who holds it then differs from the directory for ever).

Change: Revision (era, count), made at the border from each answer, with its own order. A watch that is answered in a later era leads to a whole reading; an answer of an earlier era is refused with a pause. What a copy lacks has lapsed; lives seen to be gone that it brings back are doubted for 4 s; evacuations that it lacks hold for 2 s. A line and a metric at each change. Found by the schedules and mended: three gaps in what instances hand on of the list within one era. The list's telling and its handling of copies are files of their own.

--- a/crates/core/src/fleet_members.rs
+++ b/crates/core/src/fleet_members.rs
@@ -13,6 +13,7 @@
 use crate::KnownVersions;
 use crate::MessageOrder;
 use crate::Now;
+use crate::Revision;
 use crate::ZoneId;
 use crate::rendezvous_rank;
 
@@ -95,7 +96,7 @@
     /// When the platform confirmed that configuration, on the receiver's clock.
     pub config_confirmed_at: Option<Now>,
     /// Revision of its list of backend servers.
-    pub list_revision: u64,
+    pub list_revision: Revision,
     /// When the platform confirmed that list, on the receiver's clock.
     pub list_confirmed_at: Option<Now>,
     /// Whether it could read the platform when it tried last.
@@ -273,7 +274,7 @@
         &self,
         now: Now,
         config_version: ConfigVersion,
-        list_revision: u64,
+        list_revision: Revision,
     ) -> Vec<(SocketAddr, &MemberState)> {
         let states = self.live(now);
         let states = states.filter_map(|(address, member)| Some((address, member.state()?)));
@@ -289,7 +290,7 @@
         &self,
         now: Now,
         config_version: ConfigVersion,
-        list_revision: u64,
+        list_revision: Revision,
     ) -> Vec<(SocketAddr, &MemberState)> {
         let mut ahead = self.ahead(now, config_version, list_revision);
         if !self.has_relays {
@@ -305,7 +306,7 @@
 
     /// When the platform confirmed this revision of the list or a later one, to
     /// anyone's knowledge.
-    pub fn list_confirmed_at(&self, now: Now, list_revision: u64) -> Option<Now> {
+    pub fn list_confirmed_at(&self, now: Now, list_revision: Revision) -> Option<Now> {
         let states = self.live_states(now);
         let same = states.filter(|state| state.list_revision <= list_revision);
         same.filter_map(|state| state.list_confirmed_at).max()
@@ -327,7 +328,10 @@
                 .map(|state| state.config_version)
                 .max()
                 .unwrap_or(0),
-            list: states().map(|state| state.list_revision).max().unwrap_or(0),
+            list: states()
+                .map(|state| state.list_revision)
+                .max()
+                .unwrap_or_default(),
         }
     }
 
--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -11,6 +11,7 @@
 use crate::BackendId;
 use crate::Belief;
 use crate::ConfigVersion;
+use crate::EvacuationChange;
 use crate::FailurePause;
 use crate::GatewayConfig;
 use crate::GatewayTerms;
@@ -31,6 +32,7 @@
 use crate::ReplicaScore;
 use crate::RequestId;
 use crate::RetryBudget;
+use crate::Revision;
 use crate::RouteTable;
 use crate::RunEnd;
 use crate::Suspicions;
@@ -91,6 +93,8 @@
     pub evacuations: Vec<Evacuation>,
     /// Peers that fell silent.
     pub silent: Vec<InstanceId>,
+    /// Evacuations that ended since nobody ordered them again.
+    pub ended_evacuations: Vec<EvacuationChange>,
 }
 
 /// The decisions of the gateway side: a function of events, time and a seed.
@@ -185,7 +189,7 @@
     pub fn offer_replicas(
         &mut self,
         now: Now,
-        revision: u64,
+        revision: impl Into<Revision>,
         replicas: Vec<Replica>,
     ) -> Vec<Evacuation> {
         self.list.snapshot(now, revision, replicas);
@@ -208,7 +212,7 @@
     pub fn change_replicas(
         &mut self,
         now: Now,
-        revision: u64,
+        revision: impl Into<Revision>,
         changes: Vec<ReplicaChange>,
     ) -> Vec<Evacuation> {
         if !self.list.change(now, revision, changes) {
@@ -259,6 +263,7 @@
         Ticked {
             evacuations,
             silent,
+            ended_evacuations: self.evacuations.expire(now),
         }
     }
 
--- a/crates/core/src/known_versions.rs
+++ b/crates/core/src/known_versions.rs
@@ -1,14 +1,15 @@
 //! How far an instance is with what the platform publishes.
 
 use crate::ConfigVersion;
+use crate::Revision;
 
 /// Version of the configuration and revision of the list of backend servers.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct KnownVersions {
     /// Version of the configuration, 0 for none.
     pub config: ConfigVersion,
-    /// Revision of the list, 0 for none.
-    pub list: u64,
+    /// Revision of the list.
+    pub list: Revision,
 }
 
 impl KnownVersions {
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -13,8 +13,14 @@
 use crate::LifeId;
 use crate::Now;
 use crate::Replica;
+use crate::Revision;
 use crate::ServerLife;
 
+mod copies;
+mod telling;
+
+pub use telling::ToldList;
+
 /// How long after an outage of the platform a missing entry still counts as
 /// present: a live server writes its entry again within two heartbeats of
 /// 1.2 s, and the users set the bound at about 2 s.
@@ -31,34 +37,10 @@
     Unusable(BackendId),
 }
 
-/// Removals that are remembered to be told: 500 servers replaced every 3.3 s, which a
-/// fleet of 3,000 sees, for half a minute.
-const REMOVALS_KEPT: usize = 4_096;
-
 /// Unusable entries that are remembered to be told. Whoever writes more of them writes
 /// keys of no server.
 const UNUSABLE_KEPT: usize = 1_024;
 
-/// The list as one instance tells it to another: what the platform lists, or what has
-/// changed since the other read it, and how long ago an outage ended, so that both draw
-/// the same conclusions from entries that are missing.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct ToldList {
-    /// Revision after which the changes came; 0 when the list is whole.
-    pub above: u64,
-    /// Revision of the platform's list.
-    pub revision: u64,
-    /// Its entries, or those that changed; lapsed ones are none.
-    pub replicas: Vec<Replica>,
-    /// Entries that were removed since, where the list is not whole.
-    pub removed: Vec<BackendId>,
-    /// Entries that can't be used; they are gone at once, also after an outage.
-    pub unusable: Vec<BackendId>,
-    /// Milliseconds since the platform answered again after an outage, while
-    /// entries may be missing because of it.
-    pub outage_ended_ms: Option<u64>,
-}
-
 /// What the list says of a replica.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ListedState {
@@ -86,36 +68,35 @@
     /// Identifies the life that is listed.
     life: LifeId,
     /// Revision by which it was as it is.
-    revision: u64,
+    revision: Revision,
     /// When a lapsed entry stops counting.
     lapses_at: Option<Now>,
     /// Until when it is cold, as it said itself.
     cold_until: Now,
-}
-
-impl Line {
-    /// The replica as another instance hears of it now.
-    fn told(&self, now: Now, leaving: bool) -> Replica {
-        Replica {
-            leaving,
-            warm_up: self.cold_until.saturating_sub(now),
-            ..self.replica.clone()
-        }
-    }
+    /// Until when only an old copy of the directory says that it is there.
+    unproven_until: Now,
+    /// An earlier life that a copy of the directory lists under the id: it stands again if
+    /// this one doesn't write itself in time.
+    earlier: Option<Replica>,
 }
 
 /// Replicas by id, at a revision of the platform's list.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaList {
-    revision: u64,
+    revision: Revision,
     lines: BTreeMap<BackendId, Line>,
     outage_ended: Option<Now>,
     /// Entries removed lately, with the revision by which they were.
-    removed: VecDeque<(u64, BackendId)>,
+    removed: VecDeque<(Revision, BackendId)>,
     /// Revision from which on all removals are in `removed`.
-    complete_from: u64,
+    complete_from: Revision,
+    /// Spans of revisions that a whole list has skipped: an entry may have gone and come as
+    /// it was within them, which shows in no line.
+    skipped: VecDeque<(Revision, Revision)>,
     /// Lives that said themselves that they leave.
     said_leaving: LeavingMarks,
+    /// Lives that were listed and are no more.
+    gone: LeavingMarks,
     /// Ids whose entry is there and can't be used.
     unusable: BTreeSet<BackendId>,
     /// Replicas that are new here or have begun another life.
@@ -125,14 +106,34 @@
 impl ReplicaList {
     /// Takes a whole list. Entries that are missing count as removed, or as
     /// lapsed when the platform was away before.
-    pub fn snapshot(&mut self, now: Now, revision: u64, replicas: Vec<Replica>) -> bool {
+    ///
+    /// A list of a later era lacks what was written since the copy that the directory came
+    /// back from, until it is written again: its missing entries have lapsed, too. What was
+    /// removed since then is not known to whoever has a list of the era before.
+    pub fn snapshot(
+        &mut self,
+        now: Now,
+        revision: impl Into<Revision>,
+        replicas: Vec<Replica>,
+    ) -> bool {
+        let revision = revision.into();
         if revision < self.revision {
             return false;
         }
-        if self.revision == 0 {
+        if self.revision.is_none() {
+            self.complete_from = revision;
+        } else if revision.era > self.revision.era {
+            self.outage_ended(now);
             self.complete_from = revision;
+            self.removed.clear();
         }
+        self.note_skipped(revision);
+        let is_copy = revision.era > self.revision.era && !self.revision.is_none();
         self.revision = revision;
+        let (replicas, doubtful) = match is_copy {
+            true => self.sift(replicas),
+            false => (replicas, Vec::new()),
+        };
         let missing: Vec<BackendId> = self
             .lines
             .keys()
@@ -145,6 +146,9 @@
         for replica in replicas {
             self.insert(now, replica);
         }
+        for replica in doubtful {
+            self.insert_doubtful(now, replica);
+        }
         true
     }
 
@@ -153,14 +157,14 @@
         if let Some(ago_ms) = told.outage_ended_ms {
             self.outage_ended(now.saturating_sub(Duration::from_millis(ago_ms)));
         }
-        if told.above == 0 {
+        if told.above.is_none() {
             let is_taken = self.snapshot(now, told.revision, told.replicas);
             if is_taken {
                 self.mark_unusable(now, told.unusable);
             }
             return is_taken;
         }
-        if told.above > self.revision {
+        if !self.revision.follows(&told.above) {
             return false;
         }
         let removed = told.removed.into_iter().map(ReplicaChange::Removed);
@@ -174,9 +178,9 @@
     /// no longer.
     pub fn mark_unusable(&mut self, now: Now, ids: impl IntoIterator<Item = BackendId>) {
         for id in ids {
-            if let Some(line) = self.lines.remove(&id) {
+            if self.lines.contains_key(&id) {
                 self.note_removal(&id);
-                self.said_leaving.unlisted(now, line.life);
+                self.drop_line(now, &id);
             }
             if self.unusable.len() < UNUSABLE_KEPT {
                 self.unusable.insert(id);
@@ -184,56 +188,22 @@
         }
     }
 
-    /// The list for another instance that has it as it was at a revision: what has
-    /// changed since, which is a few entries where the whole list is thousands; the whole
-    /// list when that is not known.
-    pub fn told_since(&self, now: Now, above: u64) -> ToldList {
-        let mut told = self.told(now);
-        if above < self.complete_from || above == 0 {
-            return told;
-        }
-        told.above = above;
-        let has_changed = |replica: &Replica| {
-            let line = self.lines.get(&replica.id);
-            line.is_some_and(|line| line.revision > above)
-        };
-        told.replicas.retain(has_changed);
-        let is_listed = |id: &BackendId| {
-            let line = self.lines.get(id);
-            line.is_some_and(|line| line.lapses_at.is_none())
-        };
-        let removed = self.removed.iter();
-        let removed = removed.filter(|(revision, id)| *revision > above && !is_listed(id));
-        told.removed = removed.map(|(_, id)| id.clone()).collect();
-        told
-    }
-
-    /// The whole list for another instance.
-    pub fn told(&self, now: Now) -> ToldList {
-        let listed = self.lines.values().filter(|line| line.lapses_at.is_none());
-        let ago = self.outage_ended.map(|at| now.saturating_sub(at));
-        let ago = ago.filter(|ago| *ago < LAPSE_GRACE);
-        ToldList {
-            above: 0,
-            revision: self.revision,
-            removed: Vec::new(),
-            unusable: self.unusable.iter().cloned().collect(),
-            replicas: listed
-                .map(|line| line.told(now, self.leaves(line)))
-                .collect(),
-            outage_ended_ms: ago.map(|ago| ago.as_millis() as u64),
-        }
-    }
-
     /// Takes changes up to a revision; older ones are ignored.
-    pub fn change(&mut self, now: Now, revision: u64, changes: Vec<ReplicaChange>) -> bool {
-        if revision <= self.revision {
+    pub fn change(
+        &mut self,
+        now: Now,
+        revision: impl Into<Revision>,
+        changes: Vec<ReplicaChange>,
+    ) -> bool {
+        let revision = revision.into();
+        let is_of_this_era = revision.era == self.revision.era || self.revision.is_none();
+        if revision <= self.revision || !is_of_this_era {
             return false;
         }
         self.revision = revision;
         for change in changes {
             match change {
-                ReplicaChange::Listed(replica) => self.insert(now, replica),
+                ReplicaChange::Listed(replica) => self.insert_written(now, replica),
                 ReplicaChange::Removed(id) => self.remove(now, &id),
                 ReplicaChange::Unusable(id) => self.mark_unusable(now, [id]),
             }
@@ -287,11 +257,14 @@
         let over = self.lines.iter().filter(|(_, line)| is_over(line));
         let ids: Vec<BackendId> = over.map(|(id, _)| id.clone()).collect();
         for id in &ids {
-            if let Some(line) = self.lines.remove(id) {
-                self.said_leaving.unlisted(now, line.life);
+            let earlier = self.lines.get_mut(id).and_then(|line| line.earlier.take());
+            self.drop_line(now, id);
+            if let Some(earlier) = earlier {
+                self.insert_doubtful(now, earlier);
             }
         }
         self.said_leaving.expire(now);
+        self.gone.expire(now);
         ids
     }
 
@@ -306,7 +279,7 @@
     }
 
     /// The revision reached.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -314,7 +287,8 @@
     pub fn serving(&self, now: Now) -> impl Iterator<Item = &Replica> {
         let counts = move |line: &&Line| {
             let is_over = line.lapses_at.is_some_and(|at| now >= at);
-            !self.leaves(line) && !is_over
+            let is_proven = now >= line.unproven_until;
+            !self.leaves(line) && !is_over && is_proven
         };
         self.lines.values().filter(counts).map(|line| &line.replica)
     }
@@ -337,6 +311,16 @@
         line.map_or(Duration::ZERO, |line| line.cold_until.saturating_sub(now))
     }
 
+    /// Takes an entry that was written in the meantime, also as it was: it may have gone and
+    /// come, and whoever asks what has changed must hear of it.
+    fn insert_written(&mut self, now: Now, replica: Replica) {
+        let id = replica.id.clone();
+        self.insert(now, replica);
+        if let Some(line) = self.lines.get_mut(&id) {
+            line.revision = self.revision;
+        }
+    }
+
     /// An entry that is read again as it was does not begin to be cold anew.
     fn insert(&mut self, now: Now, replica: Replica) {
         let life = replica.life();
@@ -346,7 +330,9 @@
         }
         if let Some(ended) = listed.filter(|listed| *listed != life) {
             self.said_leaving.unlisted(now, ended);
+            self.gone.mark(now, ended, false);
         }
+        self.gone.forget(life);
         self.mark_listed(now, life, &replica);
         let known = self.lines.get(&replica.id);
         let known = known.filter(|line| line.replica == replica);
@@ -354,6 +340,8 @@
         let line = Line {
             revision: as_before.map_or(self.revision, |line| line.revision),
             cold_until: known.map_or(now + replica.warm_up, |line| line.cold_until),
+            unproven_until: Now::ZERO,
+            earlier: None,
             life,
             replica,
             lapses_at: None,
@@ -374,6 +362,13 @@
         }
     }
 
+    fn drop_line(&mut self, now: Now, id: &str) {
+        if let Some(line) = self.lines.remove(id) {
+            self.said_leaving.unlisted(now, line.life);
+            self.gone.mark(now, line.life, false);
+        }
+    }
+
     fn leaves(&self, line: &Line) -> bool {
         line.replica.leaving || self.said_leaving.has(line.life)
     }
@@ -381,29 +376,17 @@
     fn remove(&mut self, now: Now, id: &str) {
         let grace_ends = self.outage_ended.map(|ended| ended + LAPSE_GRACE);
         self.unusable.remove(id);
-        if !self.lines.contains_key(id) {
-            return;
-        }
+        // Also of one that came and went unseen: others may have seen it come.
         self.note_removal(id);
         let is_leaving = self.lines.get(id).is_some_and(|line| self.leaves(line));
         let lapses = grace_ends.filter(|ends| now < *ends && !is_leaving);
         match (lapses, self.lines.get_mut(id)) {
-            (Some(ends), Some(line)) => line.lapses_at = Some(ends),
-            (_, Some(line)) => {
-                self.said_leaving.unlisted(now, line.life);
-                self.lines.remove(id);
+            (Some(ends), Some(line)) => {
+                line.lapses_at = Some(ends);
+                line.earlier = None;
             }
+            (_, Some(_)) => self.drop_line(now, id),
             (_, None) => {}
         }
     }
-
-    /// Remembers a removal, for whoever asks what has changed.
-    fn note_removal(&mut self, id: &str) {
-        self.removed.push_back((self.revision, id.to_owned()));
-        if self.removed.len() > REMOVALS_KEPT
-            && let Some((revision, _)) = self.removed.pop_front()
-        {
-            self.complete_from = self.complete_from.max(revision);
-        }
-    }
 }
--- a/crates/core/src/zone_evacuations.rs
+++ b/crates/core/src/zone_evacuations.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::Now;
+use crate::Revision;
 use crate::ZoneId;
 
 /// How long after an instance has learned of an evacuation it still sends what it had
@@ -15,6 +16,10 @@
 /// otherwise be lost. Copies take up to a second; the users allow five seconds for all.
 const UNDER_WAY: Duration = Duration::from_millis(1_500);
 
+/// Time in which operators and backend servers write again what a copy of the directory
+/// lacks, as the users promise.
+const REWRITTEN_WITHIN: Duration = Duration::from_secs(2);
+
 /// One order of the operators.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EvacuationChange {
@@ -28,7 +33,7 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ToldEvacuations {
     /// Revision of the platform's directory at which exactly these were evacuated.
-    pub revision: u64,
+    pub revision: Revision,
     /// The zones, in order.
     pub zones: Vec<ZoneId>,
 }
@@ -41,9 +46,9 @@
     /// What changed between two revisions.
     Changed {
         /// Revision before the changes.
-        after: u64,
+        after: Revision,
         /// Revision after them.
-        revision: u64,
+        revision: Revision,
         /// The changes, in order.
         changes: Vec<EvacuationChange>,
     },
@@ -53,9 +58,12 @@
 /// replaces what has a lower one, so that a late message undoes nothing.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneEvacuations {
-    revision: u64,
+    revision: Revision,
     /// When this instance learned of each.
     known_since: BTreeMap<ZoneId, Now>,
+    /// Those that a copy of the directory lacks, and when they end unless they are ordered
+    /// again.
+    unconfirmed: BTreeMap<ZoneId, Now>,
 }
 
 impl ZoneEvacuations {
@@ -76,8 +84,23 @@
         if told.revision <= self.revision {
             return None;
         }
+        let is_copy = told.revision.era > self.revision.era && !self.revision.is_none();
         let known = self.known_since.keys();
-        let ended = known.filter(|zone| !told.zones.contains(zone)).cloned();
+        let missing: Vec<ZoneId> = known
+            .filter(|zone| !told.zones.contains(zone))
+            .cloned()
+            .collect();
+        if is_copy {
+            // Sending to a zone that is to be empty would break the order; keeping away from
+            // one that no longer is costs a moment.
+            let ends = now + REWRITTEN_WITHIN;
+            self.unconfirmed = missing.into_iter().map(|zone| (zone, ends)).collect();
+            let began = told.zones.into_iter().map(EvacuationChange::Began);
+            return Some(self.apply(now, told.revision, began.collect()));
+        }
+        let ended = missing
+            .into_iter()
+            .filter(|zone| !self.unconfirmed.contains_key(zone));
         let mut changes: Vec<EvacuationChange> = ended.map(EvacuationChange::Ended).collect();
         changes.extend(told.zones.into_iter().map(EvacuationChange::Began));
         Some(self.apply(now, told.revision, changes))
@@ -87,32 +110,46 @@
     fn change(
         &mut self,
         now: Now,
-        after: u64,
-        revision: u64,
+        after: Revision,
+        revision: Revision,
         changes: Vec<EvacuationChange>,
     ) -> Option<Vec<EvacuationChange>> {
-        let joins = after <= self.revision && revision > self.revision;
+        let joins = self.revision.follows(&after) && revision > self.revision;
         joins.then(|| self.apply(now, revision, changes))
     }
 
     fn apply(
         &mut self,
         now: Now,
-        revision: u64,
+        revision: Revision,
         mut changes: Vec<EvacuationChange>,
     ) -> Vec<EvacuationChange> {
         self.revision = revision;
         changes.retain(|change| match change {
             EvacuationChange::Began(zone) => {
+                self.unconfirmed.remove(zone);
                 let is_new = !self.known_since.contains_key(zone);
                 self.known_since.entry(zone.clone()).or_insert(now);
                 is_new
             }
-            EvacuationChange::Ended(zone) => self.known_since.remove(zone).is_some(),
+            EvacuationChange::Ended(zone) => {
+                self.unconfirmed.remove(zone);
+                self.known_since.remove(zone).is_some()
+            }
         });
         changes
     }
 
+    /// Ends evacuations that a copy of the directory lacked and nobody has ordered again;
+    /// returns them.
+    pub fn expire(&mut self, now: Now) -> Vec<EvacuationChange> {
+        let over = self.unconfirmed.iter().filter(|(_, ends)| now >= **ends);
+        let over: Vec<ZoneId> = over.map(|(zone, _)| zone.clone()).collect();
+        let ended = over.into_iter().map(EvacuationChange::Ended).collect();
+        let revision = self.revision;
+        self.apply(now, revision, ended)
+    }
+
     /// Whether nothing new may be given to the backend servers of a zone.
     pub fn is_evacuated(&self, zone: &str) -> bool {
         self.known_since.contains_key(zone)
@@ -125,7 +162,7 @@
     }
 
     /// The directory's revision of what is known.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -134,11 +171,17 @@
         self.known_since.len()
     }
 
+    fn confirmed(&self) -> impl Iterator<Item = &ZoneId> {
+        let zones = self.known_since.keys();
+        zones.filter(|zone| !self.unconfirmed.contains_key(*zone))
+    }
+
     /// What is known, for the other instances.
     pub fn told(&self) -> ToldEvacuations {
         ToldEvacuations {
             revision: self.revision,
-            zones: self.known_since.keys().cloned().collect(),
+            // Whoever hears it holds for itself what a copy lacks.
+            zones: self.confirmed().cloned().collect(),
         }
     }
 }
--- a/crates/core/tests/gateway_evacuation.rs
+++ b/crates/core/tests/gateway_evacuation.rs
@@ -27,7 +27,7 @@
 
 fn whole(revision: u64, zones: &[&str]) -> EvacuationNews {
     EvacuationNews::Whole(ToldEvacuations {
-        revision,
+        revision: revision.into(),
         zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
     })
 }
@@ -42,8 +42,8 @@
 
 fn changed(after: u64, revision: u64, changes: Vec<EvacuationChange>) -> EvacuationNews {
     EvacuationNews::Changed {
-        after,
-        revision,
+        after: after.into(),
+        revision: revision.into(),
         changes,
     }
 }
@@ -174,7 +174,7 @@
     evacuations.take(NOW, whole(5, &["z1"])).unwrap();
     assert_eq!(evacuations.take(NOW, late), None);
     assert!(evacuations.is_evacuated("z1"));
-    assert_eq!(evacuations.revision(), 5);
+    assert_eq!(evacuations.revision(), 5.into());
 }
 
 #[test]
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -143,7 +143,7 @@
         has_relays: false,
         config_version: 1,
         config_confirmed_at: list_confirmed_at,
-        list_revision: 1,
+        list_revision: 1.into(),
         list_confirmed_at,
         can_read: true,
     }
@@ -295,10 +295,10 @@
     newer.config_version = 5;
     fleet.hear(ms(0), address(2), newer);
     fleet.hear(ms(0), address(3), state(3, "z1", None));
-    let ahead = fleet.ahead(ms(0), 1, 1);
+    let ahead = fleet.ahead(ms(0), 1, 1.into());
     assert_eq!(ahead.len(), 1);
     assert_eq!(ahead[0].1.instance, "i2");
-    assert!(fleet.ahead(ms(0), 5, 1).is_empty());
+    assert!(fleet.ahead(ms(0), 5, 1.into()).is_empty());
 }
 
 #[test]
@@ -357,7 +357,7 @@
         fleet.hear(ms(0), address(number), ahead);
     }
     let names = |fleet: &FleetMembers| {
-        let sources = fleet.sources(ms(0), 1, 1);
+        let sources = fleet.sources(ms(0), 1, 1.into());
         let names = sources.iter().map(|(_, state)| state.instance.clone());
         names.collect::<Vec<_>>()
     };
--- a/crates/core/tests/gateway_homes.rs
+++ b/crates/core/tests/gateway_homes.rs
@@ -102,7 +102,7 @@
 fn a_home_that_is_evacuated_is_left_to_nobody_else() {
     let mut control = two_regions();
     let told = iristhread_core::ToldEvacuations {
-        revision: 2,
+        revision: 2.into(),
         zones: vec!["z2".to_owned()],
     };
     control
--- a/crates/core/tests/gateway_list.rs
+++ b/crates/core/tests/gateway_list.rs
@@ -53,14 +53,14 @@
 fn who_knows_nothing_gets_the_whole_list() {
     let source = fleet_of(5);
     let told = source.told_since(NOW, 0);
-    assert_eq!((told.above, told.replicas.len()), (0, 5));
+    assert_eq!((told.above, told.replicas.len()), (0.into(), 5));
 }
 
 #[test]
 fn a_change_from_before_the_source_knew_the_list_makes_it_whole() {
     let source = fleet_of(5);
-    assert_eq!(source.told_since(NOW, 9).above, 0);
-    assert_eq!(source.told_since(NOW, 10).above, 10);
+    assert_eq!(source.told_since(NOW, 9).above, 0.into());
+    assert_eq!(source.told_since(NOW, 10).above, 10.into());
 }
 
 #[test]
@@ -71,7 +71,7 @@
     source.change(NOW, 11, vec![ReplicaChange::Removed("e1".to_owned())]);
     source.change(NOW, 12, vec![ReplicaChange::Removed("e2".to_owned())]);
     assert!(!behind.hear(NOW, source.told_since(NOW, 11)));
-    assert_eq!(behind.revision(), 10);
+    assert_eq!(behind.revision(), 10.into());
     assert_eq!(behind.state("e1"), ListedState::Serving);
 }
 
--- a/crates/core/tests/gateway_lives.rs
+++ b/crates/core/tests/gateway_lives.rs
@@ -71,7 +71,7 @@
 
 fn is_back(control: &mut GatewayControl, news: News, born_ms: u64) {
     let (now, back) = (NOW + ms(500), born("a", born_ms));
-    let revision = control.list().revision() + 10;
+    let revision = control.list().revision().count + 10;
     let listed = ReplicaChange::Listed(back.clone());
     match news {
         News::Written => drop(control.change_replicas(now, revision, vec![listed])),
--- a/crates/core/tests/known_versions.rs
+++ b/crates/core/tests/known_versions.rs
@@ -1,10 +1,17 @@
 //! Whether something must be fetched, because it did not come by itself.
 
 use iristhread_core::KnownVersions;
+use iristhread_core::Revision;
 use test_case::test_case;
 
 const fn at(config: u64, list: u64) -> KnownVersions {
-    KnownVersions { config, list }
+    KnownVersions {
+        config,
+        list: Revision {
+            era: 0,
+            count: list,
+        },
+    }
 }
 
 #[test_case(at(1, 5), at(1, 5), at(2, 5), true; "the configuration does not come")]
--- a/crates/core/tests/relay_scene/mod.rs
+++ b/crates/core/tests/relay_scene/mod.rs
@@ -218,7 +218,7 @@
                 has_relays: instance.members.has_relays(),
                 config_version: 1,
                 config_confirmed_at: Some(now),
-                list_revision: 1,
+                list_revision: 1.into(),
                 list_confirmed_at: Some(now),
                 can_read: true,
             },
--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/config_reader.rs
@@ -5,19 +5,20 @@
 
 use iristhread_core::EvacuationNews;
 use iristhread_core::GatewayConfig;
+use iristhread_core::Revision;
 use iristhread_core::ToldEvacuations;
 use slog::Logger;
 use slog::info;
 
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
-use crate::directory::Revision;
 use crate::directory_trouble::FIRST_PAUSE;
 use crate::directory_trouble::ROTA_CHECK;
 use crate::directory_trouble::SOURCE;
 use crate::directory_trouble::Trouble;
 use crate::directory_trouble::WATCH;
 use crate::directory_trouble::end_of;
+use crate::directory_trouble::same_era;
 use crate::fleet_link::FleetLink;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_metrics::GatewayMetrics;
@@ -124,6 +125,7 @@
         skipped: &mut SkippedEntries,
     ) -> Result<PublishedRead, DirectoryError> {
         let read = self.directory.published_after(after, WATCH).await?;
+        same_era(read.revision, after)?;
         skipped.note(&self.log, &self.metrics, &read.skipped);
         Ok(PublishedRead {
             revision: read.revision,
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -9,12 +9,10 @@
 use iristhread_core::GatewayConfig;
 use iristhread_core::Replica;
 use iristhread_core::ReplicaChange;
+use iristhread_core::Revision;
 use iristhread_core::ZoneId;
 use thiserror::Error;
 
-/// A revision of the directory.
-pub type Revision = u64;
-
 /// Why a read failed.
 #[derive(Clone, Debug, Error)]
 pub enum DirectoryError {
@@ -30,6 +28,9 @@
     /// The changes after that revision are forgotten.
     #[error("the directory has forgotten the changes since then")]
     HistoryGone,
+    /// The pages of one reading are of different eras of the directory.
+    #[error("the directory came back from a copy in the middle of a reading")]
+    EraChanged,
     /// The answer makes no sense.
     #[error("the answer of the directory can't be read: {0}")]
     Unreadable(String),
@@ -51,8 +52,8 @@
 pub struct SkippedEntry {
     /// Its key.
     pub key: String,
-    /// Revision of its writing.
-    pub revision: Revision,
+    /// Count of its writing, to tell it from others of its key.
+    pub revision: u64,
     /// What is wrong with it.
     pub reason: String,
 }
--- a/crates/daemon/src/directory_trouble.rs
+++ b/crates/daemon/src/directory_trouble.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use iristhread_core::Revision;
 use rand::RngExt;
 use slog::Logger;
 use slog::info;
@@ -80,6 +81,35 @@
         Err(DirectoryError::Silent) => "silent",
         Err(DirectoryError::Busy(_)) => "refused",
         Err(DirectoryError::HistoryGone) => "history_gone",
+        Err(DirectoryError::EraChanged) => "era_changed",
         Err(DirectoryError::Unreadable(_)) => "unreadable",
     }
 }
+
+/// Checks the answer of a watch: changes can't be told across eras, so that all is read
+/// anew.
+///
+/// # Errors
+///
+/// [`DirectoryError::HistoryGone`] in a later era, else what [`not_older`] says.
+pub fn same_era(answered: Revision, known: Revision) -> Result<(), DirectoryError> {
+    if answered.era > known.era {
+        return Err(DirectoryError::HistoryGone);
+    }
+    not_older(answered, known)
+}
+
+/// Checks an answer against what is known. One of an earlier era was under way when the
+/// directory came back, or lacks the name of its era; it is asked again after a pause, as
+/// after any answer that makes no sense, since it would be refused and asked for without end.
+///
+/// # Errors
+///
+/// [`DirectoryError::Unreadable`].
+pub fn not_older(answered: Revision, known: Revision) -> Result<(), DirectoryError> {
+    if answered.era >= known.era {
+        return Ok(());
+    }
+    let message = format!("it is of revision {answered}, and {known} is known");
+    Err(DirectoryError::Unreadable(message))
+}
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -6,13 +6,13 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use iristhread_core::ConfigVersion;
 use iristhread_core::FanOut;
 use iristhread_core::FleetMembers;
 use iristhread_core::Now;
+use iristhread_core::Revision;
 use slog::Logger;
 use slog::warn;
 use tokio::net::UdpSocket;
@@ -20,7 +20,6 @@
 
 use crate::clock::Clock;
 use crate::control_message::Identity;
-use crate::directory::Revision;
 use crate::directory_knowledge::DirectoryKnowledge;
 use crate::gateway_message::OwnState;
 use crate::gateway_metrics::GatewayMetrics;
@@ -84,7 +83,7 @@
     knowledge: Mutex<DirectoryKnowledge>,
     versions: Mutex<Versions>,
     /// Highest revision of the evacuations that the decisions were told.
-    evacuations_heard: AtomicU64,
+    evacuations_heard: Mutex<Revision>,
     relay: HeartbeatRelay,
     beat_now: Arc<Notify>,
     patient_until: Now,
@@ -116,8 +115,8 @@
             log: ports.log,
             members: Mutex::new(members),
             knowledge: Mutex::new(DirectoryKnowledge::default()),
-            versions: Mutex::new((0, 0)),
-            evacuations_heard: AtomicU64::new(0),
+            versions: Mutex::new((0, Revision::NONE)),
+            evacuations_heard: Mutex::default(),
             relay: HeartbeatRelay::default(),
             beat_now: ports.beat_now,
             patient_until: clock.now() + LEAST_PATIENCE + PATIENCE_SPREAD.mul_f64(rand::random()),
@@ -132,7 +131,7 @@
         let knowledge = self.knowledge();
         let heard = members.list_confirmed_at(now, list_revision);
         let confirmed_at = knowledge.list_confirmed_at().max(heard);
-        let may_begin = list_revision > 0 || now >= self.patient_until;
+        let may_begin = !list_revision.is_none() || now >= self.patient_until;
         may_begin && members.reads(now, confirmed_at, knowledge.can_read())
     }
 
--- a/crates/daemon/src/fleet_link/fetching.rs
+++ b/crates/daemon/src/fleet_link/fetching.rs
@@ -52,7 +52,7 @@
     fn wait_before_fetch(&self, own: &OwnState) -> Duration {
         let now = self.clock.now();
         let members = self.members();
-        if own.list_revision == 0 {
+        if own.list_revision.is_none() {
             Duration::ZERO
         } else if own.config_version == 0 {
             OWN_READ
@@ -97,7 +97,7 @@
             Ok(PeerReply::Gateway { config, list }) => {
                 info!(self.log, "fetched from a peer"; "peer" => &instance,
                     "config_version" => config.as_ref().map(|config| config.0.version),
-                    "list_revision" => list.as_ref().map(|list| list.0.revision));
+                    "list_revision" => list.as_ref().map(|list| list.0.revision.to_string()));
                 if let Some(config) = config {
                     self.control.tell(GatewayMessage::Config {
                         config: Arc::new(config.0),
--- a/crates/daemon/src/fleet_link/receiving.rs
+++ b/crates/daemon/src/fleet_link/receiving.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use iristhread_core::Arrival;
@@ -167,10 +167,14 @@
 
     /// Most heartbeats bring nothing new; the decisions are not bothered with those.
     fn take_evacuations(&self, told: ToldEvacuations, source: &str) {
-        let heard = self
-            .evacuations_heard
-            .fetch_max(told.revision, Ordering::Relaxed);
-        if told.revision > heard {
+        let is_news = {
+            let heard = self.evacuations_heard.lock();
+            let mut heard = heard.unwrap_or_else(PoisonError::into_inner);
+            let is_news = told.revision > *heard;
+            *heard = told.revision.max(*heard);
+            is_news
+        };
+        if is_news {
             self.control.tell(GatewayMessage::Evacuations {
                 news: EvacuationNews::Whole(told),
                 source: source.to_owned(),
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -17,6 +17,7 @@
 use iristhread_core::Refusal;
 use iristhread_core::Replica;
 use iristhread_core::RequestId;
+use iristhread_core::Revision;
 use iristhread_core::RunEnd;
 use iristhread_core::ServerLife;
 use iristhread_core::ServerNotice;
@@ -30,7 +31,6 @@
 use tokio::sync::oneshot;
 
 use crate::directory::Listing;
-use crate::directory::Revision;
 use crate::heartbeat::ListNews;
 
 /// What one instance tells the others of itself, several times a second.
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use iristhread_core::Revision;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -62,6 +63,7 @@
     quarantined: Gauge,
     skipped_entries: Counter,
     resting: Gauge,
+    directory_era: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -92,6 +94,7 @@
             quarantined: Gauge::default(),
             skipped_entries: Counter::default(),
             resting: Gauge::default(),
+            directory_era: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -157,6 +160,8 @@
         r.register("skipped_entries", "Entries that can't be used", skipped);
         let resting = self.resting.clone();
         r.register("resting", "Servers that asked for rest", resting);
+        let era = self.directory_era.clone();
+        r.register("directory_era", "Era of the directory's list", era);
     }
 
     /// All figures in the text format of OpenMetrics.
@@ -261,11 +266,23 @@
         self.resting.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// The list is of this era of the directory.
+    pub fn directory_era(&self, era: u64) {
+        self.directory_era
+            .set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
     /// What this instance knows and has under way.
-    pub fn state(&self, config_version: u64, list_revision: u64, peers: usize, running: usize) {
+    pub fn state(
+        &self,
+        config_version: u64,
+        list_revision: Revision,
+        peers: usize,
+        running: usize,
+    ) {
         let signed = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
         self.config_version.set(signed(config_version));
-        self.list_revision.set(signed(list_revision));
+        self.list_revision.set(signed(list_revision.count));
         self.peers.set(signed(peers as u64));
         self.running.set(signed(running as u64));
     }
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -5,22 +5,20 @@
 use std::time::Duration;
 
 use iristhread_core::CarryTarget;
-use iristhread_core::ConfigVerdict;
 use iristhread_core::Evacuation;
-use iristhread_core::GatewayConfig;
 use iristhread_core::GatewayControl;
 use iristhread_core::GatewayTerms;
 use iristhread_core::PlacementAsk;
 use iristhread_core::Ranking;
 use iristhread_core::RequestClass;
 use iristhread_core::RequestId;
+use iristhread_core::Revision;
 use iristhread_core::RouteTable;
 use iristhread_core::RunEnd;
 use iristhread_core::SendStops;
 use iristhread_core::SessionSignal;
 use iristhread_core::ZoneEvacuations;
 use slog::Logger;
-use slog::debug;
 use slog::info;
 use slog::warn;
 use tokio::sync::Notify;
@@ -30,7 +28,6 @@
 use crate::clock::Clock;
 use crate::clock::SuspensionWatch;
 use crate::control_sender::ControlSender;
-use crate::directory::Revision;
 use crate::gateway_message::Audience;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_message::KnownState;
@@ -241,20 +238,24 @@
                 source,
             } => {
                 info!(self.log, "list of backend servers read";
-                    "revision" => revision, "count" => listing.replicas.len(),
-                    "unusable" => listing.unusable.len(), "source" => source);
+                    "revision" => %revision, "count" => listing.replicas.len(),
+                    "unusable" => listing.unusable.len(), "source" => &source);
+                let before = self.control.list().revision();
                 let control = &mut self.control;
                 let mut evacuations = control.offer_replicas(now, revision, listing.replicas);
                 evacuations.extend(control.mark_unusable(now, listing.unusable));
+                self.tell_era(before, &source);
                 self.list_taken(evacuations);
             }
             GatewayMessage::PeerList { list, source } => {
+                let before = self.control.list().revision();
                 info!(self.log, "list of backend servers fetched";
-                    "revision" => list.revision, "above" => list.above,
+                    "revision" => %list.revision, "above" => %list.above,
                     "count" => list.replicas.len(), "removed" => list.removed.len(),
                     "unusable" => list.unusable.len(),
-                    "outage_ended_ms" => list.outage_ended_ms, "source" => source);
+                    "outage_ended_ms" => list.outage_ended_ms, "source" => &source);
                 let evacuations = self.control.hear_list(now, list);
+                self.tell_era(before, &source);
                 self.list_taken(evacuations);
             }
             GatewayMessage::ListNews { news, source } => {
@@ -291,6 +292,7 @@
             warn!(self.log, "peer fell silent"; "peer" => instance);
         }
         self.evacuate(ticked.evacuations);
+        self.tell_evacuations(&ticked.ended_evacuations, "nobody has ordered it again");
         self.tell_stops();
         let control = &self.control;
         let (version, revision) = (control.config_version(), control.list().revision());
@@ -323,7 +325,7 @@
                     "requests_there" => ranking.belief.requests,
                     "memory_share" => ranking.belief.memory,
                     "instances_counted" => ranking.belief.instances,
-                    "list_revision" => self.control.list().revision());
+                    "list_revision" => %self.control.list().revision());
                 self.signals.insert(request, signals);
                 Placed::Ranked(ranking)
             }
@@ -334,7 +336,7 @@
                     "content" => fingerprint.to_string(),
                     "reason" => &refusal.message,
                     "retry_after_ms" => refusal.retry_after.as_millis() as u64,
-                    "list_revision" => self.control.list().revision());
+                    "list_revision" => %self.control.list().revision());
                 Placed::Refused(refusal)
             }
         }
@@ -345,7 +347,7 @@
         let engine = target.as_ref().map(|target| target.replica.id.clone());
         info!(self.log, "stream without a copy is to be run again";
             "request" => request, "backend_server" => engine,
-            "list_revision" => self.control.list().revision());
+            "list_revision" => %self.control.list().revision());
         target
     }
 
@@ -354,24 +356,6 @@
         self.control.ended(self.clock.now(), request, end);
     }
 
-    fn config(&mut self, config: Arc<GatewayConfig>, source: &str) {
-        let version = config.version;
-        match self.control.offer_config(config) {
-            ConfigVerdict::InForce => {
-                info!(self.log, "configuration in force"; "version" => version, "source" => source);
-                self.table.send_replace(self.control.table().cloned());
-            }
-            ConfigVerdict::Stale => {
-                debug!(self.log, "configuration not newer";
-                    "version" => version, "source" => source);
-            }
-            ConfigVerdict::Refused(faults) => {
-                warn!(self.log, "configuration refused; the last good one stays in force";
-                    "version" => version, "source" => source, "faults" => faults.join("; "));
-            }
-        }
-    }
-
     fn evacuate(&mut self, evacuations: Vec<Evacuation>) {
         for Evacuation { request, target } in evacuations {
             info!(self.log, "session should move off its engine";
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use iristhread_core::ConfigVerdict;
 use iristhread_core::Evacuation;
 use iristhread_core::EvacuationChange;
 use iristhread_core::EvacuationNews;
 use iristhread_core::Fingerprint;
+use iristhread_core::GatewayConfig;
+use iristhread_core::Revision;
 use iristhread_core::ServerLife;
 use iristhread_core::ServerNotice;
 use iristhread_core::SessionSignal;
@@ -21,12 +24,35 @@
 use crate::suspicion_log::log_suspicion;
 
 impl GatewayThread {
+    pub(super) fn config(&mut self, config: Arc<GatewayConfig>, source: &str) {
+        let version = config.version;
+        match self.control.offer_config(config) {
+            ConfigVerdict::InForce => {
+                info!(self.log, "configuration in force"; "version" => version, "source" => source);
+                self.table.send_replace(self.control.table().cloned());
+            }
+            ConfigVerdict::Stale => {
+                debug!(self.log, "configuration not newer";
+                    "version" => version, "source" => source);
+            }
+            ConfigVerdict::Refused(faults) => {
+                warn!(self.log, "configuration refused; the last good one stays in force";
+                    "version" => version, "source" => source, "faults" => faults.join("; "));
+            }
+        }
+    }
+
     pub(super) fn evacuations(&mut self, news: EvacuationNews, source: &str) {
         let now = self.clock.now();
         let Some(changes) = self.control.offer_evacuations(now, news) else {
             return;
         };
-        for change in &changes {
+        self.tell_evacuations(&changes, source);
+    }
+
+    /// Logs what is different and tells it those who send.
+    pub(super) fn tell_evacuations(&self, changes: &[EvacuationChange], source: &str) {
+        for change in changes {
             self.log_evacuation(change, source);
         }
         if changes.is_empty() {
@@ -46,7 +72,7 @@
             EvacuationChange::Ended(zone) => ("zone is no longer evacuated", zone),
         };
         info!(self.log, "{}", message; "evacuated_zone" => zone, "source" => source,
-            "directory_revision" => self.control.evacuations().revision(),
+            "directory_revision" => %self.control.evacuations().revision(),
             "backend_servers_there" => self.control.listed_in(zone));
     }
 
@@ -67,7 +93,7 @@
     ) {
         info!(self.log, "backend server says that it leaves";
             "backend_server" => &server.id, "source" => &source,
-            "list_revision" => self.control.list().revision());
+            "list_revision" => %self.control.list().revision());
         if source.is_none() {
             self.news.notify_one();
         }
@@ -80,7 +106,7 @@
         if let Some(rest) = notice.rest() {
             info!(self.log, "backend server rests";
                 "backend_server" => &server.id, "rest_ms" => rest.as_millis() as u64,
-                "list_revision" => self.control.list().revision());
+                "list_revision" => %self.control.list().revision());
         }
         if let Some(evacuations) = self.control.noticed(now, server, notice) {
             self.said_it_leaves(server, None, evacuations);
@@ -107,7 +133,7 @@
         }
         info!(self.log, "another has the address of a backend server";
             "backend_server" => &server.id,
-            "list_revision" => self.control.list().revision());
+            "list_revision" => %self.control.list().revision());
         self.control.unreachable(self.clock.now(), &server.id);
     }
 
@@ -136,7 +162,7 @@
         }
         info!(self.log, "backend server can't be reached";
             "backend_server" => &server.id,
-            "list_revision" => self.control.list().revision());
+            "list_revision" => %self.control.list().revision());
         self.takes_no_connection(&server.id);
         self.control.unreachable(self.clock.now(), &server.id);
     }
@@ -176,13 +202,28 @@
                 false => "list of backend servers is confirmed again",
             };
             info!(self.log, "{}", message;
-                "list_revision" => self.control.list().revision());
+                "list_revision" => %self.control.list().revision());
+        }
+    }
+
+    /// The directory came back from an older copy: what it lacks and what it brings back.
+    pub(super) fn tell_era(&self, before: Revision, source: &str) {
+        let now = self.clock.now();
+        let list = self.control.list();
+        let revision = list.revision();
+        self.metrics.directory_era(revision.era);
+        if revision.era == before.era || before.is_none() {
+            return;
         }
+        warn!(self.log, "directory came back from an older copy";
+            "from" => %before, "to" => %revision, "source" => source,
+            "lacking" => format!("{:?}", list.lapsed()),
+            "back" => format!("{:?}", list.unproven(now)));
     }
 
     pub(super) fn list_taken(&mut self, evacuations: Vec<Evacuation>) {
         self.list_known
-            .send_replace(self.control.list().revision() > 0);
+            .send_replace(!self.control.list().revision().is_none());
         self.evacuate(evacuations);
     }
 
@@ -194,11 +235,11 @@
         }
         if news.after > before {
             debug!(self.log, "changes of the list are missing in between";
-                "revision" => before, "after" => news.after, "source" => source);
+                "revision" => %before, "after" => %news.after, "source" => source);
             return;
         }
         info!(self.log, "list of backend servers changed";
-            "revision" => news.revision, "source" => source,
+            "revision" => %news.revision, "source" => source,
             "outage_ended_ms" => news.outage_ended_ms,
             "changes" => news.summary());
         if let Some(ago) = news.outage_ended_ms {
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -10,6 +10,7 @@
 use iristhread_core::Keyring;
 use iristhread_core::LoadShares;
 use iristhread_core::ReplicaChange;
+use iristhread_core::Revision;
 use iristhread_core::ServerLife;
 use iristhread_core::ToldEvacuations;
 use iristhread_core::ToldSuspect;
@@ -19,8 +20,6 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::directory::Revision;
-
 const PURPOSE: &str = "heartbeat";
 
 /// Changes of the list from one revision to another.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -96,7 +96,6 @@
 pub use directory::Published;
 pub use directory::PublishedChanges;
 pub use directory::Read;
-pub use directory::Revision;
 pub use directory::SkippedEntry;
 pub use engine_port::EngineError;
 pub use engine_port::EnginePort;
--- a/crates/daemon/src/list_reader.rs
+++ b/crates/daemon/src/list_reader.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use iristhread_core::Now;
+use iristhread_core::Revision;
 use slog::Logger;
 use slog::info;
 
@@ -12,13 +13,14 @@
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
 use crate::directory::Listing;
-use crate::directory::Revision;
 use crate::directory_trouble::FIRST_PAUSE;
 use crate::directory_trouble::ROTA_CHECK;
 use crate::directory_trouble::SOURCE;
 use crate::directory_trouble::Trouble;
 use crate::directory_trouble::WATCH;
 use crate::directory_trouble::end_of;
+use crate::directory_trouble::not_older;
+use crate::directory_trouble::same_era;
 use crate::fleet_link::FleetLink;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_metrics::GatewayMetrics;
@@ -76,8 +78,8 @@
                 continue;
             }
             let after = own.list_revision;
-            let read = match after == 0 || forgotten {
-                true => self.read_whole(&mut skipped).await,
+            let read = match after.is_none() || forgotten {
+                true => self.read_whole(after, &mut skipped).await,
                 false => self.watch(after, outage_ended, &mut skipped).await,
             };
             self.metrics.directory_called("list", end_of(&read));
@@ -130,8 +132,13 @@
         }
     }
 
-    async fn read_whole(&self, skipped: &mut SkippedEntries) -> Result<ListRead, DirectoryError> {
+    async fn read_whole(
+        &self,
+        known: Revision,
+        skipped: &mut SkippedEntries,
+    ) -> Result<ListRead, DirectoryError> {
         let read = self.directory.replicas().await?;
+        not_older(read.revision, known)?;
         skipped.note(&self.log, &self.metrics, &read.skipped);
         Ok(ListRead::Whole {
             revision: read.revision,
@@ -146,6 +153,7 @@
         skipped: &mut SkippedEntries,
     ) -> Result<ListRead, DirectoryError> {
         let read = self.directory.replicas_after(after, WATCH).await?;
+        same_era(read.revision, after)?;
         skipped.note(&self.log, &self.metrics, &read.skipped);
         // What was left out counts as seen, too.
         if read.value.is_empty() && read.skipped.is_empty() {
--- a/crates/daemon/src/peer_message.rs
+++ b/crates/daemon/src/peer_message.rs
@@ -10,6 +10,7 @@
 use iristhread_core::Incarnation;
 use iristhread_core::InstanceId;
 use iristhread_core::RequestId;
+use iristhread_core::Revision;
 use iristhread_core::TimelineRecord;
 use iristhread_core::ToldList;
 use iristhread_core::ToldSuspect;
@@ -18,7 +19,6 @@
 use serde::Serialize;
 
 use crate::call_answer::CallAnswer;
-use crate::directory::Revision;
 use crate::packed::Packed;
 
 /// A message with its sender, receiver and tag; `body` is the JSON of a
--- a/crates/daemon/src/skipped_entries.rs
+++ b/crates/daemon/src/skipped_entries.rs
@@ -5,7 +5,6 @@
 use slog::Logger;
 use slog::info;
 
-use crate::directory::Revision;
 use crate::directory::SkippedEntry;
 use crate::gateway_metrics::GatewayMetrics;
 
@@ -15,7 +14,7 @@
 /// What one reader has told already.
 #[derive(Debug, Default)]
 pub struct SkippedEntries {
-    told: BTreeMap<String, Revision>,
+    told: BTreeMap<String, u64>,
 }
 
 impl SkippedEntries {
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -47,7 +47,7 @@
         has_relays: true,
         config_version: 3,
         config_age_ms: Some(20),
-        list_revision: 90,
+        list_revision: 90.into(),
         list_age_ms: None,
         can_read: true,
         addresses: vec![([10, 0, 0, 2], 7_000).into()],
--- a/crates/daemon/tests/packed.rs
+++ b/crates/daemon/tests/packed.rs
@@ -19,8 +19,8 @@
         warm_up: Duration::from_millis(number as u64),
     };
     ToldList {
-        above: 7,
-        revision: 9,
+        above: 7.into(),
+        revision: 9.into(),
         replicas: (0..count).map(replica).collect(),
         removed: vec!["gone".to_owned()],
         unusable: vec!["e-x".to_owned()],
