--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -42,6 +42,7 @@
 mod membership;
 mod notices;
 mod placing;
+mod queueing;
 mod suspecting;
 
 /// Settings of the decisions.
--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -27,16 +27,13 @@
 use crate::Refusal;
 use crate::RefusalKind;
 use crate::Replica;
-use crate::ReplicaChange;
 use crate::ReplicaList;
 use crate::ReplicaScore;
 use crate::RequestId;
 use crate::RetryBudget;
-use crate::Revision;
 use crate::RouteTable;
 use crate::RunEnd;
 use crate::Suspicions;
-use crate::ToldList;
 use crate::ToldLoads;
 use crate::ZoneDigest;
 use crate::ZoneEvacuations;
@@ -46,6 +43,7 @@
 mod cold;
 mod engine_watch;
 mod evacuating;
+mod listing;
 mod lives;
 mod notices;
 mod ranking;
@@ -180,58 +178,6 @@
         self.table.as_ref()
     }
 
-    /// The list of replicas.
-    pub fn list(&self) -> &ReplicaList {
-        &self.list
-    }
-
-    /// Takes a whole list of replicas; returns what sessions must do.
-    pub fn offer_replicas(
-        &mut self,
-        now: Now,
-        revision: impl Into<Revision>,
-        replicas: Vec<Replica>,
-    ) -> Vec<Evacuation> {
-        self.list.snapshot(now, revision, replicas);
-        self.replicas_changed(now)
-    }
-
-    /// Notes entries of the whole list that can't be used; returns what sessions must do.
-    pub fn mark_unusable(&mut self, now: Now, ids: Vec<BackendId>) -> Vec<Evacuation> {
-        self.list.mark_unusable(now, ids);
-        self.replicas_changed(now)
-    }
-
-    /// Takes the list of another instance; returns what sessions must do.
-    pub fn hear_list(&mut self, now: Now, told: ToldList) -> Vec<Evacuation> {
-        self.list.hear(now, told);
-        self.replicas_changed(now)
-    }
-
-    /// Takes changes of the list; returns what sessions must do.
-    pub fn change_replicas(
-        &mut self,
-        now: Now,
-        revision: impl Into<Revision>,
-        changes: Vec<ReplicaChange>,
-    ) -> Vec<Evacuation> {
-        if !self.list.change(now, revision, changes) {
-            return Vec::new();
-        }
-        self.replicas_changed(now)
-    }
-
-    /// Notes whether nobody has confirmed the list for long; returns whether that
-    /// is news.
-    pub fn list_lost(&mut self, is_lost: bool) -> bool {
-        std::mem::replace(&mut self.list_is_lost, is_lost) != is_lost
-    }
-
-    /// Notes when the platform answered again after an outage.
-    pub fn outage_ended(&mut self, at: Now) {
-        self.list.outage_ended(at);
-    }
-
     /// Notes what a peer tells of the load of the replicas.
     pub fn hear_peer(&mut self, now: Now, told: ToldLoads) {
         self.peers.hear(now, told);
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -12,7 +12,6 @@
 use iristhread_core::Ranking;
 use iristhread_core::RequestClass;
 use iristhread_core::RequestId;
-use iristhread_core::Revision;
 use iristhread_core::RouteTable;
 use iristhread_core::RunEnd;
 use iristhread_core::SendStops;
@@ -30,7 +29,6 @@
 use crate::control_sender::ControlSender;
 use crate::gateway_message::Audience;
 use crate::gateway_message::GatewayMessage;
-use crate::gateway_message::KnownState;
 use crate::gateway_message::OwnState;
 use crate::gateway_message::Placed;
 use crate::gateway_message::SendAgain;
@@ -38,6 +36,7 @@
 use crate::gateway_views::GatewayViews;
 
 mod beliefs;
+mod telling;
 
 /// Time between two ticks: lapsed entries and silent peers are noticed this
 /// late; both bounds are seconds.
@@ -366,34 +365,6 @@
             }
         }
     }
-
-    fn own_state(&mut self, audience: Audience) -> OwnState {
-        let now = self.clock.now();
-        let is_relay = audience == Audience::Peers { is_relay: true };
-        let suspects = match audience {
-            Audience::Own => Vec::new(),
-            Audience::Peers { .. } => self.control.told_suspects(now),
-        };
-        let control = &self.control;
-        OwnState {
-            suspects,
-            config_version: self.control.config_version(),
-            list_revision: self.control.list().revision(),
-            shares: self.control.shares(),
-            digest: is_relay.then(|| self.control.digest()),
-            said_leaving: control.lives_of(control.said_leaving(now, is_relay)),
-            unreachable: control.lives_of(control.found_unreachable(now)),
-            evacuations: self.control.evacuations().told(),
-        }
-    }
-
-    fn known_state(&self, list_above: Revision) -> KnownState {
-        let table = self.control.table();
-        KnownState {
-            config: table.map(|table| table.config().clone()),
-            list: self.control.list().told_since(self.clock.now(), list_above),
-        }
-    }
 }
 
 fn ids(ranking: &Ranking) -> Vec<&str> {
--- /dev/null
+++ b/crates/daemon/src/gateway_thread/telling.rs
@@ -0,0 +1,38 @@
+//! What the control thread tells of its state: to own tasks, and to peers.
+
+use iristhread_core::Revision;
+
+use super::GatewayThread;
+use crate::gateway_message::Audience;
+use crate::gateway_message::KnownState;
+use crate::gateway_message::OwnState;
+
+impl GatewayThread {
+    pub(super) fn own_state(&mut self, audience: Audience) -> OwnState {
+        let now = self.clock.now();
+        let is_relay = audience == Audience::Peers { is_relay: true };
+        let suspects = match audience {
+            Audience::Own => Vec::new(),
+            Audience::Peers { .. } => self.control.told_suspects(now),
+        };
+        let control = &self.control;
+        OwnState {
+            suspects,
+            config_version: self.control.config_version(),
+            list_revision: self.control.list().revision(),
+            shares: self.control.shares(),
+            digest: is_relay.then(|| self.control.digest()),
+            said_leaving: control.lives_of(control.said_leaving(now, is_relay)),
+            unreachable: control.lives_of(control.found_unreachable(now)),
+            evacuations: self.control.evacuations().told(),
+        }
+    }
+
+    pub(super) fn known_state(&self, list_above: Revision) -> KnownState {
+        let table = self.control.table();
+        KnownState {
+            config: table.map(|table| table.config().clone()),
+            list: self.control.list().told_since(self.clock.now(), list_above),
+        }
+    }
+}
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/stream_relay.rs
@@ -33,6 +33,7 @@
 use crate::session_mover::MoveOrder;
 
 mod carrying;
+mod resuming;
 
 /// Pieces that wait for a caller that reads slowly; the engine waits beyond.
 const QUEUED_PIECES: usize = 32;
--- /dev/null
+++ b/crates/daemon/src/stream_relay/resuming.rs
@@ -0,0 +1,114 @@
+//! Sends a session to an engine that has a copy of it, or that runs it again.
+
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use iristhread_core::CarryTarget;
+use iristhread_core::Now;
+use iristhread_core::Replica;
+use slog::info;
+use slog::warn;
+
+use super::StreamRelay;
+use super::carrying::Resumed;
+use crate::dialect::CopyName;
+use crate::dialect::ResumePoint;
+use crate::engine_watch::look_at_broken;
+use crate::event_splitter::EventSplitter;
+use crate::exchange::Sent;
+use crate::gateway_message::GatewayMessage;
+use crate::notices::SendKind;
+use crate::notices::SendStop;
+
+/// Longest wait for the head of a resumed stream.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
+
+impl StreamRelay {
+    /// Sends the session to an engine, which has a copy of it or runs it again.
+    pub(super) async fn resume(&mut self, target: CarryTarget, copy: Option<CopyName>) -> Resumed {
+        let app = self.exchange.app.clone();
+        let kind = match &copy {
+            Some(CopyName::Moved { .. }) => "move",
+            Some(CopyName::Backup { .. }) => "copy",
+            None => "again",
+        };
+        let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
+        self.let_it_rest(&target.replica, copy.as_ref(), by).await;
+        let point = ResumePoint {
+            copy,
+            after_event: self.order.last(),
+        };
+        let sent = self
+            .exchange
+            .send(&target.replica, target.backup.as_ref(), Some(point), by)
+            .await;
+        let pause = app.clock.now() - self.last_event_at;
+        let (cause, resumed) = match sent {
+            Sent::Answer(answer) if answer.status.is_success() => {
+                app.metrics.carried(kind, "went_on", pause);
+                self.go_on(target, answer.body, pause);
+                return Resumed::GoesOn;
+            }
+            Sent::Answer(answer) if answer.head.is_not_run => {
+                (format!("status {}", answer.status), Resumed::NotRun)
+            }
+            Sent::Answer(answer) => (format!("status {}", answer.status), Resumed::Lost),
+            Sent::NotConnected(cause) => {
+                app.control.tell(GatewayMessage::Failed {
+                    replica: target.replica.server_life(),
+                });
+                (cause, Resumed::NotRun)
+            }
+            Sent::ZoneClosed => ("its zone is evacuated".to_owned(), Resumed::NotRun),
+            Sent::Withheld(stop) => (stop.as_str().to_owned(), Resumed::NotRun),
+            Sent::Lost(cause) => {
+                look_at_broken(&app, &self.exchange.head.request, &target.replica).await;
+                (cause, Resumed::Lost)
+            }
+            Sent::TimedOut => ("no answer in time".to_owned(), Resumed::Lost),
+        };
+        app.metrics.carried(kind, "refused", pause);
+        warn!(app.log, "session can't go on at an engine";
+            "request" => &self.exchange.head.request,
+            "backend_server" => &target.replica.id,
+            "copy" => kind,
+            "cause" => cause,
+            "last_event" => self.order.last());
+        resumed
+    }
+
+    /// The one engine that has a copy may have asked for rest: the session waits for the end
+    /// of a short one, since it has nowhere else to go.
+    async fn let_it_rest(&self, engine: &Replica, copy: Option<&CopyName>, by: Now) {
+        let app = &self.exchange.app;
+        let stop = app.notices.stop(engine, SendKind::Session);
+        if let (Some(SendStop::Resting(until)), Some(_)) = (stop, copy)
+            && until < by
+        {
+            tokio::time::sleep_until(app.clock.instant(until)).await;
+        }
+    }
+
+    fn go_on(&mut self, target: CarryTarget, body: Incoming, pause: Duration) {
+        let app = self.exchange.app.clone();
+        info!(app.log, "stream goes on at another engine";
+            "request" => &self.exchange.head.request,
+            "from" => &target.from,
+            "backend_server" => &target.replica.id,
+            "backup" => target.backup.as_ref().map(|b| b.id.clone()),
+            "last_event" => self.order.last(),
+            "paused_ms" => pause.as_millis() as u64);
+        let target_is_new = self.replica.id != target.replica.id;
+        self.replica = target.replica;
+        self.body = Some(body);
+        self.splitter = EventSplitter::default();
+        self.order.resume();
+        self.heard_at = app.clock.now();
+        self.events_here = 0;
+        self.engine_begun_anew = false;
+        self.carried += 1;
+        if target_is_new {
+            self.tried.clear();
+        }
+    }
+}
