Tell what may not be sent only when it has changed

Cause: read in the diff. Each tick and each change of the list built the whole set of marked lives anew; marks are kept for 60 s, so where a sixth of 3,000 servers is replaced every 3.3 s, 9,000 lives 15 times a second.

Ruled out: keeping marks for less (an entry that lapsed may come back after 20 s).

Change: a version that rises with each mark and each rest; the set holds listed lives and those unlisted for under 4 s, and is built only when the version has risen.

--- a/crates/core/src/gateway_control/notices.rs
+++ b/crates/core/src/gateway_control/notices.rs
@@ -50,6 +50,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Rests {
     by_life: BTreeMap<LifeId, ServerRest>,
+    /// Rises when a server asks for rest.
+    version: u64,
 }
 
 impl Rests {
@@ -93,6 +95,7 @@
         if let Some(rest) = notice.rest() {
             let known = self.rests.by_life.entry(server.life).or_default();
             known.asked(now, rest);
+            self.rests.version += 1;
         }
         match notice.is_leaving {
             true => self.leaves(now, server, true),
@@ -100,12 +103,17 @@
         }
     }
 
+    /// Rises whenever there is more or less that may not be sent, but for rests that are over.
+    pub fn stops_version(&self) -> u64 {
+        self.rests.version + self.list.leaving_version()
+    }
+
     /// What may not be sent now.
     pub fn send_stops(&self, now: Now) -> SendStops {
         let rests = self.rests.by_life.iter();
         let resting = rests.filter(|(_, rest)| !rest.left(now).is_zero());
         SendStops {
-            leaving: self.list.lives_that_leave(),
+            leaving: self.list.lives_that_leave(now),
             resting: resting.map(|(life, rest)| (*life, rest.until())).collect(),
         }
     }
@@ -160,6 +168,9 @@
 
     /// Drops rests that are over of lives that are listed no more.
     pub(super) fn forget_rests(&mut self, now: Now) {
+        if self.rests.by_life.is_empty() {
+            return;
+        }
         let listed = self.list.lives();
         let rests = &mut self.rests.by_life;
         rests.retain(|life, rest| listed.contains(life) || !rest.left(now).is_zero());
--- a/crates/core/src/leaving_marks.rs
+++ b/crates/core/src/leaving_marks.rs
@@ -13,17 +13,24 @@
 /// outage is back within 2 s of its end, and the longest outage that the users play is 20 s.
 const KEPT_FOR: Duration = Duration::from_secs(60);
 
+/// How long a life that is listed no more may still be sent something that was placed before:
+/// a second try follows within twice the objective of a request, 1.8 s at most.
+const PLACED_FOR: Duration = Duration::from_secs(4);
+
 /// Marks by life, with the time from which on a life is not listed.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingMarks {
     unlisted_at: BTreeMap<LifeId, Option<Now>>,
+    version: u64,
 }
 
 impl LeavingMarks {
     /// Marks a life; returns whether that is news.
     pub fn mark(&mut self, now: Now, life: LifeId, is_listed: bool) -> bool {
         let unlisted_at = (!is_listed).then_some(now);
-        self.unlisted_at.insert(life, unlisted_at).is_none()
+        let is_news = self.unlisted_at.insert(life, unlisted_at).is_none();
+        self.version += u64::from(is_news);
+        is_news
     }
 
     /// Whether a life is marked.
@@ -47,7 +54,8 @@
 
     /// Drops the mark of a life that can't be told from the next one under its id.
     pub fn forget(&mut self, life: LifeId) {
-        self.unlisted_at.remove(&life);
+        let was_marked = self.unlisted_at.remove(&life).is_some();
+        self.version += u64::from(was_marked);
     }
 
     /// Drops marks of lives that are long gone.
@@ -56,8 +64,17 @@
         self.unlisted_at.retain(|_, at| is_kept(at));
     }
 
-    /// The marked lives.
-    pub fn lives(&self) -> BTreeSet<LifeId> {
-        self.unlisted_at.keys().copied().collect()
+    /// Rises with each life that is marked or no longer is.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The marked lives to which something may be on its way: where a sixth of 3,000 servers
+    /// is replaced every 3.3 s, some hundreds of 9,000 marked ones.
+    pub fn lives(&self, now: Now) -> BTreeSet<LifeId> {
+        let marks = self.unlisted_at.iter();
+        let recent = |at: &Option<Now>| at.is_none_or(|at| now.saturating_sub(at) < PLACED_FOR);
+        let lives = marks.filter(|(_, at)| recent(at)).map(|(life, _)| *life);
+        lives.collect()
     }
 }
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -242,8 +242,13 @@
     }
 
     /// Lives that said that they leave.
-    pub fn lives_that_leave(&self) -> BTreeSet<LifeId> {
-        self.said_leaving.lives()
+    pub fn lives_that_leave(&self, now: Now) -> BTreeSet<LifeId> {
+        self.said_leaving.lives(now)
+    }
+
+    /// Rises when a life says that it leaves.
+    pub fn leaving_version(&self) -> u64 {
+        self.said_leaving.version()
     }
 
     /// Listed lives.
--- a/crates/core/tests/gateway_notices.rs
+++ b/crates/core/tests/gateway_notices.rs
@@ -283,6 +283,7 @@
     control.offer_replicas(NOW, 11, Vec::new());
     control.tick(NOW + ms(59_000));
     assert_eq!(control.send_stops(NOW).leaving.len(), 1);
+    assert!(control.send_stops(NOW + ms(5_000)).leaving.is_empty());
     control.tick(NOW + ms(60_001));
     assert!(control.send_stops(NOW).leaving.is_empty());
     assert!(control.send_stops(Duration::ZERO).resting.is_empty());
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -93,6 +93,7 @@
         list_known,
         evacuations,
         stops,
+        stops_version: 0,
         metrics,
         news,
         suspensions: SuspensionWatch::new(clock),
@@ -118,6 +119,8 @@
     list_known: watch::Sender<bool>,
     evacuations: watch::Sender<ZoneEvacuations>,
     stops: watch::Sender<Arc<SendStops>>,
+    /// What was told of them last.
+    stops_version: u64,
     metrics: Arc<GatewayMetrics>,
     news: Arc<Notify>,
     suspensions: SuspensionWatch,
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -115,15 +115,14 @@
     }
 
     /// What is sent checks this before each send.
-    pub(super) fn tell_stops(&self) {
+    pub(super) fn tell_stops(&mut self) {
+        let version = self.control.stops_version();
+        if version == self.stops_version {
+            return;
+        }
+        self.stops_version = version;
         let stops = self.control.send_stops(self.clock.now());
-        self.stops.send_if_modified(|known| {
-            let is_news = **known != stops;
-            if is_news {
-                *known = Arc::new(stops);
-            }
-            is_news
-        });
+        self.stops.send_replace(Arc::new(stops));
     }
 
     /// The address of a backend server has another: the list is late.
