Read the limit that an answer names, for logs and metrics

Change: the border decodes it (both interfaces), the line 'answer tells of its backend server' has limit_per_s, the metric notices counts limit, and unreadable ones as unreadable. No decision uses it yet. The stand-ins of both interfaces can name one.

--- a/crates/api/src/engine_api.rs
+++ b/crates/api/src/engine_api.rs
@@ -115,6 +115,8 @@
     pub retry_after: Option<String>,
     /// Say in the answers to new sessions that the engine is leaving; take them.
     pub say_leaving: bool,
+    /// The requests a second that the answers to new sessions name as the limit.
+    pub say_limit: Option<String>,
     /// Send each token twice.
     pub duplicate: bool,
     /// Send tokens of a foreign generation in between.
--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -20,6 +20,9 @@
 /// 1 in the answers of an engine or plain service that leaves.
 pub const LEAVING_HEADER: &str = "iristhread-leaving";
 
+/// Requests a second that an engine or plain service takes from all instances together.
+pub const LIMIT_HEADER: &str = "iristhread-limit";
+
 /// The idempotency key sent to a plain service (IETF draft of that name).
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
 
@@ -34,5 +37,5 @@
     };
     let is_leaving = text(LEAVING_HEADER) == Some("1");
     let time = text(header::RETRY_AFTER.as_str());
-    ServerNotice::of(status.as_u16(), is_leaving, time)
+    ServerNotice::of(status.as_u16(), is_leaving, time, text(LIMIT_HEADER))
 }
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -34,6 +34,7 @@
 pub use headers::IDEMPOTENCY_KEY_HEADER;
 pub use headers::LAST_EVENT_ID_HEADER;
 pub use headers::LEAVING_HEADER;
+pub use headers::LIMIT_HEADER;
 pub use headers::OUTCOME_HEADER;
 pub use headers::REQUEST_ID_HEADER;
 pub use headers::TICKET_HEADER;
--- a/crates/api/src/service_api.rs
+++ b/crates/api/src/service_api.rs
@@ -43,4 +43,6 @@
     pub retry_after: Option<String>,
     /// Say in all answers that the runner is leaving.
     pub say_leaving: bool,
+    /// The requests a second that all answers name as the limit.
+    pub say_limit: Option<String>,
 }
--- a/crates/core/src/server_notice.rs
+++ b/crates/core/src/server_notice.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use crate::RequestRate;
+
 /// Status of an answer that turns a request away because of the server's state
 /// (RFC 9110, section 15.6.4).
 const UNAVAILABLE: u16 = 503;
@@ -40,6 +42,39 @@
     }
 }
 
+/// The requests a second that a server takes from all instances together, as an answer names
+/// it.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum NamedLimit {
+    /// It names none.
+    #[default]
+    NotTold,
+    /// So many.
+    Of(RequestRate),
+    /// It names one that can't be read.
+    Unreadable,
+}
+
+impl NamedLimit {
+    /// Reads a decimal number of requests a second.
+    pub fn parse(text: &str) -> NamedLimit {
+        match text.trim().parse::<f64>() {
+            Ok(per_s) if per_s.is_finite() && per_s >= 0.0 => {
+                NamedLimit::Of(RequestRate::of_per_s(per_s))
+            }
+            _ => NamedLimit::Unreadable,
+        }
+    }
+
+    /// The rate, where one was read.
+    pub fn rate(self) -> Option<RequestRate> {
+        match self {
+            NamedLimit::Of(rate) => Some(rate),
+            NamedLimit::NotTold | NamedLimit::Unreadable => None,
+        }
+    }
+}
+
 /// What one answer says of its backend server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ServerNotice {
@@ -47,17 +82,25 @@
     pub is_leaving: bool,
     /// It turned the request away, and names a time to come back.
     pub retry_after: RetryAfter,
+    /// What it takes from all instances together, whatever became of the request.
+    pub limit: NamedLimit,
 }
 
 impl ServerNotice {
     /// Reads the notice of an answer. A time to come back counts only where the request was
     /// turned away: anywhere else it speaks of the request.
-    pub fn of(status: u16, is_leaving: bool, retry_after: Option<&str>) -> ServerNotice {
+    pub fn of(
+        status: u16,
+        is_leaving: bool,
+        retry_after: Option<&str>,
+        limit: Option<&str>,
+    ) -> ServerNotice {
         let turns_away = matches!(status, UNAVAILABLE | TOO_MANY_REQUESTS);
         let retry_after = retry_after.filter(|_| turns_away);
         ServerNotice {
             is_leaving,
             retry_after: retry_after.map_or(RetryAfter::NotTold, RetryAfter::parse),
+            limit: limit.map_or(NamedLimit::NotTold, NamedLimit::parse),
         }
     }
 
@@ -70,6 +113,11 @@
         }
     }
 
+    /// Whether it says something that can't be read.
+    pub fn is_unreadable(&self) -> bool {
+        self.retry_after == RetryAfter::Unreadable || self.limit == NamedLimit::Unreadable
+    }
+
     /// Whether it says nothing.
     pub fn is_empty(&self) -> bool {
         *self == ServerNotice::default()
--- a/crates/core/tests/gateway_notices.rs
+++ b/crates/core/tests/gateway_notices.rs
@@ -7,6 +7,7 @@
 
 use iristhread_core::GatewayControl;
 use iristhread_core::ListedState;
+use iristhread_core::NamedLimit;
 use iristhread_core::Now;
 use iristhread_core::RefusalKind;
 use iristhread_core::Replica;
@@ -27,12 +28,14 @@
 const LEAVES: ServerNotice = ServerNotice {
     is_leaving: true,
     retry_after: RetryAfter::NotTold,
+    limit: NamedLimit::NotTold,
 };
 
 fn rest(time: Duration) -> ServerNotice {
     ServerNotice {
         is_leaving: false,
         retry_after: RetryAfter::In(time),
+        limit: NamedLimit::NotTold,
     }
 }
 
--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -122,6 +122,7 @@
         let notice = ServerNotice {
             is_leaving,
             retry_after: RetryAfter::In(rest),
+            ..ServerNotice::default()
         };
         let backend = engine.to_owned();
         self.tell(Event::Noticed { backend, notice });
--- a/crates/core/tests/server_notice.rs
+++ b/crates/core/tests/server_notice.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use iristhread_core::NamedLimit;
+use iristhread_core::RequestRate;
 use iristhread_core::RetryAfter;
 use iristhread_core::ServerNotice;
 use test_case::test_case;
@@ -34,14 +36,40 @@
 #[test_case(503, Some("soon"), None; "unreadable")]
 #[test_case(503, None, None; "no time")]
 fn a_rest(status: u16, retry_after: Option<&str>, expected: Option<Duration>) {
-    let notice = ServerNotice::of(status, false, retry_after);
+    let notice = ServerNotice::of(status, false, retry_after, None);
     assert_eq!(notice.rest(), expected);
 }
 
 #[test]
 fn a_server_that_leaves_says_so_with_any_status() {
     for status in [200, 404, 500, 503] {
-        assert!(ServerNotice::of(status, true, None).is_leaving);
+        assert!(ServerNotice::of(status, true, None, None).is_leaving);
+    }
+    assert!(ServerNotice::of(200, false, None, None).is_empty());
+}
+
+/// A limit that can't be read is none.
+#[test_case("4", Some(4.0); "whole requests")]
+#[test_case(" 2.7 ", Some(2.7); "a fraction with blanks")]
+#[test_case("0", Some(0.0); "nothing")]
+#[test_case("0.0004", Some(0.0); "less than one in 1,000 s")]
+#[test_case("1e300", Some(1e6); "a number past any server")]
+#[test_case("-4", None; "a negative number")]
+#[test_case("NaN", None; "no number")]
+#[test_case("inf", None; "infinity")]
+#[test_case("", None; "nothing at all")]
+#[test_case("many", None; "a word")]
+#[test_case("4/s", None; "a unit")]
+fn a_limit(text: &str, expected: Option<f64>) {
+    let limit = NamedLimit::parse(text);
+    assert_eq!(limit.rate(), expected.map(RequestRate::of_per_s));
+    assert_eq!(limit == NamedLimit::Unreadable, expected.is_none());
+}
+
+#[test]
+fn a_limit_is_named_with_any_status() {
+    for status in [200, 404, 500, 503] {
+        let notice = ServerNotice::of(status, false, None, Some("4"));
+        assert_eq!(notice.limit.rate(), Some(RequestRate::of_per_s(4.0)));
     }
-    assert!(ServerNotice::of(200, false, None).is_empty());
 }
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -6,7 +6,7 @@
 
 use iristhread_api::HttpClient;
 use iristhread_core::Event;
-use iristhread_core::RetryAfter;
+use iristhread_core::RequestRate;
 use iristhread_core::ServerNotice;
 use slog::Logger;
 use slog::info;
@@ -71,7 +71,8 @@
             "backend_server" => backend,
             "leaving" => notice.is_leaving,
             "rest_ms" => notice.rest().map(|rest| rest.as_millis() as u64),
-            "unreadable" => notice.retry_after == RetryAfter::Unreadable);
+            "limit_per_s" => notice.limit.rate().map(RequestRate::per_s),
+            "unreadable" => notice.is_unreadable());
         self.control.tell(Event::Noticed {
             backend: backend.to_owned(),
             notice: *notice,
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -6,7 +6,7 @@
 use futures::future::BoxFuture;
 use iristhread_core::Now;
 use iristhread_core::Replica;
-use iristhread_core::RetryAfter;
+use iristhread_core::RequestRate;
 use iristhread_core::SendStops;
 use iristhread_core::ServerNotice;
 use slog::Logger;
@@ -89,7 +89,8 @@
             "backend_server" => &replica.id,
             "leaving" => notice.is_leaving,
             "rest_ms" => notice.rest().map(|rest| rest.as_millis() as u64),
-            "unreadable" => notice.retry_after == RetryAfter::Unreadable);
+            "limit_per_s" => notice.limit.rate().map(RequestRate::per_s),
+            "unreadable" => notice.is_unreadable());
         let is_known = self.stops.borrow().leaving.contains(&replica.life());
         if notice.rest().is_some() || notice.is_leaving && !is_known {
             self.control.tell(GatewayMessage::Noticed {
@@ -122,7 +123,10 @@
         if notice.rest().is_some() {
             self.metrics.noticed("rest");
         }
-        if notice.retry_after == RetryAfter::Unreadable {
+        if notice.limit.rate().is_some() {
+            self.metrics.noticed("limit");
+        }
+        if notice.is_unreadable() {
             self.metrics.noticed("unreadable");
         }
     }
--- a/crates/standin/src/engine_server.rs
+++ b/crates/standin/src/engine_server.rs
@@ -30,6 +30,7 @@
 use crate::engine_session::SessionState;
 use crate::engine_settings::EngineSettings;
 use crate::json_reply;
+use crate::json_reply::Words;
 
 /// Exit code of the fault that ends the process.
 const DIED: i32 = 86;
@@ -142,20 +143,24 @@
     let faults = engine.faults.clone();
     if faults.refuse || faults.leaving {
         let mut refused = json_reply::status(StatusCode::SERVICE_UNAVAILABLE);
-        json_reply::say(
-            &mut refused,
-            faults.say_leaving,
-            faults.retry_after.as_deref(),
-        );
+        json_reply::say(&mut refused, words(&faults, faults.retry_after.as_deref()));
         return Err(refused);
     }
     let key = engine.start(generate, Instant::now());
     drop(engine);
     let mut stream = server.stream(key);
-    json_reply::say(&mut stream, faults.say_leaving, None);
+    json_reply::say(&mut stream, words(&faults, None));
     Ok(stream)
 }
 
+fn words<'a>(faults: &'a EngineFaults, retry_after: Option<&'a str>) -> Words<'a> {
+    Words {
+        leaving: faults.say_leaving,
+        retry_after,
+        limit: faults.say_limit.as_deref(),
+    }
+}
+
 /// Sessions that reached it, refused ones too, and questions after its load.
 async fn arrivals(server: Server, _: Request) -> Result<Response, Response> {
     Ok(json_reply::json(&server.lock().arrivals))
--- a/crates/standin/src/json_reply.rs
+++ b/crates/standin/src/json_reply.rs
@@ -1,6 +1,7 @@
 //! Answers of the stand-ins.
 
 use iristhread_api::LEAVING_HEADER;
+use iristhread_api::LIMIT_HEADER;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use viz::Body;
@@ -45,14 +46,30 @@
     serde_json::from_str(&text).map_err(|_| status(StatusCode::UNPROCESSABLE_ENTITY))
 }
 
-/// Says in an answer that its server leaves, or when to come back.
-pub fn say(response: &mut Response, leaving: bool, retry_after: Option<&str>) {
+/// What an answer says of its server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Words<'a> {
+    /// It leaves.
+    pub leaving: bool,
+    /// When to come back.
+    pub retry_after: Option<&'a str>,
+    /// The requests a second that it takes.
+    pub limit: Option<&'a str>,
+}
+
+/// Puts into an answer what it says of its server.
+pub fn say(response: &mut Response, words: Words<'_>) {
     let headers = response.headers_mut();
-    if leaving {
+    if words.leaving {
         headers.insert(LEAVING_HEADER, HeaderValue::from_static("1"));
     }
-    let retry_after = retry_after.and_then(|text| HeaderValue::from_str(text).ok());
-    if let Some(retry_after) = retry_after {
-        headers.insert(RETRY_AFTER, retry_after);
+    let told = [
+        (RETRY_AFTER.as_str(), words.retry_after),
+        (LIMIT_HEADER, words.limit),
+    ];
+    for (name, text) in told {
+        if let Some(value) = text.and_then(|text| HeaderValue::from_str(text).ok()) {
+            headers.insert(name, value);
+        }
     }
 }
--- a/crates/standin/src/service_server.rs
+++ b/crates/standin/src/service_server.rs
@@ -24,6 +24,7 @@
 use viz::header::HeaderValue;
 
 use crate::json_reply;
+use crate::json_reply::Words;
 
 /// Exit code of the fault that ends the process.
 const DIED: i32 = 86;
@@ -102,7 +103,12 @@
     };
     let mut response = call(state, request).await?;
     let retry_after = faults.retry_after.as_deref().filter(|_| faults.refuse);
-    json_reply::say(&mut response, faults.say_leaving, retry_after);
+    let words = Words {
+        leaving: faults.say_leaving,
+        retry_after,
+        limit: faults.say_limit.as_deref(),
+    };
+    json_reply::say(&mut response, words);
     Ok(response)
 }
 
