--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod figures;
 mod fleet;
+mod limit_fleet;
 mod policy_fleet;
 mod policy_world;
 mod process_cost;
@@ -13,6 +14,10 @@
 pub use figures::interval;
 pub use fleet::FleetSize;
 pub use fleet::NOW;
+pub use limit_fleet::LimitFleet;
+pub use limit_fleet::LimitTrial;
+pub use limit_fleet::LimitWay;
+pub use limit_fleet::Trouble;
 pub use policy_world::OUTAGE;
 pub use policy_world::PolicyWorld;
 pub use policy_world::Trial;
--- a/crates/core/src/gateway_control.rs
+++ b/crates/core/src/gateway_control.rs
@@ -33,6 +33,7 @@
 use crate::RetryBudget;
 use crate::RouteTable;
 use crate::RunEnd;
+use crate::ServerLimits;
 use crate::Suspicions;
 use crate::ToldLoads;
 use crate::ZoneDigest;
@@ -43,6 +44,7 @@
 mod cold;
 mod engine_watch;
 mod evacuating;
+mod limits;
 mod listing;
 mod lives;
 mod notices;
@@ -111,6 +113,7 @@
     evacuations: ZoneEvacuations,
     cold_sends: ColdSends,
     rests: Rests,
+    limits: ServerLimits,
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: ProvenContents,
@@ -134,6 +137,7 @@
             evacuations: ZoneEvacuations::default(),
             cold_sends: ColdSends::default(),
             rests: Rests::default(),
+            limits: ServerLimits::default(),
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: ProvenContents::default(),
@@ -184,10 +188,10 @@
         self.share_budget();
     }
 
-    /// What the instances of the own zone have put on the replicas, for the other
-    /// zones.
-    pub fn digest(&self) -> ZoneDigest {
-        self.peers.digest(&self.shares())
+    /// What the instances of the own zone have put on the replicas, for the other zones;
+    /// `own` is what this one tells.
+    pub fn digest(&self, own: &LoadShares) -> ZoneDigest {
+        self.peers.digest(own)
     }
 
     /// What this instance has put on the replicas.
@@ -206,6 +210,7 @@
         evacuations.extend(self.seek_again(now));
         self.suspicions.expire(now);
         self.forget_rests(now);
+        self.forget_limits(now);
         Ticked {
             evacuations,
             silent,
@@ -226,12 +231,16 @@
         }
         let limit = self.terms.memory_limit;
         let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
-        let Some(first) = fitting.first() else {
+        if fitting.is_empty() {
             return Err(Refusal::new(
                 RefusalKind::QueueFull,
                 FULL_RETRY_AFTER,
                 format!("the engines of {} have no memory left", ask.service),
             ));
+        }
+        let (fitting, passed_over) = self.pass_over_limited(now, fitting);
+        let Some(first) = fitting.first() else {
+            return Err(self.all_limited(now, &ask, &passed_over));
         };
         let belief = Belief {
             requests: first.load.requests,
@@ -242,6 +251,7 @@
         let life = first.life();
         self.note_send(now, &first.id);
         self.rests.sent(now, life, &ask.request);
+        self.limits.keep_grant(now, &ask.request, life);
         let backup = self.choose_backup(now, &ask, &first);
         self.budget.earn(&ask.service);
         self.runs.insert(
@@ -263,6 +273,7 @@
             replicas: self.ranked(fitting),
             backup,
             belief,
+            passed_over: limits::names(&passed_over),
         })
     }
 
@@ -323,6 +334,7 @@
             self.rests.served(request);
         }
         self.rests.gone(request);
+        self.limits.drop_grant(request);
         match end {
             RunEnd::Answered => {
                 self.pauses.remove(&run.replica);
--- a/crates/core/src/gateway_control/carrying.rs
+++ b/crates/core/src/gateway_control/carrying.rs
@@ -41,12 +41,15 @@
         let mut ask = run.ask.clone();
         ask.prompt_tokens += run.generated;
         let limit = self.terms.memory_limit;
-        let scores = self.scores(now, &ask, Some(&from));
-        let first = scores.into_iter().find(|score| score.memory <= limit)?;
+        let scores = self.scores(now, &ask, Some(&from)).into_iter();
+        let fitting = scores.filter(|score| score.memory <= limit).collect();
+        let (fitting, _) = self.pass_over_limited(now, fitting);
+        let first = fitting.into_iter().next()?;
         if !self.spend_retry(&ask.service) {
             return None;
         }
         self.note_send(now, &first.replica.id);
+        self.limits.keep_grant(now, request, first.replica.life());
         let target = self.carry_to(now, request, first.replica)?;
         let run = self.runs.get_mut(request)?;
         run.has_begun = false;
@@ -128,6 +131,7 @@
             // The sort is stable: the best of each zone stays the first of it.
             fitting.sort_by_key(|replica| replica.availability_zone != self.terms.zone);
         }
+        self.unlimited_first(&mut fitting);
         fitting.into_iter().next()
     }
 
@@ -210,7 +214,12 @@
         let fits =
             |score: &ReplicaScore| score.memory <= MOVE_LIMIT && !tried.contains(&score.replica.id);
         let fitting = scores.into_iter().filter(fits).map(|score| score.replica);
-        let target = self.one_of_the_better(fitting.collect(), &zone)?;
+        let mut fitting: Vec<Replica> = fitting.collect();
+        let is_free = |replica: &Replica| !self.limits.has(replica.life());
+        if fitting.iter().any(is_free) {
+            fitting.retain(is_free);
+        }
+        let target = self.one_of_the_better(fitting, &zone)?;
         self.note_send(now, &target.id);
         let run = self.runs.get_mut(request)?;
         run.moving = Moving::Moves;
--- /dev/null
+++ b/crates/core/src/gateway_control/limits.rs
@@ -0,0 +1,160 @@
+//! Keeps what this instance sends to servers that named a limit to its share of it. Whatever
+//! reaches them counts: first sends, further tries, sessions, orders and questions.
+
+use std::time::Duration;
+
+use super::GatewayControl;
+use crate::BackendId;
+use crate::HeardNotice;
+use crate::LimitChange;
+use crate::LoadShares;
+use crate::NamedLimit;
+use crate::Now;
+use crate::PlacementAsk;
+use crate::Refusal;
+use crate::Replica;
+use crate::ReplicaScore;
+use crate::RequestRate;
+use crate::ServerLife;
+use crate::ServerLimits;
+use crate::ToldLimit;
+
+/// Shortest time to come back that is told: a turn may come sooner, and be another's.
+const SHORTEST_WAIT: Duration = Duration::from_millis(100);
+
+impl GatewayControl {
+    /// Notes what an answer says of its server's limit.
+    pub fn limit_noticed(
+        &mut self,
+        now: Now,
+        server: &ServerLife,
+        heard: &HeardNotice,
+    ) -> Option<LimitChange> {
+        let limit = heard.notice.limit;
+        if limit == NamedLimit::NotTold && !heard.tells_limits {
+            return None;
+        }
+        let earned = self.chance();
+        self.limits.heard(now, server, limit, heard.sent_at, earned)
+    }
+
+    /// Notes what a peer tells of servers' limits; returns what has changed.
+    pub fn hear_limits(
+        &mut self,
+        now: Now,
+        told: Vec<ToldLimit>,
+    ) -> Vec<(ServerLife, LimitChange)> {
+        let mut changes = Vec::new();
+        for told in told {
+            let earned = self.chance();
+            let change = self.limits.hear_told(now, &told, earned);
+            changes.extend(change.map(|change| (told.server, change)));
+        }
+        changes
+    }
+
+    /// Whether something may be sent to a server now: an order, a question, or a request that
+    /// was placed before.
+    pub fn may_send(&mut self, now: Now, server: &ServerLife, request: &str) -> bool {
+        self.limits.use_grant(now, request, server.life) || self.wish(now, server)
+    }
+
+    /// What all other instances want of a limited server, as far as heard.
+    pub fn wanted_by_others(&self, server: &str) -> RequestRate {
+        self.peers.wanted_of(server)
+    }
+
+    /// The limits.
+    pub fn limits(&self) -> &ServerLimits {
+        &self.limits
+    }
+
+    /// What to tell the others of limits.
+    pub fn told_limits(&mut self, now: Now, is_relay: bool) -> Vec<ToldLimit> {
+        self.limits.told(now, is_relay)
+    }
+
+    /// What this instance has put on the replicas and wants of limited ones, as the others
+    /// are told it.
+    pub fn told_shares(&mut self, now: Now) -> LoadShares {
+        let mut shares = self.shares();
+        for (id, wanted) in self.limits.tell_wanted(now) {
+            shares.entry(id).or_default().wanted = wanted;
+        }
+        shares
+    }
+
+    /// Whether the others should hear at once what this instance wants of limited servers.
+    pub fn wants_are_news(&self, now: Now) -> bool {
+        self.limits.is_news(now)
+    }
+
+    /// Leaves out limited replicas that are ranked before the first that may be sent a
+    /// request now. Returns the others and the names of those left out.
+    pub(super) fn pass_over_limited(
+        &mut self,
+        now: Now,
+        ranked: Vec<ReplicaScore>,
+    ) -> (Vec<ReplicaScore>, Vec<Replica>) {
+        let mut ranked = ranked.into_iter();
+        let mut passed_over = Vec::new();
+        for score in ranked.by_ref() {
+            if self.wish(now, &score.replica.server_life()) {
+                let taken = std::iter::once(score).chain(ranked);
+                return (taken.collect(), passed_over);
+            }
+            passed_over.push(score.replica);
+        }
+        (Vec::new(), passed_over)
+    }
+
+    /// Moves limited replicas behind the others: what is placed there may have to wait.
+    pub(super) fn unlimited_first(&self, replicas: &mut [Replica]) {
+        if !self.limits.is_empty() {
+            replicas.sort_by_key(|replica| self.limits.has(replica.life()));
+        }
+    }
+
+    /// Why nobody takes a request, when all who could are limited.
+    pub(super) fn all_limited(&mut self, now: Now, ask: &PlacementAsk, all: &[Replica]) -> Refusal {
+        let turns = all.iter().filter_map(|replica| {
+            let left = self.turn_in(now, replica)?;
+            Some((left, replica.life()))
+        });
+        let first = turns.min_by_key(|(left, _)| *left);
+        if let Some((left, life)) = first {
+            self.limits.await_turn(now, life, left);
+        }
+        let left = first.map_or(SHORTEST_WAIT, |(left, _)| left);
+        Refusal::limited(&ask.service, left.max(SHORTEST_WAIT))
+    }
+
+    /// Time until this instance may send a limited replica one more request than others were
+    /// told to wait for; `None` if it may now.
+    pub(super) fn turn_in(&self, now: Now, replica: &Replica) -> Option<Duration> {
+        let others = self.peers.wanted_of(&replica.id);
+        self.limits.turn_in(now, replica.life(), others)
+    }
+
+    /// Drops what is known of limits of lives that are long gone.
+    pub(super) fn forget_limits(&mut self, now: Now) {
+        if self.limits.is_empty() {
+            return;
+        }
+        let listed = self.list.lives();
+        self.limits.expire(now, |life| listed.contains(&life));
+    }
+
+    pub(super) fn wish(&mut self, now: Now, server: &ServerLife) -> bool {
+        if !self.limits.has(server.life) {
+            return true;
+        }
+        let others = self.peers.wanted_of(&server.id);
+        self.limits.wish(now, server.life, others)
+    }
+}
+
+/// Names of replicas, for logs.
+pub(super) fn names(replicas: &[Replica]) -> Vec<BackendId> {
+    replicas.iter().map(|replica| replica.id.clone()).collect()
+}
--- a/crates/core/src/gateway_control/notices.rs
+++ b/crates/core/src/gateway_control/notices.rs
@@ -34,6 +34,8 @@
     pub leaving: BTreeSet<LifeId>,
     /// Until when lives rest: nothing at all is sent.
     pub resting: BTreeMap<LifeId, Now>,
+    /// Lives that named limits: each send asks.
+    pub limited: BTreeSet<LifeId>,
 }
 
 impl SendStops {
@@ -105,7 +107,7 @@
 
     /// Rises whenever there is more or less that may not be sent, but for rests that are over.
     pub fn stops_version(&self) -> u64 {
-        self.rests.version + self.list.leaving_version()
+        self.rests.version + self.limits.version() + self.list.leaving_version()
     }
 
     /// What may not be sent now.
@@ -115,6 +117,7 @@
         SendStops {
             leaving: self.list.lives_that_leave(now),
             resting: resting.map(|(life, rest)| (*life, rest.until())).collect(),
+            limited: self.limits.lives(),
         }
     }
 
@@ -132,20 +135,20 @@
     /// When a caller should come back whose request found nobody, placed or sent: at once
     /// where a backend server takes requests, else when the first rest is over.
     pub fn return_after(&mut self, now: Now, ask: &PlacementAsk, otherwise: Duration) -> Duration {
-        let left = self.shortest_rest(now, ask);
+        let left = self.shortest_wait(now, ask);
         left.map_or(otherwise, |left| self.spread(left))
     }
 
     /// Why nobody takes a request, if that is because all who could have asked for rest.
     pub(super) fn all_rest(&mut self, now: Now, ask: &PlacementAsk) -> Option<Refusal> {
-        let left = self.shortest_rest(now, ask)?;
+        let left = self.shortest_wait(now, ask)?;
         let retry_after = self.spread(left);
         Some(Refusal::resting(&ask.service, retry_after))
     }
 
-    /// The shortest time until a replica that could take a request has rested; `None` when
-    /// one takes requests now, or there is none.
-    fn shortest_rest(&self, now: Now, ask: &PlacementAsk) -> Option<Duration> {
+    /// The shortest time until a replica that could take a request has rested, or takes one
+    /// more under the limit that it named; `None` when one takes requests now, or there is none.
+    fn shortest_wait(&self, now: Now, ask: &PlacementAsk) -> Option<Duration> {
         let serving = self.list.serving(now).filter(|r| r.service == ask.service);
         let open = serving.filter(|r| self.is_open(r) && self.is_at_home(r, ask));
         let left = |replica: &Replica| {
@@ -157,13 +160,18 @@
                 _ => None,
             }
         };
+        let left = |replica: &Replica| left(replica).or_else(|| self.turn_in(now, replica));
         let lefts: Option<Vec<Duration>> = open.map(left).collect();
         lefts?.into_iter().min()
     }
 
     fn spread(&mut self, left: Duration) -> Duration {
-        let part = f64::from(self.random.next_u32()) / f64::from(u32::MAX);
-        left + left.min(LONGEST_SPREAD).mul_f64(part)
+        left + left.min(LONGEST_SPREAD).mul_f64(self.chance())
+    }
+
+    /// A number from 0 to 1.
+    pub(super) fn chance(&mut self) -> f64 {
+        f64::from(self.random.next_u32()) / f64::from(u32::MAX)
     }
 
     /// Drops rests that are over of lives that are listed no more.
--- a/crates/core/src/load_share.rs
+++ b/crates/core/src/load_share.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::BackendId;
+use crate::RequestRate;
 
 /// What one instance has put on one backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -18,6 +19,8 @@
     pub session_tokens: u64,
     /// Tokens of copies of sessions that run elsewhere.
     pub copy_tokens: u64,
+    /// What would be sent if the backend server had not named a limit; nothing unless it has.
+    pub wanted: RequestRate,
 }
 
 impl LoadShare {
@@ -27,6 +30,7 @@
         self.unread_tokens += other.unread_tokens;
         self.session_tokens += other.session_tokens;
         self.copy_tokens += other.copy_tokens;
+        self.wanted = self.wanted.plus(other.wanted);
     }
 
     /// Takes a share away that was added before.
@@ -35,6 +39,7 @@
         self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
         self.session_tokens = self.session_tokens.saturating_sub(other.session_tokens);
         self.copy_tokens = self.copy_tokens.saturating_sub(other.copy_tokens);
+        self.wanted = self.wanted.minus(other.wanted);
     }
 
     /// Tokens that the share takes in memory.
--- a/crates/core/src/peer_loads.rs
+++ b/crates/core/src/peer_loads.rs
@@ -16,12 +16,18 @@
 use crate::LoadShares;
 use crate::MessageOrder;
 use crate::Now;
+use crate::RequestRate;
 use crate::ZoneId;
 
 /// How long the shares of a silent instance still count: its sessions end or
 /// are broken off within a few seconds after its end.
 const SHARES_LIFETIME: Duration = Duration::from_secs(3);
 
+/// How long what a silent instance or zone wanted of limited servers still counts. Behind a
+/// cut it goes on sending, and two parts that forgot each other would send twice the limit;
+/// this is longer than the cuts that the users name.
+const WANTED_LIFETIME: Duration = Duration::from_secs(120);
+
 /// What all instances of one availability zone have put on backend servers, as a
 /// relay of that zone tells the other zones.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -107,6 +113,21 @@
     zone: ZoneId,
     peers: HashMap<InstanceId, Peer>,
     zones: BTreeMap<ZoneId, ZoneLoads>,
+    silent: BTreeMap<Silent, Wanted>,
+}
+
+/// Who is silent.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Silent {
+    Instance(InstanceId),
+    Zone(ZoneId),
+}
+
+/// What it wanted of limited servers.
+#[derive(Debug)]
+struct Wanted {
+    since: Now,
+    of: HashMap<BackendId, RequestRate>,
 }
 
 impl PeerLoads {
@@ -116,6 +137,7 @@
             zone,
             peers: HashMap::new(),
             zones: BTreeMap::new(),
+            silent: BTreeMap::new(),
         }
     }
 
@@ -129,11 +151,13 @@
                 loads.remove(&peer.shares);
             }
         }
+        self.silent.remove(&Silent::Instance(told.instance.clone()));
         let loads = self.zones.entry(told.zone.clone()).or_default();
         loads.add(&told.shares);
         // The sums of the own zone would count this instance twice.
         if let Some(digest) = told.digest.filter(|_| told.zone != self.zone) {
             loads.digest = Some((now, digest));
+            self.silent.remove(&Silent::Zone(told.zone.clone()));
         }
         match self.peers.get_mut(&told.instance) {
             Some(peer) => {
@@ -169,12 +193,20 @@
             };
             loads.remove(&peer.shares);
             if loads.digest.is_none() {
+                let silent = Silent::Instance(name.clone());
+                keep_wanted(&mut self.silent, now, silent, &peer.shares);
                 unheard.push(name);
             }
         }
-        for loads in self.zones.values_mut() {
-            loads.digest.take_if(|(heard_at, _)| is_old(*heard_at));
+        for (zone, loads) in &mut self.zones {
+            let lapsed = loads.digest.take_if(|(heard_at, _)| is_old(*heard_at));
+            if let Some((_, digest)) = lapsed {
+                let silent = Silent::Zone(zone.clone());
+                keep_wanted(&mut self.silent, now, silent, &digest.shares);
+            }
         }
+        let is_kept = |wanted: &Wanted| now.saturating_sub(wanted.since) < WANTED_LIFETIME;
+        self.silent.retain(|_, wanted| is_kept(wanted));
         self.zones.retain(|_, loads| loads.instances() > 0);
         unheard
     }
@@ -192,6 +224,12 @@
         sum
     }
 
+    /// What all others want of a limited server, those that fell silent included.
+    pub fn wanted_of(&self, replica: &str) -> RequestRate {
+        let silent = self.silent.values().filter_map(|w| w.of.get(replica));
+        silent.fold(self.on(replica).wanted, |sum, wanted| sum.plus(*wanted))
+    }
+
     /// What the own zone has put on backend servers, with the shares of this
     /// instance.
     pub fn digest(&self, own: &LoadShares) -> ZoneDigest {
@@ -231,3 +269,13 @@
         instances.sum::<u32>() as usize
     }
 }
+
+fn keep_wanted(all: &mut BTreeMap<Silent, Wanted>, now: Now, silent: Silent, shares: &LoadShares) {
+    let wanted = shares.iter().filter(|(_, share)| !share.wanted.is_zero());
+    let of: HashMap<BackendId, RequestRate> = wanted
+        .map(|(id, share)| (id.clone(), share.wanted))
+        .collect();
+    if !of.is_empty() {
+        all.insert(silent, Wanted { since: now, of });
+    }
+}
--- a/crates/core/src/placement_ask.rs
+++ b/crates/core/src/placement_ask.rs
@@ -49,6 +49,8 @@
     pub backup: Option<Replica>,
     /// What was believed of the first.
     pub belief: Belief,
+    /// Backend servers that were better but take no more now: they named limits.
+    pub passed_over: Vec<BackendId>,
 }
 
 /// What was believed of a backend server when it was chosen.
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -28,6 +28,8 @@
     Quarantined,
     /// All backend servers that could serve the request have asked for rest.
     Resting,
+    /// All that could serve it take no more now: they have named limits.
+    Limited,
 }
 
 impl RefusalKind {
@@ -43,6 +45,7 @@
             RefusalKind::NotReady => "not_ready",
             RefusalKind::Quarantined => "quarantined",
             RefusalKind::Resting => "resting",
+            RefusalKind::Limited => "limited",
         }
     }
 }
@@ -105,6 +108,15 @@
         )
     }
 
+    /// All backend servers that could serve a request have named limits.
+    pub fn limited(of: &str, left: Duration) -> Self {
+        Refusal::new(
+            RefusalKind::Limited,
+            left,
+            format!("the backend servers of {of} take no more requests now: they named limits"),
+        )
+    }
+
     /// No backend server can serve a model now.
     pub fn no_backend(model: &str) -> Self {
         Refusal::new(
--- /dev/null
+++ b/crates/core/src/server_limits.rs
@@ -0,0 +1,301 @@
+//! The limits that backend servers named, and what this instance may send under them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::FleetMembers;
+use crate::LifeId;
+use crate::LimitShare;
+use crate::LimitTerms;
+use crate::NamedLimit;
+use crate::Now;
+use crate::RequestId;
+use crate::RequestRate;
+use crate::ServerLife;
+
+/// How long a grant holds: a request that its process sends later, after standing still,
+/// would count in a span for which others were granted as much.
+const GRANT_LIFETIME: Duration = Duration::from_secs(1);
+
+/// How long the others are told that a limit is no more: several heartbeats, two of which may
+/// be lost.
+const WITHDRAWAL_TOLD_FOR: Duration = Duration::from_secs(10);
+
+/// How long a word about a life that is listed no more is kept: past any outage after which
+/// its entry is back.
+const KEPT_UNLISTED: Duration = Duration::from_secs(60);
+
+/// Time beyond which callers are not queued: most that are told to wait for longer never come
+/// back, and later ones would wait for turns that nobody takes.
+const LONGEST_QUEUE: Duration = Duration::from_secs(5);
+
+/// Most limits that one heartbeat tells, so that its size is bounded where hundreds of
+/// servers are limited; they are told by turns.
+const MOST_TOLD: usize = 8;
+
+/// What an instance tells the others of a server's limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// The server.
+    pub server: ServerLife,
+    /// Its limit, `None` if it names none any more.
+    pub limit: Option<RequestRate>,
+    /// Milliseconds since an answer said so.
+    pub age_ms: u64,
+}
+
+/// A change of what is believed of a server's limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitChange {
+    /// It takes so many requests a second of all instances together.
+    Limited(RequestRate),
+    /// It names a limit no more.
+    Withdrawn,
+}
+
+/// What is known of the limit of one life of a server.
+#[derive(Clone, Debug)]
+struct Known {
+    server: ServerLife,
+    limit: Option<RequestRate>,
+    /// When an answer said so, here or elsewhere.
+    heard_at: Now,
+    /// Whether an answer to this instance said so.
+    is_own: bool,
+    told_at: Option<Now>,
+    share: LimitShare,
+    /// Until when callers that were refused because of it were told to wait.
+    awaited_until: Now,
+}
+
+/// A request that may be sent.
+#[derive(Clone, Copy, Debug)]
+struct Grant {
+    life: LifeId,
+    at: Now,
+}
+
+/// The limits by life.
+#[derive(Clone, Debug, Default)]
+pub struct ServerLimits {
+    by_life: BTreeMap<LifeId, Known>,
+    grants: HashMap<RequestId, Grant>,
+    version: u64,
+}
+
+impl ServerLimits {
+    /// Notes what an answer to a request, sent at `sent_at`, says; `earned` is drawn by
+    /// chance, from 0 to 1.
+    ///
+    /// Answers overtake each other. What this request's sending follows is certainly older
+    /// than its answer; among the others a lower limit counts.
+    pub fn heard(
+        &mut self,
+        now: Now,
+        server: &ServerLife,
+        named: NamedLimit,
+        sent_at: Now,
+        earned: f64,
+    ) -> Option<LimitChange> {
+        let limit = match named {
+            NamedLimit::Unreadable => return None,
+            NamedLimit::NotTold => None,
+            NamedLimit::Of(rate) => Some(rate),
+        };
+        let known = self.by_life.get(&server.life);
+        let is_newer = known.is_none_or(|known| sent_at >= known.heard_at);
+        let is_lower = limit.is_some_and(|limit| {
+            let known = known.and_then(|known| known.limit);
+            known.is_none_or(|known| limit <= known)
+        });
+        if known.is_none() && limit.is_none() || !is_newer && !is_lower {
+            return None;
+        }
+        self.set(now, server, limit, now, earned, true)
+    }
+
+    /// Notes what another instance tells.
+    pub fn hear_told(&mut self, now: Now, told: &ToldLimit, earned: f64) -> Option<LimitChange> {
+        let heard_at = FleetMembers::confirmed_at(now, Duration::from_millis(told.age_ms));
+        let known = self.by_life.get(&told.server.life);
+        // Two relays that took the same word from each other would make it younger for ever.
+        let is_known = |known: &Known| known.heard_at >= heard_at || known.limit == told.limit;
+        if known.is_some_and(is_known) {
+            return None;
+        }
+        self.set(now, &told.server, told.limit, heard_at, earned, false)
+    }
+
+    fn set(
+        &mut self,
+        now: Now,
+        server: &ServerLife,
+        limit: Option<RequestRate>,
+        heard_at: Now,
+        earned: f64,
+        is_own: bool,
+    ) -> Option<LimitChange> {
+        let known = self.by_life.entry(server.life).or_insert_with(|| Known {
+            server: server.clone(),
+            limit: None,
+            heard_at,
+            is_own,
+            told_at: None,
+            share: LimitShare::new(now, LimitTerms::default(), earned),
+            awaited_until: Now::ZERO,
+        });
+        known.heard_at = heard_at;
+        known.is_own = is_own;
+        if known.limit == limit {
+            return None;
+        }
+        if known.limit.is_none() {
+            known.share = LimitShare::new(now, LimitTerms::default(), earned);
+        }
+        known.limit = limit;
+        known.told_at = None;
+        self.version += 1;
+        Some(limit.map_or(LimitChange::Withdrawn, LimitChange::Limited))
+    }
+
+    /// Whether a server is limited now.
+    pub fn has(&self, life: LifeId) -> bool {
+        self.limit_of(life).is_some()
+    }
+
+    /// Its limit.
+    pub fn limit_of(&self, life: LifeId) -> Option<RequestRate> {
+        self.by_life.get(&life)?.limit
+    }
+
+    /// Lives that are limited now.
+    pub fn lives(&self) -> BTreeSet<LifeId> {
+        let limited = self.by_life.iter();
+        let limited = limited.filter(|(_, known)| known.limit.is_some());
+        limited.map(|(life, _)| *life).collect()
+    }
+
+    /// Rises whenever another life is limited, or one has another limit.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Whether something may be sent to a life now, of which the others want `others`: an
+    /// unlimited one gets all.
+    pub fn wish(&mut self, now: Now, life: LifeId, others: RequestRate) -> bool {
+        let Some(known) = self.by_life.get_mut(&life) else {
+            return true;
+        };
+        let limit = known.limit;
+        limit.is_none_or(|limit| known.share.wish(now, limit, others))
+    }
+
+    /// Keeps the grant of a request that is sent a little later.
+    pub fn keep_grant(&mut self, now: Now, request: &str, life: LifeId) {
+        if self.has(life) {
+            let grant = Grant { life, at: now };
+            self.grants.insert(request.to_owned(), grant);
+        }
+    }
+
+    /// Uses the grant of a request, if it has one for this life.
+    pub fn use_grant(&mut self, now: Now, request: &str, life: LifeId) -> bool {
+        let grant = self.grants.remove(request);
+        let holds = |grant: &Grant| now.saturating_sub(grant.at) < GRANT_LIFETIME;
+        grant.filter(holds).is_some_and(|grant| grant.life == life)
+    }
+
+    /// Drops the grant of a request that is not sent.
+    pub fn drop_grant(&mut self, request: &str) {
+        self.grants.remove(request);
+    }
+
+    /// What this instance wishes for, by server, and as which the others hear it.
+    pub fn tell_wanted(&mut self, now: Now) -> Vec<(String, RequestRate)> {
+        let limited = self.by_life.values_mut().filter(|k| k.limit.is_some());
+        let told = limited.map(|known| (known.server.id.clone(), known.share.tell(now)));
+        told.filter(|(_, wanted)| !wanted.is_zero()).collect()
+    }
+
+    /// What all limited servers together take of all instances.
+    pub fn sum(&self) -> RequestRate {
+        let limits = self.by_life.values().filter_map(|known| known.limit);
+        limits.fold(RequestRate::ZERO, RequestRate::plus)
+    }
+
+    /// Whether nothing is known of any limit.
+    pub fn is_empty(&self) -> bool {
+        self.by_life.is_empty()
+    }
+
+    /// Whether the others should hear at once what this instance wishes for.
+    pub fn is_news(&self, now: Now) -> bool {
+        let mut limited = self.by_life.values().filter(|k| k.limit.is_some());
+        limited.any(|known| known.share.is_news(now))
+    }
+
+    /// What to tell the others now: what this instance was told itself, or by a relay also
+    /// what it has heard.
+    pub fn told(&mut self, now: Now, is_relay: bool) -> Vec<ToldLimit> {
+        let age = |known: &Known| now.saturating_sub(known.heard_at);
+        let is_told = |known: &&mut Known| {
+            let is_recent = known.limit.is_some() || age(known) < WITHDRAWAL_TOLD_FOR;
+            (known.is_own || is_relay) && is_recent
+        };
+        let mut due: Vec<&mut Known> = self.by_life.values_mut().filter(is_told).collect();
+        due.sort_by_key(|known| known.told_at);
+        due.truncate(MOST_TOLD);
+        let told = due.into_iter().map(|known| {
+            known.told_at = Some(now);
+            ToldLimit {
+                server: known.server.clone(),
+                limit: known.limit,
+                age_ms: age(known).as_millis() as u64,
+            }
+        });
+        told.collect()
+    }
+
+    /// Time until this instance may send a life one request more than were told to wait for
+    /// it; `None` if it may send now.
+    pub fn turn_in(&self, now: Now, life: LifeId, others: RequestRate) -> Option<Duration> {
+        let known = self.by_life.get(&life)?;
+        let limit = known.limit?;
+        if known.share.part(now, limit, others) >= 1.0 {
+            return None;
+        }
+        let first = known.share.time_for(now, limit, others, 1);
+        let second = known.share.time_for(now, limit, others, 2);
+        let spacing = second.saturating_sub(first);
+        let next = (known.awaited_until + spacing).saturating_sub(now);
+        Some(first.max(next.min(LONGEST_QUEUE)))
+    }
+
+    /// Notes that a caller was told to come back after so long; the next one is told a later
+    /// time.
+    pub fn await_turn(&mut self, now: Now, life: LifeId, left: Duration) {
+        if let Some(known) = self.by_life.get_mut(&life) {
+            known.awaited_until = now + left;
+        }
+    }
+
+    /// Drops what is known of lives that are long gone, and grants that were not used.
+    pub fn expire(&mut self, now: Now, is_listed: impl Fn(LifeId) -> bool) {
+        self.grants
+            .retain(|_, grant| now.saturating_sub(grant.at) < GRANT_LIFETIME);
+        let before = self.by_life.len();
+        self.by_life.retain(|life, known| {
+            let age = now.saturating_sub(known.heard_at);
+            match known.limit {
+                Some(_) => is_listed(*life) || age < KEPT_UNLISTED,
+                None => age < KEPT_UNLISTED,
+            }
+        });
+        self.version += u64::from(self.by_life.len() != before);
+    }
+}
--- a/crates/core/src/server_notice.rs
+++ b/crates/core/src/server_notice.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use crate::Now;
 use crate::RequestRate;
 
 /// Status of an answer that turns a request away because of the server's state
@@ -123,3 +124,16 @@
         *self == ServerNotice::default()
     }
 }
+
+/// What one answer said of its server, with what orders it among other answers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeardNotice {
+    /// What it said.
+    pub notice: ServerNotice,
+    /// When what it answers was sent.
+    pub sent_at: Now,
+    /// Whether the server would have named its limit in this answer: one that it names no
+    /// more it doesn't have. Answers to orders and questions, and answers that may be another
+    /// server's, don't say so.
+    pub tells_limits: bool,
+}
--- /dev/null
+++ b/crates/core/tests/gateway_limits.rs
@@ -0,0 +1,309 @@
+//! What instances do together after backend servers have named limits.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod gateway_scene;
+
+use std::time::Duration;
+
+use iristhread_core::GatewayControl;
+use iristhread_core::GatewayTerms;
+use iristhread_core::HeardNotice;
+use iristhread_core::NamedLimit;
+use iristhread_core::Now;
+use iristhread_core::RefusalKind;
+use iristhread_core::Replica;
+use iristhread_core::RunEnd;
+use iristhread_core::ServerNotice;
+use iristhread_core::ToldLoads;
+use test_case::test_case;
+
+use gateway_scene::ask;
+use gateway_scene::config;
+use gateway_scene::engine;
+use gateway_scene::ms;
+use gateway_scene::terms;
+
+/// Time between two heartbeats.
+const BEAT_MS: u64 = 200;
+
+/// The span in which what reaches a server is counted.
+const SPAN: Duration = Duration::from_secs(4);
+
+fn names_limit(per_s: &str, sent_at: Now) -> HeardNotice {
+    HeardNotice {
+        notice: ServerNotice {
+            limit: NamedLimit::parse(per_s),
+            ..ServerNotice::default()
+        },
+        sent_at,
+        tells_limits: true,
+    }
+}
+
+fn names_none(sent_at: Now) -> HeardNotice {
+    HeardNotice {
+        notice: ServerNotice::default(),
+        sent_at,
+        tells_limits: true,
+    }
+}
+
+/// A fleet whose instances tell each other everything with each heartbeat.
+struct Fleet {
+    instances: Vec<GatewayControl>,
+    servers: Vec<Replica>,
+    /// The limits that the servers name in each answer.
+    limits: Vec<Option<&'static str>>,
+    /// What reached each server, and when.
+    reached: Vec<Vec<Now>>,
+    refused: Vec<Now>,
+    now_ms: u64,
+    requests: u64,
+    /// Parts of the fleet hear only themselves.
+    is_cut: bool,
+    /// Instances that take no requests.
+    idle_from: usize,
+}
+
+impl Fleet {
+    fn new(count: usize, limits: &[Option<&'static str>]) -> Fleet {
+        let servers: Vec<Replica> = (0..limits.len())
+            .map(|number| engine(&format!("s{number}"), "z1"))
+            .collect();
+        let instances = (0..count).map(|number| instance(number, &servers));
+        Fleet {
+            instances: instances.collect(),
+            reached: vec![Vec::new(); servers.len()],
+            servers,
+            limits: limits.to_vec(),
+            refused: Vec::new(),
+            now_ms: 0,
+            requests: 0,
+            is_cut: false,
+            idle_from: count,
+        }
+    }
+
+    /// Lets time pass with so many requests a second.
+    fn run(&mut self, time: Duration, per_s: u64) {
+        let until = self.now_ms + time.as_millis() as u64;
+        while self.now_ms < until {
+            self.now_ms += 1;
+            if self.now_ms.is_multiple_of(BEAT_MS) {
+                self.tell();
+            }
+            if self.now_ms % 1_000 * per_s % 1_000 < per_s {
+                self.request();
+            }
+        }
+    }
+
+    fn tell(&mut self) {
+        let now = ms(self.now_ms);
+        for from in 0..self.instances.len() {
+            let control = &mut self.instances[from];
+            control.tick(now);
+            let limits = control.told_limits(now, false);
+            let loads = ToldLoads {
+                instance: format!("i{from}"),
+                incarnation: "life".to_owned(),
+                sequence: self.now_ms,
+                zone: "z1".to_owned(),
+                shares: control.told_shares(now),
+                digest: None,
+            };
+            for to in 0..self.instances.len() {
+                if to != from && (!self.is_cut || to % 2 == from % 2) {
+                    self.instances[to].hear_peer(now, loads.clone());
+                    self.instances[to].hear_limits(now, limits.clone());
+                }
+            }
+        }
+    }
+
+    /// The instances get requests in an order that follows no pattern of the servers.
+    fn request(&mut self) {
+        self.requests += 1;
+        let number = (self.requests * 7_919 % 10_007) as usize % self.idle_from;
+        let now = ms(self.now_ms);
+        let id = format!("r{}", self.requests);
+        let control = &mut self.instances[number];
+        let Ok(ranking) = control.place(now, ask(&id)) else {
+            self.refused.push(now);
+            return;
+        };
+        let first = ranking.replicas[0].server_life();
+        let place = self.servers.iter().position(|s| s.id == first.id).unwrap();
+        if control.limits().has(first.life) {
+            assert!(control.may_send(now, &first, &id), "it was granted");
+        }
+        self.reached[place].push(now);
+        let heard = match self.limits[place] {
+            Some(limit) => names_limit(limit, now),
+            None => names_none(now),
+        };
+        control.limit_noticed(now, &first, &heard);
+        control.ended(now, &id, RunEnd::Answered);
+    }
+
+    /// The most that reached a server within the span, from some time on.
+    fn most(&self, server: usize, from: Now) -> usize {
+        let times = self.reached[server].iter().filter(|at| **at >= from);
+        let times: Vec<Now> = times.copied().collect();
+        let within = |begin: &Now| {
+            let counted = times.iter().filter(|at| **at >= *begin);
+            counted.filter(|at| **at < *begin + SPAN).count()
+        };
+        times.iter().map(within).max().unwrap_or(0)
+    }
+
+    fn count(&self, server: usize, from: Now) -> usize {
+        let reached = self.reached[server].iter();
+        reached.filter(|at| **at >= from).count()
+    }
+}
+
+fn instance(number: usize, servers: &[Replica]) -> GatewayControl {
+    let mut control = GatewayControl::new(GatewayTerms {
+        instance: format!("i{number}"),
+        seed: number as u64,
+        ..terms()
+    });
+    control.offer_config(std::sync::Arc::new(config(1)));
+    control.offer_replicas(Duration::ZERO, 1, servers.to_vec());
+    control
+}
+
+fn allowed(per_s: f64) -> usize {
+    (1.5 * per_s * SPAN.as_secs_f64()) as usize + 5
+}
+
+/// The others take what limited servers can't; nobody is refused.
+#[test_case(9, 38, "3.9", 3.9; "nine instances")]
+#[test_case(9, 38, "0", 0.0; "a server that takes nothing")]
+#[test_case(40, 60, "4", 4.0; "forty instances")]
+#[test_case(40, 60, "0.3", 0.3; "forty before a server that takes one in three seconds")]
+fn servers_get_no_more_than_they_take(count: usize, per_s: u64, limit: &'static str, rate: f64) {
+    let mut fleet = Fleet::new(count, &[Some(limit), Some(limit), None]);
+    fleet.run(Duration::from_secs(30), per_s);
+    let told_at = ms(3_000);
+    for server in [0, 1] {
+        let most = fleet.most(server, told_at);
+        assert!(most <= allowed(rate), "{most} within {SPAN:?}");
+        assert!(fleet.count(server, told_at) > 0, "its words are heard");
+    }
+    assert!(fleet.refused.is_empty(), "{}", fleet.refused.len());
+}
+
+/// Shares follow the requests: the instances without any leave theirs to the others.
+#[test]
+fn a_limit_is_used_where_a_third_of_the_instances_has_the_requests() {
+    let mut fleet = Fleet::new(9, &[Some("4")]);
+    fleet.idle_from = 3;
+    fleet.run(Duration::from_secs(33), 12);
+    let from = ms(3_000);
+    assert!(fleet.most(0, from) <= allowed(4.0));
+    let used = fleet.count(0, from) as f64 / (30.0 * 4.0);
+    assert!(used >= 0.7, "{used}");
+}
+
+/// A cut lasts: neither half takes the other's part, since both remember it.
+#[test]
+fn two_halves_that_do_not_hear_each_other_keep_to_one_limit() {
+    let mut fleet = Fleet::new(10, &[Some("4"), None]);
+    fleet.run(Duration::from_secs(10), 30);
+    fleet.is_cut = true;
+    fleet.run(Duration::from_secs(60), 30);
+    let most = fleet.most(0, ms(3_000));
+    assert!(most <= allowed(4.0), "{most} within {SPAN:?}");
+}
+
+#[test]
+fn a_burst_is_shared_as_soon_as_it_is_told() {
+    let mut fleet = Fleet::new(9, &[Some("4"), None]);
+    fleet.run(Duration::from_secs(10), 12);
+    fleet.run(Duration::from_secs(10), 36);
+    let most = fleet.most(0, ms(3_000));
+    assert!(most <= allowed(4.0), "{most} within {SPAN:?}");
+}
+
+/// One answer without a limit is enough, also at instances that would not have asked soon.
+#[test_case("4"; "a limit")]
+#[test_case("0"; "a limit of nothing")]
+fn a_server_that_names_no_limit_any_more_is_used_by_all(limit: &'static str) {
+    let mut fleet = Fleet::new(9, &[Some(limit), None]);
+    fleet.run(Duration::from_secs(10), 30);
+    fleet.limits[0] = None;
+    fleet.run(Duration::from_secs(30), 30);
+    let limited = |control: &GatewayControl| !control.limits().lives().is_empty();
+    assert_eq!(fleet.instances.iter().filter(|i| limited(i)).count(), 0);
+    assert!(fleet.count(0, ms(35_000)) > 50);
+}
+
+/// Whoever refuses is told when it is an instance's turn; nothing waits.
+#[test]
+fn where_all_are_limited_callers_are_refused_with_a_time() {
+    let mut fleet = Fleet::new(3, &[Some("2"), Some("2")]);
+    fleet.run(Duration::from_secs(10), 30);
+    let from = ms(3_000);
+    for server in [0, 1] {
+        assert!(fleet.most(server, from) <= allowed(2.0));
+    }
+    assert!(fleet.refused.len() > 100);
+    let now = ms(fleet.now_ms);
+    let control = &mut fleet.instances[0];
+    let refusal = (0..10).find_map(|number| control.place(now, ask(&format!("x{number}"))).err());
+    let refusal = refusal.unwrap();
+    assert_eq!(refusal.kind, RefusalKind::Limited);
+    assert!(refusal.retry_after >= ms(100) && refusal.retry_after <= ms(6_000));
+}
+
+/// An instance that has just started asks nobody: it goes by what it hears.
+#[test]
+fn an_instance_that_starts_keeps_to_what_the_others_tell() {
+    let mut fleet = Fleet::new(9, &[Some("0.3"), None]);
+    fleet.run(Duration::from_secs(10), 30);
+    for number in [0, 3, 6] {
+        fleet.instances[number] = instance(number, &fleet.servers.clone());
+    }
+    fleet.tell();
+    let before = fleet.count(0, Now::ZERO);
+    fleet.run(Duration::from_secs(4), 30);
+    let after = fleet.count(0, Now::ZERO) - before;
+    assert!(after <= allowed(0.3), "{after}");
+}
+
+/// What another life named says nothing of this one.
+#[test]
+fn a_limit_binds_one_life() {
+    let born = |born_ms| Replica {
+        born_ms: Some(born_ms),
+        ..engine("a", "z1")
+    };
+    let mut control = instance(0, &[born(1)]);
+    let heard = names_limit("0", ms(900));
+    control.limit_noticed(ms(1_000), &born(1).server_life(), &heard);
+    assert!(control.place(ms(1_100), ask("r1")).is_ok(), "tried once");
+    assert!(control.place(ms(1_100), ask("r2")).is_err());
+    control.offer_replicas(ms(1_200), 2, vec![born(2)]);
+    for number in 0..6 {
+        let request = format!("n{number}");
+        assert!(control.place(ms(1_300), ask(&request)).is_ok());
+    }
+}
+
+/// A request that was placed before the limit was named asks when it is sent.
+#[test]
+fn what_was_placed_before_asks_once_more() {
+    let server = engine("a", "z1");
+    let mut control = instance(0, std::slice::from_ref(&server));
+    for number in 0..8 {
+        let request = format!("r{number}");
+        assert!(control.place(ms(1_000), ask(&request)).is_ok());
+    }
+    let life = server.server_life();
+    control.limit_noticed(ms(1_050), &life, &names_limit("1", ms(1_000)));
+    let sent = (0..8).filter(|number| control.may_send(ms(1_100), &life, &format!("r{number}")));
+    let sent = sent.count();
+    assert!(sent <= 2, "{sent}");
+}
--- a/crates/daemon/src/api_error.rs
+++ b/crates/daemon/src/api_error.rs
@@ -80,7 +80,8 @@
             | RefusalKind::RetryBudget
             | RefusalKind::NotReady
             | RefusalKind::Quarantined
-            | RefusalKind::Resting => (StatusCode::SERVICE_UNAVAILABLE, SERVER),
+            | RefusalKind::Resting
+            | RefusalKind::Limited => (StatusCode::SERVICE_UNAVAILABLE, SERVER),
         };
         let code = serde_json::to_value(refusal.kind).unwrap_or_default();
         let code = code.as_str().unwrap_or_default();
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use iristhread_api::HttpClientError;
 use iristhread_core::Fingerprint;
+use iristhread_core::HeardNotice;
 use iristhread_core::Now;
 use iristhread_core::PlacementAsk;
 use iristhread_core::Ranking;
@@ -241,7 +242,8 @@
         }
         // A request placed before the server spoke, or sent on by a process that stood still.
         let kind = SendKind::of(resume.as_ref());
-        if let Some(stop) = self.app.notices.stop(replica, kind) {
+        let stop = self.app.notices.stop(replica, kind, &self.head.request);
+        if let Some(stop) = stop.await {
             self.log_withheld(replica, stop);
             return Sent::Withheld(stop);
         }
@@ -259,12 +261,13 @@
             Ok(request) => request,
             Err(error) => return Sent::NotConnected(error.to_string()),
         };
+        let sent_at = self.app.clock.now();
         let by = self.app.clock.instant(by);
         match patience::until(by, self.app.client.send(request)).await {
             None => Sent::TimedOut,
             Some(Err(HttpClientError::Connect { cause, .. })) => Sent::NotConnected(cause),
             Some(Err(error)) => Sent::Lost(error.to_string()),
-            Some(Ok(response)) => self.checked(replica, response),
+            Some(Ok(response)) => self.checked(replica, response, sent_at),
         }
     }
 
@@ -304,21 +307,27 @@
         asked.await.unwrap_or(otherwise)
     }
 
-    fn checked(&self, replica: &Replica, response: http::Response<Incoming>) -> Sent {
+    fn checked(&self, replica: &Replica, response: http::Response<Incoming>, sent_at: Now) -> Sent {
         let (parts, body) = response.into_parts();
         let head = self.app.dialect.read_answer(parts.status, &parts.headers);
+        let is_ours = match &head.request {
+            Some(request) => *request == self.head.request,
+            None => head.is_not_run,
+        };
+        let is_other_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
         // Also when the answer is no answer of this request: the connection is its own.
+        let heard = HeardNotice {
+            notice: head.notice,
+            sent_at,
+            tells_limits: is_ours && !is_other_server && (head.is_stamped || head.is_not_run),
+        };
         let notices = &self.app.notices;
-        notices.heard(replica, &head.notice, &self.head.request);
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        notices.heard(replica, heard, &self.head.request);
+        if is_other_server {
             self.app.control.tell(GatewayMessage::AnotherThere {
                 replica: replica.server_life(),
             });
         }
-        let is_ours = match &head.request {
-            Some(request) => *request == self.head.request,
-            None => head.is_not_run,
-        };
         if !is_ours {
             return Sent::Lost("the answer bears another request's id".to_owned());
         }
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -320,6 +320,7 @@
             shares: own.shares,
             digest: own.digest,
             said_leaving: own.said_leaving,
+            limits: own.limits,
             unreachable: own.unreachable,
             evacuations: own.evacuations,
             suspects: own.suspects,
--- a/crates/daemon/src/fleet_link/receiving.rs
+++ b/crates/daemon/src/fleet_link/receiving.rs
@@ -138,6 +138,12 @@
                 suspects: heartbeat.suspects,
             });
         }
+        if !heartbeat.limits.is_empty() {
+            self.control.tell(GatewayMessage::LimitsHeard {
+                limits: heartbeat.limits,
+                source: heartbeat.instance.clone(),
+            });
+        }
         for replica in heartbeat.said_leaving {
             self.control.tell(GatewayMessage::Leaves {
                 replica,
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway_message.rs
@@ -10,6 +10,7 @@
 use iristhread_core::EvacuationNews;
 use iristhread_core::GatewayConfig;
 use iristhread_core::GatewayTerms;
+use iristhread_core::HeardNotice;
 use iristhread_core::KnownVersions;
 use iristhread_core::LoadShares;
 use iristhread_core::PlacementAsk;
@@ -20,9 +21,9 @@
 use iristhread_core::Revision;
 use iristhread_core::RunEnd;
 use iristhread_core::ServerLife;
-use iristhread_core::ServerNotice;
 use iristhread_core::SessionSignal;
 use iristhread_core::ToldEvacuations;
+use iristhread_core::ToldLimit;
 use iristhread_core::ToldList;
 use iristhread_core::ToldLoads;
 use iristhread_core::ToldSuspect;
@@ -46,6 +47,8 @@
     pub digest: Option<ZoneDigest>,
     /// Replicas that told it lately that they leave.
     pub said_leaving: Vec<ServerLife>,
+    /// Limits that replicas named; none where the state is not for a heartbeat.
+    pub limits: Vec<ToldLimit>,
     /// Replicas that took no connection of it lately.
     pub unreachable: Vec<ServerLife>,
     /// The evacuated zones.
@@ -218,7 +221,23 @@
         /// The replica.
         replica: ServerLife,
         /// What it said.
-        notice: ServerNotice,
+        heard: HeardNotice,
+    },
+    /// May something be sent to a replica that named a limit?
+    MaySend {
+        /// The replica.
+        replica: ServerLife,
+        /// The request, or what names an order or a question.
+        request: RequestId,
+        /// The answer; what may be sent counts as sent.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A peer tells of limits that replicas named.
+    LimitsHeard {
+        /// The limits.
+        limits: Vec<ToldLimit>,
+        /// The peer.
+        source: String,
     },
     /// Another has the address of a replica.
     AnotherThere {
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use iristhread_core::Revision;
@@ -44,6 +45,9 @@
     refusals: Family<Kind, Counter>,
     tries: Family<Kind, Counter>,
     notices: Family<Kind, Counter>,
+    limit_asks: Family<Kind, Counter>,
+    limits_allow: Counter<f64, AtomicU64>,
+    limited: Gauge,
     carries: Family<KindAndEnd, Counter>,
     moves: Family<Kind, Counter>,
     directory_calls: Family<KindAndEnd, Counter>,
@@ -75,6 +79,9 @@
             refusals: Family::default(),
             tries: Family::default(),
             notices: Family::default(),
+            limit_asks: Family::default(),
+            limits_allow: Counter::default(),
+            limited: Gauge::default(),
             carries: Family::default(),
             moves: Family::default(),
             directory_calls: Family::default(),
@@ -110,6 +117,12 @@
         r.register("tries", "Sends to backend servers", self.tries.clone());
         let notices = self.notices.clone();
         r.register("notices", "What answers say of their servers", notices);
+        let asks = self.limit_asks.clone();
+        r.register("limit_asks", "Wishes to send under a server's limit", asks);
+        let allow = self.limits_allow.clone();
+        r.register("limits_allow", "What limits allow all instances", allow);
+        let limited = self.limited.clone();
+        r.register("limited_servers", "Servers that name a limit", limited);
         r.register(
             "carries",
             "Streams taken to another engine",
@@ -210,6 +223,21 @@
         self.notices.get_or_create(&Kind { kind }).inc();
     }
 
+    /// Something was to be sent under a server's limit; `kind` says whether it was.
+    pub fn limit_asked(&self, kind: &'static str) {
+        self.limit_asks.get_or_create(&Kind { kind }).inc();
+    }
+
+    /// The limits in force allowed so many requests of all instances since the last time.
+    pub fn limits_allow(&self, requests: f64) {
+        self.limits_allow.inc_by(requests);
+    }
+
+    /// So many backend servers name a limit.
+    pub fn limited(&self, count: usize) {
+        self.limited.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// A stream was taken to another engine, or was lost.
     pub fn carried(&self, kind: &'static str, end: &'static str, pause: Duration) {
         self.carries.get_or_create(&KindAndEnd { kind, end }).inc();
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway_thread.rs
@@ -8,6 +8,7 @@
 use iristhread_core::Evacuation;
 use iristhread_core::GatewayControl;
 use iristhread_core::GatewayTerms;
+use iristhread_core::Now;
 use iristhread_core::PlacementAsk;
 use iristhread_core::Ranking;
 use iristhread_core::RequestClass;
@@ -36,8 +37,11 @@
 use crate::gateway_views::GatewayViews;
 
 mod beliefs;
+mod limits;
 mod telling;
 
+use limits::passed_over;
+
 /// Time between two ticks: lapsed entries and silent peers are noticed this
 /// late; both bounds are seconds.
 const TICK: Duration = Duration::from_millis(200);
@@ -94,6 +98,7 @@
         evacuations,
         stops,
         stops_version: 0,
+        limits_counted_at: clock.now(),
         metrics,
         news,
         suspensions: SuspensionWatch::new(clock),
@@ -121,6 +126,8 @@
     stops: watch::Sender<Arc<SendStops>>,
     /// What was told of them last.
     stops_version: u64,
+    /// When the limits in force were counted last.
+    limits_counted_at: Now,
     metrics: Arc<GatewayMetrics>,
     news: Arc<Notify>,
     suspensions: SuspensionWatch,
@@ -206,7 +213,15 @@
             GatewayMessage::Leaves { replica, source } => {
                 self.leaves(&replica, source);
             }
-            GatewayMessage::Noticed { replica, notice } => self.noticed(&replica, &notice),
+            GatewayMessage::Noticed { replica, heard } => self.noticed(&replica, &heard),
+            GatewayMessage::MaySend {
+                replica,
+                request,
+                reply,
+            } => {
+                let _ = reply.send(self.may_send(&replica, &request));
+            }
+            GatewayMessage::LimitsHeard { limits, source } => self.limits_heard(limits, &source),
             GatewayMessage::AnotherThere { replica } => self.another_there(&replica),
             GatewayMessage::ReturnAfter {
                 ask,
@@ -303,6 +318,7 @@
         self.metrics
             .suspects(control.suspected(), control.quarantined());
         self.metrics.resting(control.resting(self.clock.now()));
+        self.count_limits();
     }
 
     fn place(
@@ -313,8 +329,11 @@
         let request = ask.request.clone();
         let fingerprint = ask.fingerprint;
         let is_session = ask.class == RequestClass::Stream;
-        match self.control.place(self.clock.now(), ask) {
+        let placed = self.control.place(self.clock.now(), ask);
+        self.tell_wants();
+        match placed {
             Ok(ranking) => {
+                self.count_passed_over(&ranking);
                 if is_session {
                     // The others must not choose the same engine.
                     self.news.notify_one();
@@ -323,6 +342,7 @@
                     "request" => &request,
                     "content" => fingerprint.to_string(),
                     "ranking" => format!("{:?}", ids(&ranking)),
+                    "passed_over" => passed_over(&ranking),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
                     "requests_there" => ranking.belief.requests,
                     "memory_share" => ranking.belief.memory,
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway_thread/beliefs.rs
@@ -10,9 +10,9 @@
 use iristhread_core::EvacuationNews;
 use iristhread_core::Fingerprint;
 use iristhread_core::GatewayConfig;
+use iristhread_core::HeardNotice;
 use iristhread_core::Revision;
 use iristhread_core::ServerLife;
-use iristhread_core::ServerNotice;
 use iristhread_core::SessionSignal;
 use iristhread_core::SuspicionNews;
 use slog::debug;
@@ -101,8 +101,11 @@
     }
 
     /// What an answer said binds this instance from now on.
-    pub(super) fn noticed(&mut self, server: &ServerLife, notice: &ServerNotice) {
+    pub(super) fn noticed(&mut self, server: &ServerLife, heard: &HeardNotice) {
         let now = self.clock.now();
+        let notice = &heard.notice;
+        let change = self.control.limit_noticed(now, server, heard);
+        self.limit_changed(server, change, None);
         if let Some(rest) = notice.rest() {
             info!(self.log, "backend server rests";
                 "backend_server" => &server.id, "rest_ms" => rest.as_millis() as u64,
--- a/crates/daemon/src/gateway_thread/telling.rs
+++ b/crates/daemon/src/gateway_thread/telling.rs
@@ -11,17 +11,23 @@
     pub(super) fn own_state(&mut self, audience: Audience) -> OwnState {
         let now = self.clock.now();
         let is_relay = audience == Audience::Peers { is_relay: true };
-        let suspects = match audience {
-            Audience::Own => Vec::new(),
-            Audience::Peers { .. } => self.control.told_suspects(now),
+        let control = &mut self.control;
+        let (suspects, limits, shares) = match audience {
+            Audience::Own => (Vec::new(), Vec::new(), control.shares()),
+            Audience::Peers { .. } => (
+                control.told_suspects(now),
+                control.told_limits(now, is_relay),
+                control.told_shares(now),
+            ),
         };
         let control = &self.control;
         OwnState {
             suspects,
+            limits,
             config_version: self.control.config_version(),
             list_revision: self.control.list().revision(),
-            shares: self.control.shares(),
-            digest: is_relay.then(|| self.control.digest()),
+            digest: is_relay.then(|| control.digest(&shares)),
+            shares,
             said_leaving: control.lives_of(control.said_leaving(now, is_relay)),
             unreachable: control.lives_of(control.found_unreachable(now)),
             evacuations: self.control.evacuations().told(),
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -13,6 +13,7 @@
 use iristhread_core::Revision;
 use iristhread_core::ServerLife;
 use iristhread_core::ToldEvacuations;
+use iristhread_core::ToldLimit;
 use iristhread_core::ToldSuspect;
 use iristhread_core::ZoneDigest;
 use iristhread_core::ZoneId;
@@ -93,6 +94,8 @@
     pub digest: Option<ZoneDigest>,
     /// Backend servers that told it lately that they leave.
     pub said_leaving: Vec<ServerLife>,
+    /// Limits that backend servers named.
+    pub limits: Vec<ToldLimit>,
     /// Backend servers that took no connection of it lately.
     pub unreachable: Vec<ServerLife>,
     /// The zones that are evacuated.
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
+use iristhread_core::HeardNotice;
+use iristhread_core::NamedLimit;
 use iristhread_core::Now;
 use iristhread_core::Replica;
 use iristhread_core::RequestRate;
@@ -23,6 +25,9 @@
 use crate::session_mover::MoveOrder;
 use crate::session_mover::SessionMover;
 
+/// Names questions in logs.
+const REPORT: &str = "report";
+
 /// What is to be sent to a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendKind {
@@ -49,6 +54,8 @@
     Leaving,
     /// It asked for rest, until then.
     Resting(Now),
+    /// It named a limit, and this instance has used its share.
+    Limited,
 }
 
 impl SendStop {
@@ -57,6 +64,7 @@
         match self {
             SendStop::Leaving => "it said that it leaves",
             SendStop::Resting(_) => "it asked for rest",
+            SendStop::Limited => "it named a limit, and the share of this instance is used",
         }
     }
 }
@@ -79,7 +87,15 @@
 impl Notices {
     /// Notes what an answer said of its backend server. `asked` names the request, order or
     /// question that was answered.
-    pub fn heard(&self, replica: &Replica, notice: &ServerNotice, asked: &str) {
+    pub fn heard(&self, replica: &Replica, heard: HeardNotice, asked: &str) {
+        let notice = &heard.notice;
+        let life = replica.life();
+        if heard.tells_limits
+            && notice.limit == NamedLimit::NotTold
+            && self.stops.borrow().limited.contains(&life)
+        {
+            self.tell(replica, heard);
+        }
         if notice.is_empty() {
             return;
         }
@@ -91,18 +107,38 @@
             "rest_ms" => notice.rest().map(|rest| rest.as_millis() as u64),
             "limit_per_s" => notice.limit.rate().map(RequestRate::per_s),
             "unreadable" => notice.is_unreadable());
-        let is_known = self.stops.borrow().leaving.contains(&replica.life());
-        if notice.rest().is_some() || notice.is_leaving && !is_known {
-            self.control.tell(GatewayMessage::Noticed {
-                replica: replica.server_life(),
-                notice: *notice,
-            });
+        let is_known = self.stops.borrow().leaving.contains(&life);
+        let is_limit = notice.limit.rate().is_some();
+        if notice.rest().is_some() || notice.is_leaving && !is_known || is_limit {
+            self.tell(replica, heard);
+        }
+    }
+
+    fn tell(&self, replica: &Replica, heard: HeardNotice) {
+        self.control.tell(GatewayMessage::Noticed {
+            replica: replica.server_life(),
+            heard,
+        });
+    }
+
+    /// Why something may not be sent to a backend server now, if so. Asked before each send:
+    /// it may have said something since the request was placed. What may be sent to a server
+    /// that named a limit counts as sent.
+    pub async fn stop(&self, replica: &Replica, kind: SendKind, asked: &str) -> Option<SendStop> {
+        let stop = self.known_stop(replica, kind);
+        if stop.is_some() || !self.stops.borrow().limited.contains(&replica.life()) {
+            return stop;
         }
+        let may_send = self.control.ask(|reply| GatewayMessage::MaySend {
+            replica: replica.server_life(),
+            request: asked.to_owned(),
+            reply,
+        });
+        let may_send = may_send.await.unwrap_or_default();
+        (!may_send).then_some(SendStop::Limited)
     }
 
-    /// Why nothing may be sent to a backend server now, if so. Asked before each send: it
-    /// may have said something since the request was placed.
-    pub fn stop(&self, replica: &Replica, kind: SendKind) -> Option<SendStop> {
+    fn known_stop(&self, replica: &Replica, kind: SendKind) -> Option<SendStop> {
         let stops = self.stops.borrow();
         if stops.leaving.is_empty() && stops.resting.is_empty() {
             return None;
@@ -141,8 +177,19 @@
 }
 
 impl HeedfulMover {
-    fn rests(&self, engine: &Replica) -> bool {
-        self.notices.stop(engine, SendKind::Session).is_some()
+    async fn wants(&self, engine: &Replica, asked: &str) -> bool {
+        let stop = self.notices.stop(engine, SendKind::Session, asked).await;
+        stop.is_none()
+    }
+
+    /// Answers to orders and questions may leave a limit out.
+    fn heard(&self, engine: &Replica, notice: ServerNotice, sent_at: Now, asked: &str) {
+        let heard = HeardNotice {
+            notice,
+            sent_at,
+            tells_limits: false,
+        };
+        self.notices.heard(engine, heard, asked);
     }
 }
 
@@ -150,23 +197,25 @@
     fn copy(&self, order: MoveOrder) -> BoxFuture<'_, EngineAnswer<String>> {
         Box::pin(async move {
             let source = order.source.clone();
-            if self.rests(&source) {
-                return EngineAnswer::bare(Err(MoveError::Resting));
-            }
             let request = order.request.clone();
+            if !self.wants(&source, &request).await {
+                return EngineAnswer::bare(Err(MoveError::Withheld));
+            }
+            let sent_at = self.notices.clock.now();
             let answer = self.mover.copy(order).await;
-            self.notices.heard(&source, &answer.notice, &request);
+            self.heard(&source, answer.notice, sent_at, &request);
             answer
         })
     }
 
     fn is_leaving(&self, engine: Replica) -> BoxFuture<'_, EngineAnswer<bool>> {
         Box::pin(async move {
-            if self.rests(&engine) {
-                return EngineAnswer::bare(Err(MoveError::Resting));
+            if !self.wants(&engine, REPORT).await {
+                return EngineAnswer::bare(Err(MoveError::Withheld));
             }
+            let sent_at = self.notices.clock.now();
             let answer = self.mover.is_leaving(engine.clone()).await;
-            self.notices.heard(&engine, &answer.notice, "report");
+            self.heard(&engine, answer.notice, sent_at, REPORT);
             answer
         })
     }
--- a/crates/daemon/src/session_mover.rs
+++ b/crates/daemon/src/session_mover.rs
@@ -39,9 +39,9 @@
         /// Names the memory at the source, when the session stopped there.
         handle: Option<String>,
     },
-    /// Nothing was ordered: the engine has asked for rest.
-    #[error("the engine has asked for rest")]
-    Resting,
+    /// Nothing was ordered: the engine has asked for rest, or takes no more now.
+    #[error("the engine has asked for rest or takes no more now")]
+    Withheld,
     /// The order got no answer; the session may have stopped.
     #[error("the engine gave no answer: {0}")]
     NoAnswer(String),
@@ -54,7 +54,7 @@
             MoveError::NoSession => "no_session",
             MoveError::Busy => "busy",
             MoveError::NoRoom { .. } => "no_room",
-            MoveError::Resting => "resting",
+            MoveError::Withheld => "withheld",
             MoveError::NoAnswer(_) => "no_answer",
         }
     }
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/stream_relay/carrying.rs
@@ -215,7 +215,7 @@
     fn move_failed(&mut self, target: Replica, error: &MoveError) {
         let request = self.exchange.head.request.clone();
         let message = match error {
-            MoveError::NoSession | MoveError::Busy | MoveError::Resting => {
+            MoveError::NoSession | MoveError::Busy | MoveError::Withheld => {
                 GatewayMessage::MoveDelayed { request }
             }
             MoveError::NoRoom { .. } | MoveError::NoAnswer(_) => {
--- a/crates/daemon/src/stream_relay/resuming.rs
+++ b/crates/daemon/src/stream_relay/resuming.rs
@@ -5,7 +5,6 @@
 use hyper::body::Incoming;
 use iristhread_core::CarryTarget;
 use iristhread_core::Now;
-use iristhread_core::Replica;
 use slog::info;
 use slog::warn;
 
@@ -17,12 +16,14 @@
 use crate::event_splitter::EventSplitter;
 use crate::exchange::Sent;
 use crate::gateway_message::GatewayMessage;
-use crate::notices::SendKind;
 use crate::notices::SendStop;
 
 /// Longest wait for the head of a resumed stream.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time after which a session asks again whether an engine under a limit takes it.
+const LIMIT_RETRY: Duration = Duration::from_millis(250);
+
 impl StreamRelay {
     /// Sends the session to an engine, which has a copy of it or runs it again.
     pub(super) async fn resume(&mut self, target: CarryTarget, copy: Option<CopyName>) -> Resumed {
@@ -33,15 +34,11 @@
             None => "again",
         };
         let by = (app.clock.now() + RESUME_TIMEOUT).min(self.exchange.answer_by);
-        self.let_it_rest(&target.replica, copy.as_ref(), by).await;
         let point = ResumePoint {
             copy,
             after_event: self.order.last(),
         };
-        let sent = self
-            .exchange
-            .send(&target.replica, target.backup.as_ref(), Some(point), by)
-            .await;
+        let sent = self.send_when_taken(&target, point, by).await;
         let pause = app.clock.now() - self.last_event_at;
         let (cause, resumed) = match sent {
             Sent::Answer(answer) if answer.status.is_success() => {
@@ -77,15 +74,25 @@
         resumed
     }
 
-    /// The one engine that has a copy may have asked for rest: the session waits for the end
-    /// of a short one, since it has nowhere else to go.
-    async fn let_it_rest(&self, engine: &Replica, copy: Option<&CopyName>, by: Now) {
-        let app = &self.exchange.app;
-        let stop = app.notices.stop(engine, SendKind::Session);
-        if let (Some(SendStop::Resting(until)), Some(_)) = (stop, copy)
-            && until < by
-        {
-            tokio::time::sleep_until(app.clock.instant(until)).await;
+    /// The one engine that has a copy may have asked for rest, or take no more now: the
+    /// session waits for a short time, since it has nowhere else to go.
+    async fn send_when_taken(&self, target: &CarryTarget, point: ResumePoint, by: Now) -> Sent {
+        let clock = self.exchange.app.clock;
+        loop {
+            let backup = target.backup.as_ref();
+            let point = point.clone();
+            let has_copy = point.copy.is_some();
+            let sent = self.exchange.send(&target.replica, backup, Some(point), by);
+            let sent = sent.await;
+            let again_at = match &sent {
+                Sent::Withheld(SendStop::Resting(until)) => *until,
+                Sent::Withheld(SendStop::Limited) => clock.now() + LIMIT_RETRY,
+                _ => return sent,
+            };
+            if !has_copy || again_at >= by {
+                return sent;
+            }
+            tokio::time::sleep_until(clock.instant(again_at)).await;
         }
     }
 
