Keep to the limits that engines and runners name on the completion interface, too

Callers there saw the same: an engine or runner in need was sent what it was sent before, since its limit was read by nobody. Instances of this interface tell each other no loads, so the others are taken to wish for as much as this one, as the router takes them to do; calls, sessions, attaches, cancels and questions after loads ask before they are sent, and a life that counts its reports from the start again has no limit. Ruled out: equal parts of the limit (a bucket a fleet's size; hundreds of full ones).

--- a/crates/core/src/backend_book.rs
+++ b/crates/core/src/backend_book.rs
@@ -116,17 +116,16 @@
         self.views.get_mut(name)
     }
 
-    /// Notes a report.
+    /// Notes a report; returns whether it is the first of another life.
     pub fn report(
         &mut self,
         now: Now,
         name: &str,
         report: LoadReport,
         estimator: &LengthEstimator,
-    ) {
-        if let Some(view) = self.views.get_mut(name) {
-            view.take_report(now, report, estimator);
-        }
+    ) -> bool {
+        let view = self.views.get_mut(name);
+        view.is_some_and(|view| view.take_report(now, report, estimator))
     }
 
     /// Runners of a plain service that may get new work: own zone first, the
--- a/crates/core/src/backend_view.rs
+++ b/crates/core/src/backend_view.rs
@@ -57,19 +57,20 @@
         }
     }
 
-    /// Takes a newer report; a repeated sequence number refreshes nothing.
+    /// Takes a newer report; a repeated sequence number refreshes nothing. Returns whether
+    /// it is the first of another life.
     pub(crate) fn take_report(
         &mut self,
         now: Now,
         report: LoadReport,
         estimator: &LengthEstimator,
-    ) {
+    ) -> bool {
         let repeated = self
             .report
             .as_ref()
             .is_some_and(|last| last.sequence == report.sequence);
         if repeated {
-            return;
+            return false;
         }
         let is_new_life = self
             .report
@@ -86,6 +87,7 @@
         self.reported_at = now;
         self.started_since = MemoryDemand::default();
         self.refresh(estimator);
+        is_new_life
     }
 
     /// Sums up anew: the estimator has learnt, and rounding errors add up.
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -30,6 +30,7 @@
 use crate::Roster;
 use crate::Router;
 use crate::RoutingPolicy;
+use crate::ServerLimits;
 use crate::SpendVerdict;
 use crate::Suspicions;
 use crate::Ticket;
@@ -39,6 +40,7 @@
 use crate::TimelineRecord;
 use crate::ZoneId;
 
+mod limits;
 mod membership;
 mod notices;
 mod placing;
@@ -107,6 +109,7 @@
     proven: ProvenContents,
     /// Open requests that have run well for a while.
     proven_requests: HashSet<RequestId>,
+    limits: ServerLimits,
 }
 
 impl Control {
@@ -143,6 +146,7 @@
             suspicions: Suspicions::default(),
             proven: ProvenContents::default(),
             proven_requests: HashSet::new(),
+            limits: ServerLimits::default(),
             settings,
         }
     }
@@ -175,12 +179,12 @@
             Event::SuspectsHeard { suspects } => self.suspects_heard(now, &suspects),
             Event::Closed { request, workspace } => self.closed(&request, &workspace),
             Event::Report { backend, report } => {
-                self.book.report(now, &backend, report, &self.estimator);
+                self.reported(now, &backend, report);
                 self.drain_engine(now, &backend, &mut commands);
             }
             Event::BackendFailed { backend } => self.backend_failed(now, &backend),
             Event::BackendAnswered { backend } => self.backend_answered(now, &backend),
-            Event::Noticed { backend, notice } => self.noticed(now, &backend, &notice),
+            Event::Noticed { backend, heard } => self.noticed(now, &backend, &heard),
             Event::ConfigOffered {
                 version,
                 document,
--- a/crates/core/src/control/notices.rs
+++ b/crates/core/src/control/notices.rs
@@ -5,44 +5,58 @@
 
 use super::Control;
 use crate::BackendId;
+use crate::BackendView;
 use crate::Command;
+use crate::HeardNotice;
 use crate::Now;
 use crate::Refusal;
 use crate::RequestId;
-use crate::ServerNotice;
 
 impl Control {
     /// Notes what an answer said of its backend server.
-    pub(super) fn noticed(&mut self, now: Now, backend: &str, notice: &ServerNotice) {
+    pub(super) fn noticed(&mut self, now: Now, backend: &str, heard: &HeardNotice) {
         if let Some(view) = self.book.view_mut(backend) {
-            view.noticed(now, notice);
+            view.noticed(now, &heard.notice);
         }
+        self.limit_noticed(now, backend, heard);
     }
 
     /// Whether a call may be sent to a runner now: it may have said something since the
     /// runners were ranked.
     pub fn may_call(&mut self, now: Now, backend: &str, request: &RequestId) -> bool {
         let view = self.book.view_mut(backend);
-        view.is_some_and(|view| view.may_call(now, request))
+        view.is_some_and(|view| view.may_call(now, request)) && self.wish(now, backend)
+    }
+
+    /// Whether something may be sent to a backend server about what it runs: it has not
+    /// asked for rest, and takes more under the limit that it named.
+    pub fn may_reach(&mut self, now: Now, backend: &str) -> bool {
+        !self.rests(now, backend) && self.wish(now, backend)
     }
 
     /// Whether a backend server has asked for rest that is not over.
-    pub fn rests(&self, now: Now, backend: &str) -> bool {
+    fn rests(&self, now: Now, backend: &str) -> bool {
         let view = self.book.view(backend);
         view.is_some_and(|view| view.rest_left(now).is_some())
     }
 
-    /// The time until the first runner of a service has rested; `None` unless all that
-    /// could run a call rest.
-    pub fn runners_rest(&self, now: Now, service: &str) -> Option<Duration> {
+    /// The time until the first runner of a service has rested, or takes one more under its
+    /// limit; `None` unless all that could run a call rest or are limited.
+    pub fn runners_wait(&self, now: Now, service: &str) -> Option<Duration> {
         let views = self.book.views().map(|(_, view)| view);
         let runners = views.filter(|view| view.server().service.as_deref() == Some(service));
         let staying = runners.filter(|view| !view.leaves());
-        let lefts: Option<Vec<Duration>> = staying.map(|view| view.rest_left(now)).collect();
+        let lefts: Option<Vec<Duration>> = staying.map(|view| self.wait_for(now, view)).collect();
         lefts?.into_iter().min()
     }
 
-    /// The same for the engines of a model.
+    /// Time until a backend server takes something.
+    fn wait_for(&self, now: Now, view: &BackendView) -> Option<Duration> {
+        let rest = view.rest_left(now);
+        rest.or_else(|| self.turn_in(now, &view.server().name))
+    }
+
+    /// The time until the first engine of a model has rested; `None` unless all rest.
     fn engines_rest(&self, now: Now, model: &str) -> Option<Duration> {
         let staying = self.book.subset(model).filter(|view| !view.leaves());
         let lefts: Option<Vec<Duration>> = staying.map(|view| view.rest_left(now)).collect();
@@ -51,8 +65,13 @@
 
     /// Why no engine takes a request.
     pub(super) fn nothing_takes(&self, now: Now, model: &str) -> Refusal {
-        match self.engines_rest(now, model) {
-            Some(left) => Refusal::resting(model, left),
+        if let Some(left) = self.engines_rest(now, model) {
+            return Refusal::resting(model, left);
+        }
+        let staying = self.book.subset(model).filter(|view| !view.leaves());
+        let lefts: Option<Vec<Duration>> = staying.map(|view| self.wait_for(now, view)).collect();
+        match lefts.and_then(|lefts| lefts.into_iter().min()) {
+            Some(left) => Refusal::limited(model, left),
             None => Refusal::no_backend(model),
         }
     }
@@ -74,10 +93,10 @@
         }
     }
 
-    /// Engines whose reports this instance needs, those that rest left out.
-    pub fn watched(&self, now: Now) -> Vec<(BackendId, SocketAddr)> {
+    /// Engines whose reports this instance needs, but for those that want no question now.
+    pub fn watched(&mut self, now: Now) -> Vec<(BackendId, SocketAddr)> {
         let mut watched = self.book.watched();
-        watched.retain(|(backend, _)| !self.rests(now, backend));
+        watched.retain(|(backend, _)| self.may_reach(now, backend));
         watched
     }
 }
--- a/crates/core/src/control/placing.rs
+++ b/crates/core/src/control/placing.rs
@@ -135,23 +135,30 @@
     }
 
     pub(super) fn choose(&mut self, now: Now, submission: &Submission) -> Choice {
-        let need = RoutingNeed {
+        let mut need = RoutingNeed {
             class: class_of(&submission.workspace, &submission.model),
             model: submission.model.clone(),
             adapter: submission.adapter.clone(),
             prompt_tokens: submission.prompt_tokens,
             generated: submission.generated,
             exclude: submission.exclude.clone(),
+            limited: Vec::new(),
             warm: self.warm.get(&submission.prefix).cloned(),
         };
         let sharers = self.sharers(&submission.model);
-        let context = RoutingContext {
-            now,
-            estimator: &self.estimator,
-            sharers,
-            need: &need,
-        };
-        self.router.choose(&self.book, &context)
+        loop {
+            let context = RoutingContext {
+                now,
+                estimator: &self.estimator,
+                sharers,
+                need: &need,
+            };
+            let choice = self.router.choose(&self.book, &context);
+            match &choice.engine {
+                Some(engine) if !self.wish(now, engine) => need.limited.push(engine.clone()),
+                _ => return choice,
+            }
+        }
     }
 
     /// Instances that send to the engines of this instance's subset, itself
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -8,6 +8,7 @@
 use crate::ConfigVersion;
 use crate::Document;
 use crate::Fingerprint;
+use crate::HeardNotice;
 use crate::HybridTime;
 use crate::Incarnation;
 use crate::InstanceEntry;
@@ -15,7 +16,6 @@
 use crate::LoadReport;
 use crate::Now;
 use crate::RequestId;
-use crate::ServerNotice;
 use crate::TimelineEvent;
 use crate::ToldSuspect;
 use crate::WorkspaceId;
@@ -128,7 +128,7 @@
         /// Which.
         backend: BackendId,
         /// What it said.
-        notice: ServerNotice,
+        heard: HeardNotice,
     },
     /// A backend server answered a call.
     BackendAnswered {
--- a/crates/core/src/request_rate.rs
+++ b/crates/core/src/request_rate.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// So many times as much.
+    #[must_use]
+    pub fn times(self, count: u32) -> RequestRate {
+        RequestRate {
+            milli_per_s: self.milli_per_s.saturating_mul(u64::from(count)),
+        }
+    }
+
     /// What is left after a rate that was added before is taken away.
     #[must_use]
     pub fn minus(self, other: RequestRate) -> RequestRate {
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -72,6 +72,8 @@
     pub generated: u32,
     /// Engines that failed this request.
     pub exclude: Vec<BackendId>,
+    /// Engines under limits that take no more of this instance now.
+    pub limited: Vec<BackendId>,
     /// Engine that holds the prompt's prefix, as far as this instance knows.
     pub warm: Option<BackendId>,
 }
@@ -181,6 +183,9 @@
         if context.need.exclude.contains(&view.server.name) {
             return Verdict::RuledOut("failed this request before");
         }
+        if context.need.limited.contains(&view.server.name) {
+            return Verdict::RuledOut("takes no more now under the limit that it named");
+        }
         if let Some(reason) = view.ruled_out(context.now) {
             return Verdict::RuledOut(reason);
         }
--- a/crates/core/src/server_limits.rs
+++ b/crates/core/src/server_limits.rs
@@ -86,9 +86,15 @@
     by_life: BTreeMap<LifeId, Known>,
     grants: HashMap<RequestId, Grant>,
     version: u64,
+    terms: LimitTerms,
 }
 
 impl ServerLimits {
+    /// Changes what the shares of limits go by that are named from now on.
+    pub fn set_terms(&mut self, terms: LimitTerms) {
+        self.terms = terms;
+    }
+
     /// Notes what an answer to a request, sent at `sent_at`, says; `earned` is drawn by
     /// chance, from 0 to 1.
     ///
@@ -140,13 +146,14 @@
         earned: f64,
         is_own: bool,
     ) -> Option<LimitChange> {
+        let terms = self.terms;
         let known = self.by_life.entry(server.life).or_insert_with(|| Known {
             server: server.clone(),
             limit: None,
             heard_at,
             is_own,
             told_at: None,
-            share: LimitShare::new(now, LimitTerms::default(), earned),
+            share: LimitShare::new(now, terms, earned),
             awaited_until: Now::ZERO,
         });
         known.heard_at = heard_at;
@@ -155,7 +162,7 @@
             return None;
         }
         if known.limit.is_none() {
-            known.share = LimitShare::new(now, LimitTerms::default(), earned);
+            known.share = LimitShare::new(now, terms, earned);
         }
         known.limit = limit;
         known.told_at = None;
@@ -215,6 +222,18 @@
         self.grants.remove(request);
     }
 
+    /// What this instance wishes to send to a life.
+    pub fn wanted(&self, now: Now, life: LifeId) -> RequestRate {
+        let known = self.by_life.get(&life);
+        known.map_or(RequestRate::ZERO, |known| known.share.wanted(now))
+    }
+
+    /// Drops what is known of a life that has ended.
+    pub fn forget(&mut self, life: LifeId) {
+        let was_known = self.by_life.remove(&life).is_some();
+        self.version += u64::from(was_known);
+    }
+
     /// What this instance wishes for, by server, and as which the others hear it.
     pub fn tell_wanted(&mut self, now: Now) -> Vec<(String, RequestRate)> {
         let limited = self.by_life.values_mut().filter(|k| k.limit.is_some());
--- a/crates/core/tests/placing.rs
+++ b/crates/core/tests/placing.rs
@@ -14,6 +14,7 @@
 use iristhread_core::Document;
 use iristhread_core::EngineRole;
 use iristhread_core::Event;
+use iristhread_core::HeardNotice;
 use iristhread_core::LoadReport;
 use iristhread_core::Model;
 use iristhread_core::RefusalKind;
@@ -125,7 +126,12 @@
             ..ServerNotice::default()
         };
         let backend = engine.to_owned();
-        self.tell(Event::Noticed { backend, notice });
+        let heard = HeardNotice {
+            notice,
+            sent_at: Duration::ZERO,
+            tells_limits: false,
+        };
+        self.tell(Event::Noticed { backend, heard });
     }
 
     fn lose(&mut self, request: &str) {
--- a/crates/daemon/src/answered.rs
+++ b/crates/daemon/src/answered.rs
@@ -1,5 +1,7 @@
 //! An answer of a backend server with what it says of the server itself.
 
+use iristhread_core::HeardNotice;
+use iristhread_core::Now;
 use iristhread_core::ServerNotice;
 
 /// What became of a request, an order or a question, and what the answer says of its backend
@@ -13,6 +15,15 @@
 }
 
 impl<T, E> Answered<T, E> {
+    /// What was heard of the server; `tells_limits` where it would have named its limit.
+    pub fn heard(&self, sent_at: Now, tells_limits: bool) -> HeardNotice {
+        HeardNotice {
+            notice: self.notice,
+            sent_at,
+            tells_limits,
+        }
+    }
+
     /// An answer that says nothing of its server, or none at all.
     pub fn bare(result: Result<T, E>) -> Self {
         Answered {
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/app.rs
@@ -6,8 +6,8 @@
 
 use iristhread_api::HttpClient;
 use iristhread_core::Event;
+use iristhread_core::HeardNotice;
 use iristhread_core::RequestRate;
-use iristhread_core::ServerNotice;
 use slog::Logger;
 use slog::info;
 use tokio::sync::Semaphore;
@@ -63,7 +63,15 @@
     }
 
     /// Notes what an answer said of its engine or runner.
-    pub fn noticed(&self, backend: &str, notice: &ServerNotice) {
+    pub fn noticed(&self, backend: &str, heard: HeardNotice) {
+        let notice = &heard.notice;
+        if notice.is_empty() && !heard.tells_limits {
+            return;
+        }
+        self.control.tell(Event::Noticed {
+            backend: backend.to_owned(),
+            heard,
+        });
         if notice.is_empty() {
             return;
         }
@@ -73,10 +81,6 @@
             "rest_ms" => notice.rest().map(|rest| rest.as_millis() as u64),
             "limit_per_s" => notice.limit.rate().map(RequestRate::per_s),
             "unreadable" => notice.is_unreadable());
-        self.control.tell(Event::Noticed {
-            backend: backend.to_owned(),
-            notice: *notice,
-        });
     }
 
     /// Whether callers should be sent here.
--- a/crates/daemon/src/control_message.rs
+++ b/crates/daemon/src/control_message.rs
@@ -90,17 +90,17 @@
         reply: oneshot::Sender<bool>,
     },
     /// Something is about to be sent to an engine about a generation there.
-    Rests {
+    MayReach {
         /// The engine.
         backend: BackendId,
-        /// Whether it has asked for rest, and wants nothing.
+        /// Whether it may: it wants nothing while it rests, and no more than its limit.
         reply: oneshot::Sender<bool>,
     },
-    /// No runner of a service took a call: is that because all rest?
-    RunnersRest {
+    /// No runner of a service took a call: is that because all rest or are limited?
+    RunnersWait {
         /// The service.
         service: String,
-        /// The time until the first has rested, if so.
+        /// The time until the first takes one, if so.
         reply: oneshot::Sender<Option<Duration>>,
     },
     /// The runners of a service are wanted, the best first.
--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/control_thread.rs
@@ -188,11 +188,11 @@
             } => {
                 let _ = reply.send(self.control.may_call(now, &backend, &request));
             }
-            ControlMessage::Rests { backend, reply } => {
-                let _ = reply.send(self.control.rests(now, &backend));
+            ControlMessage::MayReach { backend, reply } => {
+                let _ = reply.send(self.control.may_reach(now, &backend));
             }
-            ControlMessage::RunnersRest { service, reply } => {
-                let _ = reply.send(self.control.runners_rest(now, &service));
+            ControlMessage::RunnersWait { service, reply } => {
+                let _ = reply.send(self.control.runners_wait(now, &service));
             }
             ControlMessage::Runners { service, reply } => {
                 let _ = reply.send(self.control.runners(now, &service));
--- a/crates/daemon/src/generation/attempts.rs
+++ b/crates/daemon/src/generation/attempts.rs
@@ -16,6 +16,7 @@
 use crate::api_error::ApiError;
 use crate::app::App;
 use crate::control_message::ControlMessage;
+use crate::engine_port::EngineError;
 use crate::engine_watch::has_ended;
 
 /// Attempts of one generation before it ends with an error.
@@ -73,9 +74,10 @@
     }
 
     async fn attach(&mut self) -> bool {
-        if engine_rests(&self.app, &self.placement.engine).await {
+        if !may_reach(&self.app, &self.placement.engine).await {
             return false;
         }
+        let sent_at = self.app.clock.now();
         let attached = self.app.engines.attach(
             self.placement.address,
             self.session.generation(),
@@ -83,7 +85,8 @@
             &self.reader,
         );
         let answer = attached.await;
-        self.app.noticed(&self.placement.engine, &answer.notice);
+        let heard = answer.heard(sent_at, false);
+        self.app.noticed(&self.placement.engine, heard);
         match answer.result {
             Ok(stream) => {
                 self.stream = stream;
@@ -129,8 +132,14 @@
             reader: self.reader.clone(),
         };
         let address = self.placement.address;
+        let sent_at = self.app.clock.now();
         let answer = self.app.engines.generate(address, request).await;
-        self.app.noticed(&self.placement.engine, &answer.notice);
+        let is_answer = answer
+            .result
+            .as_ref()
+            .map_or_else(EngineError::is_answer, |_| true);
+        let heard = answer.heard(sent_at, is_answer);
+        self.app.noticed(&self.placement.engine, heard);
         let asks_for_rest = answer.notice.rest().is_some();
         match answer.result {
             Ok(stream) => {
@@ -219,11 +228,13 @@
         let engine = self.placement.engine.clone();
         tokio::spawn(async move {
             // An engine that rests or can't be reached drops what nobody reads.
-            if engine_rests(&app, &engine).await {
+            if !may_reach(&app, &engine).await {
                 return;
             }
+            let sent_at = app.clock.now();
             let cancelled = app.engines.cancel(address, &generation, attempt, &reader);
-            app.noticed(&engine, &cancelled.await.notice);
+            let heard = cancelled.await.heard(sent_at, false);
+            app.noticed(&engine, heard);
         });
     }
 
@@ -252,9 +263,10 @@
     }
 }
 
-/// Whether an engine has asked for rest: then it wants to hear of no generation.
-async fn engine_rests(app: &App, engine: &str) -> bool {
-    let ask = |reply| ControlMessage::Rests {
+/// Whether an engine wants to hear of a generation now: it may have asked for rest, or take
+/// no more under its limit.
+async fn may_reach(app: &App, engine: &str) -> bool {
+    let ask = |reply| ControlMessage::MayReach {
         backend: engine.to_owned(),
         reply,
     };
--- a/crates/daemon/src/load_poller.rs
+++ b/crates/daemon/src/load_poller.rs
@@ -35,9 +35,10 @@
 }
 
 async fn poll(app: Arc<App>, backend: BackendId, address: SocketAddr) {
+    let sent_at = app.clock.now();
     let answer = app.engines.load(address).await;
     let asks_for_rest = answer.notice.rest().is_some();
-    app.noticed(&backend, &answer.notice);
+    app.noticed(&backend, answer.heard(sent_at, false));
     app.control.tell(match answer.result {
         Ok(report) => Event::Report { backend, report },
         // Rest is no failure.
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/notices.rs
@@ -181,16 +181,6 @@
         let stop = self.notices.stop(engine, SendKind::Session, asked).await;
         stop.is_none()
     }
-
-    /// Answers to orders and questions may leave a limit out.
-    fn heard(&self, engine: &Replica, notice: ServerNotice, sent_at: Now, asked: &str) {
-        let heard = HeardNotice {
-            notice,
-            sent_at,
-            tells_limits: false,
-        };
-        self.notices.heard(engine, heard, asked);
-    }
 }
 
 impl SessionMover for HeedfulMover {
@@ -203,7 +193,9 @@
             }
             let sent_at = self.notices.clock.now();
             let answer = self.mover.copy(order).await;
-            self.heard(&source, answer.notice, sent_at, &request);
+            // Answers to orders and questions may leave a limit out.
+            let heard = answer.heard(sent_at, false);
+            self.notices.heard(&source, heard, &request);
             answer
         })
     }
@@ -215,7 +207,8 @@
             }
             let sent_at = self.notices.clock.now();
             let answer = self.mover.is_leaving(engine.clone()).await;
-            self.heard(&engine, answer.notice, sent_at, REPORT);
+            let heard = answer.heard(sent_at, false);
+            self.notices.heard(&engine, heard, REPORT);
             answer
         })
     }
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -19,6 +19,7 @@
 use iristhread_core::CallRun;
 use iristhread_core::CallStep;
 use iristhread_core::Event;
+use iristhread_core::HeardNotice;
 use iristhread_core::InstanceId;
 use iristhread_core::Now;
 use iristhread_core::Outcome;
@@ -151,8 +152,8 @@
 
 /// Nobody could run a call: tells when to come back, where that is known.
 async fn no_runner(app: &App, call: &ForwardedCall) -> CallAnswer {
-    match runners_rest(app, &call.service).await {
-        Some(left) => all_rest(left),
+    match runners_wait(app, &call.service).await {
+        Some(left) => all_wait(left),
         None => answer_at_end(Outcome::NotRun, CallEnd::NoRunner, None),
     }
 }
@@ -167,16 +168,16 @@
     app.control.ask(ask).await.unwrap_or_default()
 }
 
-async fn runners_rest(app: &App, service: &str) -> Option<Duration> {
-    let ask = |reply| ControlMessage::RunnersRest {
+async fn runners_wait(app: &App, service: &str) -> Option<Duration> {
+    let ask = |reply| ControlMessage::RunnersWait {
         service: service.to_owned(),
         reply,
     };
     app.control.ask(ask).await.flatten()
 }
 
-fn all_rest(left: Duration) -> CallAnswer {
-    let message = "all runners of the service have asked for rest";
+fn all_wait(left: Duration) -> CallAnswer {
+    let message = "all runners of the service have asked for rest or take no more now";
     CallAnswer {
         retry_after_s: Some(whole_seconds(left)),
         ..CallAnswer::not_run(503, "resting", message)
@@ -240,7 +241,8 @@
     let Some(request) = request_to(call, runner, key) else {
         return (SendResult::NotConnected, None);
     };
-    let left = deadline.saturating_sub(app.clock.now());
+    let sent_at = app.clock.now();
+    let left = deadline.saturating_sub(sent_at);
     let due = tokio::time::Instant::now() + left;
     let fetched = patience::until(due, app.services.fetch(request)).await;
     let backend = runner.name.clone();
@@ -264,7 +266,12 @@
     let notice = reply
         .as_ref()
         .map(|reply| notice_of(reply.status, &reply.headers));
-    app.noticed(&backend, &notice.unwrap_or_default());
+    let heard = HeardNotice {
+        notice: notice.unwrap_or_default(),
+        sent_at,
+        tells_limits: notice.is_some(),
+    };
+    app.noticed(&backend, heard);
     app.control.tell(match reply {
         Some(_) => Event::BackendAnswered { backend },
         None => Event::BackendFailed { backend },
--- a/crates/testbed/tests/server_notices.rs
+++ b/crates/testbed/tests/server_notices.rs
@@ -143,3 +143,79 @@
     let told: u64 = header(&reply, "retry-after").parse().unwrap();
     assert!((20..=41).contains(&told), "{told} s");
 }
+
+/// How long requests are sent to a server that names a limit, seconds.
+const LIMITED_FOR_S: u64 = 4;
+
+/// Half as much again as a limit of one a second, and five.
+const ALLOWED: u64 = 3 * LIMITED_FOR_S / 2 + 5;
+
+async fn send_for_a_while(scene: &Scene, send: impl AsyncFn(&Scene)) {
+    let until = std::time::Instant::now() + Duration::from_secs(LIMITED_FOR_S);
+    while std::time::Instant::now() < until {
+        send(scene).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Another runner takes what it can't.
+#[tokio::test]
+async fn a_runner_gets_no_more_than_it_says_that_it_takes() {
+    let scene = Scene::builder(1).services(2).start().await.unwrap();
+    let first = first_runner(&scene).await;
+    scene.fault(first, json!({"say_limit": "1"})).await.unwrap();
+    reaches(&scene, first, ask_stock).await;
+    let before = arrivals(&scene, first).await;
+    send_for_a_while(&scene, ask_stock).await;
+    let after = arrivals(&scene, first).await - before;
+    assert!(after <= ALLOWED, "{after} in {LIMITED_FOR_S} s");
+    scene.fault(first, json!({})).await.unwrap();
+    let before = arrivals(&scene, first).await;
+    let used = eventually("it names none any more, and is used", async || {
+        ask_stock(&scene).await;
+        arrivals(&scene, first).await > before + 2 * ALLOWED
+    });
+    used.await.unwrap();
+}
+
+/// Sessions and questions after its load.
+#[tokio::test]
+async fn an_engine_gets_no_more_than_it_says_that_it_takes() {
+    let builder = Scene::builder(1).engines_per_zone(2);
+    let scene = builder.start().await.unwrap();
+    let engine = scene.engine_names()[0].clone();
+    scene
+        .fault(&engine, json!({"say_limit": "1"}))
+        .await
+        .unwrap();
+    reaches(&scene, &engine, ask_engine).await;
+    // Until a session was answered with its words.
+    send_for_a_while(&scene, ask_engine).await;
+    let before = arrivals(&scene, &engine).await;
+    send_for_a_while(&scene, ask_engine).await;
+    let after = arrivals(&scene, &engine).await - before;
+    assert!(after <= ALLOWED, "{after} in {LIMITED_FOR_S} s");
+}
+
+#[tokio::test]
+async fn where_all_runners_are_limited_calls_are_refused_with_a_time() {
+    let scene = Scene::builder(1).services(1).start().await.unwrap();
+    scene
+        .fault("orders-1", json!({"say_limit": "0"}))
+        .await
+        .unwrap();
+    reaches(&scene, "orders-1", ask_stock).await;
+    let mut refused = 0;
+    for _ in 0..LATER {
+        let reply = scene
+            .ask("a1", &Question::post(STOCK, "oak"))
+            .await
+            .unwrap();
+        if reply.status.as_u16() == 503 {
+            let told: u64 = header(&reply, "retry-after").parse().unwrap();
+            assert!(told >= 1, "{told} s");
+            refused += 1;
+        }
+    }
+    assert!(refused >= LATER - 2, "{refused}");
+}
