--- a/crates/core/src/engine_urgency.rs
+++ b/crates/core/src/engine_urgency.rs
@@ -7,11 +7,8 @@
 ///
 /// The rank of the route is left out. An engine admits the more urgent first, and when
 /// its memory runs out it displaces the newest of the least urgent, which it then reads
-/// anew. With short answers ranked above long ones, each burst of them displaced long
-/// sessions in the middle of their streams: on a simulated calm day of 66 instances and 60
-/// engines, 216 sessions, 427,000 prompt tokens read in vain and 273 of 890 long streams
-/// late, beside 71, 83,000 and 116 where the newest gives way; short answers late were 78
-/// and 202 of 1,716.
+/// anew. With short answers ranked above long ones, each burst of them would displace long
+/// sessions in the middle of their streams.
 pub fn engine_urgency(workspace_rank: u8) -> u8 {
     workspace_rank.min(LEAST_URGENT)
 }
--- a/crates/core/src/fleet_members.rs
+++ b/crates/core/src/fleet_members.rs
@@ -28,7 +28,7 @@
 const SHORTEST_BEAT: Duration = Duration::from_millis(200);
 
 /// Time between two heartbeats per instance that hears them, so that what an
-/// instance receives grows no further: about 80 heartbeats a second.
+/// instance receives grows no further.
 const BEAT_PER_MEMBER: Duration = Duration::from_millis(12);
 
 /// Longest time between two heartbeats: what an instance tells counts for 3 s,
@@ -42,15 +42,14 @@
 const SHORTEST_SILENCE: Duration = Duration::from_millis(1_500);
 
 /// How long an instance that fell silent is still sent heartbeats, less often:
-/// longer than any cut that the users name for one of today's days.
+/// longer than most cuts last.
 const REMEMBERED: Duration = Duration::from_secs(120);
 
 /// Readers of the directory in each availability zone.
 const READERS_PER_ZONE: usize = 1;
 
 /// Availability zones of a large fleet in which instances read; the others hear of
-/// it from relays within 0.1 s. Each call has a price: five zones made 40 calls a
-/// second.
+/// it from relays. Each call has a price.
 const READING_ZONES: usize = 2;
 
 /// What zones are ranked for when readers are chosen.
@@ -63,8 +62,7 @@
 const READ_ALONE_AGE: Duration = Duration::from_millis(1_300);
 
 /// Readers in each availability zone while nobody's knowledge is fresh: who can
-/// read must be found, and each call has a price. All 66 instances of a fleet
-/// that lost its directory for 8 s made 600 calls more than its usual readers.
+/// read must be found, and each call has a price.
 const READERS_IN_TROUBLE: usize = 2;
 
 /// Time for which the same instances try to read in trouble; then it is the turn
@@ -72,8 +70,8 @@
 const TURN: Duration = Duration::from_secs(1);
 
 /// Added to the age of what a peer says was confirmed: the way of a heartbeat and
-/// the wait at both ends and at a relay. Without it, each instance that passes the age on makes
-/// it younger by that time: 2 of 66 instances saw an outage of 8 s, with it all.
+/// the wait at both ends and at a relay. Without it, each instance that passes the age on
+/// would make it younger, and few would see an outage.
 const HEARTBEAT_WAY: Duration = Duration::from_millis(100);
 
 /// What an instance says of itself with each heartbeat.
--- a/crates/core/src/fleet_members/fan_out.rs
+++ b/crates/core/src/fleet_members/fan_out.rs
@@ -35,10 +35,8 @@
 const SHORTEST_RELAY_BEAT: Duration = Duration::from_millis(100);
 
 /// Time between two heartbeats of a relay for each backend server that its sums name, so
-/// that the bytes between zones stay the same from 100 to 300 of them. With 60 engines
-/// the other zones then hear of a choice 0.1 s later instead of 0.3 s: on six simulated
-/// days of 66 instances 647 instead of 738 long streams were late, and 1,183 instead of
-/// 1,298 short answers.
+/// that the bytes between zones stay the same from 100 to 300 of them, and other zones hear
+/// of choices sooner where there are fewer.
 const RELAY_BEAT_PER_SUM: Duration = Duration::from_millis(1);
 
 /// Silence after which an instance is no relay of this zone any more: four
@@ -57,8 +55,7 @@
 const UNHEARD_FOR: Duration = Duration::from_secs(2);
 
 /// Other instances that one heartbeat is sent to by chance, so that zones find
-/// each other again whatever was lost. One is enough: a fleet of 100 whose zone was cut
-/// off for 8 s had the right picture within 4 s.
+/// each other again whatever was lost.
 const CONTACTS_PER_BEAT: usize = 1;
 
 /// One in this many heartbeats of a small fleet also goes to instances that fell
@@ -68,9 +65,8 @@
 /// Addresses of others that one heartbeat of a small fleet tells.
 const TOLD_ADDRESSES: usize = 8;
 
-/// Time between two bundles of a relay per instance that gets them: 3,300 datagrams
-/// a second at most. On a simulated calm day of 295 instances 35 of 1,053 long streams
-/// were late, 49 with 800 µs.
+/// Time between two bundles of a relay per instance that gets them, so that what it sends is
+/// bounded.
 const BUNDLE_PER_NEIGHBOUR: Duration = Duration::from_micros(300);
 
 /// Who is sent one heartbeat.
--- a/crates/core/src/gateway_control/engine_watch.rs
+++ b/crates/core/src/gateway_control/engine_watch.rs
@@ -142,8 +142,7 @@
 
     /// Notes that a replica took no connection of ours. While nobody confirms the list,
     /// and while it settles after that, nothing else tells that it is gone, and the
-    /// others should not find out each by itself: 295 instances made 3,500 such tries in
-    /// 6 s of an outage. Returns whether they are to be told.
+    /// others should not find out each by itself. Returns whether they are to be told.
     pub fn takes_no_connection(&mut self, now: Now, id: &str) -> bool {
         if !self.list_is_doubtful(now) {
             return false;
--- a/crates/core/src/gateway_control/notices.rs
+++ b/crates/core/src/gateway_control/notices.rs
@@ -23,8 +23,7 @@
 
 /// Longest time after a rest over which callers that were refused because of it are spread;
 /// for shorter rests it is what is left of them. Told the same moment, they would all come
-/// back in it: 170 instead of 35 in 50 ms, in a model of 120 calls a second before three
-/// servers that rest for 3 s. Few callers wait longer than for a rest of this length.
+/// back in it.
 const LONGEST_SPREAD: Duration = Duration::from_secs(5);
 
 /// What the tasks that send must know at once, also of requests that were placed before.
--- a/crates/core/src/gateway_control/suspecting.rs
+++ b/crates/core/src/gateway_control/suspecting.rs
@@ -136,7 +136,7 @@
     }
 
     /// Sessions of this instance with a content that have not begun: they wait at their
-    /// engines, on a simulated day with crowded ones for 0.7 s each.
+    /// engines, and would end these as well.
     pub fn waiting_with(&self, fingerprint: Fingerprint) -> Vec<RequestId> {
         let runs = self.runs.iter();
         let waits = runs.filter(|(_, run)| {
--- a/crates/core/src/known_versions.rs
+++ b/crates/core/src/known_versions.rs
@@ -14,9 +14,8 @@
 
 impl KnownVersions {
     /// Whether an instance that had this a while ago and has `own` now still lacks
-    /// something that a peer had then. Each of the two is judged by itself: where a zone
-    /// came back with 330 engines, the list changed every 0.1 s, and 19 of 66 instances
-    /// that were waiting for it got a new configuration after more than a second.
+    /// something that a peer had then. Each of the two is judged by itself: a list that
+    /// changes all the time would otherwise hide that the configuration is stuck.
     pub fn is_stuck(&self, own: &KnownVersions, peers: &KnownVersions) -> bool {
         let config_is = peers.config > own.config && own.config == self.config;
         let list_is = peers.list > own.list && own.list == self.list;
--- a/crates/core/src/leaving_marks.rs
+++ b/crates/core/src/leaving_marks.rs
@@ -9,8 +9,8 @@
 use crate::LifeId;
 use crate::Now;
 
-/// How long the mark of a life that is listed no more is kept: an entry that lapsed in an
-/// outage is back within 2 s of its end, and the longest outage that the users play is 20 s.
+/// How long the mark of a life that is listed no more is kept: longer than an outage of the
+/// directory in which its entry may have lapsed.
 const KEPT_FOR: Duration = Duration::from_secs(60);
 
 /// How long a life that is listed no more may still be sent something that was placed before:
@@ -69,8 +69,8 @@
         self.version
     }
 
-    /// The marked lives to which something may be on its way: by reckoning some hundreds of
-    /// 9,000 marked ones, where a sixth of 3,000 servers is replaced every 3.3 s.
+    /// The marked lives to which something may be on its way: few of all that are marked
+    /// where many servers are replaced.
     pub fn lives(&self, now: Now) -> BTreeSet<LifeId> {
         let marks = self.unlisted_at.iter();
         let recent = |at: &Option<Now>| at.is_none_or(|at| now.saturating_sub(at) < PLACED_FOR);
--- a/crates/core/src/peer_loads.rs
+++ b/crates/core/src/peer_loads.rs
@@ -25,7 +25,7 @@
 
 /// How long what a silent instance or zone wanted of limited servers still counts. Behind a
 /// cut it goes on sending, and two parts that forgot each other would send twice the limit;
-/// this is longer than the cuts that the users name.
+/// this is longer than most cuts last.
 const WANTED_LIFETIME: Duration = Duration::from_secs(120);
 
 /// What all instances of one availability zone have put on backend servers, as a
--- a/crates/core/src/replica_list.rs
+++ b/crates/core/src/replica_list.rs
@@ -22,8 +22,7 @@
 pub use telling::ToldList;
 
 /// How long after an outage of the platform a missing entry still counts as
-/// present: a live server writes its entry again within two heartbeats of
-/// 1.2 s, and the users set the bound at about 2 s.
+/// present: a live server writes its entry again within two heartbeats.
 const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
 /// One change of the list.
--- a/crates/core/src/replica_list/telling.rs
+++ b/crates/core/src/replica_list/telling.rs
@@ -11,8 +11,8 @@
 use crate::Replica;
 use crate::Revision;
 
-/// Removals that are remembered to be told: 500 servers replaced every 3.3 s, which a
-/// fleet of 3,000 sees, for half a minute.
+/// Removals that are remembered to be told: half a minute of them in a fleet of thousands
+/// of servers.
 const REMOVALS_KEPT: usize = 4_096;
 
 /// Skipped spans of revisions that are remembered: whole lists are taken at a start, when
--- a/crates/core/src/replica_view.rs
+++ b/crates/core/src/replica_view.rs
@@ -18,14 +18,12 @@
 use crate::rendezvous_rank;
 
 /// Cost of a replica in another availability zone, in shares of its capacity:
-/// zones that are cut off from each other lose the streams between them. Over 20
-/// simulated days with such a cut 322 of 5,706 long streams failed, 367 with 0.15.
+/// zones that are cut off from each other lose the streams between them.
 const OTHER_ZONE_COST: f64 = 0.3;
 
 /// Added for each other zone that is nearer to a replica by rank, where instances
 /// hear of other zones' sessions late: each zone first turns to other engines than
-/// the rest, so that they don't all choose the same one at the same moment. On a
-/// simulated calm day of five zones 127 instead of 147 of 2,162 long streams were late.
+/// the rest, so that they don't all choose the same one at the same moment.
 const NEXT_ZONE_COST: f64 = 0.2;
 
 /// Cost of a replica whose last request failed.
@@ -47,8 +45,7 @@
 
 /// The same where they hear of it by way of a relay: about the cost of one session,
 /// so that those who choose at the same moment don't all choose the engine that
-/// seems best. On a simulated calm day of 295 instances 49 instead of 75 of 1,053
-/// long streams were late.
+/// seems best.
 const RELAYED_NOISE_COST: f64 = 0.2;
 
 /// Whether a session is being moved off its engine.
--- a/crates/core/src/server_rest.rs
+++ b/crates/core/src/server_rest.rs
@@ -7,17 +7,14 @@
 use crate::RequestId;
 
 /// Time after which another request may try although nothing is known of the first: its task
-/// may have ended with its caller. Calls that the users play end within 1.5 s, and streams
-/// begin within 1.8 s.
+/// may have ended with its caller. Longer than calls take, and streams to begin.
 const LONGEST_TRIAL: Duration = Duration::from_secs(10);
 
 /// Rest of one backend server, as this instance was asked for it.
 ///
 /// A rest is no failure: the server is there, and its load is its own matter. But one that
 /// was too busy would be too busy again if all that waited came back at the same moment, so
-/// an instance sends one request first, and more once that was taken. In a model of 120 calls
-/// a second before three servers that rest for 3 s 2,410 calls are served in 30 s, 2,324
-/// without (means of 20 seeds).
+/// an instance sends one request first, and more once that was taken.
 #[derive(Clone, Debug, Default)]
 pub struct ServerRest {
     until: Now,
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -6,7 +6,7 @@
 use crate::Now;
 
 /// Time after its first event from which on a stream is taken to have run well where it
-/// is: servers ended 0.05 to 0.13 s after they had begun with the request at fault.
+/// is: a request at fault ends its server soon after that has begun with it.
 pub const RAN_WELL_AFTER: Duration = Duration::from_secs(1);
 
 /// Ends that are remembered of one content; the latest count.
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -49,8 +49,7 @@
 const PATIENCE_SPREAD: Duration = Duration::from_millis(550);
 
 /// Span over which the first reads of the configuration are spread: each instance
-/// reads its own at its start. Handed on by peers, one of 1,400 routes took 2.4 s to
-/// reach 295 instances that all started at once.
+/// reads its own at its start, since peers hand on a large one slowly where all start at once.
 const CONFIG_SPREAD: Duration = Duration::from_millis(100);
 
 /// Configuration version and list revision.
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -57,8 +57,8 @@
 
 /// Longest wait for a connection to a backend server, which takes one in a few
 /// milliseconds also from another zone; a lost opening packet goes again after a second.
-/// Behind a cut in silence 380 of 15,000 simulated requests waited until they were late
-/// and ended as if they might have run, although nothing had been written.
+/// Behind a cut in silence a request would wait until it is late, and end as if it might have
+/// run although nothing was written.
 const BACKEND_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Longest rest of a caller's connection between two requests, until the
--- a/crates/daemon/src/gateway_settings.rs
+++ b/crates/daemon/src/gateway_settings.rs
@@ -92,12 +92,9 @@
             stop_grace: reader.time_ms("stop_grace_ms", 8_000, 500..=HOUR_MS),
             retry_ratio: reader.share("retry_ratio", 0.2, 0.0..=1.0),
             retry_extra: reader.share("retry_extra", 50.0, 0.0..=1e6),
-            // Beyond it sessions displace each other and are read anew. On 22 simulated
-            // seconds of a fleet with too few engines 143 of 2,310 long streams were
-            // displaced with 1.0, 339 with 1.1 (and more copies).
+            // Beyond it sessions displace each other and are read anew.
             memory_limit: reader.share("memory_limit", 1.0, 0.1..=4.0),
-            // On three simulated days with nine crashed engines each, 70 of 913
-            // long streams failed and 17 were late; without copies 82 and 48.
+            // Copies save the sessions of engines that crash, and take room from others.
             copy_limit: reader.share("copy_limit", 0.5, 0.0..=4.0),
             least_copied_tokens: reader.number("least_copied_tokens", 100, 0..=1_000_000) as u32,
         };
--- a/crates/daemon/src/heartbeat_relay.rs
+++ b/crates/daemon/src/heartbeat_relay.rs
@@ -9,7 +9,7 @@
 use crate::heartbeat::SealedHeartbeat;
 
 /// Bytes of heartbeats in one datagram, about: far below the limit of UDP, and
-/// two of them in a row delay no stream on a link of 10 Mbit/s by over 20 ms.
+/// small enough to delay no stream on a slow link.
 const BUNDLE_BYTES: usize = 12_000;
 
 /// Heartbeats that wait at most: several hundred instances within one bundle's
--- a/crates/daemon/src/log_limit.rs
+++ b/crates/daemon/src/log_limit.rs
@@ -13,8 +13,7 @@
 use slog::RecordStatic;
 use slog::b;
 
-/// Lines of one kind a second. An instance of today handles about ten requests
-/// a second; at the users' target it is 67 (docs/CAPACITY.md).
+/// Lines of one kind a second: more than an instance handles requests (docs/CAPACITY.md).
 const LINES_PER_S: u32 = 200;
 
 const WINDOW: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/packed.rs
+++ b/crates/daemon/src/packed.rs
@@ -10,9 +10,8 @@
 use serde::de::Error as _;
 use serde::ser::Error as _;
 
-/// A value that is written as text of its bytes in postcard's form: a list of 3,000
-/// backend servers takes a third of the bytes that it takes as JSON, which is quoted once
-/// more in a signed message.
+/// A value that is written as text of its bytes in postcard's form: fewer bytes
+/// than JSON, which would be quoted once more in a signed message.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Packed<T>(pub T);
 
