Take a server that was sent nothing for one that has not failed

A call whose last try was withheld (evacuated zone, leaving, rest, limit) ended as failed at that server, which was then paused for it. Now it ends as refused there, as streams do.

--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/plain_call.rs
@@ -47,6 +47,14 @@
     body: Bytes,
 }
 
+/// What became of one try.
+struct Attempted {
+    result: SendResult,
+    answer: Option<WholeAnswer>,
+    /// How the request leaves the server.
+    end: RunEnd,
+}
+
 /// How a call ended.
 struct EndedCall {
     outcome: Outcome,
@@ -117,24 +125,24 @@
             continue;
         };
         last_server = Some(replica.id.clone());
-        let (result, answer) = attempt(exchange, replica, repeatable).await;
+        let Attempted {
+            result,
+            answer,
+            end,
+        } = attempt(exchange, replica, repeatable).await;
         debug!(app.log, "try ended";
             "request" => &exchange.head.request,
             "backend_server" => &replica.id,
             "result" => format!("{result:?}"));
         app.metrics.tried(result.as_str());
-        guard.ends(end_of(result));
+        guard.ends(end);
         decisions.sent(result);
         previous = Some(result);
         last = answer.or(last);
     }
 }
 
-async fn attempt(
-    exchange: &Exchange,
-    replica: &Replica,
-    repeatable: bool,
-) -> (SendResult, Option<WholeAnswer>) {
+async fn attempt(exchange: &Exchange, replica: &Replica, repeatable: bool) -> Attempted {
     let by = exchange.try_until(repeatable);
     let sent = exchange.send(replica, None, None, by).await;
     let is_unsent = matches!(sent, Sent::ZoneClosed | Sent::Withheld(_));
@@ -144,7 +152,15 @@
             replica: replica.server_life(),
         });
     }
-    (result, answer)
+    Attempted {
+        result,
+        answer,
+        // A server that was sent nothing has not failed.
+        end: match is_unsent {
+            true => RunEnd::Refused,
+            false => end_of(result),
+        },
+    }
 }
 
 async fn judged(
