Try a server that failed a moment ago before refusing for limits

Limited servers no longer count as an alternative to paused ones. Ruled out: waiting for the pause, or for a turn (a call's objective is 150 ms).

--- a/crates/core/src/gateway_control/ranking.rs
+++ b/crates/core/src/gateway_control/ranking.rs
@@ -81,8 +81,10 @@
         };
         let zones = replicas.iter().map(|r| r.availability_zone.clone());
         let zones: BTreeSet<ZoneId> = zones.collect();
-        // When all are paused, trying one of them beats refusing.
-        let all_paused = replicas.iter().all(|r| pause_of(&r.id).is_paused(now));
+        // When all are paused, trying one of them beats refusing; those that take no more under
+        // their limits may turn out to be of no use.
+        let mut unlimited = replicas.iter().filter(|r| !self.limits.has(r.life()));
+        let all_paused = unlimited.all(|r| pause_of(&r.id).is_paused(now));
         for replica in replicas {
             let pause = self.pauses.get(&replica.id).copied().unwrap_or_default();
             if pause.is_paused(now) && !all_paused {
--- a/crates/core/tests/gateway_limits.rs
+++ b/crates/core/tests/gateway_limits.rs
@@ -307,3 +307,18 @@
     let sent = sent.count();
     assert!(sent <= 2, "{sent}");
 }
+
+/// Trying one that failed a moment ago beats refusing.
+#[test]
+fn where_all_but_limited_ones_are_paused_a_paused_one_is_tried() {
+    let servers = [engine("a", "z1"), engine("b", "z1")];
+    let mut control = instance(0, &servers);
+    let life = servers[0].server_life();
+    control.limit_noticed(ms(1_000), &life, &names_limit("0", ms(900)));
+    control.may_send(ms(1_000), &life, "its one try");
+    for number in 0..4 {
+        control.failed(ms(1_000 + number), "b");
+    }
+    let ranking = control.place(ms(1_010), ask("r1"));
+    assert_eq!(ranking.unwrap().replicas[0].id, "b");
+}
