Name a word on a limit apart from what is known of it; count limited servers with each tick

Read as a newcomer: five loose fields and seven arguments told one thing. The gauge of limited servers also falls when a life is forgotten. No decision changed; the tests of limits pass as they were.

--- a/crates/core/src/gateway_control/limits.rs
+++ b/crates/core/src/gateway_control/limits.rs
@@ -96,7 +96,7 @@
     }
 
     /// Leaves out limited replicas that are ranked before the first that may be sent a
-    /// request now. Returns the others and the names of those left out.
+    /// request now. Returns the others, and those left out.
     pub(super) fn pass_over_limited(
         &mut self,
         now: Now,
--- a/crates/core/src/server_limits.rs
+++ b/crates/core/src/server_limits.rs
@@ -58,17 +58,26 @@
     Withdrawn,
 }
 
+/// What an answer said of a limit.
+#[derive(Clone, Copy, Debug)]
+struct Word {
+    /// The limit, `None` where it named none any more.
+    limit: Option<RequestRate>,
+    /// When the answer was heard, here or elsewhere.
+    heard_at: Now,
+    /// Whether it was an answer to this instance.
+    is_own: bool,
+}
+
 /// What is known of the limit of one life of a server.
 #[derive(Clone, Debug)]
-struct Known {
+struct KnownLimit {
     server: ServerLife,
-    limit: Option<RequestRate>,
-    /// When this instance learnt that there is one.
+    /// The latest word.
+    word: Word,
+    /// When this instance learnt that there is a limit.
     limited_since: Now,
-    /// When an answer said so, here or elsewhere.
-    heard_at: Now,
-    /// Whether an answer to this instance said so.
-    is_own: bool,
+    /// When the others were told last.
     told_at: Option<Now>,
     share: LimitShare,
     /// Until when callers that were refused because of it were told to wait.
@@ -85,7 +94,7 @@
 /// The limits by life.
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimits {
-    by_life: BTreeMap<LifeId, Known>,
+    by_life: BTreeMap<LifeId, KnownLimit>,
     grants: HashMap<RequestId, Grant>,
     version: u64,
     terms: LimitTerms,
@@ -100,8 +109,8 @@
     /// Notes what an answer to a request, sent at `sent_at`, says; `earned` is drawn by
     /// chance, from 0 to 1.
     ///
-    /// Answers overtake each other. What this request's sending follows is certainly older
-    /// than its answer; among the others a lower limit counts.
+    /// Answers overtake each other. An answer is later than all that was heard before its
+    /// request was sent; where that can't be said of two answers, the lower limit counts.
     pub fn heard(
         &mut self,
         now: Now,
@@ -116,15 +125,21 @@
             NamedLimit::Of(rate) => Some(rate),
         };
         let known = self.by_life.get(&server.life);
-        let is_newer = known.is_none_or(|known| sent_at >= known.heard_at);
+        let is_later = known.is_none_or(|known| sent_at >= known.word.heard_at);
         let is_lower = limit.is_some_and(|limit| {
-            let known = known.and_then(|known| known.limit);
+            let known = known.and_then(|known| known.word.limit);
             known.is_none_or(|known| limit <= known)
         });
-        if known.is_none() && limit.is_none() || !is_newer && !is_lower {
+        let says_nothing = known.is_none() && limit.is_none();
+        if says_nothing || !(is_later || is_lower) {
             return None;
         }
-        self.set(now, server, limit, now, earned, true)
+        let word = Word {
+            limit,
+            heard_at: now,
+            is_own: true,
+        };
+        self.set(now, server, word, earned)
     }
 
     /// Notes what another instance tells.
@@ -132,46 +147,52 @@
         let heard_at = FleetMembers::confirmed_at(now, Duration::from_millis(told.age_ms));
         let known = self.by_life.get(&told.server.life);
         // Two relays that took the same word from each other would make it younger for ever.
-        let is_known = |known: &Known| known.heard_at >= heard_at || known.limit == told.limit;
-        if known.is_some_and(is_known) {
+        let is_known = |word: Word| word.heard_at >= heard_at || word.limit == told.limit;
+        if known.is_some_and(|known| is_known(known.word)) {
             return None;
         }
-        self.set(now, &told.server, told.limit, heard_at, earned, false)
+        let word = Word {
+            limit: told.limit,
+            heard_at,
+            is_own: false,
+        };
+        self.set(now, &told.server, word, earned)
     }
 
     fn set(
         &mut self,
         now: Now,
         server: &ServerLife,
-        limit: Option<RequestRate>,
-        heard_at: Now,
+        word: Word,
         earned: f64,
-        is_own: bool,
     ) -> Option<LimitChange> {
         let terms = self.terms;
-        let known = self.by_life.entry(server.life).or_insert_with(|| Known {
+        let entry = self.by_life.entry(server.life);
+        let known = entry.or_insert_with(|| KnownLimit {
             server: server.clone(),
-            limit: None,
+            word: Word {
+                limit: None,
+                ..word
+            },
             limited_since: now,
-            heard_at,
-            is_own,
             told_at: None,
             share: LimitShare::new(now, terms, earned),
             awaited_until: Now::ZERO,
         });
-        known.heard_at = heard_at;
-        known.is_own = is_own;
-        if known.limit == limit {
+        let before = std::mem::replace(&mut known.word, word).limit;
+        if before == word.limit {
             return None;
         }
-        if known.limit.is_none() {
+        if before.is_none() {
             known.limited_since = now;
             known.share = LimitShare::new(now, terms, earned);
         }
-        known.limit = limit;
         known.told_at = None;
         self.version += 1;
-        Some(limit.map_or(LimitChange::Withdrawn, LimitChange::Limited))
+        Some(
+            word.limit
+                .map_or(LimitChange::Withdrawn, LimitChange::Limited),
+        )
     }
 
     /// Whether a server is limited now.
@@ -181,19 +202,19 @@
 
     /// Its limit.
     pub fn limit_of(&self, life: LifeId) -> Option<RequestRate> {
-        self.by_life.get(&life)?.limit
+        self.by_life.get(&life)?.word.limit
     }
 
     /// When this instance learnt that a life has a limit, if it has one.
     pub fn limited_since(&self, life: LifeId) -> Option<Now> {
         let known = self.by_life.get(&life)?;
-        known.limit.map(|_| known.limited_since)
+        known.word.limit.map(|_| known.limited_since)
     }
 
     /// Lives that are limited now.
     pub fn lives(&self) -> BTreeSet<LifeId> {
         let limited = self.by_life.iter();
-        let limited = limited.filter(|(_, known)| known.limit.is_some());
+        let limited = limited.filter(|(_, known)| known.word.limit.is_some());
         limited.map(|(life, _)| *life).collect()
     }
 
@@ -208,7 +229,7 @@
         let Some(known) = self.by_life.get_mut(&life) else {
             return true;
         };
-        let limit = known.limit;
+        let limit = known.word.limit;
         limit.is_none_or(|limit| known.share.wish(now, limit, others))
     }
 
@@ -246,14 +267,14 @@
 
     /// What this instance wishes for, by server, and as which the others hear it.
     pub fn tell_wanted(&mut self, now: Now) -> Vec<(String, RequestRate)> {
-        let limited = self.by_life.values_mut().filter(|k| k.limit.is_some());
+        let limited = self.by_life.values_mut().filter(|k| k.word.limit.is_some());
         let told = limited.map(|known| (known.server.id.clone(), known.share.tell(now)));
         told.filter(|(_, wanted)| !wanted.is_zero()).collect()
     }
 
     /// What all limited servers together take of all instances.
     pub fn sum(&self) -> RequestRate {
-        let limits = self.by_life.values().filter_map(|known| known.limit);
+        let limits = self.by_life.values().filter_map(|known| known.word.limit);
         limits.fold(RequestRate::ZERO, RequestRate::plus)
     }
 
@@ -264,26 +285,26 @@
 
     /// Whether the others should hear at once what this instance wishes for.
     pub fn is_news(&self, now: Now) -> bool {
-        let mut limited = self.by_life.values().filter(|k| k.limit.is_some());
+        let mut limited = self.by_life.values().filter(|k| k.word.limit.is_some());
         limited.any(|known| known.share.is_news(now))
     }
 
     /// What to tell the others now: what this instance was told itself, or by a relay also
     /// what it has heard.
     pub fn told(&mut self, now: Now, is_relay: bool) -> Vec<ToldLimit> {
-        let age = |known: &Known| now.saturating_sub(known.heard_at);
-        let is_told = |known: &&mut Known| {
-            let is_recent = known.limit.is_some() || age(known) < WITHDRAWAL_TOLD_FOR;
-            (known.is_own || is_relay) && is_recent
+        let age = |known: &KnownLimit| now.saturating_sub(known.word.heard_at);
+        let is_told = |known: &&mut KnownLimit| {
+            let is_recent = known.word.limit.is_some() || age(known) < WITHDRAWAL_TOLD_FOR;
+            (known.word.is_own || is_relay) && is_recent
         };
-        let mut due: Vec<&mut Known> = self.by_life.values_mut().filter(is_told).collect();
+        let mut due: Vec<&mut KnownLimit> = self.by_life.values_mut().filter(is_told).collect();
         due.sort_by_key(|known| known.told_at);
         due.truncate(MOST_TOLD);
         let told = due.into_iter().map(|known| {
             known.told_at = Some(now);
             ToldLimit {
                 server: known.server.clone(),
-                limit: known.limit,
+                limit: known.word.limit,
                 age_ms: age(known).as_millis() as u64,
             }
         });
@@ -294,7 +315,7 @@
     /// it; `None` if it may send now.
     pub fn turn_in(&self, now: Now, life: LifeId, others: RequestRate) -> Option<Duration> {
         let known = self.by_life.get(&life)?;
-        let limit = known.limit?;
+        let limit = known.word.limit?;
         if known.share.part(now, limit, others) >= 1.0 {
             return None;
         }
@@ -319,8 +340,8 @@
             .retain(|_, grant| now.saturating_sub(grant.at) < GRANT_LIFETIME);
         let before = self.by_life.len();
         self.by_life.retain(|life, known| {
-            let age = now.saturating_sub(known.heard_at);
-            match known.limit {
+            let age = now.saturating_sub(known.word.heard_at);
+            match known.word.limit {
                 Some(_) => is_listed(*life) || age < KEPT_UNLISTED,
                 None => age < KEPT_UNLISTED,
             }
--- a/crates/daemon/src/gateway_thread/limits.rs
+++ b/crates/daemon/src/gateway_thread/limits.rs
@@ -49,8 +49,6 @@
         if source.is_none() {
             self.news.notify_one();
         }
-        let limits = self.control.limits();
-        self.metrics.limited(limits.lives().len());
     }
 
     pub(super) fn may_send(&mut self, server: &ServerLife, request: &str) -> bool {
@@ -79,7 +77,9 @@
         let now = self.clock.now();
         let time = now.saturating_sub(self.limits_counted_at);
         self.limits_counted_at = now;
-        let allowed = self.control.limits().sum().per_s() * time.as_secs_f64();
+        let limits = self.control.limits();
+        self.metrics.limited(limits.lives().len());
+        let allowed = limits.sum().per_s() * time.as_secs_f64();
         self.metrics.limits_allow(allowed);
     }
 }
