--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -122,6 +122,13 @@
             /// Log of a gateway; may be repeated. Standard input if there is none.
             repeated --logs file: PathBuf
         }
+        /// Tell from gateways' logs, in order of time, what the instances came to believe: the
+        /// directory lost, regained or back from an older copy (its era), entries that can't be
+        /// used, servers that leave, rest or name limits, evacuated zones.
+        cmd beliefs {
+            /// Log of a gateway, also with other text before the JSON; may be repeated.
+            repeated --logs file: PathBuf
+        }
         /// Print the hash of a key, as a configuration holds it.
         cmd hash-key {
             /// The key.
--- a/crates/cli/src/log_commands.rs
+++ b/crates/cli/src/log_commands.rs
@@ -35,6 +35,24 @@
     }
 }
 
+/// Prints what the instances came to believe of the directory, its servers and zones.
+pub fn beliefs(files: &[PathBuf]) -> Result<(), CliError> {
+    let mut story = LogStory::of_beliefs();
+    for file in files {
+        let read = story.read(open(file)?);
+        read.map_err(|error| unreadable(&file.display().to_string(), &error))?;
+    }
+    let Some(text) = story.text() else {
+        let message = "no line of these logs tells of a belief; are they those of gateways?";
+        return Err(CliError::Usage(message.to_owned()));
+    };
+    print!("{text}");
+    if story.not_kept > 0 {
+        eprintln!("{} lines are more than are kept in memory", story.not_kept);
+    }
+    Ok(())
+}
+
 /// Prints requests by cause.
 pub fn losses(flags: &flags::Losses) -> Result<(), CliError> {
     let mut losses = Losses::default();
--- a/crates/cli/src/log_story.rs
+++ b/crates/cli/src/log_story.rs
@@ -1,4 +1,5 @@
-//! The story of one request out of gateways' logs.
+//! The story of one request, or of what is believed of servers and the directory, out of
+//! gateways' logs.
 
 use std::io::BufRead;
 
@@ -17,7 +18,49 @@
     "request",
 ];
 
-/// What one instance logged about the request.
+/// Lines that tell of a change in what is believed.
+const BELIEFS: [&str; 11] = [
+    "directory lost",
+    "directory regained",
+    "directory came back from an older copy",
+    "entry of the directory can't be used",
+    "configuration in force",
+    "backend server says that it leaves",
+    "backend server rests",
+    "backend server names a limit",
+    "backend server names a limit no more",
+    "zone is evacuated: nothing new goes there",
+    "zone is no longer evacuated",
+];
+
+/// Most lines that are kept: some hundred bytes each.
+const MOST_STEPS: usize = 200_000;
+
+/// What a story is about.
+#[derive(Debug)]
+enum Topic {
+    Request(String),
+    Beliefs,
+}
+
+impl Topic {
+    /// Whether a line may be about it; most are not, and needn't be parsed.
+    fn may_be_in(&self, line: &str) -> bool {
+        match self {
+            Topic::Request(request) => line.contains(request),
+            Topic::Beliefs => BELIEFS.iter().any(|message| line.contains(message)),
+        }
+    }
+
+    fn is_of(&self, message: &str, request: Option<&str>) -> bool {
+        match self {
+            Topic::Request(id) => request == Some(id),
+            Topic::Beliefs => BELIEFS.contains(&message),
+        }
+    }
+}
+
+/// What one instance logged about the topic.
 #[derive(Debug)]
 struct Step {
     at: OffsetDateTime,
@@ -25,19 +68,31 @@
     text: String,
 }
 
-/// The lines about one request, from all instances, in any order.
+/// The lines about one topic, from all instances, in any order.
 #[derive(Debug)]
 pub struct LogStory {
-    request: String,
+    topic: Topic,
     steps: Vec<Step>,
+    /// Lines about it that were more than are kept.
+    pub not_kept: u64,
 }
 
 impl LogStory {
     /// Knows nothing yet about a request.
     pub fn of(request: &str) -> Self {
+        LogStory::about(Topic::Request(request.to_owned()))
+    }
+
+    /// Knows nothing yet about what the instances believe.
+    pub fn of_beliefs() -> Self {
+        LogStory::about(Topic::Beliefs)
+    }
+
+    fn about(topic: Topic) -> Self {
         LogStory {
-            request: request.to_owned(),
+            topic,
             steps: Vec::new(),
+            not_kept: 0,
         }
     }
 
@@ -50,18 +105,25 @@
         let mut bytes = Vec::new();
         while source.read_until(b'\n', &mut bytes)? > 0 {
             let line = String::from_utf8_lossy(&bytes);
-            // Most lines are about others: only those that name it are parsed.
-            if line.contains(&self.request) {
-                let step = step_of(&line, &self.request);
-                self.steps.extend(step);
+            if self.topic.may_be_in(&line)
+                && let Some(step) = step_of(&line, &self.topic)
+            {
+                self.keep(step);
             }
             bytes.clear();
         }
         Ok(())
     }
 
-    /// The story in order of time; `None` when no line is about the request.
-    pub fn text(mut self) -> Option<String> {
+    fn keep(&mut self, step: Step) {
+        match self.steps.len() < MOST_STEPS {
+            true => self.steps.push(step),
+            false => self.not_kept += 1,
+        }
+    }
+
+    /// The story in order of time; `None` when no line is about the topic.
+    pub fn text(&mut self) -> Option<String> {
         self.steps.sort_by_key(|step| step.at);
         let start = self.steps.first()?.at;
         let lines = self.steps.iter().map(|step| {
@@ -72,11 +134,12 @@
     }
 }
 
-fn step_of(line: &str, request: &str) -> Option<Step> {
+fn step_of(line: &str, topic: &Topic) -> Option<Step> {
     let json = &line[line.find('{')?..];
     let fields: Map<String, Value> = serde_json::from_str(json.trim_end()).ok()?;
     let text = |name: &str| fields.get(name).and_then(Value::as_str);
-    if text("request") != Some(request) {
+    let message = text("msg")?;
+    if !topic.is_of(message, text("request")) {
         return None;
     }
     let at = OffsetDateTime::parse(text("ts")?, &Rfc3339).ok()?;
@@ -86,7 +149,6 @@
     let shown: Vec<String> = shown
         .map(|(name, value)| shown_field(name, value))
         .collect();
-    let message = text("msg")?;
     Some(Step {
         at,
         instance: text("instance")?.to_owned(),
--- a/crates/cli/src/tool.rs
+++ b/crates/cli/src/tool.rs
@@ -76,6 +76,7 @@
                 log_commands::explain(&flags.id, &flags.logs)
             }
             IristhreadCmd::Explain(flags) => self.explain(&flags.id).await,
+            IristhreadCmd::Beliefs(flags) => log_commands::beliefs(&flags.logs),
             IristhreadCmd::Losses(flags) => log_commands::losses(&flags),
             IristhreadCmd::HashKey(flags) => {
                 println!("{}", blake3::hash(flags.key.as_bytes()).to_hex());
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -124,3 +124,33 @@
     story.read(chosen(1, "r2", "e1").as_bytes()).unwrap();
     assert_eq!(story.text(), None);
 }
+
+/// From all instances in order of time, whatever else stands between.
+#[test]
+fn beliefs_are_told_in_order_of_time() {
+    let era = r#""directory came back from an older copy","from":"120","to":"1/87","source":"i2""#;
+    let limit = r#""backend server names a limit","backend_server":"s2","limit_per_s":2.7"#;
+    let foreign = r#""entry of the directory can't be used","key":"servers/x","reason":"no JSON""#;
+    let lines = [
+        line(3_000, "r2", limit),
+        chosen(1_500, "r1", "e1"),
+        "no line of a gateway".to_owned(),
+        line(2_000, "r1", era),
+        line(1_000, "r1", foreign),
+    ];
+    let mut story = LogStory::of_beliefs();
+    story.read(lines.join("\n").as_bytes()).unwrap();
+    let text = story.text().unwrap();
+    let told: Vec<&str> = text.lines().collect();
+    assert_eq!(told.len(), 3, "{text}");
+    assert!(told[0].contains("entry of the directory") && told[0].contains("servers/x"));
+    assert!(told[1].contains("older copy") && told[1].contains("to 1/87"));
+    assert!(told[2].contains("names a limit") && told[2].contains("limit_per_s 2.7"));
+}
+
+#[test]
+fn logs_without_beliefs_have_no_story() {
+    let mut story = LogStory::of_beliefs();
+    story.read(chosen(1_500, "r1", "e1").as_bytes()).unwrap();
+    assert_eq!(story.text(), None);
+}
