--- a/crates/core/src/server_notice.rs
+++ b/crates/core/src/server_notice.rs
@@ -133,7 +133,7 @@
     /// When what it answers was sent.
     pub sent_at: Now,
     /// Whether the server would have named its limit in this answer: one that it names no
-    /// more it doesn't have. Answers to orders and questions, and answers that may be another
-    /// server's, don't say so.
+    /// more it doesn't have. Answers to orders and questions don't say so, nor do failures and
+    /// refusals, which another program may have given.
     pub tells_limits: bool,
 }
--- a/crates/daemon/src/engine_port.rs
+++ b/crates/daemon/src/engine_port.rs
@@ -54,11 +54,6 @@
         }
     }
 
-    /// Whether the engine answered, if with a refusal.
-    pub fn is_answer(&self) -> bool {
-        matches!(self, EngineError::Http(HttpClientError::Status { .. }))
-    }
-
     /// Whether not a byte was sent.
     pub fn is_unsent(&self) -> bool {
         matches!(self, EngineError::Http(HttpClientError::Connect { .. }))
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/exchange.rs
@@ -314,16 +314,15 @@
             Some(request) => *request == self.head.request,
             None => head.is_not_run,
         };
-        let is_other_server = parts.status == StatusCode::MISDIRECTED_REQUEST;
         // Also when the answer is no answer of this request: the connection is its own.
         let heard = HeardNotice {
             notice: head.notice,
             sent_at,
-            tells_limits: is_ours && !is_other_server && (head.is_stamped || head.is_not_run),
+            tells_limits: is_ours && head.is_stamped && parts.status.is_success(),
         };
         let notices = &self.app.notices;
         notices.heard(replica, heard, &self.head.request);
-        if is_other_server {
+        if parts.status == StatusCode::MISDIRECTED_REQUEST {
             self.app.control.tell(GatewayMessage::AnotherThere {
                 replica: replica.server_life(),
             });
--- a/crates/daemon/src/generation/attempts.rs
+++ b/crates/daemon/src/generation/attempts.rs
@@ -16,7 +16,6 @@
 use crate::api_error::ApiError;
 use crate::app::App;
 use crate::control_message::ControlMessage;
-use crate::engine_port::EngineError;
 use crate::engine_watch::has_ended;
 
 /// Attempts of one generation before it ends with an error.
@@ -134,11 +133,7 @@
         let address = self.placement.address;
         let sent_at = self.app.clock.now();
         let answer = self.app.engines.generate(address, request).await;
-        let is_answer = answer
-            .result
-            .as_ref()
-            .map_or_else(EngineError::is_answer, |_| true);
-        let heard = answer.heard(sent_at, is_answer);
+        let heard = answer.heard(sent_at, answer.result.is_ok());
         self.app.noticed(&self.placement.engine, heard);
         let asks_for_rest = answer.notice.rest().is_some();
         match answer.result {
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/service_call.rs
@@ -269,7 +269,7 @@
     let heard = HeardNotice {
         notice: notice.unwrap_or_default(),
         sent_at,
-        tells_limits: notice.is_some(),
+        tells_limits: reply.as_ref().is_some_and(|r| r.status.is_success()),
     };
     app.noticed(&backend, heard);
     app.control.tell(match reply {
