Tell in logs and metrics why a configuration is read, and how long each wait was

The logs could not tell the three hypotheses on late configurations apart: a call to the directory that hung showed only as the first of an outage, and a fetch not how long it waited.

Now: the reason for reading (first, behind, relay, old, rank) with version and age; each failed call with the time it waited; the moment at which a peer is first heard to be ahead; waits of fetches; histograms of the age of the configuration and of the time behind peers. Bounded as before: a line a call that failed, which pauses 70 ms or more.

--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/config_reader.rs
@@ -10,6 +10,7 @@
 use slog::Logger;
 use slog::info;
 
+use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
 use crate::directory_trouble::FIRST_PAUSE;
@@ -20,6 +21,7 @@
 use crate::directory_trouble::end_of;
 use crate::directory_trouble::same_era;
 use crate::fleet_link::FleetLink;
+use crate::fleet_link::ReadingDuty;
 use crate::gateway_message::GatewayMessage;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::gateway_thread::GatewayHandle;
@@ -34,6 +36,8 @@
     pub control: GatewayHandle,
     /// The other instances.
     pub link: Arc<FleetLink>,
+    /// Clocks.
+    pub clock: Clock,
     /// Figures for operators.
     pub metrics: Arc<GatewayMetrics>,
     /// Logger.
@@ -48,11 +52,15 @@
         let mut revision: Option<Revision> = None;
         let mut was_reading = false;
         loop {
-            let Some(reads) = self.reads().await else {
+            let Some(duty) = self.duty().await else {
                 return;
             };
+            let reads = duty.reason.is_some();
             if reads != was_reading {
-                info!(self.log, "reading of the configuration"; "reads" => reads);
+                info!(self.log, "reading of the configuration"; "reads" => reads,
+                    "reason" => duty.reason.map(|reason| reason.to_string()),
+                    "version" => duty.version,
+                    "age_ms" => duty.age.map(|age| age.as_millis() as u64));
                 was_reading = reads;
             }
             if !reads {
@@ -60,6 +68,7 @@
                 tokio::time::sleep(ROTA_CHECK).await;
                 continue;
             }
+            let sent = self.clock.now();
             // After a failure, a short question tells sooner than a watch whether
             // the directory is back.
             let read = self
@@ -80,16 +89,17 @@
                 }
                 Err(error) => {
                     self.link.unreadable();
-                    trouble.failed(&self.log, &error).await;
+                    let waited = self.clock.now().saturating_sub(sent);
+                    trouble.failed(&self.log, &error, waited).await;
                 }
             }
         }
     }
 
     /// Whether this instance should read; `None` when the process ends.
-    async fn reads(&self) -> Option<bool> {
+    async fn duty(&self) -> Option<ReadingDuty> {
         let own = self.control.own_state().await?;
-        Some(self.link.reads_config(own.config_version))
+        Some(self.link.config_duty(own.config_version))
     }
 
     async fn read(
--- a/crates/daemon/src/directory_knowledge.rs
+++ b/crates/daemon/src/directory_knowledge.rs
@@ -106,6 +106,11 @@
         self.config_confirmed_at
     }
 
+    /// When a peer was first heard to have a newer configuration, while one has.
+    pub fn config_behind_since(&self) -> Option<Now> {
+        self.config_behind_since
+    }
+
     /// Notes whether a peer has a newer configuration; returns whether that has
     /// lasted too long.
     pub fn config_is_behind(&mut self, now: Now, is_behind: bool, has_relays: bool) -> bool {
--- a/crates/daemon/src/directory_trouble.rs
+++ b/crates/daemon/src/directory_trouble.rs
@@ -51,11 +51,13 @@
         self.is_lost
     }
 
-    /// Notes a failure and waits; apart from other instances by chance.
-    pub async fn failed(&mut self, log: &Logger, error: &DirectoryError) {
+    /// Notes a failure that took so long, and waits; apart from other instances by chance.
+    pub async fn failed(&mut self, log: &Logger, error: &DirectoryError, waited: Duration) {
         if !self.is_lost {
             warn!(log, "directory lost"; "of" => self.what, "cause" => error.to_string());
         }
+        info!(log, "call to the directory failed"; "of" => self.what,
+            "cause" => error.to_string(), "waited_ms" => waited.as_millis() as u64);
         self.is_lost = true;
         let factor = rand::rng().random_range(0.7..1.3);
         tokio::time::sleep(self.pause.mul_f64(factor)).await;
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -1,6 +1,7 @@
 //! The link of one instance to the others: sends heartbeats, hears those of the
 //! others, and fetches from peers what they have and this instance lacks.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -14,6 +15,7 @@
 use iristhread_core::Now;
 use iristhread_core::Revision;
 use slog::Logger;
+use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -52,6 +54,44 @@
 /// reads its own at its start, since peers hand on a large one slowly where all start at once.
 const CONFIG_SPREAD: Duration = Duration::from_millis(100);
 
+/// Why an instance reads the platform's configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadingReason {
+    /// It has none yet.
+    First,
+    /// A peer has had a newer one for too long.
+    Behind,
+    /// A peer has a newer one, and it relays for its zone.
+    Relay,
+    /// Nobody has confirmed it for too long.
+    Old,
+    /// It reads for its zone.
+    Rank,
+}
+
+impl fmt::Display for ReadingReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ReadingReason::First => "first",
+            ReadingReason::Behind => "behind",
+            ReadingReason::Relay => "relay",
+            ReadingReason::Old => "old",
+            ReadingReason::Rank => "rank",
+        })
+    }
+}
+
+/// Whether an instance should read the platform's configuration, and what that goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadingDuty {
+    /// Why it should; `None` if it shouldn't.
+    pub reason: Option<ReadingReason>,
+    /// The version in force.
+    pub version: ConfigVersion,
+    /// How long ago the platform confirmed it, to this instance's knowledge.
+    pub age: Option<Duration>,
+}
+
 /// Configuration version and list revision.
 type Versions = (ConfigVersion, Revision);
 
@@ -147,19 +187,46 @@
     /// Whether this instance should watch the platform's configuration: as for
     /// the list, or because no peer hands over the newer one that it has, or because
     /// a relay fetches it for its zone.
-    pub fn reads_config(&self, version: ConfigVersion) -> bool {
+    pub fn config_duty(&self, version: ConfigVersion) -> ReadingDuty {
         let now = self.clock.now();
         let members = self.members();
         let mut knowledge = self.knowledge();
         let heard = members.config_confirmed_at(now, version);
         let confirmed_at = knowledge.config_confirmed_at().max(heard);
-        if version == 0 {
-            return now >= self.config_from;
-        }
         let is_ahead = members.is_ahead_in_config(now, version);
+        let behind_since = knowledge.config_behind_since();
         let is_stuck = knowledge.config_is_behind(now, is_ahead, members.has_relays());
-        let for_others = is_ahead && members.relays(now);
-        is_stuck || for_others || members.reads(now, confirmed_at, knowledge.can_read())
+        self.note_behind(now, behind_since, is_ahead, version);
+        let reason = if version == 0 {
+            (now >= self.config_from).then_some(ReadingReason::First)
+        } else if is_stuck {
+            Some(ReadingReason::Behind)
+        } else if is_ahead && members.relays(now) {
+            Some(ReadingReason::Relay)
+        } else if members.reads(now, confirmed_at, knowledge.can_read()) {
+            Some(match members.is_old(now, confirmed_at) {
+                true => ReadingReason::Old,
+                false => ReadingReason::Rank,
+            })
+        } else {
+            None
+        };
+        ReadingDuty {
+            reason,
+            version,
+            age: confirmed_at.map(|at| now.saturating_sub(at)),
+        }
+    }
+
+    fn note_behind(&self, now: Now, since: Option<Now>, is_ahead: bool, version: ConfigVersion) {
+        match since {
+            None if is_ahead => info!(self.log, "a peer has a newer configuration";
+                "version" => version),
+            Some(since) if !is_ahead => {
+                self.metrics.config_was_behind(now.saturating_sub(since));
+            }
+            _ => {}
+        }
     }
 
     fn members(&self) -> MutexGuard<'_, FleetMembers> {
@@ -302,6 +369,9 @@
         let heard = members.config_confirmed_at(now, own.config_version);
         let config_confirmed_at = knowledge.config_confirmed_at().max(heard);
         let age_ms = |at: Now| now.saturating_sub(at).as_millis() as u64;
+        if let Some(at) = config_confirmed_at {
+            self.metrics.config_age(now.saturating_sub(at));
+        }
         Heartbeat {
             instance: self.identity.instance.clone(),
             incarnation: self.identity.incarnation.clone(),
--- a/crates/daemon/src/fleet_link/fetching.rs
+++ b/crates/daemon/src/fleet_link/fetching.rs
@@ -90,12 +90,15 @@
             config_above: self.config_wanted_above(own),
             list_above: own.list_revision,
         };
+        let sent = self.clock.now();
         let answer = self
             .peers
             .ask(instance.clone(), address, request, FETCH_TIMEOUT);
-        match answer.await {
+        let answer = answer.await;
+        let waited_ms = self.clock.now().saturating_sub(sent).as_millis() as u64;
+        match answer {
             Ok(PeerReply::Gateway { config, list }) => {
-                info!(self.log, "fetched from a peer"; "peer" => &instance,
+                info!(self.log, "fetched from a peer"; "peer" => &instance, "waited_ms" => waited_ms,
                     "config_version" => config.as_ref().map(|config| config.0.version),
                     "list_revision" => list.as_ref().map(|list| list.0.revision.to_string()));
                 if let Some(config) = config {
@@ -113,7 +116,7 @@
             }
             Ok(_) => warn!(self.log, "peer answered something else"; "peer" => instance),
             Err(error) => info!(self.log, "peer can't be asked";
-                "peer" => instance, "cause" => error.to_string()),
+                "peer" => instance, "cause" => error.to_string(), "waited_ms" => waited_ms),
         }
     }
 }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -205,6 +205,7 @@
             directory: ports.directory.clone(),
             control: control.clone(),
             link: peers.clone(),
+            clock,
             metrics: metrics.clone(),
             log: log.clone(),
         };
--- a/crates/daemon/src/gateway_metrics.rs
+++ b/crates/daemon/src/gateway_metrics.rs
@@ -68,6 +68,8 @@
     skipped_entries: Counter,
     resting: Gauge,
     directory_era: Gauge,
+    config_age: Histogram,
+    config_behind: Histogram,
 }
 
 impl Default for GatewayMetrics {
@@ -102,6 +104,8 @@
             skipped_entries: Counter::default(),
             resting: Gauge::default(),
             directory_era: Gauge::default(),
+            config_age: histogram(),
+            config_behind: histogram(),
         };
         metrics.register();
         metrics
@@ -175,6 +179,14 @@
         r.register("resting", "Servers that asked for rest", resting);
         let era = self.directory_era.clone();
         r.register("directory_era", "Era of the directory's list", era);
+        let age = self.config_age.clone();
+        r.register("config_age_seconds", "Age of the configuration", age);
+        let behind = self.config_behind.clone();
+        r.register(
+            "config_behind_seconds",
+            "Time behind peers with the configuration",
+            behind,
+        );
     }
 
     /// All figures in the text format of OpenMetrics.
@@ -255,6 +267,16 @@
         self.directory_calls.get_or_create(&labels).inc();
     }
 
+    /// The directory confirmed the configuration so long ago, to this instance's knowledge.
+    pub fn config_age(&self, age: Duration) {
+        self.config_age.observe(age.as_secs_f64());
+    }
+
+    /// A peer had a newer configuration for so long until it was in force here.
+    pub fn config_was_behind(&self, time: Duration) {
+        self.config_behind.observe(time.as_secs_f64());
+    }
+
     /// A heartbeat was sent, taken, passed on, or changed nothing.
     pub fn heartbeat(&self, kind: &'static str) {
         self.heartbeats.get_or_create(&Kind { kind }).inc();
--- a/crates/daemon/src/list_reader.rs
+++ b/crates/daemon/src/list_reader.rs
@@ -78,6 +78,7 @@
                 continue;
             }
             let after = own.list_revision;
+            let sent = self.clock.now();
             let read = match after.is_none() || forgotten {
                 true => self.read_whole(after, &mut skipped).await,
                 false => self.watch(after, outage_ended, &mut skipped).await,
@@ -103,7 +104,8 @@
                 }
                 Err(error) => {
                     self.link.unreadable();
-                    trouble.failed(&self.log, &error).await;
+                    let waited = self.clock.now().saturating_sub(sent);
+                    trouble.failed(&self.log, &error, waited).await;
                     // Removals that are read first belong to the outage.
                     outage_ended = Some(self.clock.now());
                 }
