Show in tests that configurations come late at calm instances (red)

The stand-in link learns to let open connections fall silent while new ones work; generated schedules in virtual time drive the real decisions on who reads, with kept connections, freezes, kills, cuts and outages, and ask of each calm instance that it has each version within the bound (2 s; 3 s with relays).

No logic changed.

--- /dev/null
+++ b/crates/core/tests/config_scene/instance.rs
@@ -0,0 +1,427 @@
+//! One instance: its members, its reader of the directory, and what it fetches from peers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use iristhread_core::Arrival;
+use iristhread_core::ConfigVersion;
+use iristhread_core::FleetMembers;
+use iristhread_core::MemberState;
+use iristhread_core::Now;
+use rand_core::Rng;
+use rand_pcg::Pcg32;
+
+use super::calls::Connection;
+use super::calls::Pool;
+use super::calls::ROUND_TRIP;
+
+/// The waits of the daemon's readers and fetches.
+const WATCH: Duration = Duration::from_secs(1);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
+const ROTA_CHECK: Duration = Duration::from_millis(150);
+const FIRST_PAUSE_MS: u64 = 100;
+const LONGEST_PAUSE_MS: u64 = 800;
+const BEHIND_FOR_MS: u64 = 300;
+const READ_ALONE_BEHIND: Duration = Duration::from_millis(700);
+const READ_ALONE_BEHIND_RELAYS: Duration = Duration::from_millis(1_400);
+
+/// Rest after which a kept connection is not used again.
+const REST: Duration = Duration::from_secs(90);
+
+/// Time in which news are gathered before a heartbeat tells them.
+const GATHERING: Duration = Duration::from_millis(10);
+
+/// A heartbeat.
+#[derive(Clone)]
+pub struct Beat {
+    address: SocketAddr,
+    state: MemberState,
+    config_age: Option<Duration>,
+    addresses: Vec<SocketAddr>,
+    pass_on: bool,
+}
+
+/// A call to the directory that is under way.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    sent: Now,
+    /// The version after which a watch waits; `None` reads all.
+    after: Option<ConfigVersion>,
+    connection: Connection,
+    hangs: bool,
+}
+
+impl Call {
+    fn wait(&self) -> Duration {
+        self.after.map_or(Duration::ZERO, |_| WATCH)
+    }
+
+    /// When the directory answers, and with which version.
+    fn answer(&self, acked: &[(ConfigVersion, Now)]) -> (Now, ConfigVersion) {
+        let news = |after| acked.iter().find(|(version, _)| *version > after);
+        let at = match self.after.map(news) {
+            None => self.sent,
+            Some(None) => self.sent + WATCH,
+            Some(Some((_, acked_at))) => (*acked_at).clamp(self.sent, self.sent + WATCH),
+        };
+        let known = acked.iter().rev().find(|(_, acked_at)| *acked_at <= at);
+        (at + ROUND_TRIP, known.map_or(0, |(version, _)| *version))
+    }
+}
+
+/// What the reader does.
+#[derive(Clone, Copy, Debug)]
+enum Reader {
+    Looks(Now),
+    Calls(Call),
+    Pauses(Now),
+}
+
+/// What the fetching task does.
+#[derive(Clone, Copy, Debug)]
+enum Fetch {
+    Idle,
+    Waits { until: Now, had: ConfigVersion },
+    Asks { until: Now },
+}
+
+pub struct Instance {
+    pub own: usize,
+    pub zone: String,
+    pub number_of_zones: usize,
+    pub version: ConfigVersion,
+    pub down_until: Now,
+    pub frozen_until: Now,
+    pub no_store_until: Now,
+    pub no_peers_until: Now,
+    /// End of the last trouble of its own.
+    pub trouble_ended: Now,
+    members: FleetMembers,
+    reader: Reader,
+    fetch: Fetch,
+    pool: Pool,
+    peers: BTreeMap<usize, Connection>,
+    confirmed_at: Option<Now>,
+    behind_since: Option<Now>,
+    can_read: bool,
+    /// Whether the last call failed; the pause after the next failure.
+    in_trouble: bool,
+    pause_ms: u64,
+    watched: Option<ConfigVersion>,
+    life: u64,
+    sequence: u64,
+    beats_at: Now,
+    held: Vec<Beat>,
+    bundle: Vec<Beat>,
+}
+
+pub fn address(number: usize) -> SocketAddr {
+    ([10, 0, 0, number as u8], 7_000).into()
+}
+
+fn number(address: &SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else {
+        panic!("the world has IPv4 only");
+    };
+    usize::from(address.ip().octets()[3])
+}
+
+pub fn zone_of(own: usize, zones: usize) -> String {
+    format!("z{}", own % zones)
+}
+
+fn below(random: &mut Pcg32, most: u64) -> u64 {
+    u64::from(random.next_u32()) % most.max(1)
+}
+
+impl Instance {
+    /// A process that begins with nothing known.
+    pub fn start(own: usize, zones: usize, at: Now, random: &mut Pcg32) -> Instance {
+        let zone = zone_of(own, zones);
+        let seeds = (0..3).map(address).collect();
+        let members = FleetMembers::new(format!("i{own}"), zone.clone(), 250, address(own), seeds);
+        let mut pool = Pool::default();
+        // That of the reader of the list, once that leaves it to others.
+        pool.keep(at, Connection::new(at));
+        Instance {
+            own,
+            zone,
+            number_of_zones: zones,
+            version: 0,
+            down_until: at,
+            frozen_until: Now::ZERO,
+            no_store_until: Now::ZERO,
+            no_peers_until: Now::ZERO,
+            trouble_ended: at,
+            members,
+            reader: Reader::Looks(at + Duration::from_millis(below(random, 100))),
+            fetch: Fetch::Idle,
+            pool,
+            peers: BTreeMap::new(),
+            confirmed_at: None,
+            behind_since: None,
+            can_read: true,
+            in_trouble: false,
+            pause_ms: FIRST_PAUSE_MS,
+            watched: None,
+            life: at.as_millis() as u64,
+            sequence: 0,
+            beats_at: at + Duration::from_millis(below(random, 200)),
+            held: Vec::new(),
+            bundle: Vec::new(),
+        }
+    }
+
+    /// The same after its process was killed.
+    pub fn again(own: usize, zones: usize, at: Now, random: &mut Pcg32) -> Instance {
+        Instance::start(own, zones, at, random)
+    }
+
+    pub fn is_up(&self, now: Now) -> bool {
+        now >= self.down_until && now >= self.frozen_until
+    }
+
+    pub fn is_reading(&self) -> bool {
+        matches!(self.reader, Reader::Calls(_))
+    }
+
+    pub fn freeze(&mut self, until: Now) {
+        self.frozen_until = self.frozen_until.max(until);
+        self.trouble_ended = self.trouble_ended.max(until);
+    }
+
+    /// It is cut off from the directory: what is under way gets no answer.
+    pub fn struck(&mut self, until: Now) {
+        self.trouble_ended = self.trouble_ended.max(until);
+        self.call_hangs();
+    }
+
+    /// The call that is under way gets no answer.
+    pub fn call_hangs(&mut self) {
+        if let Reader::Calls(call) = &mut self.reader {
+            call.hangs = true;
+        }
+    }
+
+    /// All its open connections fall silent.
+    pub fn fall_silent(&mut self, now: Now) {
+        self.pool.fall_silent();
+        for connection in self.peers.values_mut() {
+            connection.fall_silent();
+        }
+        self.struck(now);
+    }
+
+    /// Lets the reader go on; returns the calls that it made.
+    pub fn read(
+        &mut self,
+        now: Now,
+        acked: &[(ConfigVersion, Now)],
+        reaches: bool,
+        random: &mut Pcg32,
+    ) -> u64 {
+        for beat in std::mem::take(&mut self.held) {
+            self.receive(now, beat, random);
+        }
+        if let Reader::Calls(call) = self.reader {
+            self.hear_answer(now, call, acked, random);
+        }
+        match self.reader {
+            Reader::Looks(at) | Reader::Pauses(at) if now >= at => self.look(now, reaches),
+            _ => 0,
+        }
+    }
+
+    fn look(&mut self, now: Now, reaches: bool) -> u64 {
+        if !self.reads(now) {
+            self.watched = None;
+            self.reader = Reader::Looks(now + ROTA_CHECK);
+            return 0;
+        }
+        let connection = self.pool.take(now, REST);
+        self.reader = Reader::Calls(Call {
+            sent: now,
+            after: self.watched.filter(|_| !self.in_trouble),
+            connection,
+            hangs: !reaches || connection.is_silent(),
+        });
+        1
+    }
+
+    fn hear_answer(
+        &mut self,
+        now: Now,
+        call: Call,
+        acked: &[(ConfigVersion, Now)],
+        random: &mut Pcg32,
+    ) {
+        let (answered_at, version) = call.answer(acked);
+        if !call.hangs && now >= answered_at {
+            self.pool.keep(now, call.connection);
+            self.version = self.version.max(version);
+            self.confirmed_at = Some(now);
+            self.watched = Some(version);
+            self.can_read = true;
+            self.in_trouble = false;
+            self.pause_ms = FIRST_PAUSE_MS;
+            self.beats_at = self.beats_at.min(now + GATHERING);
+            self.reader = Reader::Looks(now);
+        } else if now >= call.sent + call.wait() + ANSWER_TIMEOUT {
+            self.can_read = false;
+            self.in_trouble = true;
+            let pause = self.pause_ms * (70 + below(random, 60)) / 100;
+            self.pause_ms = (self.pause_ms * 2).min(LONGEST_PAUSE_MS);
+            self.reader = Reader::Pauses(now + Duration::from_millis(pause));
+        }
+    }
+
+    fn known_confirmed_at(&self, now: Now) -> Option<Now> {
+        let heard = self.members.config_confirmed_at(now, self.version);
+        self.confirmed_at.max(heard)
+    }
+
+    fn reads(&mut self, now: Now) -> bool {
+        if self.version == 0 {
+            return true;
+        }
+        let confirmed_at = self.known_confirmed_at(now);
+        let is_ahead = self.members.is_ahead_in_config(now, self.version);
+        let is_stuck = self.is_stuck(now, is_ahead);
+        let for_others = is_ahead && self.members.relays(now);
+        is_stuck || for_others || self.members.reads(now, confirmed_at, self.can_read)
+    }
+
+    fn is_stuck(&mut self, now: Now, is_ahead: bool) -> bool {
+        if !is_ahead {
+            self.behind_since = None;
+            return false;
+        }
+        let since = *self.behind_since.get_or_insert(now);
+        let patience = match self.members.has_relays() {
+            true => READ_ALONE_BEHIND_RELAYS,
+            false => READ_ALONE_BEHIND,
+        };
+        now.saturating_sub(since) >= patience
+    }
+
+    /// The peer that is asked now for a newer version, if one is.
+    pub fn peer_to_ask(&mut self, now: Now) -> Option<usize> {
+        let Fetch::Waits { until, had } = self.fetch else {
+            if matches!(self.fetch, Fetch::Asks { until } if now >= until) {
+                self.fetch = Fetch::Idle;
+            }
+            return None;
+        };
+        if now < until {
+            return None;
+        }
+        self.fetch = Fetch::Idle;
+        let sources = self.members.sources(now, self.version, 0.into());
+        let place = self.sequence as usize % sources.len().max(1);
+        let (address, _) = sources.get(place)?;
+        (self.version == had).then(|| number(address))
+    }
+
+    /// What came of asking a peer.
+    pub fn asked(&mut self, now: Now, peer: usize, answer: Option<ConfigVersion>) {
+        let connection = self.peers.entry(peer).or_insert(Connection::new(now));
+        match answer.filter(|_| !connection.is_silent()) {
+            Some(version) => self.version = self.version.max(version),
+            None => {
+                self.peers.remove(&peer);
+                self.fetch = Fetch::Asks {
+                    until: now + FETCH_TIMEOUT,
+                };
+            }
+        }
+    }
+
+    /// The heartbeats that it sends now.
+    pub fn beat(&mut self, now: Now, random: &mut Pcg32) -> Vec<(usize, Beat)> {
+        let mut sent = Vec::new();
+        if now >= self.beats_at {
+            self.beats_at = now + self.members.beat_interval(now);
+            let fan_out = self.members.fan_out(now, random);
+            let mut beat = self.own_beat(now, random);
+            for to in &fan_out.direct {
+                sent.push((number(to), beat.clone()));
+            }
+            beat.pass_on = true;
+            for to in fan_out.relay.iter().chain(&fan_out.far) {
+                sent.push((number(to), beat.clone()));
+            }
+            if fan_out.passes_on {
+                self.bundle.push(beat);
+            }
+        }
+        for mut beat in std::mem::take(&mut self.bundle) {
+            beat.pass_on = false;
+            for to in self.members.neighbours(now) {
+                sent.push((number(&to), beat.clone()));
+            }
+        }
+        sent
+    }
+
+    fn own_beat(&mut self, now: Now, random: &mut Pcg32) -> Beat {
+        self.sequence += 1;
+        let confirmed_at = self.known_confirmed_at(now);
+        Beat {
+            address: address(self.own),
+            state: MemberState {
+                instance: format!("i{}", self.own),
+                incarnation: format!("life {}", self.life),
+                sequence: self.sequence,
+                zone: self.zone.clone(),
+                core_millis: 250,
+                has_relays: self.members.has_relays(),
+                config_version: self.version,
+                config_confirmed_at: None,
+                list_revision: 0.into(),
+                list_confirmed_at: None,
+                can_read: self.can_read,
+            },
+            config_age: confirmed_at.map(|at| now.saturating_sub(at)),
+            addresses: self.members.told_addresses(now, random),
+            pass_on: false,
+        }
+    }
+
+    /// Takes a heartbeat, once it doesn't stand still.
+    pub fn receive(&mut self, now: Now, beat: Beat, random: &mut Pcg32) {
+        if now < self.frozen_until {
+            self.held.push(beat);
+            return;
+        }
+        if beat.address == address(self.own) {
+            return;
+        }
+        let mut state = beat.state.clone();
+        state.config_confirmed_at = beat
+            .config_age
+            .map(|age| FleetMembers::confirmed_at(now, age));
+        let is_ahead = state.config_version > self.version;
+        let arrival = self.members.hear(now, beat.address, state);
+        if arrival == Arrival::Old {
+            return;
+        }
+        for address in &beat.addresses {
+            self.members.hear_of(now, *address);
+        }
+        if arrival == Arrival::FirstOfLife {
+            self.members.greet(beat.address);
+            self.beats_at = self.beats_at.min(now + GATHERING);
+        }
+        if is_ahead && matches!(self.fetch, Fetch::Idle) {
+            self.fetch = Fetch::Waits {
+                until: now + Duration::from_millis(below(random, BEHIND_FOR_MS)),
+                had: self.version,
+            };
+        }
+        if beat.pass_on {
+            self.bundle.push(beat);
+        }
+    }
+}
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -216,6 +216,22 @@
     assert_eq!(had_a_turn.len(), 20, "everybody has a turn");
 }
 
+/// An instance that could read left it to others of its zone, who could not.
+#[test]
+fn who_can_read_reads_when_the_others_of_its_zone_cannot() {
+    for second in 100..160 {
+        let now = Duration::from_secs(second);
+        let mut fleet = members(1);
+        for other in [2, 3] {
+            let mut cut_off = state(other, "z1", Some(ms(1_000)));
+            cut_off.can_read = false;
+            fleet.hear(now, address(other), cut_off);
+        }
+        let reads = fleet.reads(now, Some(ms(1_000)), true);
+        assert!(reads, "at second {second} it is the turn of others");
+    }
+}
+
 /// Instances that pass on how old something is, one after the other: with 5 ms
 /// from one to the next it seemed 4.7 s old after 8 s.
 #[test]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -79,6 +79,7 @@
 pub use clock::Clock;
 pub use clock::ClockSource;
 pub use clock::SuspensionWatch;
+pub use control_message::Identity;
 pub use daemon::Daemon;
 pub use daemon::DaemonError;
 pub use daemon::ListenAddresses;
--- a/crates/testbed/src/link.rs
+++ b/crates/testbed/src/link.rs
@@ -32,12 +32,20 @@
     Cut,
 }
 
+/// What a link does now.
+#[derive(Clone, Copy, Debug)]
+struct Condition {
+    state: LinkState,
+    /// Times that the connections that were open then fell silent.
+    silences: u32,
+}
+
 /// Forwards TCP connections to one address.
 #[derive(Debug)]
 pub struct Link {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<watch::Sender<LinkState>>,
+    condition: Arc<watch::Sender<Condition>>,
 }
 
 impl Link {
@@ -49,61 +57,82 @@
     pub async fn to(target: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let address = listener.local_addr()?;
-        let state = Arc::new(watch::channel(LinkState::Up).0);
-        tokio::spawn(accept(listener, target, state.clone()));
-        Ok(Link { address, state })
+        let condition = Condition {
+            state: LinkState::Up,
+            silences: 0,
+        };
+        let condition = Arc::new(watch::channel(condition).0);
+        tokio::spawn(accept(listener, target, condition.clone()));
+        Ok(Link { address, condition })
     }
 
     /// Changes what the link does.
     pub fn set(&self, state: LinkState) {
-        self.state.send_replace(state);
+        self.condition.send_modify(|now| now.state = state);
+    }
+
+    /// Nothing passes any more on the connections that are open now, not even their end;
+    /// new ones work.
+    pub fn silence(&self) {
+        self.condition.send_modify(|now| now.silences += 1);
     }
 }
 
-async fn accept(listener: TcpListener, target: SocketAddr, state: Arc<watch::Sender<LinkState>>) {
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    condition: Arc<watch::Sender<Condition>>,
+) {
     while let Ok((near, _)) = listener.accept().await {
-        if *state.borrow() != LinkState::Cut {
-            tokio::spawn(forward(near, target, state.subscribe()));
+        if condition.borrow().state != LinkState::Cut {
+            tokio::spawn(forward(near, target, condition.subscribe()));
         }
     }
 }
 
-async fn forward(near: TcpStream, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
+async fn forward(near: TcpStream, target: SocketAddr, mut condition: watch::Receiver<Condition>) {
+    let silences = condition.borrow().silences;
     let Ok(far) = TcpStream::connect(target).await else {
         return;
     };
     let (near_in, near_out) = near.into_split();
     let (far_in, far_out) = far.into_split();
-    let holds_requests = |state| state == LinkState::Stalled;
-    let holds_answers = |state| matches!(state, LinkState::Stalled | LinkState::Deaf);
-    let there = copy(near_in, far_out, state.clone(), holds_requests);
-    let back = copy(far_in, near_out, state.clone(), holds_answers);
+    let is_silent = move |now: &Condition| now.silences != silences;
+    let holds_requests = move |now: &Condition| is_silent(now) || now.state == LinkState::Stalled;
+    let holds_answers = move |now: &Condition| {
+        is_silent(now) || matches!(now.state, LinkState::Stalled | LinkState::Deaf)
+    };
+    let there = copy(near_in, far_out, condition.clone(), holds_requests);
+    let back = copy(far_in, near_out, condition.clone(), holds_answers);
     tokio::select! {
         _ = async { tokio::join!(there, back) } => {}
-        _ = until(&mut state, |state| state == LinkState::Cut) => {}
+        _ = until(&mut condition, |now| now.state == LinkState::Cut) => {}
     }
 }
 
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mut state: watch::Receiver<LinkState>,
-    holds: impl Fn(LinkState) -> bool,
+    mut condition: watch::Receiver<Condition>,
+    holds: impl Fn(&Condition) -> bool,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     while let Ok(length) = from.read(&mut buffer).await {
-        let is_slow = *state.borrow() == LinkState::Slow;
+        let is_slow = condition.borrow().state == LinkState::Slow;
         if is_slow {
             tokio::time::sleep(SLOW_BY).await;
         }
-        let passes = until(&mut state, |state| !holds(state)).await;
+        let passes = until(&mut condition, |now| !holds(now)).await;
         if length == 0 || !passes || to.write_all(&buffer[..length]).await.is_err() {
             return;
         }
     }
 }
 
-/// Whether the state came to be as wanted before the link went away.
-async fn until(state: &mut watch::Receiver<LinkState>, wanted: impl Fn(LinkState) -> bool) -> bool {
-    state.wait_for(|state| wanted(*state)).await.is_ok()
+/// Whether the link came to be as wanted before it went away.
+async fn until(
+    condition: &mut watch::Receiver<Condition>,
+    wanted: impl Fn(&Condition) -> bool,
+) -> bool {
+    condition.wait_for(wanted).await.is_ok()
 }
