Let each instance read by itself when what it knows is old

Seen by callers (reckoned): refused as an older configuration says by a calm instance, when readers of its zone are cut off from the directory.

Cause: when what is known gets old, two instances of a zone read in each second, drawn among all that are heard. Those that can't reach the directory, and those that stopped less than 1.5 s ago, are drawn too: a calm third one waits for its turn, a second or more, on top of the 1.85 s until it is old. Class: a duty is left to others on the word of a membership that can't know whether they are able to.

Ruled out: silences.

Change: whoever's knowledge is older than 1.35 s reads by itself, 30 ms later for each place by rank in its zone (0.15 s at most, 0.4 s with relays), so that usually the first has told the others by then. The age was 1.3 s and two heartbeats, which is 1.7 s at nine instances and 2.04 s at 32: above the bound. The list keeps the turns in fleets with relays and while all start, since a whole reading of it is many pages; the age from which it counts as lost stays.

The test a_few_read_by_turns_when_what_is_known_is_old asked for what was the fault. It stays as it was for the list with relays; for the rest each_reads_by_itself_when_what_is_known_is_old names the number of readers at each age, in place of two.

--- a/crates/core/src/fleet_members.rs
+++ b/crates/core/src/fleet_members.rs
@@ -1,5 +1,4 @@
-//! The other instances, as their heartbeats tell, and who of them reads the
-//! platform's directory for all.
+//! The other instances, as their heartbeats tell.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -15,9 +14,9 @@
 use crate::Now;
 use crate::Revision;
 use crate::ZoneId;
-use crate::rendezvous_rank;
 
 mod fan_out;
+mod reading;
 
 pub use fan_out::FanOut;
 
@@ -45,30 +44,6 @@
 /// longer than most cuts last.
 const REMEMBERED: Duration = Duration::from_secs(120);
 
-/// Readers of the directory in each availability zone.
-const READERS_PER_ZONE: usize = 1;
-
-/// Availability zones of a large fleet in which instances read; the others hear of
-/// it from relays. Each call has a price.
-const READING_ZONES: usize = 2;
-
-/// What zones are ranked for when readers are chosen.
-const READERS_TOPIC: &str = "readers";
-
-/// Age of what is known from which an instance reads by itself, on top of two
-/// heartbeats: the longest wait of a reader's watch, and the way. Leaving
-/// servers must be known, and configurations in force, everywhere within two
-/// seconds.
-const READ_ALONE_AGE: Duration = Duration::from_millis(1_300);
-
-/// Readers in each availability zone while nobody's knowledge is fresh: who can
-/// read must be found, and each call has a price.
-const READERS_IN_TROUBLE: usize = 2;
-
-/// Time for which the same instances try to read in trouble; then it is the turn
-/// of others, of which one may be let in where these are not.
-const TURN: Duration = Duration::from_secs(1);
-
 /// Added to the age of what a peer says was confirmed: the way of a heartbeat and
 /// the wait at both ends and at a relay. Without it, each instance that passes the age on
 /// would make it younger, and few would see an outage.
@@ -213,55 +188,6 @@
         (BEAT_PER_MEMBER * hearing).clamp(SHORTEST_BEAT, LONGEST_BEAT)
     }
 
-    /// Whether what was confirmed then is older than readers and heartbeats let
-    /// it get.
-    pub fn is_old(&self, now: Now, confirmed_at: Option<Now>) -> bool {
-        let limit = READ_ALONE_AGE + self.usual_interval(now) * 2;
-        confirmed_at.is_none_or(|at| now.saturating_sub(at) > limit)
-    }
-
-    /// Whether this instance should watch the platform's directory: by its rank
-    /// in its zone among those that can, or because what it knows is old.
-    pub fn reads(&self, now: Now, confirmed_at: Option<Now>, can_read: bool) -> bool {
-        if self.is_old(now, confirmed_at) {
-            let turn = format!("{}/{}", self.zone, now.as_secs() / TURN.as_secs());
-            return self.is_among(READERS_IN_TROUBLE, &turn, now, |_| true);
-        }
-        can_read
-            && self.is_reading_zone(now)
-            && self.is_among(READERS_PER_ZONE, &self.zone, now, |state| state.can_read)
-    }
-
-    fn is_reading_zone(&self, now: Now) -> bool {
-        if !self.has_relays {
-            return true;
-        }
-        let zones = self.zones_heard(now);
-        let zones = zones.iter().map(String::as_str).chain([self.zone.as_str()]);
-        let rank = rendezvous_rank(READERS_TOPIC, zones);
-        rank.iter()
-            .take(READING_ZONES)
-            .any(|zone| *zone == self.zone)
-    }
-
-    /// Whether this instance is among the first by rank of those in its zone that
-    /// count.
-    fn is_among(
-        &self,
-        most: usize,
-        topic: &str,
-        now: Now,
-        counts: impl Fn(&MemberState) -> bool,
-    ) -> bool {
-        let peers = self.live_states(now);
-        let peers = peers.filter(|state| state.zone == self.zone && counts(state));
-        let names = peers.map(|state| state.instance.as_str());
-        let names = names.chain([self.instance.as_str()]);
-        let rank = rendezvous_rank(topic, names);
-        let place = rank.iter().position(|name| *name == self.instance);
-        place.is_none_or(|place| place < most)
-    }
-
     /// When something was confirmed of which a heartbeat tells the age.
     pub fn confirmed_at(now: Now, age: Duration) -> Now {
         now.saturating_sub(age + HEARTBEAT_WAY)
--- a/crates/core/tests/gateway_fleet.rs
+++ b/crates/core/tests/gateway_fleet.rs
@@ -199,16 +199,39 @@
     assert_eq!(readers, 1);
 }
 
-/// Whether each of them can read or not: who can has to be found, and all of them
-/// at once cost a call each every second.
+/// The first of a zone by rank, the others a little later: who is relied on may be cut off.
 #[test_case(true; "who could read before")]
 #[test_case(false; "who could not")]
-fn a_few_read_by_turns_when_what_is_known_is_old(could_read: bool) {
+fn each_reads_by_itself_when_what_is_known_is_old(could_read: bool) {
+    let confirmed_at = ms(1_000);
+    let readers_at = |age_ms| {
+        let now = confirmed_at + ms(age_ms);
+        let fleet = zone_of(20, now);
+        let reads = |m: &&FleetMembers| m.reads(now, Some(confirmed_at), could_read);
+        fleet.iter().filter(reads).count()
+    };
+    assert_eq!(readers_at(1_300), usize::from(could_read));
+    assert_eq!(readers_at(1_355), 1);
+    assert_eq!(readers_at(1_385), 2);
+    assert_eq!(readers_at(1_500), 20);
+    assert_eq!(readers_at(60_000), 20);
+}
+
+/// Whether each of them can read or not: who can has to be found, and a large list that all
+/// of them read at once costs many pages each.
+#[test_case(true; "who could read before")]
+#[test_case(false; "who could not")]
+fn a_few_read_the_list_by_turns_when_what_is_known_is_old(could_read: bool) {
     let mut had_a_turn = BTreeSet::new();
     for second in 100..160 {
         let now = Duration::from_secs(second);
-        let fleet = zone_of(20, now);
-        let reads = |own: &usize| fleet[*own].reads(now, Some(ms(1_000)), could_read);
+        let mut fleet = zone_of(20, now);
+        for members in &mut fleet {
+            let mut with_relays = state(21, "z2", None);
+            with_relays.has_relays = true;
+            members.hear(now, address(21), with_relays);
+        }
+        let reads = |own: &usize| fleet[*own].reads_list(now, Some(ms(1_000)), could_read);
         let readers: Vec<usize> = (0..fleet.len()).filter(reads).collect();
         assert_eq!(readers.len(), 2, "at second {second}");
         had_a_turn.extend(readers);
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -171,7 +171,7 @@
         let heard = members.list_confirmed_at(now, list_revision);
         let confirmed_at = knowledge.list_confirmed_at().max(heard);
         let may_begin = !list_revision.is_none() || now >= self.patient_until;
-        may_begin && members.reads(now, confirmed_at, knowledge.can_read())
+        may_begin && members.reads_list(now, confirmed_at, knowledge.can_read())
     }
 
     /// Whether nobody has confirmed the list for longer than is usual: engines
@@ -181,7 +181,7 @@
         let members = self.members();
         let heard = members.list_confirmed_at(now, list_revision);
         let confirmed_at = self.knowledge().list_confirmed_at().max(heard);
-        members.is_old(now, confirmed_at)
+        members.is_lost(now, confirmed_at)
     }
 
     /// Whether this instance should watch the platform's configuration: as for
