Count a confirmation from what the directory's answer proves

Seen by callers (reckoned): refused as an older configuration says by a calm instance, while readers freeze.

Cause: a reader told the answer to its watch as confirmed at the moment at which it handled it. One that stood still in between tells knowledge as new that is as old as its standstill, and nobody reads by itself meanwhile. Class: an age that counts from the receipt instead of from the origin.

Change: a watch that brings nothing proves the moment at which its wait was over, any other answer only that at which its call was sent; a watch after one that brought changes ends when that would have, so that nothing gets older by this. Two schedules found with it were of the model: a silence struck connections of a process that had not begun.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -67,6 +67,7 @@
 mod ticket_book;
 mod timeline;
 mod token_bucket;
+mod watch_cycle;
 mod zone_evacuations;
 
 pub use admission::Admission;
@@ -226,6 +227,8 @@
 pub use timeline::TimelineEvent;
 pub use timeline::TimelineRecord;
 pub use token_bucket::TokenBucket;
+pub use watch_cycle::WATCH;
+pub use watch_cycle::WatchCycle;
 pub use zone_evacuations::EvacuationChange;
 pub use zone_evacuations::EvacuationNews;
 pub use zone_evacuations::ToldEvacuations;
--- a/crates/core/tests/config_scene/instance.rs
+++ b/crates/core/tests/config_scene/instance.rs
@@ -8,6 +8,7 @@
 use iristhread_core::FleetMembers;
 use iristhread_core::MemberState;
 use iristhread_core::Now;
+use iristhread_core::WatchCycle;
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 
@@ -16,7 +17,6 @@
 use super::calls::ROUND_TRIP;
 
 /// The waits of the daemon's readers and fetches.
-const WATCH: Duration = Duration::from_secs(1);
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
 const ROTA_CHECK: Duration = Duration::from_millis(150);
@@ -48,22 +48,19 @@
     sent: Now,
     /// The version after which a watch waits; `None` reads all.
     after: Option<ConfigVersion>,
+    wait: Duration,
     connection: Connection,
     hangs: bool,
 }
 
 impl Call {
-    fn wait(&self) -> Duration {
-        self.after.map_or(Duration::ZERO, |_| WATCH)
-    }
-
     /// When the directory answers, and with which version.
     fn answer(&self, acked: &[(ConfigVersion, Now)]) -> (Now, ConfigVersion) {
         let news = |after| acked.iter().find(|(version, _)| *version > after);
         let at = match self.after.map(news) {
             None => self.sent,
-            Some(None) => self.sent + WATCH,
-            Some(Some((_, acked_at))) => (*acked_at).clamp(self.sent, self.sent + WATCH),
+            Some(None) => self.sent + self.wait,
+            Some(Some((_, acked_at))) => (*acked_at).clamp(self.sent, self.sent + self.wait),
         };
         let known = acked.iter().rev().find(|(_, acked_at)| *acked_at <= at);
         (at + ROUND_TRIP, known.map_or(0, |(version, _)| *version))
@@ -101,6 +98,7 @@
     reader: Reader,
     fetch: Fetch,
     pool: Pool,
+    cycle: WatchCycle,
     confirmed_at: Option<Now>,
     behind_since: Option<Now>,
     can_read: bool,
@@ -157,6 +155,7 @@
             reader: Reader::Looks(at + Duration::from_millis(below(random, 100))),
             fetch: Fetch::Idle,
             pool,
+            cycle: WatchCycle::default(),
             confirmed_at: None,
             behind_since: None,
             can_read: true,
@@ -204,6 +203,10 @@
 
     /// All its open connections fall silent.
     pub fn fall_silent(&mut self, now: Now) {
+        if now < self.down_until {
+            // Its next process has none yet.
+            return;
+        }
         self.pool.fall_silent();
         self.struck(now);
     }
@@ -242,6 +245,7 @@
         self.reader = Reader::Calls(Call {
             sent: now,
             after,
+            wait: after.map_or(Duration::ZERO, |_| self.cycle.next_wait(now)),
             connection,
             hangs: !reaches || connection.is_silent(),
         });
@@ -261,14 +265,16 @@
                 self.pool.keep(now, call.connection);
             }
             self.version = self.version.max(version);
-            self.confirmed_at = Some(now);
+            let is_quiet = call.after == Some(version);
+            let quiet_for = is_quiet.then_some(call.wait);
+            self.confirmed_at = Some(self.cycle.answered(call.sent, quiet_for, now));
             self.watched = Some(version);
             self.can_read = true;
             self.in_trouble = false;
             self.pause_ms = FIRST_PAUSE_MS;
             self.beats_at = self.beats_at.min(now + GATHERING);
             self.reader = Reader::Looks(now);
-        } else if now >= call.sent + call.wait() + ANSWER_TIMEOUT {
+        } else if now >= call.sent + call.wait + ANSWER_TIMEOUT {
             self.can_read = false;
             self.in_trouble = true;
             let pause = self.pause_ms * (70 + below(random, 60)) / 100;
--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/config_reader.rs
@@ -2,11 +2,14 @@
 //! are to be emptied, for as long as the process lives.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use iristhread_core::EvacuationNews;
 use iristhread_core::GatewayConfig;
+use iristhread_core::Now;
 use iristhread_core::Revision;
 use iristhread_core::ToldEvacuations;
+use iristhread_core::WatchCycle;
 use slog::Logger;
 use slog::info;
 
@@ -17,7 +20,6 @@
 use crate::directory_trouble::ROTA_CHECK;
 use crate::directory_trouble::SOURCE;
 use crate::directory_trouble::Trouble;
-use crate::directory_trouble::WATCH;
 use crate::directory_trouble::end_of;
 use crate::directory_trouble::same_era;
 use crate::fleet_link::FleetLink;
@@ -51,6 +53,7 @@
         let mut skipped = SkippedEntries::default();
         let mut revision: Option<Revision> = None;
         let mut was_reading = false;
+        let mut cycle = WatchCycle::default();
         loop {
             let Some(duty) = self.duty().await else {
                 return;
@@ -71,15 +74,18 @@
             let sent = self.clock.now();
             // After a failure, a short question tells sooner than a watch whether
             // the directory is back.
-            let read = self
-                .read(revision.filter(|_| !trouble.is_lost()), &mut skipped)
-                .await;
+            let after = revision.filter(|_| !trouble.is_lost());
+            let read = match after {
+                None => self.read_whole(&mut skipped).await,
+                Some(after) => self.watch(after, cycle.next_wait(sent), &mut skipped).await,
+            };
             self.metrics.directory_called("config", end_of(&read));
             match read {
                 Ok(read) => {
                     trouble.succeeded(&self.log);
                     revision = Some(read.revision);
-                    self.tell(read);
+                    let confirmed_at = cycle.answered(sent, read.quiet_for, self.clock.now());
+                    self.tell(read, confirmed_at);
                 }
                 Err(DirectoryError::HistoryGone) => {
                     info!(self.log, "history of the directory is gone; reading anew";
@@ -102,17 +108,6 @@
         Some(self.link.config_duty(own.config_version))
     }
 
-    async fn read(
-        &self,
-        after: Option<Revision>,
-        skipped: &mut SkippedEntries,
-    ) -> Result<PublishedRead, DirectoryError> {
-        match after {
-            None => self.read_whole(skipped).await,
-            Some(after) => self.watch(after, skipped).await,
-        }
-    }
-
     async fn read_whole(
         &self,
         skipped: &mut SkippedEntries,
@@ -121,6 +116,7 @@
         skipped.note(&self.log, &self.metrics, &read.skipped);
         Ok(PublishedRead {
             revision: read.revision,
+            quiet_for: None,
             configs: read.value.config.into_iter().collect(),
             evacuations: EvacuationNews::Whole(ToldEvacuations {
                 revision: read.revision,
@@ -132,13 +128,18 @@
     async fn watch(
         &self,
         after: Revision,
+        wait: Duration,
         skipped: &mut SkippedEntries,
     ) -> Result<PublishedRead, DirectoryError> {
-        let read = self.directory.published_after(after, WATCH).await?;
+        let read = self.directory.published_after(after, wait).await?;
         same_era(read.revision, after)?;
         skipped.note(&self.log, &self.metrics, &read.skipped);
+        let changes = &read.value;
+        let is_quiet =
+            changes.configs.is_empty() && changes.evacuations.is_empty() && read.skipped.is_empty();
         Ok(PublishedRead {
             revision: read.revision,
+            quiet_for: is_quiet.then_some(wait),
             configs: read.value.configs,
             evacuations: EvacuationNews::Changed {
                 after,
@@ -148,7 +149,7 @@
         })
     }
 
-    fn tell(&self, read: PublishedRead) {
+    fn tell(&self, read: PublishedRead, confirmed_at: Now) {
         // First: an instance that has just started calls itself ready with the
         // configuration, and must know by then where nothing may go.
         self.control.tell(GatewayMessage::Evacuations {
@@ -161,13 +162,15 @@
                 source: SOURCE.to_owned(),
             });
         }
-        self.link.config_read();
+        self.link.config_read(confirmed_at);
     }
 }
 
 /// What a call brought.
 struct PublishedRead {
     revision: Revision,
+    /// The wait of a watch that brought nothing.
+    quiet_for: Option<Duration>,
     configs: Vec<GatewayConfig>,
     evacuations: EvacuationNews,
 }
--- a/crates/daemon/src/directory_knowledge.rs
+++ b/crates/daemon/src/directory_knowledge.rs
@@ -53,9 +53,9 @@
 }
 
 impl DirectoryKnowledge {
-    /// Notes an answer about the list, with what changed.
-    pub fn list_read(&mut self, now: Now, news: Option<ListNews>) {
-        self.list_confirmed_at = Some(now);
+    /// Notes an answer about the list as it was at a moment, with what changed.
+    pub fn list_read(&mut self, now: Now, confirmed_at: Now, news: Option<ListNews>) {
+        self.list_confirmed_at = self.list_confirmed_at.max(Some(confirmed_at));
         self.can_read = true;
         if let Some(news) = news {
             self.keep(now, news);
@@ -80,9 +80,9 @@
         self.news.drain(..surplus);
     }
 
-    /// Notes an answer about the configuration.
-    pub fn config_read(&mut self, now: Now) {
-        self.config_confirmed_at = Some(now);
+    /// Notes an answer about the configuration as it was at a moment.
+    pub fn config_read(&mut self, confirmed_at: Now) {
+        self.config_confirmed_at = self.config_confirmed_at.max(Some(confirmed_at));
         self.can_read = true;
     }
 
--- a/crates/daemon/src/directory_trouble.rs
+++ b/crates/daemon/src/directory_trouble.rs
@@ -18,11 +18,6 @@
 /// entries are back within two seconds.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-/// Longest time that a watch waits: the others notice within it, and two
-/// heartbeats, when a reader is cut off without a word; and the answer of a watch
-/// may be lost.
-pub const WATCH: Duration = Duration::from_secs(1);
-
 /// Time between two looks at whether this instance should read.
 pub const ROTA_CHECK: Duration = Duration::from_millis(150);
 
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -251,16 +251,18 @@
         Some(own)
     }
 
-    /// Notes that the platform answered about the list, with what changed. The
+    /// Notes that the platform answered about the list as it was at a moment, with what changed. The
     /// others are told at once: what they know is then as old as one watch at most.
-    pub fn list_read(&self, news: Option<ListNews>) {
-        self.knowledge().list_read(self.clock.now(), news);
+    pub fn list_read(&self, confirmed_at: Now, news: Option<ListNews>) {
+        let now = self.clock.now();
+        self.knowledge().list_read(now, confirmed_at, news);
         self.beat_now.notify_one();
     }
 
-    /// Notes that the platform answered about the configuration, and tells the others.
-    pub fn config_read(&self) {
-        self.knowledge().config_read(self.clock.now());
+    /// Notes that the platform answered about the configuration as it was at a moment, and
+    /// tells the others.
+    pub fn config_read(&self, confirmed_at: Now) {
+        self.knowledge().config_read(confirmed_at);
         self.beat_now.notify_one();
     }
 
--- a/crates/daemon/src/list_reader.rs
+++ b/crates/daemon/src/list_reader.rs
@@ -6,6 +6,7 @@
 
 use iristhread_core::Now;
 use iristhread_core::Revision;
+use iristhread_core::WatchCycle;
 use slog::Logger;
 use slog::info;
 
@@ -17,7 +18,6 @@
 use crate::directory_trouble::ROTA_CHECK;
 use crate::directory_trouble::SOURCE;
 use crate::directory_trouble::Trouble;
-use crate::directory_trouble::WATCH;
 use crate::directory_trouble::end_of;
 use crate::directory_trouble::not_older;
 use crate::directory_trouble::same_era;
@@ -61,6 +61,7 @@
         let mut forgotten = false;
         let mut outage_ended: Option<Now> = None;
         let mut was_reading = false;
+        let mut cycle = WatchCycle::default();
         loop {
             let Some(own) = self.control.own_state().await else {
                 return;
@@ -81,7 +82,10 @@
             let sent = self.clock.now();
             let read = match after.is_none() || forgotten {
                 true => self.read_whole(after, &mut skipped).await,
-                false => self.watch(after, outage_ended, &mut skipped).await,
+                false => {
+                    let wait = cycle.next_wait(sent);
+                    self.watch((after, wait), outage_ended, &mut skipped).await
+                }
             };
             self.metrics.directory_called("list", end_of(&read));
             match read {
@@ -93,7 +97,8 @@
                         self.control.tell(GatewayMessage::OutageEnded);
                         outage_ended = Some(self.clock.now());
                     }
-                    self.tell(read);
+                    let confirmed_at = cycle.answered(sent, read.quiet_for(), self.clock.now());
+                    self.tell(read, confirmed_at);
                     tokio::time::sleep(BATCH).await;
                 }
                 Err(DirectoryError::HistoryGone) => {
@@ -113,23 +118,23 @@
         }
     }
 
-    fn tell(&self, read: ListRead) {
+    fn tell(&self, read: ListRead, confirmed_at: Now) {
         match read {
-            ListRead::Same => self.link.list_read(None),
+            ListRead::Same { .. } => self.link.list_read(confirmed_at, None),
             ListRead::Whole { revision, listing } => {
                 self.control.tell(GatewayMessage::Replicas {
                     revision,
                     listing,
                     source: SOURCE.to_owned(),
                 });
-                self.link.list_read(None);
+                self.link.list_read(confirmed_at, None);
             }
             ListRead::Changed(news) => {
                 self.control.tell(GatewayMessage::ListNews {
                     news: news.clone(),
                     source: SOURCE.to_owned(),
                 });
-                self.link.list_read(Some(news));
+                self.link.list_read(confirmed_at, Some(news));
             }
         }
     }
@@ -150,16 +155,16 @@
 
     async fn watch(
         &self,
-        after: Revision,
+        (after, wait): (Revision, Duration),
         outage_ended: Option<Now>,
         skipped: &mut SkippedEntries,
     ) -> Result<ListRead, DirectoryError> {
-        let read = self.directory.replicas_after(after, WATCH).await?;
+        let read = self.directory.replicas_after(after, wait).await?;
         same_era(read.revision, after)?;
         skipped.note(&self.log, &self.metrics, &read.skipped);
         // What was left out counts as seen, too.
         if read.value.is_empty() && read.skipped.is_empty() {
-            return Ok(ListRead::Same);
+            return Ok(ListRead::Same { quiet_for: wait });
         }
         let since = outage_ended.map(|at| self.clock.now().saturating_sub(at));
         let since = since.filter(|since| *since < OUTAGE_SHADOW);
@@ -174,8 +179,8 @@
 
 /// What a call about the list brought.
 enum ListRead {
-    /// Nothing has changed.
-    Same,
+    /// Nothing has changed while the watch waited.
+    Same { quiet_for: Duration },
     /// Some entries have.
     Changed(ListNews),
     /// The whole list.
@@ -184,3 +189,12 @@
         listing: Listing,
     },
 }
+
+impl ListRead {
+    fn quiet_for(&self) -> Option<Duration> {
+        match self {
+            ListRead::Same { quiet_for } => Some(*quiet_for),
+            ListRead::Changed(_) | ListRead::Whole { .. } => None,
+        }
+    }
+}
