Take what lay waiting for as old as it is

Seen by callers (reckoned): as with the confirmations of readers that stood still.

Cause: heartbeats tell ages, and an age was counted back from the moment at which the heartbeat was handled. An instance that stood still finds those of the meantime in its socket, takes what they tell for fresh, and tells it on as its own knowledge; calm instances then wait on.

Change: a heartbeat carries its process's own time; the least difference of both clocks stands for the usual way, what a message took longer it lay waiting, and all that it tells is older by that: confirmations, the sender's life, the end of an outage. Instances of this and the form before don't hear each other.

Ways weighed: kernel time stamps (a clock that steps), the receiver's own gap between two turns (blind for the sender's standstill), echoes of one's own beats (a lower bound too, but bytes for each pair). One number a beat is least.

--- a/crates/core/src/fleet_members.rs
+++ b/crates/core/src/fleet_members.rs
@@ -7,6 +7,7 @@
 
 use crate::Arrival;
 use crate::ConfigVersion;
+use crate::DelayEstimate;
 use crate::Incarnation;
 use crate::InstanceId;
 use crate::KnownVersions;
@@ -58,6 +59,8 @@
     pub incarnation: Incarnation,
     /// Number of the message within that life.
     pub sequence: u64,
+    /// Time on its own clock at which it said this.
+    pub said_at: Now,
     /// Its availability zone.
     pub zone: ZoneId,
     /// Thousandths of a processor core that it has.
@@ -66,11 +69,12 @@
     pub has_relays: bool,
     /// Version of the configuration in force there, 0 for none.
     pub config_version: ConfigVersion,
-    /// When the platform confirmed that configuration, on the receiver's clock.
+    /// When the platform confirmed that configuration, on the receiver's clock, if this came
+    /// by the usual way.
     pub config_confirmed_at: Option<Now>,
     /// Revision of its list of backend servers.
     pub list_revision: Revision,
-    /// When the platform confirmed that list, on the receiver's clock.
+    /// The same for that list.
     pub list_confirmed_at: Option<Now>,
     /// Whether it could read the platform when it tried last.
     pub can_read: bool,
@@ -80,6 +84,9 @@
 struct Heard {
     state: MemberState,
     order: MessageOrder,
+    delay: DelayEstimate,
+    /// How much longer than usual the last one took.
+    took: Duration,
 }
 
 #[derive(Debug)]
@@ -132,8 +139,8 @@
     }
 
     /// Notes a heartbeat, and says what it is to those before. One that is old
-    /// changes nothing.
-    pub fn hear(&mut self, now: Now, address: SocketAddr, state: MemberState) -> Arrival {
+    /// changes nothing; one that lay waiting speaks of the time at which it was said.
+    pub fn hear(&mut self, now: Now, address: SocketAddr, mut state: MemberState) -> Arrival {
         self.has_relays |= state.has_relays;
         let member = self.members.entry(address).or_insert(Member {
             heard: None,
@@ -141,18 +148,41 @@
         });
         let Some(heard) = &mut member.heard else {
             let order = MessageOrder::new(state.incarnation.clone(), state.sequence);
-            member.heard = Some(Heard { state, order });
+            let delay = DelayEstimate::new(state.said_at, now);
+            member.heard = Some(Heard {
+                state,
+                order,
+                delay,
+                took: Duration::ZERO,
+            });
             member.heard_at = now;
             return Arrival::FirstOfLife;
         };
         let arrival = heard.order.arrive(&state.incarnation, state.sequence);
-        if arrival != Arrival::Old {
-            heard.state = state;
-            member.heard_at = now;
-        }
+        heard.took = match arrival {
+            Arrival::Old => return arrival,
+            Arrival::Newer => heard.delay.delay(state.said_at, now),
+            Arrival::FirstOfLife => {
+                heard.delay = DelayEstimate::new(state.said_at, now);
+                Duration::ZERO
+            }
+        };
+        let took = heard.took;
+        let earlier = |at: Now| at.saturating_sub(took);
+        state.config_confirmed_at = state.config_confirmed_at.map(earlier);
+        state.list_confirmed_at = state.list_confirmed_at.map(earlier);
+        heard.state = state;
+        member.heard_at = member.heard_at.max(earlier(now));
         arrival
     }
 
+    /// How much longer than usual the last heartbeat of an instance took.
+    pub fn delay_of(&self, address: SocketAddr) -> Duration {
+        let member = self.members.get(&address);
+        let heard = member.and_then(|member| member.heard.as_ref());
+        heard.map_or(Duration::ZERO, |heard| heard.took)
+    }
+
     /// Notes that somebody knows an instance at an address.
     pub fn hear_of(&mut self, now: Now, address: SocketAddr) {
         if address != self.own_address {
--- a/crates/core/tests/config_scene/instance.rs
+++ b/crates/core/tests/config_scene/instance.rs
@@ -378,6 +378,7 @@
                 instance: format!("i{}", self.own),
                 incarnation: format!("life {}", self.life),
                 sequence: self.sequence,
+                said_at: now,
                 zone: self.zone.clone(),
                 core_millis: 250,
                 has_relays: self.members.has_relays(),
--- a/crates/core/tests/config_schedules.rs
+++ b/crates/core/tests/config_schedules.rs
@@ -55,6 +55,8 @@
 
 /// Schedules that broke the bound once, kept as they are.
 #[test_case(9, 3, 1_894; "a reader that stood still told its last answer as new")]
+#[test_case(3, 1, 3_529; "heartbeats that lay waiting were taken for new")]
+#[test_case(9, 3, 1_145; "heartbeats that lay waiting were taken for new and told on")]
 fn a_schedule_that_broke_the_bound(instances: usize, zones: usize, seed: u64) {
     let late = play(instances, zones, seed);
     assert!(late.is_empty(), "{late:?}");
--- a/crates/core/tests/relay_scene/mod.rs
+++ b/crates/core/tests/relay_scene/mod.rs
@@ -213,6 +213,7 @@
                 instance: format!("i{own}"),
                 incarnation: incarnation.clone(),
                 sequence: instance.sequence,
+                said_at: now,
                 zone: instance.zone.clone(),
                 core_millis: core_millis(own, zones),
                 has_relays: instance.members.has_relays(),
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -378,6 +378,7 @@
             instance: self.identity.instance.clone(),
             incarnation: self.identity.incarnation.clone(),
             sequence,
+            said_at_ms: now.as_millis() as u64,
             address: self.settings.peer_address,
             zone: self.settings.zone.clone(),
             core_millis: self.settings.core_millis,
--- a/crates/daemon/src/fleet_link/receiving.rs
+++ b/crates/daemon/src/fleet_link/receiving.rs
@@ -98,6 +98,7 @@
             instance: heartbeat.instance.clone(),
             incarnation: heartbeat.incarnation.clone(),
             sequence: heartbeat.sequence,
+            said_at: Duration::from_millis(heartbeat.said_at_ms),
             zone: heartbeat.zone.clone(),
             core_millis: heartbeat.core_millis,
             has_relays: heartbeat.has_relays,
@@ -122,6 +123,7 @@
         }
         let follows = members.follows(&heartbeat.zone);
         let is_relay = !heartbeat.news.is_empty() && members.relays(now);
+        let delay = members.delay_of(heartbeat.address);
         drop(members);
         // Contacts with instances that are usually not heard would be hundreds of lines.
         if arrival == Arrival::FirstOfLife && follows {
@@ -131,7 +133,7 @@
         }
         self.take_evacuations(heartbeat.evacuations, &heartbeat.instance);
         for news in heartbeat.news {
-            self.take_news(news, &heartbeat.instance, is_relay);
+            self.take_news(news.aged(delay), &heartbeat.instance, is_relay);
         }
         if !heartbeat.suspects.is_empty() {
             self.control.tell(GatewayMessage::SuspectsHeard {
--- a/crates/daemon/src/heartbeat.rs
+++ b/crates/daemon/src/heartbeat.rs
@@ -68,6 +68,8 @@
     pub incarnation: Incarnation,
     /// Number of the heartbeat within that life.
     pub sequence: u64,
+    /// Milliseconds of its clock at which it was made.
+    pub said_at_ms: u64,
     /// Where it listens: a relay may have passed this on.
     pub address: SocketAddr,
     /// Its availability zone.
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -41,6 +41,7 @@
         instance: "front-1".to_owned(),
         incarnation: "life".to_owned(),
         sequence,
+        said_at_ms: 12_345,
         address: ([10, 0, 0, 1], 7_000).into(),
         zone: "z1".to_owned(),
         core_millis: 120,
