Name the waits of a change in one place, and show what they add up to

Cause: the waits stood in five files of three crates, and nothing added them up: at nine instances 1.7 s until old, 0.15 s until the next look and 1.5 s for a silent connection were 3.35 s where 2 s are allowed; at 32 instances the first alone was 2.04 s.

Change: reading_waits holds them; ReadingWaits adds them up for each way in which a change comes into force at a calm instance; a test compares the sums with the users' bounds for 2 to 32, 66, 300 and 2,700 instances. The schedules take them from there, instead of a copy. ConfigLag, which the daemon and the schedules both had, stands once.

--- a/crates/core/src/fleet_members/reading.rs
+++ b/crates/core/src/fleet_members/reading.rs
@@ -6,6 +6,8 @@
 use super::FleetMembers;
 use super::MemberState;
 use crate::Now;
+use crate::ReadingWaits;
+use crate::reading_waits::SLOT;
 use crate::rendezvous_rank;
 
 /// Readers of the directory in each availability zone.
@@ -18,28 +20,10 @@
 /// What zones are ranked for when readers are chosen.
 const READERS_TOPIC: &str = "readers";
 
-/// Age of what is known from which an instance reads by itself: a reader's watch, and a
-/// heartbeat after one that was lost. Leaving servers must be known, and configurations in
-/// force, everywhere within two seconds; `InForceTimes` adds up what follows.
-pub(crate) const OLD_AFTER: Duration = Duration::from_millis(1_350);
-
-/// The same in a fleet with relays, on top of two heartbeats: news come by up to three ways.
-pub(crate) const OLD_AFTER_RELAYS: Duration = Duration::from_millis(1_300);
-
 /// Age from which the list counts as lost, on top of two heartbeats: engines are then asked
 /// themselves, which has a price.
 const LOST_AFTER: Duration = Duration::from_millis(1_300);
 
-/// By how much the next instance of a zone waits longer until it reads by itself: the one
-/// before has told by then what it read.
-const SLOT: Duration = Duration::from_millis(30);
-
-/// Longest such wait.
-pub(crate) const LAST_SLOT: Duration = Duration::from_millis(150);
-
-/// The same in a fleet with relays, where a directory that is well can't answer all at once.
-pub(crate) const LAST_SLOT_RELAYS: Duration = Duration::from_millis(400);
-
 /// Readers of the list in each availability zone of a fleet with relays while nobody's
 /// knowledge is fresh: a whole list is many pages.
 const READERS_IN_TROUBLE: usize = 2;
@@ -58,7 +42,7 @@
     /// Whether what was confirmed then is older than readers and heartbeats let
     /// it get.
     pub fn is_old(&self, now: Now, confirmed_at: Option<Now>) -> bool {
-        confirmed_at.is_none_or(|at| now.saturating_sub(at) > self.old_after(now))
+        confirmed_at.is_none_or(|at| now.saturating_sub(at) > self.waits(now).old_after())
     }
 
     /// Whether this instance should watch the platform's directory: by its rank in its zone
@@ -69,7 +53,8 @@
             return true;
         };
         if self.is_old(now, Some(confirmed_at)) {
-            return now.saturating_sub(confirmed_at) >= self.old_after(now) + self.slot(now);
+            let old_after = self.waits(now).old_after();
+            return now.saturating_sub(confirmed_at) >= old_after + self.slot(now);
         }
         can_read
             && self.is_reading_zone(now)
@@ -87,22 +72,19 @@
         self.reads(now, confirmed_at, can_read)
     }
 
-    fn old_after(&self, now: Now) -> Duration {
-        match self.has_relays {
-            true => OLD_AFTER_RELAYS + self.usual_interval(now) * 2,
-            false => OLD_AFTER,
+    /// The waits of a change in this fleet.
+    pub fn waits(&self, now: Now) -> ReadingWaits {
+        ReadingWaits {
+            has_relays: self.has_relays,
+            beat: self.usual_interval(now),
         }
     }
 
     /// How much later than the first of its zone this instance reads by itself.
     fn slot(&self, now: Now) -> Duration {
-        let last = match self.has_relays {
-            true => LAST_SLOT_RELAYS,
-            false => LAST_SLOT,
-        };
         let place = self.place(&self.zone, now, |_| true);
         let place = u32::try_from(place).unwrap_or(u32::MAX);
-        SLOT.saturating_mul(place).min(last)
+        SLOT.saturating_mul(place).min(self.waits(now).last_slot())
     }
 
     fn is_reading_zone(&self, now: Now) -> bool {
--- a/crates/core/src/watch_cycle.rs
+++ b/crates/core/src/watch_cycle.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use crate::Now;
-
-/// Longest time that a watch waits: the others notice within it, and two heartbeats, when a
-/// reader is cut off without a word; and the answer of a watch may be lost.
-pub const WATCH: Duration = Duration::from_secs(1);
+use crate::reading_waits::WATCH;
 
 /// Pause between two watches that doesn't shorten the second.
 const PAUSE: Duration = Duration::from_millis(100);
--- a/crates/core/tests/config_scene/instance.rs
+++ b/crates/core/tests/config_scene/instance.rs
@@ -4,11 +4,19 @@
 use std::time::Duration;
 
 use iristhread_core::Arrival;
+use iristhread_core::ConfigLag;
 use iristhread_core::ConfigVersion;
 use iristhread_core::FleetMembers;
 use iristhread_core::MemberState;
 use iristhread_core::Now;
 use iristhread_core::WatchCycle;
+use iristhread_core::reading_waits::ANSWER_TIMEOUT;
+use iristhread_core::reading_waits::BEFORE_FETCH;
+use iristhread_core::reading_waits::FETCH_TIMEOUT;
+use iristhread_core::reading_waits::FIRST_PAUSE;
+use iristhread_core::reading_waits::LONGEST_PAUSE;
+use iristhread_core::reading_waits::LOOK_AGAIN;
+use iristhread_core::reading_waits::PAUSE_FACTORS;
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 
@@ -16,16 +24,6 @@
 use super::calls::Pool;
 use super::calls::ROUND_TRIP;
 
-/// The waits of the daemon's readers and fetches.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-const ROTA_CHECK: Duration = Duration::from_millis(150);
-const FIRST_PAUSE_MS: u64 = 100;
-const LONGEST_PAUSE_MS: u64 = 800;
-const BEHIND_FOR_MS: u64 = 300;
-const READ_ALONE_BEHIND: Duration = Duration::from_millis(700);
-const READ_ALONE_BEHIND_RELAYS: Duration = Duration::from_millis(1_400);
-
 /// Rest after which a connection of a watch is not used again.
 const LONGEST_REST: Duration = Duration::from_millis(300);
 
@@ -100,11 +98,11 @@
     pool: Pool,
     cycle: WatchCycle,
     confirmed_at: Option<Now>,
-    behind_since: Option<Now>,
+    lag: ConfigLag,
     can_read: bool,
     /// Whether the last call failed; the pause after the next failure.
     in_trouble: bool,
-    pause_ms: u64,
+    pause: Duration,
     watched: Option<ConfigVersion>,
     life: u64,
     sequence: u64,
@@ -157,10 +155,10 @@
             pool,
             cycle: WatchCycle::default(),
             confirmed_at: None,
-            behind_since: None,
+            lag: ConfigLag::default(),
             can_read: true,
             in_trouble: false,
-            pause_ms: FIRST_PAUSE_MS,
+            pause: FIRST_PAUSE,
             watched: None,
             life: at.as_millis() as u64,
             sequence: 0,
@@ -234,7 +232,7 @@
     fn look(&mut self, now: Now, reaches: bool) -> u64 {
         if !self.reads(now) {
             self.watched = None;
-            self.reader = Reader::Looks(now + ROTA_CHECK);
+            self.reader = Reader::Looks(now + LOOK_AGAIN);
             return 0;
         }
         let after = self.watched.filter(|_| !self.in_trouble);
@@ -271,15 +269,17 @@
             self.watched = Some(version);
             self.can_read = true;
             self.in_trouble = false;
-            self.pause_ms = FIRST_PAUSE_MS;
+            self.pause = FIRST_PAUSE;
             self.beats_at = self.beats_at.min(now + GATHERING);
             self.reader = Reader::Looks(now);
         } else if now >= call.sent + call.wait + ANSWER_TIMEOUT {
             self.can_read = false;
             self.in_trouble = true;
-            let pause = self.pause_ms * (70 + below(random, 60)) / 100;
-            self.pause_ms = (self.pause_ms * 2).min(LONGEST_PAUSE_MS);
-            self.reader = Reader::Pauses(now + Duration::from_millis(pause));
+            let width = PAUSE_FACTORS.end - PAUSE_FACTORS.start;
+            let factor = PAUSE_FACTORS.start + width * below(random, 1_000) as f64 / 1_000.0;
+            let pause = self.pause.mul_f64(factor);
+            self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+            self.reader = Reader::Pauses(now + pause);
         }
     }
 
@@ -294,24 +294,12 @@
         }
         let confirmed_at = self.known_confirmed_at(now);
         let is_ahead = self.members.is_ahead_in_config(now, self.version);
-        let is_stuck = self.is_stuck(now, is_ahead);
+        self.lag.note(now, is_ahead);
+        let is_stuck = self.lag.is_too_long(now, &self.members.waits(now));
         let for_others = is_ahead && self.members.relays(now);
         is_stuck || for_others || self.members.reads(now, confirmed_at, self.can_read)
     }
 
-    fn is_stuck(&mut self, now: Now, is_ahead: bool) -> bool {
-        if !is_ahead {
-            self.behind_since = None;
-            return false;
-        }
-        let since = *self.behind_since.get_or_insert(now);
-        let patience = match self.members.has_relays() {
-            true => READ_ALONE_BEHIND_RELAYS,
-            false => READ_ALONE_BEHIND,
-        };
-        now.saturating_sub(since) >= patience
-    }
-
     /// The peer that is asked now for a newer version, if one is.
     pub fn peer_to_ask(&mut self, now: Now) -> Option<usize> {
         let Fetch::Waits { until, had } = self.fetch else {
@@ -421,7 +409,7 @@
         }
         if is_ahead && matches!(self.fetch, Fetch::Idle) {
             self.fetch = Fetch::Waits {
-                until: now + Duration::from_millis(below(random, BEHIND_FOR_MS)),
+                until: now + Duration::from_millis(below(random, BEFORE_FETCH.as_millis() as u64)),
                 had: self.version,
             };
         }
--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/config_reader.rs
@@ -10,14 +10,14 @@
 use iristhread_core::Revision;
 use iristhread_core::ToldEvacuations;
 use iristhread_core::WatchCycle;
+use iristhread_core::reading_waits::FIRST_PAUSE;
+use iristhread_core::reading_waits::LOOK_AGAIN;
 use slog::Logger;
 use slog::info;
 
 use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
-use crate::directory_trouble::FIRST_PAUSE;
-use crate::directory_trouble::ROTA_CHECK;
 use crate::directory_trouble::SOURCE;
 use crate::directory_trouble::Trouble;
 use crate::directory_trouble::end_of;
@@ -68,7 +68,7 @@
             }
             if !reads {
                 revision = None;
-                tokio::time::sleep(ROTA_CHECK).await;
+                tokio::time::sleep(LOOK_AGAIN).await;
                 continue;
             }
             let sent = self.clock.now();
--- a/crates/daemon/src/directory_knowledge.rs
+++ b/crates/daemon/src/directory_knowledge.rs
@@ -19,21 +19,11 @@
 /// of their relays. They usually read it themselves at the same time.
 const HEARD_LIFETIME: Duration = Duration::from_millis(700);
 
-/// Time for which a peer may have a newer configuration until this instance
-/// reads by itself: a fetch from a peer takes less, and the users' bound for a
-/// configuration is two seconds.
-const READ_ALONE_BEHIND: Duration = Duration::from_millis(700);
-
-/// The same in a fleet with relays, which read it first; large configurations then
-/// take a second to be handed on, and the bound is three seconds or more.
-const READ_ALONE_BEHIND_RELAYS: Duration = Duration::from_millis(1_400);
-
 /// When the directory answered last about what, and what is told of it.
 #[derive(Debug)]
 pub struct DirectoryKnowledge {
     list_confirmed_at: Option<Now>,
     config_confirmed_at: Option<Now>,
-    config_behind_since: Option<Now>,
     can_read: bool,
     news: VecDeque<(Now, ListNews)>,
     heard_news: VecDeque<(Now, ListNews)>,
@@ -44,7 +34,6 @@
         DirectoryKnowledge {
             list_confirmed_at: None,
             config_confirmed_at: None,
-            config_behind_since: None,
             can_read: true,
             news: VecDeque::new(),
             heard_news: VecDeque::new(),
@@ -106,26 +95,6 @@
         self.config_confirmed_at
     }
 
-    /// When a peer was first heard to have a newer configuration, while one has.
-    pub fn config_behind_since(&self) -> Option<Now> {
-        self.config_behind_since
-    }
-
-    /// Notes whether a peer has a newer configuration; returns whether that has
-    /// lasted too long.
-    pub fn config_is_behind(&mut self, now: Now, is_behind: bool, has_relays: bool) -> bool {
-        if !is_behind {
-            self.config_behind_since = None;
-            return false;
-        }
-        let since = *self.config_behind_since.get_or_insert(now);
-        let patience = match has_relays {
-            true => READ_ALONE_BEHIND_RELAYS,
-            false => READ_ALONE_BEHIND,
-        };
-        now.saturating_sub(since) >= patience
-    }
-
     /// The latest changes of the list that this instance read, as they are told now.
     pub fn told_news(&mut self, now: Now) -> Vec<ListNews> {
         told(&mut self.news, now, NEWS_LIFETIME)
--- a/crates/daemon/src/directory_trouble.rs
+++ b/crates/daemon/src/directory_trouble.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use iristhread_core::Revision;
+use iristhread_core::reading_waits::FIRST_PAUSE;
+use iristhread_core::reading_waits::LONGEST_PAUSE;
+use iristhread_core::reading_waits::PAUSE_FACTORS;
 use rand::RngExt;
 use slog::Logger;
 use slog::info;
@@ -11,16 +14,6 @@
 
 use crate::directory::DirectoryError;
 
-/// First pause after a failed call; doubles with each further one.
-pub const FIRST_PAUSE: Duration = Duration::from_millis(100);
-
-/// Longest pause: a directory that is back is noticed within it, and lapsed
-/// entries are back within two seconds.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-
-/// Time between two looks at whether this instance should read.
-pub const ROTA_CHECK: Duration = Duration::from_millis(150);
-
 /// Who had what was read.
 pub const SOURCE: &str = "directory";
 
@@ -54,7 +47,7 @@
         info!(log, "call to the directory failed"; "of" => self.what,
             "cause" => error.to_string(), "waited_ms" => waited.as_millis() as u64);
         self.is_lost = true;
-        let factor = rand::rng().random_range(0.7..1.3);
+        let factor = rand::rng().random_range(PAUSE_FACTORS);
         tokio::time::sleep(self.pause.mul_f64(factor)).await;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/fleet_link.rs
@@ -9,10 +9,13 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use iristhread_core::ConfigLag;
 use iristhread_core::ConfigVersion;
 use iristhread_core::FanOut;
 use iristhread_core::FleetMembers;
+use iristhread_core::LagNews;
 use iristhread_core::Now;
+use iristhread_core::ReadingWaits;
 use iristhread_core::Revision;
 use slog::Logger;
 use slog::info;
@@ -121,6 +124,7 @@
     members: Mutex<FleetMembers>,
     knowledge: Mutex<DirectoryKnowledge>,
     versions: Mutex<Versions>,
+    config_lag: Mutex<ConfigLag>,
     /// Highest revision of the evacuations that the decisions were told.
     evacuations_heard: Mutex<Revision>,
     relay: HeartbeatRelay,
@@ -155,6 +159,7 @@
             members: Mutex::new(members),
             knowledge: Mutex::new(DirectoryKnowledge::default()),
             versions: Mutex::new((0, Revision::NONE)),
+            config_lag: Mutex::default(),
             evacuations_heard: Mutex::default(),
             relay: HeartbeatRelay::default(),
             beat_now: ports.beat_now,
@@ -190,13 +195,11 @@
     pub fn config_duty(&self, version: ConfigVersion) -> ReadingDuty {
         let now = self.clock.now();
         let members = self.members();
-        let mut knowledge = self.knowledge();
+        let knowledge = self.knowledge();
         let heard = members.config_confirmed_at(now, version);
         let confirmed_at = knowledge.config_confirmed_at().max(heard);
         let is_ahead = members.is_ahead_in_config(now, version);
-        let behind_since = knowledge.config_behind_since();
-        let is_stuck = knowledge.config_is_behind(now, is_ahead, members.has_relays());
-        self.note_behind(now, behind_since, is_ahead, version);
+        let is_stuck = self.lags_too_long(now, is_ahead, version, &members.waits(now));
         let reason = if version == 0 {
             (now >= self.config_from).then_some(ReadingReason::First)
         } else if is_stuck {
@@ -218,15 +221,23 @@
         }
     }
 
-    fn note_behind(&self, now: Now, since: Option<Now>, is_ahead: bool, version: ConfigVersion) {
-        match since {
-            None if is_ahead => info!(self.log, "a peer has a newer configuration";
+    /// Notes whether a peer has a newer configuration than this one.
+    fn lags_too_long(
+        &self,
+        now: Now,
+        is_behind: bool,
+        version: ConfigVersion,
+        waits: &ReadingWaits,
+    ) -> bool {
+        let lag = self.config_lag.lock();
+        let mut lag = lag.unwrap_or_else(PoisonError::into_inner);
+        match lag.note(now, is_behind) {
+            Some(LagNews::Began) => info!(self.log, "a peer has a newer configuration";
                 "version" => version),
-            Some(since) if !is_ahead => {
-                self.metrics.config_was_behind(now.saturating_sub(since));
-            }
-            _ => {}
+            Some(LagNews::Ended(time)) => self.metrics.config_was_behind(time),
+            None => {}
         }
+        lag.is_too_long(now, waits)
     }
 
     fn members(&self) -> MutexGuard<'_, FleetMembers> {
--- a/crates/daemon/src/fleet_link/fetching.rs
+++ b/crates/daemon/src/fleet_link/fetching.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use iristhread_core::ConfigVersion;
+use iristhread_core::reading_waits::BEFORE_FETCH;
+use iristhread_core::reading_waits::FETCH_TIMEOUT;
 use slog::info;
 use slog::warn;
 use tokio::sync::mpsc;
@@ -15,18 +17,10 @@
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 
-/// Time for which a peer must have been ahead before it is asked for the list:
-/// the news are usually under way already. For a configuration it is the longest
-/// wait, drawn by chance, so that not all ask the first that has it.
-const BEHIND_FOR: Duration = Duration::from_millis(300);
-
 /// Time in which an instance that has just started should have read the
 /// configuration itself; if it can't, it asks a peer.
 const OWN_READ: Duration = Duration::from_millis(400);
 
-/// Longest wait for a peer's answer.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 impl FleetLink {
     /// Asks a peer that has been ahead for a while.
     pub(super) async fn run_fetches(self: Arc<Self>, mut behind: mpsc::Receiver<()>) {
@@ -57,9 +51,9 @@
         } else if own.config_version == 0 {
             OWN_READ
         } else if members.is_ahead_in_config(now, own.config_version) {
-            BEHIND_FOR.mul_f64(rand::random())
+            BEFORE_FETCH.mul_f64(rand::random())
         } else {
-            BEHIND_FOR
+            BEFORE_FETCH
         }
     }
 
--- a/crates/daemon/src/list_reader.rs
+++ b/crates/daemon/src/list_reader.rs
@@ -7,6 +7,8 @@
 use iristhread_core::Now;
 use iristhread_core::Revision;
 use iristhread_core::WatchCycle;
+use iristhread_core::reading_waits::FIRST_PAUSE;
+use iristhread_core::reading_waits::LOOK_AGAIN;
 use slog::Logger;
 use slog::info;
 
@@ -14,8 +16,6 @@
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
 use crate::directory::Listing;
-use crate::directory_trouble::FIRST_PAUSE;
-use crate::directory_trouble::ROTA_CHECK;
 use crate::directory_trouble::SOURCE;
 use crate::directory_trouble::Trouble;
 use crate::directory_trouble::end_of;
@@ -75,7 +75,7 @@
                 was_reading = reads;
             }
             if !reads {
-                tokio::time::sleep(ROTA_CHECK).await;
+                tokio::time::sleep(LOOK_AGAIN).await;
                 continue;
             }
             let after = own.list_revision;
