Keep no connection of the completion interface through a rest either

Seen in a test: a generation whose engine was reached over a connection kept from before a silence waited 5 s for its start and was counted lost; with one engine the stream took over 6 s. The platform's reader kept its connections in the same way, and told the age of an answer from its handling.

Change: engines are called by a connection each, the platform's watches use the last one's within 0.3 s, and an answer is as old as what it proves (WatchCycle).

Ruled out: the load poller's own connections, which time out after 1 s and hold up nothing.

Before and after: streams::a_stream_after_a_silence_reaches_its_engine_at_once fails before (AttemptLost in the time line) and passes after. configuration, streams, server_notices, calls of the testbed pass.

--- a/crates/daemon/src/engine_port.rs
+++ b/crates/daemon/src/engine_port.rs
@@ -105,7 +105,8 @@
 impl Default for HttpEngines {
     fn default() -> Self {
         HttpEngines {
-            client: HttpClient::pooled(MAX_ANSWER_BYTES),
+            // A connection that is kept may fall silent, and a generation would wait on it.
+            client: HttpClient::unpooled(MAX_ANSWER_BYTES),
         }
     }
 }
--- a/crates/daemon/src/platform_port.rs
+++ b/crates/daemon/src/platform_port.rs
@@ -14,6 +14,9 @@
 /// the frame around it.
 const MAX_VALUE_BYTES: usize = 2 << 20;
 
+/// Longest rest of a connection between two watches; one that rests may fall silent.
+const LONGEST_REST: Duration = Duration::from_millis(300);
+
 /// Time on top of a watch after which the platform counts as silent.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -50,7 +53,7 @@
     /// A platform at an address.
     pub fn new(address: SocketAddr) -> Self {
         HttpPlatform {
-            client: HttpClient::pooled(MAX_VALUE_BYTES),
+            client: HttpClient::resting(MAX_VALUE_BYTES, LONGEST_REST),
             address,
         }
     }
--- a/crates/daemon/src/platform_reader.rs
+++ b/crates/daemon/src/platform_reader.rs
@@ -6,10 +6,12 @@
 use iristhread_api::ConfigReply;
 use iristhread_core::Document;
 use iristhread_core::Event;
+use iristhread_core::WatchCycle;
 use rand::RngExt;
 use slog::Logger;
 use slog::warn;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::control_thread::ControlHandle;
 use crate::platform_port::PlatformError;
@@ -66,11 +68,13 @@
         let mut pause = FIRST_PAUSE;
         loop {
             self.until_reading().await;
+            let sent = Instant::now();
             match self.platform.config(seen, WATCH).await {
                 Ok(answer) => {
                     pause = FIRST_PAUSE;
                     seen = answer.as_ref().map_or(seen, |config| config.version);
-                    self.take_config(seen, answer);
+                    let quiet_for = answer.is_none().then_some(WATCH);
+                    self.take_config(seen, answer, age(sent.elapsed(), quiet_for));
                     tokio::time::sleep(LEAST_PAUSE).await;
                 }
                 Err(error) => pause = self.failed(&error, pause).await,
@@ -101,14 +105,13 @@
         }
     }
 
-    fn take_config(&self, seen: u64, answer: Option<ConfigReply>) {
+    /// `ago` is the age of what the answer proves.
+    fn take_config(&self, seen: u64, answer: Option<ConfigReply>, ago: Duration) {
         if let Some(config) = answer {
             self.control.tell(offered(config, SOURCE));
         }
-        self.control.tell(Event::ConfigConfirmed {
-            version: seen,
-            ago: Duration::ZERO,
-        });
+        self.control
+            .tell(Event::ConfigConfirmed { version: seen, ago });
     }
 
     async fn failed(&self, error: &PlatformError, pause: Duration) -> Duration {
@@ -145,3 +148,10 @@
         },
     }
 }
+
+/// How old what an answer proves is, after a call that took so long: the process may have
+/// stood still before it handled the answer.
+fn age(took: Duration, quiet_for: Option<Duration>) -> Duration {
+    let proven = WatchCycle::default().answered(Duration::ZERO, quiet_for, took);
+    took.saturating_sub(proven)
+}
--- a/crates/testbed/src/scene.rs
+++ b/crates/testbed/src/scene.rs
@@ -99,6 +99,15 @@
         self.links[name].set(state);
     }
 
+    /// Lets the open connections of a link fall silent; new ones work.
+    ///
+    /// # Panics
+    ///
+    /// When there is none of that name: the test is wrong.
+    pub fn silence_link(&self, name: &str) {
+        self.links[name].silence();
+    }
+
     pub(crate) async fn link(
         &mut self,
         name: &str,
--- a/crates/testbed/tests/streams.rs
+++ b/crates/testbed/tests/streams.rs
@@ -143,6 +143,19 @@
     scene.process("a1").thaw();
 }
 
+/// A generation waited for its start on a connection that was kept from before a silence.
+#[tokio::test]
+async fn a_stream_after_a_silence_reaches_its_engine_at_once() {
+    let builder = Scene::builder(1).engines_per_zone(1).with_links();
+    let scene = builder.start().await.unwrap();
+    let caller = scene.caller(&["a1"]);
+    let prompt = "a quote after a silence [tokens=30]";
+    assert_whole(&stream(&caller, prompt).await.unwrap(), prompt);
+    scene.silence_link("engine-a1");
+    assert_whole(&stream(&caller, prompt).await.unwrap(), prompt);
+    assert!(!records(&scene, "a1").await.iter().any(is_lost));
+}
+
 #[test_case(LinkState::Stalled; "stalled")]
 #[test_case(LinkState::Cut; "cut, the engine on the far side")]
 #[tokio::test]
