Put the files of core and daemon into rooms by subject

Cause: 68 files of core and 76 of daemon stood side by side; a reader couldn't tell which front a file serves or what belongs together.

Change: core has completion, configuration, directory, gateway, limits, membership, servers (7 to 13 files each); daemon has completion, directory, engines, gateway, operators, peers, platform, process, relaying (2 to 16), each with a door that says what it is for. Moved by script; imports rewritten; no line of logic changed. The duty to read stands apart from the link to peers (420 lines before, 309 now).

Ruled out: crates instead of folders. Both fronts share peers, process and engines, and their types would have to be public.

Whole test run on this tree: no test failed, a_fleet_with_relays_acts_together (listed) included.

--- a/crates/core/src/control/limits.rs
+++ b/crates/core/src/completion/control/limits.rs
@@ -13,7 +13,7 @@
 use crate::Now;
 use crate::RequestRate;
 use crate::ServerLife;
-use crate::rendezvous::weight;
+use crate::membership::rendezvous::weight;
 
 /// Time over which wishes are counted per instance: where many share the requests, each sees
 /// few.
--- a/crates/core/src/control/placing.rs
+++ b/crates/core/src/completion/control/placing.rs
@@ -20,7 +20,7 @@
 use crate::TimelineEvent;
 use crate::Workspace;
 use crate::WorkspaceId;
-use crate::router::Choice;
+use crate::completion::router::Choice;
 
 /// Advice when a queue is full or a deadline can't be met.
 pub(super) const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/crates/core/src/control/suspecting.rs
+++ b/crates/core/src/completion/control/suspecting.rs
@@ -15,7 +15,7 @@
 use crate::SuspicionNews;
 use crate::ToldSuspect;
 use crate::Verdict;
-use crate::rendezvous::weight;
+use crate::membership::rendezvous::weight;
 
 /// Backend servers have no name for each of their lives here: ends of one name that are
 /// seen within this time are one. Two instances see an end within milliseconds, and no
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/directory/replica.rs
@@ -9,7 +9,7 @@
 use crate::BackendId;
 use crate::LifeId;
 use crate::ZoneId;
-use crate::rendezvous::weight;
+use crate::membership::rendezvous::weight;
 
 /// One life of a backend server. A restart is another life, at times under the same id,
 /// and an address may later belong to a replica of another service.
--- /dev/null
+++ b/crates/core/src/limits.rs
@@ -0,0 +1,10 @@
+//! How much may be sent: limits of workspaces and of backend servers, budgets of retries, queues.
+
+pub(crate) mod admission;
+pub(crate) mod event_rate;
+pub(crate) mod fair_queue;
+pub(crate) mod limit_share;
+pub(crate) mod request_rate;
+pub(crate) mod retry_budget;
+pub(crate) mod server_limits;
+pub(crate) mod token_bucket;
--- a/crates/core/src/fleet_members/fan_out.rs
+++ b/crates/core/src/membership/fleet_members/fan_out.rs
@@ -13,7 +13,7 @@
 use super::REMEMBERED;
 use crate::Now;
 use crate::ZoneId;
-use crate::rendezvous::weight;
+use crate::membership::rendezvous::weight;
 
 /// Instances up to which heartbeats go to everybody: below it, passing on saves
 /// few messages and costs a wait.
--- a/crates/core/src/fleet_members/reading.rs
+++ b/crates/core/src/membership/fleet_members/reading.rs
@@ -7,7 +7,7 @@
 use super::MemberState;
 use crate::Now;
 use crate::ReadingWaits;
-use crate::reading_waits::SLOT;
+use crate::directory::reading_waits::SLOT;
 use crate::rendezvous_rank;
 
 /// Readers of the directory in each availability zone.
--- a/crates/core/src/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -12,7 +12,7 @@
 use crate::Now;
 use crate::ServerEnd;
 use crate::Suspect;
-use crate::suspect::moments;
+use crate::servers::suspect::moments;
 
 /// Ends that nothing else explains from which on a content is quarantined: with one, each
 /// request that was beside another cause would be; a stream that goes on at a copy is in
--- /dev/null
+++ b/crates/daemon/src/completion.rs
@@ -0,0 +1,18 @@
+//! The completion interface: callers, calls with tickets, generations, and its settings.
+
+pub(crate) mod api_error;
+pub(crate) mod app;
+pub(crate) mod call_answer;
+pub(crate) mod call_book;
+pub(crate) mod caller_api;
+pub(crate) mod caller_sink;
+pub(crate) mod completion_order;
+pub(crate) mod control_message;
+pub(crate) mod control_thread;
+pub(crate) mod daemon;
+pub(crate) mod generation;
+pub(crate) mod request_guard;
+pub(crate) mod service_api;
+pub(crate) mod service_call;
+pub(crate) mod settings;
+pub(crate) mod view;
--- a/crates/daemon/src/app.rs
+++ b/crates/daemon/src/completion/app.rs
@@ -13,16 +13,16 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
-use crate::call_book::CallBook;
-use crate::clock::Clock;
-use crate::control_message::Identity;
-use crate::control_thread::ControlHandle;
-use crate::engine_port::EnginePort;
-use crate::metrics::Metrics;
-use crate::peer_port::PeerPort;
-use crate::resource_log::ResourceLog;
-use crate::settings::Settings;
-use crate::view::View;
+use crate::completion::call_book::CallBook;
+use crate::completion::control_message::Identity;
+use crate::completion::control_thread::ControlHandle;
+use crate::completion::settings::Settings;
+use crate::completion::view::View;
+use crate::engines::engine_port::EnginePort;
+use crate::operators::resource_log::ResourceLog;
+use crate::peers::peer_port::PeerPort;
+use crate::process::clock::Clock;
+use crate::process::metrics::Metrics;
 
 /// Shared by all tasks; every field is safe to use from any thread.
 pub struct App {
--- a/crates/daemon/src/call_book.rs
+++ b/crates/daemon/src/completion/call_book.rs
@@ -8,7 +8,7 @@
 use iristhread_core::Now;
 use tokio::sync::watch;
 
-use crate::call_answer::CallAnswer;
+use crate::completion::call_answer::CallAnswer;
 
 /// A place where the answer of a call appears.
 pub type AnswerSlot = watch::Sender<Option<CallAnswer>>;
--- a/crates/daemon/src/caller_api.rs
+++ b/crates/daemon/src/completion/caller_api.rs
@@ -29,14 +29,14 @@
 use viz::Response;
 use viz::Router;
 
-use crate::api_error::ApiError;
-use crate::app::App;
-use crate::caller_sink::CallerSink;
-use crate::completion_order::CompletionOrder;
-use crate::completion_order::RequestContext;
-use crate::generation::Generation;
-use crate::request_guard;
-use crate::service_api;
+use crate::completion::api_error::ApiError;
+use crate::completion::app::App;
+use crate::completion::caller_sink::CallerSink;
+use crate::completion::completion_order::CompletionOrder;
+use crate::completion::completion_order::RequestContext;
+use crate::completion::generation::Generation;
+use crate::completion::request_guard;
+use crate::completion::service_api;
 
 /// Frames that wait for a caller that reads slowly.
 const FRAMES_AHEAD: usize = 64;
--- a/crates/daemon/src/caller_sink.rs
+++ b/crates/daemon/src/completion/caller_sink.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::api_error::ApiError;
+use crate::completion::api_error::ApiError;
 
 /// Stands for the text of a token while the frame around it is made.
 const TEXT_MARK: &str = "\u{1}";
--- a/crates/daemon/src/completion_order.rs
+++ b/crates/daemon/src/completion/completion_order.rs
@@ -12,7 +12,7 @@
 use iristhread_core::Workspace;
 use iristhread_core::WorkspaceId;
 
-use crate::api_error::ApiError;
+use crate::completion::api_error::ApiError;
 
 /// Words of a prompt that stand for its shared prefix.
 const PREFIX_WORDS: usize = 16;
--- a/crates/daemon/src/control_thread.rs
+++ b/crates/daemon/src/completion/control_thread.rs
@@ -20,16 +20,16 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
-use crate::clock::Clock;
-use crate::control_message::BackendSnapshot;
-use crate::control_message::ControlMessage;
-use crate::control_message::Decision;
-use crate::control_message::InstanceSnapshot;
-use crate::control_message::Snapshot;
-use crate::control_message::Versions;
-use crate::control_sender::ControlSender;
-use crate::suspicion_log::log_suspicion;
-use crate::view::View;
+use crate::completion::control_message::BackendSnapshot;
+use crate::completion::control_message::ControlMessage;
+use crate::completion::control_message::Decision;
+use crate::completion::control_message::InstanceSnapshot;
+use crate::completion::control_message::Snapshot;
+use crate::completion::control_message::Versions;
+use crate::completion::view::View;
+use crate::engines::suspicion_log::log_suspicion;
+use crate::process::clock::Clock;
+use crate::process::control_sender::ControlSender;
 
 /// Time between two ticks of the decisions.
 const TICK: Duration = Duration::from_millis(50);
--- a/crates/daemon/src/generation.rs
+++ b/crates/daemon/src/completion/generation.rs
@@ -19,12 +19,12 @@
 use iristhread_core::TokenVerdict;
 use tokio::time::sleep_until;
 
-use crate::api_error::ApiError;
-use crate::app::App;
-use crate::caller_sink::AnswerFormat;
-use crate::caller_sink::CallerSink;
-use crate::completion_order::CompletionOrder;
-use crate::engine_port::EngineStream;
+use crate::completion::api_error::ApiError;
+use crate::completion::app::App;
+use crate::completion::caller_sink::AnswerFormat;
+use crate::completion::caller_sink::CallerSink;
+use crate::completion::completion_order::CompletionOrder;
+use crate::engines::engine_port::EngineStream;
 
 mod attempts;
 
--- a/crates/daemon/src/generation/attempts.rs
+++ b/crates/daemon/src/completion/generation/attempts.rs
@@ -13,10 +13,10 @@
 use slog::info;
 
 use super::Generation;
-use crate::api_error::ApiError;
-use crate::app::App;
-use crate::control_message::ControlMessage;
-use crate::engine_watch::has_ended;
+use crate::completion::api_error::ApiError;
+use crate::completion::app::App;
+use crate::completion::control_message::ControlMessage;
+use crate::engines::engine_watch::has_ended;
 
 /// Attempts of one generation before it ends with an error.
 const MAX_ATTEMPTS: Attempt = 12;
--- a/crates/daemon/src/request_guard.rs
+++ b/crates/daemon/src/completion/request_guard.rs
@@ -10,8 +10,8 @@
 use viz::RequestExt;
 use viz::RequestLimitsExt;
 
-use crate::api_error::ApiError;
-use crate::app::App;
+use crate::completion::api_error::ApiError;
+use crate::completion::app::App;
 
 const BEARER: &str = "Bearer ";
 
--- a/crates/daemon/src/service_api.rs
+++ b/crates/daemon/src/completion/service_api.rs
@@ -19,16 +19,16 @@
 use viz::RequestExt;
 use viz::Response;
 
-use crate::api_error::ApiError;
-use crate::app::App;
-use crate::call_answer::CallAnswer;
-use crate::caller_api::deadline;
-use crate::caller_api::new_request_id;
-use crate::caller_api::take_place;
-use crate::control_message::ControlMessage;
-use crate::peer_message::ForwardedCall;
-use crate::request_guard;
-use crate::service_call;
+use crate::completion::api_error::ApiError;
+use crate::completion::app::App;
+use crate::completion::call_answer::CallAnswer;
+use crate::completion::caller_api::deadline;
+use crate::completion::caller_api::new_request_id;
+use crate::completion::caller_api::take_place;
+use crate::completion::control_message::ControlMessage;
+use crate::completion::request_guard;
+use crate::completion::service_call;
+use crate::peers::peer_message::ForwardedCall;
 
 const PREFIX: &str = "/v1/services/";
 
--- a/crates/daemon/src/service_call.rs
+++ b/crates/daemon/src/completion/service_call.rs
@@ -29,16 +29,16 @@
 use iristhread_core::TimelineEvent;
 use slog::info;
 
-use crate::api_error::whole_seconds;
-use crate::app::App;
-use crate::call_answer::CallAnswer;
-use crate::call_book::AnswerSlot;
-use crate::control_message::ControlMessage;
-use crate::engine_watch::has_ended;
-use crate::patience;
-use crate::peer_message::ForwardedCall;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
+use crate::completion::api_error::whole_seconds;
+use crate::completion::app::App;
+use crate::completion::call_answer::CallAnswer;
+use crate::completion::call_book::AnswerSlot;
+use crate::completion::control_message::ControlMessage;
+use crate::engines::engine_watch::has_ended;
+use crate::peers::peer_message::ForwardedCall;
+use crate::peers::peer_message::PeerReply;
+use crate::peers::peer_message::PeerRequest;
+use crate::relaying::patience;
 
 /// Runs a call that may be repeated: tries again elsewhere after a failure.
 pub async fn run_repeatable(app: &App, call: &ForwardedCall) -> CallAnswer {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/completion/settings.rs
@@ -8,11 +8,11 @@
 use iristhread_core::RoutingPolicy;
 use iristhread_core::ZoneId;
 
-use crate::settings_reader::SettingsFault;
-use crate::settings_reader::SettingsReader;
-use crate::settings_reader::read_keyring;
-use crate::settings_reader::read_level;
-use crate::settings_reader::read_name;
+use crate::process::settings_reader::SettingsFault;
+use crate::process::settings_reader::SettingsReader;
+use crate::process::settings_reader::read_keyring;
+use crate::process::settings_reader::read_level;
+use crate::process::settings_reader::read_name;
 
 const HOUR_MS: u64 = 3_600_000;
 const MIB: u64 = 1 << 20;
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -13,6 +13,12 @@
 use iristhread_core::ZoneId;
 use thiserror::Error;
 
+pub(crate) mod config_reader;
+pub(crate) mod directory_knowledge;
+pub(crate) mod directory_trouble;
+pub(crate) mod list_reader;
+pub(crate) mod skipped_entries;
+
 /// Why a read failed.
 #[derive(Clone, Debug, Error)]
 pub enum DirectoryError {
--- a/crates/daemon/src/config_reader.rs
+++ b/crates/daemon/src/directory/config_reader.rs
@@ -15,19 +15,19 @@
 use slog::Logger;
 use slog::info;
 
-use crate::clock::Clock;
 use crate::directory::Directory;
 use crate::directory::DirectoryError;
-use crate::directory_trouble::SOURCE;
-use crate::directory_trouble::Trouble;
-use crate::directory_trouble::end_of;
-use crate::directory_trouble::same_era;
-use crate::fleet_link::FleetLink;
-use crate::fleet_link::ReadingDuty;
-use crate::gateway_message::GatewayMessage;
-use crate::gateway_metrics::GatewayMetrics;
-use crate::gateway_thread::GatewayHandle;
-use crate::skipped_entries::SkippedEntries;
+use crate::directory::directory_trouble::SOURCE;
+use crate::directory::directory_trouble::Trouble;
+use crate::directory::directory_trouble::end_of;
+use crate::directory::directory_trouble::same_era;
+use crate::directory::skipped_entries::SkippedEntries;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::gateway::gateway_metrics::GatewayMetrics;
+use crate::gateway::gateway_thread::GatewayHandle;
+use crate::peers::fleet_link::FleetLink;
+use crate::peers::fleet_link::ReadingDuty;
+use crate::process::clock::Clock;
 
 /// Reads what is published while the rota says so, and tells the others what
 /// changed. Evacuations come with the same calls, since each call has a price.
--- a/crates/daemon/src/directory_knowledge.rs
+++ b/crates/daemon/src/directory/directory_knowledge.rs
@@ -6,7 +6,7 @@
 
 use iristhread_core::Now;
 
-use crate::heartbeat::ListNews;
+use crate::peers::heartbeat::ListNews;
 
 /// Changes of the list that are told again with each heartbeat, so that a lost
 /// datagram does no harm.
--- a/crates/daemon/src/skipped_entries.rs
+++ b/crates/daemon/src/directory/skipped_entries.rs
@@ -6,7 +6,7 @@
 use slog::info;
 
 use crate::directory::SkippedEntry;
-use crate::gateway_metrics::GatewayMetrics;
+use crate::gateway::gateway_metrics::GatewayMetrics;
 
 /// Keys remembered; beyond, the oldest in their order are told again.
 const MOST_KEYS: usize = 1_024;
--- /dev/null
+++ b/crates/daemon/src/engines.rs
@@ -0,0 +1,9 @@
+//! Engines: how they are asked, watched, and told to move sessions.
+
+pub(crate) mod engine_port;
+pub(crate) mod engine_watch;
+pub(crate) mod load_poller;
+pub(crate) mod notices;
+pub(crate) mod session_move;
+pub(crate) mod session_mover;
+pub(crate) mod suspicion_log;
--- a/crates/daemon/src/engine_port.rs
+++ b/crates/daemon/src/engines/engine_port.rs
@@ -18,7 +18,7 @@
 use iristhread_core::ServerNotice;
 use thiserror::Error;
 
-use crate::answered::Answered;
+use crate::process::answered::Answered;
 
 /// Most bytes of an answer that is not a stream.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
--- a/crates/daemon/src/engine_watch.rs
+++ b/crates/daemon/src/engines/engine_watch.rs
@@ -11,7 +11,7 @@
 use slog::debug;
 
 use crate::gateway::GatewayApp;
-use crate::gateway_message::GatewayMessage;
+use crate::gateway::gateway_message::GatewayMessage;
 
 /// Time between two rounds: an engine is gone 1.5 s after its notice, its report
 /// is half a second old, and a first copy takes a quarter of a second.
--- a/crates/daemon/src/load_poller.rs
+++ b/crates/daemon/src/engines/load_poller.rs
@@ -7,8 +7,8 @@
 use iristhread_core::BackendId;
 use iristhread_core::Event;
 
-use crate::app::App;
-use crate::control_message::ControlMessage;
+use crate::completion::app::App;
+use crate::completion::control_message::ControlMessage;
 
 /// Reports asked for a second, over all engines; bounds the cost of control
 /// (docs/CAPACITY.md).
--- a/crates/daemon/src/notices.rs
+++ b/crates/daemon/src/engines/notices.rs
@@ -15,15 +15,15 @@
 use slog::info;
 use tokio::sync::watch;
 
-use crate::clock::Clock;
-use crate::dialect::ResumePoint;
-use crate::gateway_message::GatewayMessage;
-use crate::gateway_metrics::GatewayMetrics;
-use crate::gateway_thread::GatewayHandle;
-use crate::session_mover::EngineAnswer;
-use crate::session_mover::MoveError;
-use crate::session_mover::MoveOrder;
-use crate::session_mover::SessionMover;
+use crate::engines::session_mover::EngineAnswer;
+use crate::engines::session_mover::MoveError;
+use crate::engines::session_mover::MoveOrder;
+use crate::engines::session_mover::SessionMover;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::gateway::gateway_metrics::GatewayMetrics;
+use crate::gateway::gateway_thread::GatewayHandle;
+use crate::process::clock::Clock;
+use crate::relaying::dialect::ResumePoint;
 
 /// Names questions in logs.
 const REPORT: &str = "report";
--- a/crates/daemon/src/session_move.rs
+++ b/crates/daemon/src/engines/session_move.rs
@@ -8,9 +8,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-use crate::session_mover::MoveError;
-use crate::session_mover::MoveOrder;
-use crate::session_mover::SessionMover;
+use crate::engines::session_mover::MoveError;
+use crate::engines::session_mover::MoveOrder;
+use crate::engines::session_mover::SessionMover;
 
 /// A copy that takes at most this long is a good last one: the session stands
 /// still for about as long, which stays within the pause that is in time.
--- a/crates/daemon/src/session_mover.rs
+++ b/crates/daemon/src/engines/session_mover.rs
@@ -7,7 +7,7 @@
 use iristhread_core::RequestId;
 use thiserror::Error;
 
-use crate::answered::Answered;
+use crate::process::answered::Answered;
 
 /// An order to copy the memory of a running session to another engine.
 #[derive(Clone, Debug)]
--- a/crates/daemon/src/gateway_answers.rs
+++ b/crates/daemon/src/gateway/gateway_answers.rs
@@ -3,12 +3,12 @@
 use futures::future::BoxFuture;
 use iristhread_core::InstanceId;
 
-use crate::gateway_message::GatewayMessage;
-use crate::gateway_thread::GatewayHandle;
-use crate::packed::Packed;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
-use crate::peer_server::PeerAnswers;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::gateway::gateway_thread::GatewayHandle;
+use crate::peers::packed::Packed;
+use crate::peers::peer_message::PeerReply;
+use crate::peers::peer_message::PeerRequest;
+use crate::peers::peer_server::PeerAnswers;
 
 /// Answers out of the state of the gateway's decisions.
 pub struct GatewayAnswers {
--- a/crates/daemon/src/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -32,7 +32,7 @@
 use tokio::sync::oneshot;
 
 use crate::directory::Listing;
-use crate::heartbeat::ListNews;
+use crate::peers::heartbeat::ListNews;
 
 /// What one instance tells the others of itself, several times a second.
 #[derive(Clone, Debug)]
--- a/crates/daemon/src/gateway_settings.rs
+++ b/crates/daemon/src/gateway/gateway_settings.rs
@@ -10,11 +10,11 @@
 use iristhread_core::RegionId;
 use iristhread_core::ZoneId;
 
-use crate::settings_reader::SettingsFault;
-use crate::settings_reader::SettingsReader;
-use crate::settings_reader::read_keyring;
-use crate::settings_reader::read_level;
-use crate::settings_reader::read_name;
+use crate::process::settings_reader::SettingsFault;
+use crate::process::settings_reader::SettingsReader;
+use crate::process::settings_reader::read_keyring;
+use crate::process::settings_reader::read_level;
+use crate::process::settings_reader::read_name;
 
 const HOUR_MS: u64 = 3_600_000;
 
--- a/crates/daemon/src/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -25,16 +25,16 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
-use crate::clock::Clock;
-use crate::clock::SuspensionWatch;
-use crate::control_sender::ControlSender;
-use crate::gateway_message::Audience;
-use crate::gateway_message::GatewayMessage;
-use crate::gateway_message::OwnState;
-use crate::gateway_message::Placed;
-use crate::gateway_message::SendAgain;
-use crate::gateway_metrics::GatewayMetrics;
-use crate::gateway_views::GatewayViews;
+use crate::gateway::gateway_message::Audience;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::gateway::gateway_message::OwnState;
+use crate::gateway::gateway_message::Placed;
+use crate::gateway::gateway_message::SendAgain;
+use crate::gateway::gateway_metrics::GatewayMetrics;
+use crate::gateway::gateway_views::GatewayViews;
+use crate::process::clock::Clock;
+use crate::process::clock::SuspensionWatch;
+use crate::process::control_sender::ControlSender;
 
 mod beliefs;
 mod limits;
--- a/crates/daemon/src/gateway_thread/beliefs.rs
+++ b/crates/daemon/src/gateway/gateway_thread/beliefs.rs
@@ -20,8 +20,8 @@
 use slog::warn;
 
 use super::GatewayThread;
-use crate::heartbeat::ListNews;
-use crate::suspicion_log::log_suspicion;
+use crate::engines::suspicion_log::log_suspicion;
+use crate::peers::heartbeat::ListNews;
 
 impl GatewayThread {
     pub(super) fn config(&mut self, config: Arc<GatewayConfig>, source: &str) {
--- a/crates/daemon/src/gateway_thread/telling.rs
+++ b/crates/daemon/src/gateway/gateway_thread/telling.rs
@@ -3,9 +3,9 @@
 use iristhread_core::Revision;
 
 use super::GatewayThread;
-use crate::gateway_message::Audience;
-use crate::gateway_message::KnownState;
-use crate::gateway_message::OwnState;
+use crate::gateway::gateway_message::Audience;
+use crate::gateway::gateway_message::KnownState;
+use crate::gateway::gateway_message::OwnState;
 
 impl GatewayThread {
     pub(super) fn own_state(&mut self, audience: Audience) -> OwnState {
--- /dev/null
+++ b/crates/daemon/src/operators.rs
@@ -0,0 +1,6 @@
+//! The operators' interface: resources with their declared and observed state.
+
+pub(crate) mod fleet;
+pub(crate) mod operator_api;
+pub(crate) mod resource_builder;
+pub(crate) mod resource_log;
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/operators/fleet.rs
@@ -10,11 +10,11 @@
 use iristhread_core::HybridTime;
 use iristhread_core::InstanceEntry;
 
-use crate::app::App;
-use crate::control_message::ControlMessage;
-use crate::peer_answers::versions_of;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
+use crate::completion::app::App;
+use crate::completion::control_message::ControlMessage;
+use crate::peers::peer_answers::versions_of;
+use crate::peers::peer_message::PeerReply;
+use crate::peers::peer_message::PeerRequest;
 
 /// Longest wait for one instance.
 const TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/operator_api.rs
+++ b/crates/daemon/src/operators/operator_api.rs
@@ -20,14 +20,14 @@
 use viz::Response;
 use viz::Router;
 
-use crate::api_error::ApiError;
-use crate::app::App;
-use crate::caller_api::answered;
-use crate::caller_api::json;
-use crate::caller_api::no_such_path;
-use crate::fleet;
-use crate::request_guard;
-use crate::resource_builder;
+use crate::completion::api_error::ApiError;
+use crate::completion::app::App;
+use crate::completion::caller_api::answered;
+use crate::completion::caller_api::json;
+use crate::completion::caller_api::no_such_path;
+use crate::completion::request_guard;
+use crate::operators::fleet;
+use crate::operators::resource_builder;
 
 #[derive(Debug, Deserialize)]
 struct WatchQuery {
--- a/crates/daemon/src/resource_builder.rs
+++ b/crates/daemon/src/operators/resource_builder.rs
@@ -11,12 +11,12 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::app::App;
-use crate::control_message::BackendSnapshot;
-use crate::control_message::ControlMessage;
-use crate::control_message::InstanceSnapshot;
-use crate::control_message::Snapshot;
-use crate::resource_log::Resources;
+use crate::completion::app::App;
+use crate::completion::control_message::BackendSnapshot;
+use crate::completion::control_message::ControlMessage;
+use crate::completion::control_message::InstanceSnapshot;
+use crate::completion::control_message::Snapshot;
+use crate::operators::resource_log::Resources;
 
 /// Time between two looks for changes.
 const INTERVAL: Duration = Duration::from_millis(500);
--- a/crates/daemon/src/fleet_link.rs
+++ b/crates/daemon/src/peers/fleet_link.rs
@@ -1,7 +1,6 @@
 //! The link of one instance to the others: sends heartbeats, hears those of the
 //! others, and fetches from peers what they have and this instance lacks.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,33 +12,33 @@
 use iristhread_core::ConfigVersion;
 use iristhread_core::FanOut;
 use iristhread_core::FleetMembers;
-use iristhread_core::LagNews;
 use iristhread_core::Now;
-use iristhread_core::ReadingWaits;
 use iristhread_core::Revision;
 use slog::Logger;
-use slog::info;
 use slog::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::clock::Clock;
-use crate::control_message::Identity;
-use crate::directory_knowledge::DirectoryKnowledge;
-use crate::gateway_message::OwnState;
-use crate::gateway_metrics::GatewayMetrics;
-use crate::gateway_settings::GatewaySettings;
-use crate::gateway_thread::GatewayHandle;
-use crate::heartbeat::Datagram;
-use crate::heartbeat::Heartbeat;
-use crate::heartbeat::ListNews;
-use crate::heartbeat::SealedHeartbeat;
-use crate::heartbeat_relay::HeartbeatRelay;
-use crate::peer_port::PeerPort;
-
+use crate::completion::control_message::Identity;
+use crate::directory::directory_knowledge::DirectoryKnowledge;
+use crate::gateway::gateway_message::OwnState;
+use crate::gateway::gateway_metrics::GatewayMetrics;
+use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::gateway_thread::GatewayHandle;
+use crate::peers::heartbeat::Datagram;
+use crate::peers::heartbeat::Heartbeat;
+use crate::peers::heartbeat::ListNews;
+use crate::peers::heartbeat::SealedHeartbeat;
+use crate::peers::heartbeat_relay::HeartbeatRelay;
+use crate::peers::peer_port::PeerPort;
+use crate::process::clock::Clock;
+
+mod duty;
 mod fetching;
 mod receiving;
 
+pub use duty::ReadingDuty;
+
 /// Time in which news are gathered before a heartbeat tells them.
 const GATHERING: Duration = Duration::from_millis(10);
 
@@ -57,44 +56,6 @@
 /// reads its own at its start, since peers hand on a large one slowly where all start at once.
 const CONFIG_SPREAD: Duration = Duration::from_millis(100);
 
-/// Why an instance reads the platform's configuration.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum ReadingReason {
-    /// It has none yet.
-    First,
-    /// A peer has had a newer one for too long.
-    Behind,
-    /// A peer has a newer one, and it relays for its zone.
-    Relay,
-    /// Nobody has confirmed it for too long.
-    Old,
-    /// It reads for its zone.
-    Rank,
-}
-
-impl fmt::Display for ReadingReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            ReadingReason::First => "first",
-            ReadingReason::Behind => "behind",
-            ReadingReason::Relay => "relay",
-            ReadingReason::Old => "old",
-            ReadingReason::Rank => "rank",
-        })
-    }
-}
-
-/// Whether an instance should read the platform's configuration, and what that goes by.
-#[derive(Clone, Copy, Debug)]
-pub struct ReadingDuty {
-    /// Why it should; `None` if it shouldn't.
-    pub reason: Option<ReadingReason>,
-    /// The version in force.
-    pub version: ConfigVersion,
-    /// How long ago the platform confirmed it, to this instance's knowledge.
-    pub age: Option<Duration>,
-}
-
 /// Configuration version and list revision.
 type Versions = (ConfigVersion, Revision);
 
@@ -168,78 +129,6 @@
         })
     }
 
-    /// Whether this instance should watch the platform's list.
-    pub fn reads_list(&self, list_revision: Revision) -> bool {
-        let now = self.clock.now();
-        let members = self.members();
-        let knowledge = self.knowledge();
-        let heard = members.list_confirmed_at(now, list_revision);
-        let confirmed_at = knowledge.list_confirmed_at().max(heard);
-        let may_begin = !list_revision.is_none() || now >= self.patient_until;
-        may_begin && members.reads_list(now, confirmed_at, knowledge.can_read())
-    }
-
-    /// Whether nobody has confirmed the list for longer than is usual: engines
-    /// may come and go unheard.
-    pub fn list_is_lost(&self, list_revision: Revision) -> bool {
-        let now = self.clock.now();
-        let members = self.members();
-        let heard = members.list_confirmed_at(now, list_revision);
-        let confirmed_at = self.knowledge().list_confirmed_at().max(heard);
-        members.is_lost(now, confirmed_at)
-    }
-
-    /// Whether this instance should watch the platform's configuration: as for
-    /// the list, or because no peer hands over the newer one that it has, or because
-    /// a relay fetches it for its zone.
-    pub fn config_duty(&self, version: ConfigVersion) -> ReadingDuty {
-        let now = self.clock.now();
-        let members = self.members();
-        let knowledge = self.knowledge();
-        let heard = members.config_confirmed_at(now, version);
-        let confirmed_at = knowledge.config_confirmed_at().max(heard);
-        let is_ahead = members.is_ahead_in_config(now, version);
-        let is_stuck = self.lags_too_long(now, is_ahead, version, &members.waits(now));
-        let reason = if version == 0 {
-            (now >= self.config_from).then_some(ReadingReason::First)
-        } else if is_stuck {
-            Some(ReadingReason::Behind)
-        } else if is_ahead && members.relays(now) {
-            Some(ReadingReason::Relay)
-        } else if members.reads(now, confirmed_at, knowledge.can_read()) {
-            Some(match members.is_old(now, confirmed_at) {
-                true => ReadingReason::Old,
-                false => ReadingReason::Rank,
-            })
-        } else {
-            None
-        };
-        ReadingDuty {
-            reason,
-            version,
-            age: confirmed_at.map(|at| now.saturating_sub(at)),
-        }
-    }
-
-    /// Notes whether a peer has a newer configuration than this one.
-    fn lags_too_long(
-        &self,
-        now: Now,
-        is_behind: bool,
-        version: ConfigVersion,
-        waits: &ReadingWaits,
-    ) -> bool {
-        let lag = self.config_lag.lock();
-        let mut lag = lag.unwrap_or_else(PoisonError::into_inner);
-        match lag.note(now, is_behind) {
-            Some(LagNews::Began) => info!(self.log, "a peer has a newer configuration";
-                "version" => version),
-            Some(LagNews::Ended(time)) => self.metrics.config_was_behind(time),
-            None => {}
-        }
-        lag.is_too_long(now, waits)
-    }
-
     fn members(&self) -> MutexGuard<'_, FleetMembers> {
         let locked = self.members.lock();
         locked.unwrap_or_else(PoisonError::into_inner)
--- a/crates/daemon/src/fleet_link/fetching.rs
+++ b/crates/daemon/src/peers/fleet_link/fetching.rs
@@ -12,10 +12,10 @@
 use tokio::sync::mpsc;
 
 use super::FleetLink;
-use crate::gateway_message::GatewayMessage;
-use crate::gateway_message::OwnState;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::gateway::gateway_message::OwnState;
+use crate::peers::peer_message::PeerReply;
+use crate::peers::peer_message::PeerRequest;
 
 /// Time in which an instance that has just started should have read the
 /// configuration itself; if it can't, it asks a peer.
--- a/crates/daemon/src/fleet_link/receiving.rs
+++ b/crates/daemon/src/peers/fleet_link/receiving.rs
@@ -18,12 +18,12 @@
 use tokio::sync::mpsc;
 
 use super::FleetLink;
-use crate::gateway_message::GatewayMessage;
-use crate::heartbeat::Datagram;
-use crate::heartbeat::Heartbeat;
-use crate::heartbeat::HeartbeatFault;
-use crate::heartbeat::ListNews;
-use crate::heartbeat::SealedHeartbeat;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::peers::heartbeat::Datagram;
+use crate::peers::heartbeat::Heartbeat;
+use crate::peers::heartbeat::HeartbeatFault;
+use crate::peers::heartbeat::ListNews;
+use crate::peers::heartbeat::SealedHeartbeat;
 
 impl FleetLink {
     /// Receives heartbeats for the life of the process.
--- a/crates/daemon/src/heartbeat_relay.rs
+++ b/crates/daemon/src/peers/heartbeat_relay.rs
@@ -5,8 +5,8 @@
 
 use tokio::sync::Notify;
 
-use crate::heartbeat::Datagram;
-use crate::heartbeat::SealedHeartbeat;
+use crate::peers::heartbeat::Datagram;
+use crate::peers::heartbeat::SealedHeartbeat;
 
 /// Bytes of heartbeats in one datagram, about: far below the limit of UDP, and
 /// small enough to delay no stream on a slow link.
--- a/crates/daemon/src/peer_answers.rs
+++ b/crates/daemon/src/peers/peer_answers.rs
@@ -9,18 +9,18 @@
 use iristhread_core::Event;
 use iristhread_core::InstanceId;
 
-use crate::app::App;
-use crate::control_message::ControlMessage;
-use crate::control_message::Identity;
-use crate::control_message::Versions;
-use crate::packed::Packed;
-use crate::peer_message::News;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
-use crate::peer_message::PeerVersions;
-use crate::peer_server::PeerAnswers;
-use crate::platform_reader::offered;
-use crate::service_call;
+use crate::completion::app::App;
+use crate::completion::control_message::ControlMessage;
+use crate::completion::control_message::Identity;
+use crate::completion::control_message::Versions;
+use crate::completion::service_call;
+use crate::peers::packed::Packed;
+use crate::peers::peer_message::News;
+use crate::peers::peer_message::PeerReply;
+use crate::peers::peer_message::PeerRequest;
+use crate::peers::peer_message::PeerVersions;
+use crate::peers::peer_server::PeerAnswers;
+use crate::platform::platform_reader::offered;
 
 /// Answers out of the state of an instance.
 pub struct InstanceAnswers {
--- a/crates/daemon/src/peer_exchanger.rs
+++ b/crates/daemon/src/peers/peer_exchanger.rs
@@ -6,17 +6,17 @@
 use slog::debug;
 use tokio::sync::mpsc;
 
-use crate::app::App;
-use crate::control_message::ControlMessage;
-use crate::control_message::Versions;
-use crate::control_thread::ExchangeTarget;
-use crate::peer_answers::news_for;
-use crate::peer_answers::tell_news;
-use crate::peer_answers::tell_versions;
-use crate::peer_answers::versions_of;
-use crate::peer_message::News;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
+use crate::completion::app::App;
+use crate::completion::control_message::ControlMessage;
+use crate::completion::control_message::Versions;
+use crate::completion::control_thread::ExchangeTarget;
+use crate::peers::peer_answers::news_for;
+use crate::peers::peer_answers::tell_news;
+use crate::peers::peer_answers::tell_versions;
+use crate::peers::peer_answers::versions_of;
+use crate::peers::peer_message::News;
+use crate::peers::peer_message::PeerReply;
+use crate::peers::peer_message::PeerRequest;
 
 /// Longest wait for a peer's versions.
 const TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/peer_message.rs
+++ b/crates/daemon/src/peers/peer_message.rs
@@ -18,8 +18,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::call_answer::CallAnswer;
-use crate::packed::Packed;
+use crate::completion::call_answer::CallAnswer;
+use crate::peers::packed::Packed;
 
 /// A message with its sender, receiver and tag; `body` is the JSON of a
 /// [`PeerRequest`] or [`PeerReply`].
--- a/crates/daemon/src/peer_port.rs
+++ b/crates/daemon/src/peers/peer_port.rs
@@ -16,10 +16,10 @@
 use jsonrpsee::rpc_params;
 use thiserror::Error;
 
-use crate::control_message::Identity;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
-use crate::peer_message::SignedMessage;
+use crate::completion::control_message::Identity;
+use crate::peers::peer_message::PeerReply;
+use crate::peers::peer_message::PeerRequest;
+use crate::peers::peer_message::SignedMessage;
 
 /// The one method of the peer interface.
 pub const PEER_METHOD: &str = "iristhread_peer";
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peers/peer_server.rs
@@ -18,13 +18,13 @@
 use slog::Logger;
 use slog::warn;
 
-use crate::control_message::Identity;
-use crate::peer_message::PeerReply;
-use crate::peer_message::PeerRequest;
-use crate::peer_message::SignedMessage;
-use crate::peer_port::MAX_MESSAGE_BYTES;
-use crate::peer_port::PEER_METHOD;
-use crate::peer_port::sign;
+use crate::completion::control_message::Identity;
+use crate::peers::peer_message::PeerReply;
+use crate::peers::peer_message::PeerRequest;
+use crate::peers::peer_message::SignedMessage;
+use crate::peers::peer_port::MAX_MESSAGE_BYTES;
+use crate::peers::peer_port::PEER_METHOD;
+use crate::peers::peer_port::sign;
 
 /// JSON-RPC codes of refusals.
 const REFUSED: i32 = -32_001;
--- /dev/null
+++ b/crates/daemon/src/platform.rs
@@ -0,0 +1,4 @@
+//! The platform of the completion interface, which is read and watched.
+
+pub(crate) mod platform_port;
+pub(crate) mod platform_reader;
--- a/crates/daemon/src/platform_reader.rs
+++ b/crates/daemon/src/platform/platform_reader.rs
@@ -13,9 +13,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::control_thread::ControlHandle;
-use crate::platform_port::PlatformError;
-use crate::platform_port::PlatformPort;
+use crate::completion::control_thread::ControlHandle;
+use crate::platform::platform_port::PlatformError;
+use crate::platform::platform_port::PlatformPort;
 
 /// How long one watch waits at the platform.
 const WATCH: Duration = Duration::from_secs(3);
--- /dev/null
+++ b/crates/daemon/src/process.rs
@@ -0,0 +1,12 @@
+//! What every process needs: clocks, settings files, logs, metrics, connections.
+
+pub(crate) mod answered;
+pub(crate) mod clock;
+pub(crate) mod control_sender;
+pub(crate) mod http_server;
+pub(crate) mod log_limit;
+pub(crate) mod logging;
+pub(crate) mod metrics;
+pub(crate) mod settings_file;
+pub(crate) mod settings_reader;
+pub(crate) mod whole_lines;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/process/logging.rs
@@ -13,8 +13,8 @@
 use slog::Logger;
 use slog::o;
 
-use crate::log_limit::LogLimit;
-use crate::whole_lines::WholeLines;
+use crate::process::log_limit::LogLimit;
+use crate::process::whole_lines::WholeLines;
 
 /// Lines that wait for the writer; about a megabyte at most.
 const QUEUED_LINES: usize = 4_096;
--- a/crates/daemon/src/settings_file.rs
+++ b/crates/daemon/src/process/settings_file.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use crate::settings_reader::SettingsFault;
+use crate::process::settings_reader::SettingsFault;
 
 /// Reads and checks a settings file; `parse` gets its name and its text.
 ///
--- a/crates/daemon/src/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -29,20 +29,20 @@
 use slog::info;
 use tokio::sync::mpsc;
 
-use crate::dialect::AnswerHead;
-use crate::dialect::CallerHead;
-use crate::dialect::ResumePoint;
-use crate::dialect::SendOrder;
-use crate::front_answer;
-use crate::front_answer::FrontAnswer;
-use crate::front_answer::end_to_end;
+use crate::engines::notices::SendKind;
+use crate::engines::notices::SendStop;
 use crate::gateway::GatewayApp;
-use crate::gateway_message::GatewayMessage;
-use crate::gateway_message::Placed;
-use crate::gateway_message::SendAgain;
-use crate::notices::SendKind;
-use crate::notices::SendStop;
-use crate::patience;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::gateway::gateway_message::Placed;
+use crate::gateway::gateway_message::SendAgain;
+use crate::relaying::dialect::AnswerHead;
+use crate::relaying::dialect::CallerHead;
+use crate::relaying::dialect::ResumePoint;
+use crate::relaying::dialect::SendOrder;
+use crate::relaying::front_answer;
+use crate::relaying::front_answer::FrontAnswer;
+use crate::relaying::front_answer::end_to_end;
+use crate::relaying::patience;
 
 /// Advice while the process stops: the balancer knows another instance.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/gateway_front.rs
+++ b/crates/daemon/src/relaying/gateway_front.rs
@@ -24,13 +24,13 @@
 use iristhread_core::RouteTable;
 use slog::info;
 
-use crate::dialect::LastEvent;
-use crate::exchange::Exchange;
-use crate::front_answer;
-use crate::front_answer::FrontAnswer;
 use crate::gateway::GatewayApp;
-use crate::plain_call;
-use crate::stream_call;
+use crate::relaying::dialect::LastEvent;
+use crate::relaying::exchange::Exchange;
+use crate::relaying::front_answer;
+use crate::relaying::front_answer::FrontAnswer;
+use crate::relaying::plain_call;
+use crate::relaying::stream_call;
 
 /// Advice while no configuration is known: peers and the platform are asked
 /// again all the while.
--- a/crates/daemon/src/plain_call.rs
+++ b/crates/daemon/src/relaying/plain_call.rs
@@ -23,15 +23,15 @@
 use slog::info;
 use tokio::sync::mpsc;
 
-use crate::engine_watch::look_at_broken;
-use crate::exchange::BackendAnswer;
-use crate::exchange::Exchange;
-use crate::exchange::RunGuard;
-use crate::exchange::Sent;
-use crate::front_answer;
-use crate::front_answer::FrontAnswer;
-use crate::gateway_message::GatewayMessage;
-use crate::patience;
+use crate::engines::engine_watch::look_at_broken;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::relaying::exchange::BackendAnswer;
+use crate::relaying::exchange::Exchange;
+use crate::relaying::exchange::RunGuard;
+use crate::relaying::exchange::Sent;
+use crate::relaying::front_answer;
+use crate::relaying::front_answer::FrontAnswer;
+use crate::relaying::patience;
 
 /// Most bytes of an answer that is held until it is whole: the most that
 /// callers may send themselves, by default.
--- a/crates/daemon/src/stream_call.rs
+++ b/crates/daemon/src/relaying/stream_call.rs
@@ -15,16 +15,16 @@
 use slog::info;
 use tokio::sync::mpsc;
 
-use crate::engine_watch::look_at_broken;
-use crate::exchange::BackendAnswer;
-use crate::exchange::Exchange;
-use crate::exchange::RunGuard;
-use crate::exchange::Sent;
-use crate::front_answer;
-use crate::front_answer::FrontAnswer;
-use crate::gateway_message::GatewayMessage;
-use crate::plain_call;
-use crate::stream_relay::StreamRelay;
+use crate::engines::engine_watch::look_at_broken;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::relaying::exchange::BackendAnswer;
+use crate::relaying::exchange::Exchange;
+use crate::relaying::exchange::RunGuard;
+use crate::relaying::exchange::Sent;
+use crate::relaying::front_answer;
+use crate::relaying::front_answer::FrontAnswer;
+use crate::relaying::plain_call;
+use crate::relaying::stream_relay::StreamRelay;
 
 /// Advice when an engine refused: about the time in which a session ends.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
--- a/crates/daemon/src/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -21,16 +21,16 @@
 use tokio::time::sleep_until;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::engine_watch::Reach;
-use crate::engine_watch::reach_of;
-use crate::event_splitter::EventSplitter;
-use crate::exchange::Exchange;
-use crate::exchange::RunGuard;
-use crate::front_answer::StreamBroken;
-use crate::gateway_message::GatewayMessage;
-use crate::session_move::SessionMove;
-use crate::session_mover::MoveError;
-use crate::session_mover::MoveOrder;
+use crate::engines::engine_watch::Reach;
+use crate::engines::engine_watch::reach_of;
+use crate::engines::session_move::SessionMove;
+use crate::engines::session_mover::MoveError;
+use crate::engines::session_mover::MoveOrder;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::relaying::event_splitter::EventSplitter;
+use crate::relaying::exchange::Exchange;
+use crate::relaying::exchange::RunGuard;
+use crate::relaying::front_answer::StreamBroken;
 
 mod carrying;
 mod resuming;
--- a/crates/daemon/src/stream_relay/carrying.rs
+++ b/crates/daemon/src/relaying/stream_relay/carrying.rs
@@ -11,10 +11,10 @@
 use super::End;
 use super::StreamRelay;
 use super::next_frame;
-use crate::dialect::CopyName;
-use crate::engine_watch::look_at_broken;
-use crate::gateway_message::GatewayMessage;
-use crate::session_mover::MoveError;
+use crate::engines::engine_watch::look_at_broken;
+use crate::engines::session_mover::MoveError;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::relaying::dialect::CopyName;
 
 /// Longest wait for the answer of a move once the stream has stopped.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/crates/daemon/src/stream_relay/resuming.rs
+++ b/crates/daemon/src/relaying/stream_relay/resuming.rs
@@ -10,13 +10,13 @@
 
 use super::StreamRelay;
 use super::carrying::Resumed;
-use crate::dialect::CopyName;
-use crate::dialect::ResumePoint;
-use crate::engine_watch::look_at_broken;
-use crate::event_splitter::EventSplitter;
-use crate::exchange::Sent;
-use crate::gateway_message::GatewayMessage;
-use crate::notices::SendStop;
+use crate::engines::engine_watch::look_at_broken;
+use crate::engines::notices::SendStop;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::relaying::dialect::CopyName;
+use crate::relaying::dialect::ResumePoint;
+use crate::relaying::event_splitter::EventSplitter;
+use crate::relaying::exchange::Sent;
 
 /// Longest wait for the head of a resumed stream.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(3);
