--- a/crates/daemon/src/peers/fleet_link/duty.rs
+++ b/crates/daemon/src/peers/fleet_link/duty.rs
@@ -5,12 +5,10 @@
 use std::time::Duration;
 
 use iristhread_core::ConfigVersion;
-use iristhread_core::FleetMembers;
 use iristhread_core::LagNews;
 use iristhread_core::Now;
 use iristhread_core::ReadingWaits;
 use iristhread_core::Revision;
-use iristhread_core::reading_waits::FETCH_TIMEOUT;
 use slog::info;
 
 use super::FleetLink;
@@ -61,19 +59,10 @@
         let knowledge = self.knowledge();
         let heard = members.list_confirmed_at(now, list_revision);
         let confirmed_at = knowledge.list_confirmed_at().max(heard);
-        let may_begin = !list_revision.is_none() || now >= self.patient_until(&members);
+        let may_begin = !list_revision.is_none() || now >= self.patient_until;
         may_begin && members.reads_list(now, confirmed_at, knowledge.can_read())
     }
 
-    /// Until when an instance that has just started waits for the list of peers: longer if
-    /// one has it, which hands it over.
-    fn patient_until(&self, members: &FleetMembers) -> Now {
-        match members.newest(self.clock.now()).list.is_none() {
-            true => self.patient_until,
-            false => self.patient_until + FETCH_TIMEOUT,
-        }
-    }
-
     /// Whether nobody has confirmed the list for longer than is usual: engines
     /// may come and go unheard.
     pub fn list_is_lost(&self, list_revision: Revision) -> bool {
