--- a/crates/cli/src/flags.rs
+++ b/crates/cli/src/flags.rs
@@ -123,8 +123,8 @@
             repeated --logs file: PathBuf
         }
         /// Tell from gateways' logs, in order of time, what the instances came to believe: the
-        /// directory lost, regained or back from an older copy (its era), entries that can't be
-        /// used, servers that leave, rest or name limits, evacuated zones.
+        /// directory lost, regained or back from an older copy (its era), the way of each
+        /// configuration until it is in force, entries that can't be used, servers that leave, rest or name limits, evacuated zones.
         cmd beliefs {
             /// Log of a gateway, also with other text before the JSON; may be repeated.
             repeated --logs file: PathBuf
--- a/crates/cli/src/log_story.rs
+++ b/crates/cli/src/log_story.rs
@@ -18,13 +18,20 @@
     "request",
 ];
 
-/// Lines that tell of a change in what is believed.
-const BELIEFS: [&str; 11] = [
+/// Lines that tell of a change in what is believed, and of the waits on the way to it.
+const BELIEFS: [&str; 18] = [
     "directory lost",
     "directory regained",
     "directory came back from an older copy",
     "entry of the directory can't be used",
+    "a peer has a newer configuration",
+    "reading of the configuration",
+    "call to the directory failed",
+    "fetched from a peer",
+    "peer can't be asked",
     "configuration in force",
+    "peer fell silent",
+    "the machine was suspended",
     "backend server says that it leaves",
     "backend server rests",
     "backend server names a limit",
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -148,6 +148,29 @@
     assert!(told[2].contains("names a limit") && told[2].contains("limit_per_s 2.7"));
 }
 
+/// Why an instance had a configuration late, wait by wait.
+#[test]
+fn the_way_of_a_configuration_is_told_wait_by_wait() {
+    let peer = r#""a peer has a newer configuration","version":4"#;
+    let asked = r#""peer can't be asked","peer":"i2","cause":"no answer in time","waited_ms":1500"#;
+    let reads = r#""reading of the configuration","reads":true,"reason":"behind","age_ms":640"#;
+    let in_force = r#""configuration in force","version":5,"source":"directory""#;
+    let lines = [
+        line(1_000, "r1", peer),
+        line(2_600, "r1", asked),
+        line(1_700, "r1", reads),
+        line(1_712, "r1", in_force),
+    ];
+    let mut story = LogStory::of_beliefs();
+    story.read(lines.join("\n").as_bytes()).unwrap();
+    let text = story.text().unwrap();
+    let told: Vec<&str> = text.lines().collect();
+    assert_eq!(told.len(), 4, "{text}");
+    assert!(told[1].contains("reason behind") && told[1].contains("age_ms 640"));
+    assert!(told[2].starts_with("+712 ms") && told[2].contains("version 5"));
+    assert!(told[3].contains("waited_ms 1500"));
+}
+
 #[test]
 fn logs_without_beliefs_have_no_story() {
     let mut story = LogStory::of_beliefs();
