--- a/crates/core/tests/config_scene/calls.rs
+++ b/crates/core/tests/config_scene/calls.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
+use iristhread_core::ConfigVersion;
 use iristhread_core::Now;
 
 /// Way to the directory or a peer and back.
-pub const ROUND_TRIP: Duration = Duration::from_millis(10);
+const ROUND_TRIP: Duration = Duration::from_millis(10);
 
 /// Connections that rest between two calls, each with its last use.
 #[derive(Clone, Debug, Default)]
@@ -57,3 +58,28 @@
         }
     }
 }
+
+/// A call to the directory that is under way.
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    pub sent: Now,
+    /// The version after which a watch waits; `None` reads all.
+    pub after: Option<ConfigVersion>,
+    pub wait: Duration,
+    pub connection: Connection,
+    pub hangs: bool,
+}
+
+impl Call {
+    /// When the directory answers, and with which version.
+    pub fn answer(&self, acked: &[(ConfigVersion, Now)]) -> (Now, ConfigVersion) {
+        let news = |after| acked.iter().find(|(version, _)| *version > after);
+        let at = match self.after.map(news) {
+            None => self.sent,
+            Some(None) => self.sent + self.wait,
+            Some(Some((_, acked_at))) => (*acked_at).clamp(self.sent, self.sent + self.wait),
+        };
+        let known = acked.iter().rev().find(|(_, acked_at)| *acked_at <= at);
+        (at + ROUND_TRIP, known.map_or(0, |(version, _)| *version))
+    }
+}
--- a/crates/core/tests/config_scene/instance.rs
+++ b/crates/core/tests/config_scene/instance.rs
@@ -20,9 +20,9 @@
 use rand_core::Rng;
 use rand_pcg::Pcg32;
 
+use super::calls::Call;
 use super::calls::Connection;
 use super::calls::Pool;
-use super::calls::ROUND_TRIP;
 
 /// Rest after which a connection of a watch is not used again.
 const LONGEST_REST: Duration = Duration::from_millis(300);
@@ -40,31 +40,6 @@
     pass_on: bool,
 }
 
-/// A call to the directory that is under way.
-#[derive(Clone, Copy, Debug)]
-struct Call {
-    sent: Now,
-    /// The version after which a watch waits; `None` reads all.
-    after: Option<ConfigVersion>,
-    wait: Duration,
-    connection: Connection,
-    hangs: bool,
-}
-
-impl Call {
-    /// When the directory answers, and with which version.
-    fn answer(&self, acked: &[(ConfigVersion, Now)]) -> (Now, ConfigVersion) {
-        let news = |after| acked.iter().find(|(version, _)| *version > after);
-        let at = match self.after.map(news) {
-            None => self.sent,
-            Some(None) => self.sent + self.wait,
-            Some(Some((_, acked_at))) => (*acked_at).clamp(self.sent, self.sent + self.wait),
-        };
-        let known = acked.iter().rev().find(|(_, acked_at)| *acked_at <= at);
-        (at + ROUND_TRIP, known.map_or(0, |(version, _)| *version))
-    }
-}
-
 /// What the reader does.
 #[derive(Clone, Copy, Debug)]
 enum Reader {
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -1,6 +1,8 @@
 //! Builds small scenes for the gateway's decisions.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod fleet;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
