Take a success long after others read the directory again for no end of an outage

Cause, from the logs of one of them: at 22.55 s the compaction of the history cut the watches of five instances; one read on for all, the others stopped reading at 23.2 s and kept that their last call had failed. At 29.3 s their readers were turned away and three of them read again: their first success was logged as directory regained and taken for the end of an outage, so that the server whose entry went at 28.89 s counted as lapsed, there and by news everywhere, until 31.3 s.

Ruled out: lost news (all had the removal within 20 ms) and placing (only requests sent while the entry counted as lapsed).

Change: an instance that leaves the reading to others, while they confirm the list, forgets that its own call failed, and says so in a line.

--- a/crates/daemon/src/directory/config_reader.rs
+++ b/crates/daemon/src/directory/config_reader.rs
@@ -68,6 +68,7 @@
             }
             if !reads {
                 revision = None;
+                trouble.left_to_others(&self.log);
                 tokio::time::sleep(LOOK_AGAIN).await;
                 continue;
             }
--- a/crates/daemon/src/directory/directory_trouble.rs
+++ b/crates/daemon/src/directory/directory_trouble.rs
@@ -52,6 +52,14 @@
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
 
+    /// Notes that others read the directory: the next success here ends no outage.
+    pub fn left_to_others(&mut self, log: &Logger) {
+        if self.is_lost {
+            info!(log, "directory lost here; others read it"; "of" => self.what);
+        }
+        *self = Trouble::new(self.what);
+    }
+
     /// Notes success; returns whether an outage has ended.
     pub fn succeeded(&mut self, log: &Logger) -> bool {
         let was_lost = self.is_lost;
--- a/crates/daemon/src/directory/list_reader.rs
+++ b/crates/daemon/src/directory/list_reader.rs
@@ -66,15 +66,17 @@
             let Some(own) = self.control.own_state().await else {
                 return;
             };
-            self.control.tell(GatewayMessage::ListLost {
-                is_lost: self.link.list_is_lost(own.list_revision),
-            });
+            let is_lost = self.link.list_is_lost(own.list_revision);
+            self.control.tell(GatewayMessage::ListLost { is_lost });
             let reads = self.link.reads_list(own.list_revision);
             if reads != was_reading {
                 info!(self.log, "reading of the list"; "reads" => reads);
                 was_reading = reads;
             }
             if !reads {
+                if !is_lost {
+                    trouble.left_to_others(&self.log);
+                }
                 tokio::time::sleep(LOOK_AGAIN).await;
                 continue;
             }
