Log every failed send to a backend server with its cause

One line now covers calls, streams and resumptions: cause, took_ms, may_have_arrived. The three lines it replaces told only part of it for streams. No decision changes.

--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -28,10 +28,10 @@
 use crate::relaying::answer_timeout;
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
-use crate::relaying::exchange::BackendAnswer;
 use crate::relaying::exchange::Exchange;
 use crate::relaying::exchange::RunGuard;
-use crate::relaying::exchange::SendOutcome;
+use crate::relaying::send_outcome::BackendAnswer;
+use crate::relaying::send_outcome::SendOutcome;
 
 /// Maximum size of a buffered answer body: the default maximum size of a request body.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -172,12 +172,7 @@
         SendOutcome::NotConnected(_) | SendOutcome::ZoneEvacuated | SendOutcome::Withheld(_) => {
             (SendResult::NotConnected, None)
         }
-        SendOutcome::Lost(cause) => {
-            info!(exchange.app.log, "connection lost during an attempt";
-                "request" => &exchange.head.request,
-                "content" => exchange.fingerprint.to_string(),
-                "backend_server" => &replica.id,
-                "cause" => cause);
+        SendOutcome::Lost(_) => {
             probe_broken_server(&exchange.app, &exchange.head.request, replica).await;
             (SendResult::Lost, None)
         }
--- a/crates/daemon/src/relaying/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -11,7 +11,6 @@
 use http::StatusCode;
 use http::Uri;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use iristhread_api::HttpClientError;
 use iristhread_core::Fingerprint;
 use iristhread_core::Now;
@@ -38,7 +37,8 @@
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
 use crate::relaying::caller_answer::end_to_end_headers;
-use crate::relaying::wire_protocol::AnswerHead;
+use crate::relaying::send_outcome::BackendAnswer;
+use crate::relaying::send_outcome::SendOutcome;
 use crate::relaying::wire_protocol::CallerHead;
 use crate::relaying::wire_protocol::ResumePoint;
 use crate::relaying::wire_protocol::SendParameters;
@@ -87,49 +87,6 @@
     pub answer_deadline: Now,
 }
 
-/// An answer of a backend server whose body has not been read yet.
-pub struct BackendAnswer {
-    /// Status code.
-    pub status: StatusCode,
-    /// Response headers as received.
-    pub headers: HeaderMap,
-    /// Unread body.
-    pub body: Incoming,
-    /// Values from the response headers.
-    pub head: AnswerHead,
-}
-
-/// The outcome of one send.
-pub enum SendOutcome {
-    /// An answer to this request.
-    Answer(Box<BackendAnswer>),
-    /// The connection failed: no byte was written.
-    NotConnected(String),
-    /// Nothing was sent: the availability zone of the backend server is evacuated.
-    ZoneEvacuated,
-    /// Nothing was sent: a server notice of the backend server restricts sends of this kind.
-    Withheld(SendRestriction),
-    /// The connection was lost, or the answer is not an answer to this request.
-    Lost(String),
-    /// No answer arrived before the deadline.
-    TimedOut,
-}
-
-impl SendOutcome {
-    /// Label value used in metrics.
-    pub fn as_str(&self) -> &'static str {
-        match self {
-            SendOutcome::Answer(answer) if answer.head.is_not_run => "said_not_run",
-            SendOutcome::Answer(_) => "answered",
-            SendOutcome::NotConnected(_) => "not_connected",
-            SendOutcome::ZoneEvacuated => "zone_closed",
-            SendOutcome::Withheld(_) => "withheld",
-            SendOutcome::Lost(_) => "lost",
-            SendOutcome::TimedOut => "timed_out",
-        }
-    }
-}
-
 impl Exchange {
     /// Requests a ranking of backend servers from the gateway thread.
     ///
@@ -268,12 +225,35 @@
         };
         let sent_at = self.app.clock.now();
         let by = self.app.clock.instant(by);
-        match answer_timeout::until(by, self.app.client.send(request)).await {
+        let outcome = match answer_timeout::until(by, self.app.client.send(request)).await {
             None => SendOutcome::TimedOut,
             Some(Err(HttpClientError::Connect { cause, .. })) => SendOutcome::NotConnected(cause),
             Some(Err(error)) => SendOutcome::Lost(error.to_string()),
             Some(Ok(response)) => self.validate_answer(replica, response, sent_at),
-        }
+        };
+        self.log_failed_send(replica, &outcome, sent_at);
+        outcome
+    }
+
+    /// Logs a send without an answer: why it failed, how long it took, and whether the server may
+    /// have received bytes of the request.
+    fn log_failed_send(&self, replica: &Replica, outcome: &SendOutcome, sent_at: Now) {
+        let (cause, may_have_arrived) = match outcome {
+            SendOutcome::NotConnected(cause) => (cause.as_str(), false),
+            SendOutcome::Lost(cause) => (cause.as_str(), true),
+            SendOutcome::TimedOut => ("no answer in time", true),
+            SendOutcome::Answer(_) | SendOutcome::ZoneEvacuated | SendOutcome::Withheld(_) => {
+                return;
+            }
+        };
+        info!(self.app.log, "send to a backend server failed";
+            "request" => &self.head.request,
+            "content" => self.fingerprint.to_string(),
+            "backend_server" => &replica.id,
+            "service" => &self.service,
+            "cause" => cause,
+            "may_have_arrived" => may_have_arrived,
+            "took_ms" => (self.app.clock.now() - sent_at).as_millis() as u64);
     }
 
     fn build_request(
@@ -315,7 +295,7 @@
     fn validate_answer(
         &self,
         replica: &Replica,
-        response: http::Response<Incoming>,
+        response: http::Response<hyper::body::Incoming>,
         sent_at: Now,
     ) -> SendOutcome {
         let (parts, body) = response.into_parts();
@@ -356,15 +336,6 @@
     }
 }
 
-impl BackendAnswer {
-    /// Whether the status implies that the request was not run although the backend server did
-    /// not state so. Such an answer must not be forwarded.
-    pub fn is_ambiguous_refusal(&self) -> bool {
-        let promises = matches!(self.status.as_u16(), 408 | 421 | 429 | 503);
-        promises && !self.head.is_not_run
-    }
-}
-
 /// Reports the end of a request to the gateway thread when dropped, also when its task is
 /// dropped because the caller disconnected.
 pub struct RunGuard {
--- a/crates/daemon/src/relaying/stream_call.rs
+++ b/crates/daemon/src/relaying/stream_call.rs
@@ -20,10 +20,10 @@
 use crate::relaying::buffered_call;
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
-use crate::relaying::exchange::BackendAnswer;
 use crate::relaying::exchange::Exchange;
 use crate::relaying::exchange::RunGuard;
-use crate::relaying::exchange::SendOutcome;
+use crate::relaying::send_outcome::BackendAnswer;
+use crate::relaying::send_outcome::SendOutcome;
 use crate::relaying::stream_relay::StreamRelay;
 
 /// Retry-After when an engine refused: approximately the time until a session ends.
@@ -113,10 +113,7 @@
         let result = match sent {
             SendOutcome::Answer(answer) if answer.head.is_not_run => SendResult::SaidNotRun,
             SendOutcome::Answer(answer) => return StartResult::Answered(replica.clone(), answer),
-            SendOutcome::NotConnected(why) => {
-                info!(app.log, "connection to the engine failed";
-                    "request" => &exchange.head.request,
-                    "backend_server" => &replica.id, "cause" => why);
+            SendOutcome::NotConnected(_) => {
                 app.control.tell(GatewayMessage::NotConnected {
                     replica: replica.server_life(),
                 });
@@ -128,11 +125,7 @@
                 SendResult::NotConnected
             }
             SendOutcome::Withheld(_) => SendResult::NotConnected,
-            SendOutcome::Lost(why) => {
-                info!(app.log, "connection to the engine lost before its answer";
-                    "request" => &exchange.head.request,
-                    "content" => exchange.fingerprint.to_string(),
-                    "backend_server" => &replica.id, "cause" => why);
+            SendOutcome::Lost(_) => {
                 probe_broken_server(app, &exchange.head.request, replica).await;
                 cause = "connection to the engine lost before its answer";
                 SendResult::Lost
--- a/crates/daemon/src/relaying/stream_relay/resume.rs
+++ b/crates/daemon/src/relaying/stream_relay/resume.rs
@@ -14,7 +14,7 @@
 use crate::engines::notices::SendRestriction;
 use crate::gateway::gateway_message::GatewayMessage;
 use crate::relaying::event_splitter::EventSplitter;
-use crate::relaying::exchange::SendOutcome;
+use crate::relaying::send_outcome::SendOutcome;
 use crate::relaying::wire_protocol::ResumePoint;
 use crate::relaying::wire_protocol::SessionCopy;
 
