Open all connections to backend servers through one port

Sends, orders to engines and probes each opened their connections in their own way, so that nothing could part one instance from its servers: a link of the tests serves all instances alike. Dial is that port; the gateway gets it from its program, and tests give each gateway paths of their own. Nothing else changes: one connection a request, no retry, and an error that says when no byte was written.

--- /dev/null
+++ b/crates/api/src/dial.rs
@@ -0,0 +1,96 @@
+//! Opening of TCP connections to backend servers, behind a trait so that a caller can choose the
+//! path.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use http::Uri;
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tower_service::Service;
+
+/// Why no connection was opened. No byte of a request was written.
+#[derive(Debug, Error)]
+pub enum DialError {
+    /// Nothing listens at the address.
+    #[error("the connection was refused")]
+    Refused,
+    /// The connection attempt got no answer in time.
+    #[error("no answer to the connection attempt within {} ms", .0.as_millis())]
+    Silent(Duration),
+    /// This instance has no path to the server. Nothing is known about the server itself.
+    #[error("this instance has no path to the server: {0}")]
+    NoPath(String),
+    /// The operating system or a peer reported another failure.
+    #[error("{0}")]
+    Failed(String),
+}
+
+/// Opens connections to backend servers.
+pub trait Dial: Send + Sync {
+    /// Opens a connection to the server at `address`.
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, Result<TcpStream, DialError>>;
+}
+
+/// Connects directly over TCP.
+#[derive(Clone, Copy, Debug)]
+pub struct TcpDial {
+    /// Timeout of a connection attempt.
+    pub connect_timeout: Duration,
+}
+
+impl Dial for TcpDial {
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, Result<TcpStream, DialError>> {
+        Box::pin(async move {
+            let connected = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address));
+            let stream = match connected.await {
+                Ok(Ok(stream)) => stream,
+                Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                    return Err(DialError::Refused);
+                }
+                Ok(Err(error)) => return Err(DialError::Failed(error.to_string())),
+                Err(_) => return Err(DialError::Silent(self.connect_timeout)),
+            };
+            // Fails only if the connection is already closed, which its first use shows.
+            let _ = stream.set_nodelay(true);
+            Ok(stream)
+        })
+    }
+}
+
+/// Opens the connections of an HTTP client with a [`Dial`].
+#[derive(Clone)]
+pub struct DialConnector(pub Arc<dyn Dial>);
+
+impl fmt::Debug for DialConnector {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("DialConnector")
+    }
+}
+
+impl Service<Uri> for DialConnector {
+    type Response = TokioIo<TcpStream>;
+    type Error = DialError;
+    type Future = BoxFuture<'static, Result<TokioIo<TcpStream>, DialError>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), DialError>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let dial = self.0.clone();
+        Box::pin(async move {
+            let address = uri.authority().and_then(|host| host.as_str().parse().ok());
+            let Some(address) = address else {
+                return Err(DialError::Failed(format!("{uri} names no IP address")));
+            };
+            dial.dial(address).await.map(TokioIo::new)
+        })
+    }
+}
--- a/crates/api/src/http_client.rs
+++ b/crates/api/src/http_client.rs
@@ -1,6 +1,7 @@
 //! HTTP client for calls to engines, plain services, the platform and instances.
 
 use std::error::Error as _;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eventsource_stream::Event;
@@ -20,12 +21,17 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::Connect;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::dial::Dial;
+use crate::dial::DialConnector;
+use crate::dial::DialError;
+
 /// Maximum size in bytes of a response body that is not a stream.
 pub type BodyLimit = usize;
 
@@ -42,6 +48,15 @@
         /// Error of the operating system or the HTTP library.
         cause: String,
     },
+    /// This instance has no path to the server: no byte of the request was written, and nothing is
+    /// known about the server.
+    #[error("no path to {uri}: {cause}")]
+    NoPath {
+        /// URI of the request.
+        uri: String,
+        /// Why there is no path.
+        cause: String,
+    },
     /// The connection broke after the request may have been written.
     #[error("the connection to {uri} broke: {cause}")]
     Broken {
@@ -103,13 +118,16 @@
 /// Server-sent events of one response.
 pub type EventStream = BoxStream<'static, Result<Event, HttpClientError>>;
 
-/// Sends HTTP requests; cheap to clone.
+/// Sends HTTP requests; cheap to clone. `C` opens its connections.
 #[derive(Clone, Debug)]
-pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+pub struct HttpClient<C = HttpConnector> {
+    client: Client<C, Full<Bytes>>,
     limit: BodyLimit,
 }
 
+/// Sends HTTP requests to backend servers over connections that a [`Dial`] opens.
+pub type ServerClient = HttpClient<DialConnector>;
+
 impl HttpClient {
     /// Creates a client that reuses idle connections.
     pub fn pooled(limit: BodyLimit) -> Self {
@@ -133,25 +151,30 @@
     /// Creates a client that opens a connection per request and never retries by itself, so that
     /// [`HttpClientError::Connect`] proves that no byte of the request was written.
     pub fn unpooled(limit: BodyLimit) -> Self {
-        Self::unpooled_with_connect_timeout(limit, CONNECT_TIMEOUT)
+        HttpClient {
+            client: unpooled(connector(CONNECT_TIMEOUT)),
+            limit,
+        }
     }
+}
 
-    /// Creates a client like [`HttpClient::unpooled`] with another connect timeout.
-    pub fn unpooled_with_connect_timeout(limit: BodyLimit, connect_timeout: Duration) -> Self {
-        let mut builder = Client::builder(TokioExecutor::new());
-        builder.pool_max_idle_per_host(0);
-        builder.retry_canceled_requests(false);
+impl ServerClient {
+    /// Creates a client that opens a connection per request with `dial` and never retries by
+    /// itself, like [`HttpClient::unpooled`].
+    pub fn dialing(limit: BodyLimit, dial: Arc<dyn Dial>) -> Self {
         HttpClient {
-            client: builder.build(connector(connect_timeout)),
+            client: unpooled(DialConnector(dial)),
             limit,
         }
     }
+}
 
+impl<C: Connect + Clone + Send + Sync + 'static> HttpClient<C> {
     /// Sends a request and returns the response before its body is read.
     ///
     /// # Errors
     ///
-    /// [`HttpClientError::Connect`] or [`HttpClientError::Broken`].
+    /// [`HttpClientError::Connect`], [`HttpClientError::NoPath`] or [`HttpClientError::Broken`].
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
@@ -159,7 +182,9 @@
         let uri = request.uri().to_string();
         self.client.request(request).await.map_err(|error| {
             let cause = error_chain(&error);
-            if error.is_connect() {
+            if has_no_path(&error) {
+                HttpClientError::NoPath { uri, cause }
+            } else if error.is_connect() {
                 HttpClientError::Connect { uri, cause }
             } else {
                 HttpClientError::Broken { uri, cause }
@@ -302,6 +327,24 @@
     }
 }
 
+fn unpooled<C: Connect + Clone>(connector: C) -> Client<C, Full<Bytes>> {
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder.pool_max_idle_per_host(0);
+    builder.retry_canceled_requests(false);
+    builder.build(connector)
+}
+
+fn has_no_path(error: &hyper_util::client::legacy::Error) -> bool {
+    let mut source = error.source();
+    while let Some(cause) = source {
+        if let Some(DialError::NoPath(_)) = cause.downcast_ref() {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
 fn connector(timeout: Duration) -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -2,6 +2,7 @@
 //! operators, and the HTTP client that all of them share.
 
 mod completion;
+mod dial;
 mod engine_api;
 mod error_body;
 mod fleet_api;
@@ -21,6 +22,10 @@
 pub use completion::ModelCard;
 pub use completion::ModelList;
 pub use completion::Usage;
+pub use dial::Dial;
+pub use dial::DialConnector;
+pub use dial::DialError;
+pub use dial::TcpDial;
 pub use engine_api::EndReason;
 pub use engine_api::EngineEvent;
 pub use engine_api::EngineFaults;
@@ -44,6 +49,7 @@
 pub use http_client::HttpClient;
 pub use http_client::HttpClientError;
 pub use http_client::Reply;
+pub use http_client::ServerClient;
 pub use platform_api::ConfigReply;
 pub use platform_api::InstancesReply;
 pub use platform_api::PlatformFaults;
--- a/crates/daemon/src/engines/engine_watch.rs
+++ b/crates/daemon/src/engines/engine_watch.rs
@@ -7,6 +7,9 @@
 
 use futures::future::join;
 use futures::future::join_all;
+use iristhread_api::Dial;
+use iristhread_api::DialError;
+use iristhread_api::TcpDial;
 use iristhread_core::Replica;
 use slog::debug;
 
@@ -17,7 +20,8 @@
 /// 0.5 s old, and the first copy of a session takes 0.25 s.
 const ROUND_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Timeout of a probe: a live engine accepts a connection within this time.
+/// Timeout of a probe of the completion interface: a live engine accepts a connection within this
+/// time.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Delay of the second probe of a backend server at which a connection was lost but which still
@@ -60,7 +64,7 @@
 }
 
 async fn probe(app: &GatewayApp, engine: Replica) -> Reach {
-    let reach = probe_reach(engine.address).await;
+    let reach = probe_reach(app.dial.as_ref(), engine.address).await;
     let replica = engine.server_life();
     if reach == Reach::Refuses {
         app.control.tell(GatewayMessage::ServerCrashed {
@@ -93,10 +97,13 @@
 /// Whether nothing listens at the address of a backend server any more. A crashing server may
 /// close its connections before its listener: with `probes_twice`, a second probe follows.
 pub async fn has_stopped_listening(address: SocketAddr, probes_twice: bool) -> bool {
-    let mut reach = probe_reach(address).await;
+    let dial = TcpDial {
+        connect_timeout: PROBE_TIMEOUT,
+    };
+    let mut reach = probe_reach(&dial, address).await;
     if reach == Reach::Accepts && probes_twice {
         tokio::time::sleep(SECOND_PROBE_DELAY).await;
-        reach = probe_reach(address).await;
+        reach = probe_reach(&dial, address).await;
     }
     reach == Reach::Refuses
 }
@@ -113,11 +120,10 @@
 }
 
 /// Probes an address by opening a connection.
-pub async fn probe_reach(address: SocketAddr) -> Reach {
-    let connect = tokio::net::TcpStream::connect(address);
-    match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
-        Ok(Ok(_)) => Reach::Accepts,
-        Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => Reach::Refuses,
-        Ok(Err(_)) | Err(_) => Reach::Silent,
+pub async fn probe_reach(dial: &dyn Dial, address: SocketAddr) -> Reach {
+    match dial.dial(address).await {
+        Ok(_) => Reach::Accepts,
+        Err(DialError::Refused) => Reach::Refuses,
+        Err(_) => Reach::Silent,
     }
 }
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -8,7 +8,9 @@
 use http::Request;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use iristhread_api::HttpClient;
+use iristhread_api::Dial;
+use iristhread_api::ServerClient;
+use iristhread_api::TcpDial;
 use iristhread_core::RouteTable;
 use slog::Logger;
 use slog::info;
@@ -88,8 +90,20 @@
     pub wire_protocol: Arc<dyn WireProtocol>,
     /// Client of the platform's directory.
     pub directory: Arc<dyn Directory>,
-    /// Orders to engines.
-    pub mover: Arc<dyn SessionMover>,
+    /// Opens connections to backend servers.
+    pub dial: Arc<dyn Dial>,
+    /// Creates the client for orders to engines.
+    pub mover: MoverFactory,
+}
+
+/// Creates a client for orders to engines that opens its connections with the given [`Dial`].
+pub type MoverFactory = Box<dyn FnOnce(Arc<dyn Dial>) -> Arc<dyn SessionMover> + Send>;
+
+/// Returns a [`Dial`] that connects to backend servers directly.
+pub fn direct_dial() -> Arc<dyn Dial> {
+    Arc::new(TcpDial {
+        connect_timeout: BACKEND_CONNECT_TIMEOUT,
+    })
 }
 
 /// State shared by all tasks of a gateway.
@@ -109,7 +123,9 @@
     /// Records server notices and checks send restrictions.
     pub notices: Notices,
     /// HTTP client that opens one connection for each request.
-    pub client: HttpClient,
+    pub client: ServerClient,
+    /// Opens connections to backend servers.
+    pub dial: Arc<dyn Dial>,
     /// Metrics of the gateway.
     pub metrics: Arc<GatewayMetrics>,
     /// Logger of the instance.
@@ -194,7 +210,7 @@
             log: log.clone(),
         };
         let mover = Arc::new(RestrictedMover {
-            mover: ports.mover,
+            mover: (ports.mover)(ports.dial.clone()),
             notices: notices.clone(),
         });
         let app = Arc::new(GatewayApp {
@@ -205,10 +221,8 @@
             wire_protocol: ports.wire_protocol,
             mover,
             notices,
-            client: HttpClient::unpooled_with_connect_timeout(
-                MAX_ANSWER_BYTES,
-                BACKEND_CONNECT_TIMEOUT,
-            ),
+            client: ServerClient::dialing(MAX_ANSWER_BYTES, ports.dial.clone()),
+            dial: ports.dial,
             metrics: metrics.clone(),
             log: log.clone(),
             views,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -38,6 +38,8 @@
 pub use engines::session_mover::SessionMover;
 pub use gateway::Gateway;
 pub use gateway::GatewayPorts;
+pub use gateway::MoverFactory;
+pub use gateway::direct_dial;
 pub use gateway::gateway_metrics::GatewayMetrics;
 pub use gateway::gateway_settings::GatewaySettings;
 pub use operators::resource_log::ResourceLog;
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -259,7 +259,8 @@
         if self.engine_restarted {
             return Step::Broken("the engine has restarted");
         }
-        match probe_reach(self.replica.address).await {
+        let dial = self.exchange.app.dial.clone();
+        match probe_reach(dial.as_ref(), self.replica.address).await {
             Reach::Accepts => Step::Continue,
             Reach::Refuses | Reach::Silent => Step::Unreachable,
         }
