Believe an engine's answer before a neighbour that can't reach it

Cause: what a peer of the zone could not reach was left alone here for 4 s, as if both had the same connectivity. An answer within the last second now counts more than a peer's word, and ends what was believed before. Failed before: an_engine_that_answers_here_stays_in_use_when_a_neighbour_can_t_reach_it, an_engine_that_answers_is_in_use_again. cargo test -p iristhread-core: green.

--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -305,6 +305,7 @@
             return false;
         };
         run.generated = generated;
+        self.watch.answered(now, &run.replica);
         self.backoffs.served(request);
         let had_begun = std::mem::replace(&mut run.has_begun, true);
         run.begun_at.get_or_insert(now);
@@ -337,6 +338,7 @@
         self.limits.drop_grant(request);
         match end {
             RunEnd::Answered => {
+                self.watch.answered(now, &run.replica);
                 self.pauses.remove(&run.replica);
                 self.ran_well(now, run.ask.fingerprint);
             }
--- a/crates/core/src/gateway/gateway_control/engine_watch.rs
+++ b/crates/core/src/gateway/gateway_control/engine_watch.rs
@@ -26,6 +26,10 @@
 /// lost.
 const DRAINING_ADVERTISED_FOR: Duration = Duration::from_secs(10);
 
+/// Time for which an answer shows that this instance reaches a replica, whatever a peer reports: the
+/// time between two reports of the progress of a stream.
+const ANSWER_COUNTS_FOR: Duration = Duration::from_secs(1);
+
 /// Time for which it is advertised that a replica is unreachable: two heartbeats. An instance that
 /// finds it unreachable again advertises it again.
 const UNREACHABLE_ADVERTISED_FOR: Duration = Duration::from_secs(2);
@@ -47,9 +51,21 @@
     probed_at: BTreeMap<BackendId, Now>,
     unreachable_until: BTreeMap<BackendId, Now>,
     found_unreachable: BTreeMap<BackendId, Now>,
+    answered_at: BTreeMap<BackendId, Now>,
 }
 
 impl EngineWatch {
+    /// Records that a replica sent an answer, or a part of one, to this instance.
+    pub(super) fn answered(&mut self, now: Now, id: &str) {
+        self.forget_connections(id);
+        self.answered_at.insert(id.to_owned(), now);
+    }
+
+    fn has_answered_lately(&self, now: Now, id: &str) -> bool {
+        let at = self.answered_at.get(id);
+        at.is_some_and(|at| now.saturating_sub(*at) < ANSWER_COUNTS_FOR)
+    }
+
     /// Removes the observations of a replica.
     pub(super) fn forget(&mut self, id: &str) {
         self.said_leaving.remove(id);
@@ -57,6 +73,7 @@
         self.probed_at.remove(id);
         self.unreachable_until.remove(id);
         self.found_unreachable.remove(id);
+        self.answered_at.remove(id);
     }
 
     /// Removes what connections of this instance to a replica have shown.
@@ -164,9 +181,10 @@
     }
 
     /// Applies the report of a peer of this zone that a replica did not accept a connection. The
-    /// peer has the same network connectivity as this instance.
+    /// peer mostly has the same network connectivity as this instance; what the replica answers
+    /// here counts more.
     pub fn apply_peer_unreachable(&mut self, now: Now, id: &str) {
-        if self.is_list_uncertain(now) {
+        if self.is_list_uncertain(now) && !self.watch.has_answered_lately(now, id) {
             self.unreachable(now, id);
         }
     }
@@ -231,5 +249,6 @@
         self.watch.peers_said_leaving.retain(|id, _| is_listed(id));
         self.watch.unreachable_until.retain(|id, _| is_listed(id));
         self.watch.found_unreachable.retain(|id, _| is_listed(id));
+        self.watch.answered_at.retain(|id, _| is_listed(id));
     }
 }
--- a/crates/core/tests/gateway_engine_watch.rs
+++ b/crates/core/tests/gateway_engine_watch.rs
@@ -179,6 +179,52 @@
     }
 }
 
+/// An instance that had lost its own path talked its neighbours out of engines that served them.
+#[test]
+fn an_engine_that_answers_here_stays_in_use_when_a_neighbour_can_t_reach_it() {
+    let mut fleet = fleet(2);
+    let ranking = fleet[1].place(ms(100), ask("r1")).unwrap();
+    let engine = ranking.replicas[0].id.clone();
+    fleet[1].progress(ms(150), "r1", 16);
+    fleet[1].apply_peer_unreachable(ms(200), &engine);
+    assert!(is_chosen(&mut fleet[1], ms(250), &engine));
+}
+
+#[test]
+fn an_engine_that_answers_is_in_use_again() {
+    let mut fleet = fleet(2);
+    let ranking = fleet[1].place(ms(100), ask("r1")).unwrap();
+    let engine = ranking.replicas[0].id.clone();
+    fleet[1].apply_peer_unreachable(ms(150), &engine);
+    assert!(!is_chosen(&mut fleet[1], ms(200), &engine));
+    fleet[1].progress(ms(250), "r1", 16);
+    assert!(is_chosen(&mut fleet[1], ms(300), &engine));
+}
+
+/// The failures of an instance without a path say nothing about the servers.
+#[test]
+fn an_instance_without_a_path_withdraws_what_it_said_about_servers() {
+    let mut fleet = fleet(2);
+    for engine in ["e1", "e2"] {
+        fleet[0].refused_connection(ms(100), engine);
+        fleet[0].failed(ms(100), engine);
+    }
+    fleet[0].service_cut_off("engines");
+    assert!(fleet[0].found_unreachable(ms(150)).is_empty());
+    for engine in ["e1", "e2"] {
+        assert!(is_chosen(&mut fleet[0], ms(150), engine), "{engine}");
+    }
+}
+
+/// Whether an engine is among those chosen for some of ten requests.
+fn is_chosen(control: &mut GatewayControl, at: Duration, engine: &str) -> bool {
+    (0..10).any(|number| {
+        let request = format!("{engine}-{}-{number}", at.as_millis());
+        let ranking = control.place(at, ask(&request)).unwrap();
+        ranking.replicas.iter().any(|replica| replica.id == engine)
+    })
+}
+
 /// A confirmed list shows which servers are gone, and a connection may fail for other reasons.
 #[test]
 fn refused_connections_are_not_advertised_while_the_list_is_confirmed() {
