Send brittle servers what they can take without rejecting much

Cause: servers may say in all their answers how many rejections a second they withstand (Server-Brittle), and fall over with more; nothing read that.

Change: decoded in platform/ into a bound; core derives a rate from slots, run time and bound (Erlang B) and hands it to the limits that all instances share; halved after a rejection, raised by one instance at a time. Beyond it callers are refused at once with a true time.

Failed before: brittle_servers_that_nobody_heeds_fall_over shows the falls of instances that hear nothing.

--- a/crates/core/src/directory/replica_view.rs
+++ b/crates/core/src/directory/replica_view.rs
@@ -74,6 +74,8 @@
     pub ask: PlacementRequest,
     /// Number of tokens generated so far.
     pub generated: u32,
+    /// Time at which it was sent to the replica.
+    pub sent_at: Now,
     /// Whether its first event was received.
     pub has_begun: bool,
     /// Time of its first event from this replica.
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -10,6 +10,7 @@
 
 use crate::AdvertisedLoads;
 use crate::BackendId;
+use crate::BrittleServers;
 use crate::ConfigVersion;
 use crate::EvacuationChange;
 use crate::FailureBackoff;
@@ -40,6 +41,7 @@
 use crate::ZoneEvacuations;
 use crate::own_shares;
 
+mod brittle;
 mod cold;
 mod crash_attribution;
 mod engine_watch;
@@ -114,6 +116,7 @@
     cold_sends: ColdSends,
     backoffs: ServerBackoffs,
     limits: ServerLimits,
+    brittle: BrittleServers,
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: KnownGoodRequests,
@@ -138,6 +141,7 @@
             cold_sends: ColdSends::default(),
             backoffs: ServerBackoffs::default(),
             limits: ServerLimits::default(),
+            brittle: BrittleServers::default(),
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: KnownGoodRequests::default(),
@@ -263,6 +267,7 @@
                 backup_life: backup.as_ref().map(Replica::life),
                 ask,
                 generated: 0,
+                sent_at: now,
                 has_begun: false,
                 begun_at: None,
                 is_proven: false,
@@ -288,6 +293,7 @@
         if let Some(run) = self.runs.get_mut(request) {
             run.replica = replica;
             run.life = incarnation;
+            run.sent_at = now;
             run.has_begun = false;
             run.begun_at = None;
         }
@@ -339,6 +345,8 @@
         match end {
             RunEnd::Answered => {
                 self.watch.answered(now, &run.replica);
+                let took = now.saturating_sub(run.sent_at);
+                self.brittle.ran(&run.ask.service, took);
                 self.pauses.remove(&run.replica);
                 self.ran_well(now, run.ask.fingerprint);
             }
--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -192,7 +192,11 @@
     /// each other's heartbeats agree on one; an instance that receives fewer than half of the
     /// other zones probes none.
     fn probes(&self, fingerprint: Fingerprint) -> bool {
-        let topic = format!("{:032x}", fingerprint.content);
+        self.is_first_for(&format!("{:032x}", fingerprint.content))
+    }
+
+    /// Returns whether this instance is the one of all that acts on a topic, as for `probes`.
+    pub(super) fn is_first_for(&self, topic: &str) -> bool {
         let own = &self.parameters.zone;
         let zones = self.parameters.regions.keys().map(String::as_str);
         let others = zones.clone().filter(|zone| *zone != own);
@@ -200,13 +204,13 @@
         if live.count() * 2 < others.count() {
             return false;
         }
-        let first = rendezvous_rank(&topic, zones).first().copied();
+        let first = rendezvous_rank(topic, zones).first().copied();
         if first.is_some_and(|zone| zone != own) {
             return false;
         }
         let instance = self.parameters.instance.as_str();
         let names = self.peers.neighbours().map(String::as_str);
-        let rank = rendezvous_rank(&topic, names.chain([instance]));
+        let rank = rendezvous_rank(topic, names.chain([instance]));
         rank.first() == Some(&instance)
     }
 }
--- a/crates/core/src/gateway/gateway_control/limits.rs
+++ b/crates/core/src/gateway/gateway_control/limits.rs
@@ -6,7 +6,6 @@
 use super::GatewayControl;
 use crate::AdvertisedLimit;
 use crate::BackendId;
-use crate::DeclaredLimit;
 use crate::LimitChange;
 use crate::LoadShares;
 use crate::Now;
@@ -23,17 +22,14 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 impl GatewayControl {
-    /// Applies the limit that a server names in an answer; returns the change, if any.
+    /// Applies the limit that a server names or implies in an answer; returns the change, if any.
     pub fn observe_limit(
         &mut self,
         now: Now,
         server: &ServerLife,
         heard: &ObservedNotice,
     ) -> Option<LimitChange> {
-        let limit = heard.notice.limit;
-        if limit == DeclaredLimit::Absent && !heard.reports_limits {
-            return None;
-        }
+        let limit = self.implied_limit(now, server, heard)?;
         let earned = self.chance();
         self.limits.heard(now, server, limit, heard.sent_at, earned)
     }
--- a/crates/core/src/limits/server_limits.rs
+++ b/crates/core/src/limits/server_limits.rs
@@ -221,6 +221,12 @@
         known.observation.limit.map(|_| known.limited_since)
     }
 
+    /// Returns the limit of an incarnation and when it was observed.
+    pub fn in_force(&self, incarnation: IncarnationId) -> Option<(RequestRate, Now)> {
+        let observation = self.by_incarnation.get(&incarnation)?.observation;
+        Some((observation.limit?, observation.observed_at))
+    }
+
     /// Incarnations that are limited now.
     pub fn lives(&self) -> BTreeSet<IncarnationId> {
         let limited = self.by_incarnation.iter();
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -1,6 +1,7 @@
 //! State of single backend servers: the notices in their answers, their failures, and the
 //! requests that are suspected to crash them.
 
+pub(crate) mod brittle_servers;
 pub(crate) mod draining_marks;
 pub(crate) mod failure_backoff;
 pub(crate) mod fingerprint;
--- a/crates/core/src/servers/server_notice.rs
+++ b/crates/core/src/servers/server_notice.rs
@@ -76,6 +76,35 @@
     }
 }
 
+/// The number of rejections a second, of all instances together, that a server declares to
+/// withstand: with more it falls over.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum DeclaredBound {
+    /// The answer declares none.
+    #[default]
+    Absent,
+    /// The declared number.
+    Of(u32),
+    /// The value can't be parsed.
+    Unreadable,
+}
+
+impl DeclaredBound {
+    /// Parses a whole number.
+    pub fn parse(text: &str) -> DeclaredBound {
+        let bound = text.trim().parse();
+        bound.map_or(DeclaredBound::Unreadable, DeclaredBound::Of)
+    }
+
+    /// The declared number, if there is one that could be parsed.
+    pub fn rejections_per_s(self) -> Option<u32> {
+        match self {
+            DeclaredBound::Of(bound) => Some(bound),
+            DeclaredBound::Absent | DeclaredBound::Unreadable => None,
+        }
+    }
+}
+
 /// The notice of one answer about its backend server.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ServerNotice {
@@ -85,6 +114,8 @@
     pub retry_after: RetryAfter,
     /// The declared limit for all instances together, whatever the result of the request.
     pub limit: DeclaredLimit,
+    /// The declared bound of rejections, whatever the result of the request.
+    pub brittle: DeclaredBound,
 }
 
 impl ServerNotice {
@@ -102,6 +133,15 @@
             is_leaving,
             retry_after: retry_after.map_or(RetryAfter::Absent, RetryAfter::parse),
             limit: limit.map_or(DeclaredLimit::Absent, DeclaredLimit::parse),
+            brittle: DeclaredBound::Absent,
+        }
+    }
+
+    /// Adds the declared bound of rejections, if the answer has one.
+    pub fn with_brittle(self, bound: Option<&str>) -> ServerNotice {
+        ServerNotice {
+            brittle: bound.map_or(DeclaredBound::Absent, DeclaredBound::parse),
+            ..self
         }
     }
 
@@ -116,7 +156,9 @@
 
     /// Whether a value of the notice can't be parsed.
     pub fn is_unreadable(&self) -> bool {
-        self.retry_after == RetryAfter::Unreadable || self.limit == DeclaredLimit::Unreadable
+        self.retry_after == RetryAfter::Unreadable
+            || self.limit == DeclaredLimit::Unreadable
+            || self.brittle == DeclaredBound::Unreadable
     }
 
     /// Whether the notice is empty.
--- a/crates/core/tests/gateway_notices.rs
+++ b/crates/core/tests/gateway_notices.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use iristhread_core::DeclaredBound;
 use iristhread_core::DeclaredLimit;
 use iristhread_core::GatewayControl;
 use iristhread_core::ListedState;
@@ -29,6 +30,7 @@
     is_leaving: true,
     retry_after: RetryAfter::Absent,
     limit: DeclaredLimit::Absent,
+    brittle: DeclaredBound::Absent,
 };
 
 fn backoff(time: Duration) -> ServerNotice {
@@ -36,6 +38,7 @@
         is_leaving: false,
         retry_after: RetryAfter::In(time),
         limit: DeclaredLimit::Absent,
+        brittle: DeclaredBound::Absent,
     }
 }
 
--- a/crates/daemon/src/engines/notices.rs
+++ b/crates/daemon/src/engines/notices.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use futures::future::BoxFuture;
+use iristhread_core::DeclaredBound;
 use iristhread_core::DeclaredLimit;
 use iristhread_core::Now;
 use iristhread_core::ObservedNotice;
@@ -54,7 +55,8 @@
     Leaving,
     /// The server asked for a backoff until this time.
     Resting(Now),
-    /// The server declared a limit, and this instance has used its share.
+    /// The server declared a limit, and this instance has used its share; or it is brittle and has
+    /// no room.
     Limited,
 }
 
@@ -64,7 +66,7 @@
         match self {
             SendRestriction::Leaving => "it said that it leaves",
             SendRestriction::Resting(_) => "it asked for rest",
-            SendRestriction::Limited => "it declared a limit, and this instance has used its share",
+            SendRestriction::Limited => "it declared a limit or is brittle, and takes no more now",
         }
     }
 }
@@ -91,7 +93,7 @@
         let notice = &observed.notice;
         let incarnation = replica.life();
         if observed.reports_limits
-            && notice.limit == DeclaredLimit::Absent
+            && (notice.limit == DeclaredLimit::Absent || notice.brittle == DeclaredBound::Absent)
             && self.restrictions.borrow().limited.contains(&incarnation)
         {
             self.send_notice(replica, observed);
@@ -106,10 +108,11 @@
             "leaving" => notice.is_leaving,
             "rest_ms" => notice.rest().map(|rest| rest.as_millis() as u64),
             "limit_per_s" => notice.limit.rate().map(RequestRate::per_s),
+            "brittle_rejections_per_s" => notice.brittle.rejections_per_s(),
             "unreadable" => notice.is_unreadable());
         let is_known = self.restrictions.borrow().leaving.contains(&incarnation);
-        let is_limit = notice.limit.rate().is_some();
-        if notice.rest().is_some() || notice.is_leaving && !is_known || is_limit {
+        let is_bound = notice.limit.rate().is_some() || notice.brittle.rejections_per_s().is_some();
+        if notice.rest().is_some() || notice.is_leaving && !is_known || is_bound {
             self.send_notice(replica, observed);
         }
     }
@@ -168,6 +171,9 @@
         if notice.limit.rate().is_some() {
             self.metrics.notice_observed("limit");
         }
+        if notice.brittle.rejections_per_s().is_some() {
+            self.metrics.notice_observed("brittle");
+        }
         if notice.is_unreadable() {
             self.metrics.notice_observed("unreadable");
         }
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -239,6 +239,11 @@
         /// The peer.
         source: String,
     },
+    /// A replica had no room for a request.
+    RejectedForRoom {
+        /// The replica.
+        replica: ServerLife,
+    },
     /// Another server has the address of a replica.
     AddressReused {
         /// The replica.
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -233,6 +233,7 @@
             GatewayMessage::LimitsReceived { limits, source } => {
                 self.limits_received(limits, &source)
             }
+            GatewayMessage::RejectedForRoom { replica } => self.rejected_for_room(&replica),
             GatewayMessage::AddressReused { replica } => self.address_reused(&replica),
             GatewayMessage::CallerRetryAfter {
                 ask,
@@ -331,6 +332,7 @@
         self.metrics
             .suspects(control.suspected(), control.quarantined());
         self.metrics.backing_off(control.resting(self.clock.now()));
+        self.grow_brittle();
         self.count_limits();
     }
 
--- a/crates/daemon/src/gateway/gateway_thread/limits.rs
+++ b/crates/daemon/src/gateway/gateway_thread/limits.rs
@@ -4,6 +4,7 @@
 use iristhread_core::LimitChange;
 use iristhread_core::Ranking;
 use iristhread_core::ServerLife;
+use iristhread_core::ServerNotice;
 use slog::info;
 
 use super::GatewayThread;
@@ -52,6 +53,38 @@
         }
     }
 
+    /// Logs that a server began or ceased to say that it is brittle.
+    pub(super) fn log_brittleness(
+        &self,
+        server: &ServerLife,
+        notice: &ServerNotice,
+        was_brittle: bool,
+    ) {
+        let brittle = self.control.brittle();
+        let message = match (was_brittle, brittle.has(server.life)) {
+            (false, true) => "backend server says that it is brittle",
+            (true, false) => "backend server is no longer brittle",
+            _ => return,
+        };
+        info!(self.log, "{}", message;
+            "backend_server" => &server.id,
+            "rejections_per_s" => notice.brittle.rejections_per_s(),
+            "brittle_servers" => brittle.count());
+    }
+
+    /// Lowers the limit of a brittle server that had no room for a request.
+    pub(super) fn rejected_for_room(&mut self, server: &ServerLife) {
+        let change = self.control.rejected_for_room(self.clock.now(), server);
+        self.limit_changed(server, change, None);
+    }
+
+    /// Raises the limits of brittle servers that have rejected nothing for a while.
+    pub(super) fn grow_brittle(&mut self) {
+        for (server, change) in self.control.grow_brittle(self.clock.now()) {
+            self.limit_changed(&server, Some(change), None);
+        }
+    }
+
     pub(super) fn may_send(&mut self, server: &ServerLife, request: &str) -> bool {
         let may_send = self.control.may_send(self.clock.now(), server, request);
         self.metrics
--- a/crates/daemon/src/gateway/gateway_thread/server_events.rs
+++ b/crates/daemon/src/gateway/gateway_thread/server_events.rs
@@ -107,7 +107,9 @@
     pub(super) fn observe(&mut self, server: &ServerLife, observed: &ObservedNotice) {
         let now = self.clock.now();
         let notice = &observed.notice;
+        let was_brittle = self.control.brittle().has(server.life);
         let change = self.control.observe_limit(now, server, observed);
+        self.log_brittleness(server, notice, was_brittle);
         self.limit_changed(server, change, None);
         if let Some(rest) = notice.rest() {
             info!(self.log, "backend server rests";
--- a/crates/daemon/src/relaying/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -39,6 +39,7 @@
 use crate::relaying::caller_answer::end_to_end_headers;
 use crate::relaying::send_outcome::BackendAnswer;
 use crate::relaying::send_outcome::SendOutcome;
+use crate::relaying::wire_protocol::AnswerHead;
 use crate::relaying::wire_protocol::CallerHead;
 use crate::relaying::wire_protocol::ResumePoint;
 use crate::relaying::wire_protocol::SendParameters;
@@ -319,6 +320,11 @@
         };
         let notices = &self.app.notices;
         notices.record(replica, observed, &self.head.request);
+        if is_ours && head.is_not_run && is_rejection_for_room(parts.status, &head) {
+            self.app.control.tell(GatewayMessage::RejectedForRoom {
+                replica: replica.server_life(),
+            });
+        }
         if parts.status == StatusCode::MISDIRECTED_REQUEST {
             self.app.control.tell(GatewayMessage::AddressReused {
                 replica: replica.server_life(),
@@ -339,6 +345,15 @@
     }
 }
 
+/// Whether a server that did not run a request lacked room for it, rather than asking for a backoff.
+fn is_rejection_for_room(status: StatusCode, head: &AnswerHead) -> bool {
+    let is_busy = matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+    );
+    is_busy && head.notice.rest().is_none()
+}
+
 /// Reports the end of a request to the gateway thread when dropped, also when its task is
 /// dropped because the caller disconnected.
 pub struct RunGuard {
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -93,7 +93,7 @@
     };
     let sealed = struck.seal(&keyring('a')).unwrap();
     assert_eq!(sealed.open(&keyring('a')), Ok(struck.clone()));
-    // The name, its length and the number of names: an earlier version ignores what follows.
+    // The name, its length and the number of names: an earlier version ignores them.
     let calm = calm.seal(&keyring('a')).unwrap();
     assert_eq!(sealed.size_bytes(), calm.size_bytes() + 9);
 }
