Hold a cut link not against an engine, and don't wait for what it can't bring

Change: LostBy says what a session was lost by; the rest is not waited for on a silent connection; without a path nothing is tried.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -319,7 +319,8 @@
     }
 
     /// Stops the instance: reports not ready at once, then accepts no new connections, then waits
-    /// for all requests, its own and those that it carries for peers. Returns whether all of them finished in time.
+    /// for all requests, its own and those that it carries for peers. Returns whether all of them
+    /// finished in time.
     pub async fn stop(self) -> bool {
         let log = &self.app.log;
         let began = self.app.clock.now();
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -264,7 +264,9 @@
         }
         match self.exchange.app.dialer.reach(self.replica.address).await {
             Reach::Accepts => Step::Continue,
-            Reach::OnlyByPeer | Reach::Unknown => Step::CutOff,
+            Reach::OnlyByPeer => Step::CutOff,
+            // No other engine can be reached, either.
+            Reach::Unknown => Step::Continue,
             Reach::Refuses | Reach::Silent => Step::Unreachable,
         }
     }
--- a/crates/daemon/src/relaying/stream_relay/failover.rs
+++ b/crates/daemon/src/relaying/stream_relay/failover.rs
@@ -33,6 +33,15 @@
     Lost,
 }
 
+/// What a session was lost by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LostBy {
+    /// Its engine, which gets fewer requests for a while.
+    Engine,
+    /// The connection of this instance to its engine.
+    Link,
+}
+
 /// The outcome of failing a session over to another engine.
 enum FailoverOutcome {
     /// The stream continues at another engine.
@@ -60,8 +69,7 @@
             "last_event" => self.order.last(),
             "moving" => self.moving.is_some());
         self.check_broken_engine().await;
-        self.report_failed_engine();
-        match self.fail_over_or_restart().await {
+        match self.fail_over_or_restart(LostBy::Engine).await {
             FailoverOutcome::Continues => None,
             FailoverOutcome::Ended(end) => Some(end),
             FailoverOutcome::NoTarget => {
@@ -102,8 +110,7 @@
             request: self.exchange.head.request.clone(),
             replica: self.replica.clone(),
         });
-        self.report_failed_engine();
-        match self.fail_over_or_restart().await {
+        match self.fail_over_or_restart(LostBy::Engine).await {
             FailoverOutcome::Continues => None,
             FailoverOutcome::Ended(end) => Some(end),
             FailoverOutcome::NoTarget => {
@@ -113,12 +120,6 @@
         }
     }
 
-    fn report_failed_engine(&self) {
-        self.exchange.app.control.tell(GatewayMessage::Failed {
-            replica: self.replica.server_life(),
-        });
-    }
-
     /// Handles a silent connection to an engine that lives: this instance is cut off from it. The
     /// session continues from its backup, or moves to another engine by orders that take a detour.
     pub(super) async fn handle_cut_off(&mut self) -> Option<End> {
@@ -129,7 +130,7 @@
             "request" => &self.exchange.head.request,
             "backend_server" => &self.replica.id,
             "last_event" => self.order.last());
-        match self.fail_over_or_restart().await {
+        match self.fail_over_or_restart(LostBy::Link).await {
             FailoverOutcome::Continues => None,
             FailoverOutcome::Ended(end) => Some(end),
             FailoverOutcome::NoTarget => {
@@ -154,12 +155,17 @@
     }
 
     /// Fails the session over to an engine with a copy of it, or restarts it without one.
-    async fn fail_over_or_restart(&mut self) -> FailoverOutcome {
+    async fn fail_over_or_restart(&mut self, lost_by: LostBy) -> FailoverOutcome {
         if let Some(end) = self.finish_pending_move().await {
             return FailoverOutcome::of(end);
         }
         let request = self.exchange.head.request.clone();
         let control = &self.exchange.app.control;
+        if lost_by == LostBy::Engine {
+            control.tell(GatewayMessage::Failed {
+                replica: self.replica.server_life(),
+            });
+        }
         let asked = control.ask(|reply| GatewayMessage::FailOver { request, reply });
         let Some(target) = asked.await.flatten() else {
             return self.restart_elsewhere().await;
@@ -244,7 +250,10 @@
                 return self.return_to_source(error).await;
             }
         };
-        self.drain_stopped_stream().await;
+        // Nothing arrives on a connection that has been silent for long.
+        if !self.is_waiting_for_engine {
+            self.drain_stopped_stream().await;
+        }
         self.resume_moved_session(replica, handle).await
     }
 
