Check replies of peers, and make the instances of test fleets, in one place

Logic that stood twice after the detour and the brittle servers: the check of a peer's signed reply, and the gateway of a test fleet that knows its servers. No behaviour changes. Tests of limits and brittle servers: green.

--- a/crates/core/tests/brittle_scene/mod.rs
+++ b/crates/core/tests/brittle_scene/mod.rs
@@ -4,13 +4,11 @@
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
 use iristhread_core::AdvertisedLoads;
 use iristhread_core::DeclaredBound;
 use iristhread_core::GatewayControl;
-use iristhread_core::GatewayParameters;
 use iristhread_core::LimitChange;
 use iristhread_core::ObservedNotice;
 use iristhread_core::PlacementRequest;
@@ -20,10 +18,9 @@
 use iristhread_core::ServerNotice;
 
 use crate::gateway_scene::ask;
-use crate::gateway_scene::config;
 use crate::gateway_scene::engine;
+use crate::gateway_scene::instance;
 use crate::gateway_scene::ms;
-use crate::gateway_scene::terms;
 
 /// Requests that a server processes at once.
 const SLOTS: usize = 6;
@@ -283,14 +280,3 @@
         ..ask(id)
     }
 }
-
-fn instance(number: usize, servers: &[Replica]) -> GatewayControl {
-    let mut control = GatewayControl::new(GatewayParameters {
-        instance: format!("i{number}"),
-        seed: number as u64,
-        ..terms()
-    });
-    control.offer_config(Arc::new(config(1)));
-    control.offer_replicas(Duration::ZERO, 1, servers.to_vec());
-    control
-}
--- a/crates/core/tests/gateway_limit_schedules.rs
+++ b/crates/core/tests/gateway_limit_schedules.rs
@@ -16,12 +16,12 @@
 use proptest::test_runner::Config as ProptestConfig;
 use proptest::test_runner::RngSeed;
 
+use gateway_scene::instance;
 use gateway_scene::ms;
 use limit_scene::Fleet;
 use limit_scene::SPAN;
 use limit_scene::allowed;
 use limit_scene::declares_limit;
-use limit_scene::instance;
 
 /// Number of schedules by default; the environment variable PROPTEST_CASES overrides it.
 const SCHEDULES: u32 = 48;
--- a/crates/core/tests/gateway_limits.rs
+++ b/crates/core/tests/gateway_limits.rs
@@ -14,12 +14,12 @@
 
 use gateway_scene::ask;
 use gateway_scene::engine;
+use gateway_scene::instance;
 use gateway_scene::ms;
 use limit_scene::Fleet;
 use limit_scene::SPAN;
 use limit_scene::allowed;
 use limit_scene::declares_limit;
-use limit_scene::instance;
 
 /// Other servers receive the requests that limited servers can't accept; no request is refused.
 #[test_case(9, 38, "3.9", 3.9; "nine instances")]
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -195,3 +195,15 @@
         digest: None,
     }
 }
+
+/// The gateway of one instance of a fleet that knows these servers.
+pub fn instance(number: usize, servers: &[Replica]) -> GatewayControl {
+    let mut control = GatewayControl::new(GatewayParameters {
+        instance: format!("i{number}"),
+        seed: number as u64,
+        ..terms()
+    });
+    control.offer_config(Arc::new(config(1)));
+    control.offer_replicas(Duration::ZERO, 1, servers.to_vec());
+    control
+}
--- a/crates/core/tests/limit_scene/mod.rs
+++ b/crates/core/tests/limit_scene/mod.rs
@@ -2,13 +2,11 @@
 //! the real decision code and advertise their state with heartbeats.
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use iristhread_core::AdvertisedLoads;
 use iristhread_core::DeclaredLimit;
 use iristhread_core::GatewayControl;
-use iristhread_core::GatewayParameters;
 use iristhread_core::Now;
 use iristhread_core::ObservedNotice;
 use iristhread_core::Replica;
@@ -16,10 +14,9 @@
 use iristhread_core::ServerNotice;
 
 use crate::gateway_scene::ask;
-use crate::gateway_scene::config;
 use crate::gateway_scene::engine;
+use crate::gateway_scene::instance;
 use crate::gateway_scene::ms;
-use crate::gateway_scene::terms;
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL_MS: u64 = 200;
@@ -177,17 +174,6 @@
     }
 }
 
-pub fn instance(number: usize, servers: &[Replica]) -> GatewayControl {
-    let mut control = GatewayControl::new(GatewayParameters {
-        instance: format!("i{number}"),
-        seed: number as u64,
-        ..terms()
-    });
-    control.offer_config(Arc::new(config(1)));
-    control.offer_replicas(Duration::ZERO, 1, servers.to_vec());
-    control
-}
-
 pub fn allowed(per_s: f64) -> usize {
     (1.5 * per_s * SPAN.as_secs_f64()) as usize + 5
 }
--- a/crates/daemon/src/detour/detour_client.rs
+++ b/crates/daemon/src/detour/detour_client.rs
@@ -8,7 +8,6 @@
 use iristhread_core::BackendId;
 use iristhread_core::InstanceId;
 use iristhread_core::Keyring;
-use iristhread_core::PeerGuard;
 use thiserror::Error;
 use tokio::net::TcpStream;
 
@@ -19,7 +18,7 @@
 use crate::detour::detour_message::read_message;
 use crate::detour::detour_message::write_message;
 use crate::detour::keep_alive;
-use crate::peers::peer_message::SignedMessage;
+use crate::peers::peer_port::is_reply;
 use crate::peers::peer_port::sign;
 
 /// Timeout of a connection attempt to a peer.
@@ -115,21 +114,10 @@
         );
         write_message(stream, &message).await?;
         let reply = read_message(stream).await?;
-        if !self.is_genuine(&reply, &peer.instance, sequence) {
+        let own = &self.identity.instance;
+        if !is_reply(&self.keyring, own, &reply, (&peer.instance, sequence)) {
             return Err(DetourFault::Forged);
         }
         Ok(serde_json::from_str(&reply.body)?)
     }
-
-    fn is_genuine(&self, reply: &SignedMessage, from: &InstanceId, sequence: u64) -> bool {
-        let verified = PeerGuard::new(self.identity.instance.clone()).accept(
-            &self.keyring,
-            (&reply.from, &reply.incarnation),
-            &reply.to,
-            reply.sequence,
-            &reply.body,
-            &reply.tag,
-        );
-        reply.from == *from && reply.sequence == sequence && verified.is_ok()
-    }
 }
--- a/crates/daemon/src/peers/peer_port.rs
+++ b/crates/daemon/src/peers/peer_port.rs
@@ -128,24 +128,32 @@
                 cause,
             })?;
             let own = &self.identity.instance;
-            let genuine = reply.from == instance
-                && reply.sequence == sequence
-                && PeerGuard::new(own.clone())
-                    .accept(
-                        &self.keyring,
-                        (&reply.from, &reply.incarnation),
-                        &reply.to,
-                        reply.sequence,
-                        &reply.body,
-                        &reply.tag,
-                    )
-                    .is_ok();
+            let genuine = is_reply(&self.keyring, own, &reply, (&instance, sequence));
             let parsed = serde_json::from_str(&reply.body).ok().filter(|_| genuine);
             parsed.ok_or(PeerError::Forged { instance })
         })
     }
 }
 
+/// Returns whether a message is signed by the peer that was asked and answers the request with this
+/// sequence number.
+pub fn is_reply(
+    keyring: &Keyring,
+    own: &InstanceId,
+    reply: &SignedMessage,
+    (from, sequence): (&InstanceId, u64),
+) -> bool {
+    let verified = PeerGuard::new(own.clone()).accept(
+        keyring,
+        (&reply.from, &reply.incarnation),
+        &reply.to,
+        reply.sequence,
+        &reply.body,
+        &reply.tag,
+    );
+    reply.from == *from && reply.sequence == sequence && verified.is_ok()
+}
+
 /// Signs a message as `identity`.
 pub fn sign(
     identity: &Identity,
