Lower a brittle server's limit from what is sent to it

Cause: the first limit of a brittle server follows from its slots and run time, which may be far above what callers ask for. Change: half of the least of the limit, of what slots and the present run time allow, and of the demand of all instances; the highest follows the run time.

--- a/crates/core/src/gateway/gateway_control/brittle.rs
+++ b/crates/core/src/gateway/gateway_control/brittle.rs
@@ -44,7 +44,9 @@
     /// limit.
     pub fn rejected_for_room(&mut self, now: Now, server: &ServerLife) -> Option<LimitChange> {
         let in_force = self.limits.in_force(server.life)?;
-        let reduced = self.brittle.rejected(now, server.life, in_force)?;
+        let others = self.demand_of_others(now, server);
+        let demand = others.plus(self.limits.wanted(now, server.life));
+        let reduced = self.brittle.rejected(now, server.life, in_force, demand)?;
         self.set_rate(now, server, reduced)
     }
 
--- a/crates/core/src/servers/brittle_servers.rs
+++ b/crates/core/src/servers/brittle_servers.rs
@@ -45,10 +45,22 @@
 #[derive(Clone, Debug)]
 struct BrittleServer {
     server: ServerLife,
-    highest: RequestRate,
+    service: String,
+    slots: u32,
+    /// Rejections a second that it withstands.
+    bound: u32,
     changed_at: Now,
 }
 
+impl BrittleServer {
+    /// Returns the highest rate at the present run times; `None` if none is known yet.
+    fn highest(&self, run_times: &BTreeMap<String, RunTime>) -> Option<RequestRate> {
+        let run_time = run_times.get(&self.service)?;
+        let per_s = highest_per_s(self.slots, run_time.seconds, self.bound);
+        Some(RequestRate::from_per_s(per_s))
+    }
+}
+
 /// The brittle backend servers, by incarnation, and the run times of services.
 #[derive(Clone, Debug, Default)]
 pub struct BrittleServers {
@@ -80,14 +92,14 @@
         if self.by_life.contains_key(&server.life) {
             return None;
         }
-        let run_time = self.run_times.get(service)?;
-        let per_s = highest_per_s(slots.max(1), run_time.seconds, bound);
-        let highest = RequestRate::from_per_s(per_s);
         let brittle = BrittleServer {
             server: server.clone(),
-            highest,
+            service: service.to_owned(),
+            slots: slots.max(1),
+            bound,
             changed_at: now,
         };
+        let highest = brittle.highest(&self.run_times)?;
         self.by_life.insert(server.life, brittle);
         Some(highest)
     }
@@ -99,12 +111,13 @@
 
     /// Returns the rate after a server rejected a request for want of room; `None` if the server is
     /// not brittle, or if a change is too recent to have had an effect. `rate` is the present rate,
-    /// and `changed_at` when an instance last changed it.
+    /// `changed_at` when an instance last changed it, and `demand` what all instances send or would.
     pub fn rejected(
         &mut self,
         now: Now,
         life: IncarnationId,
         (rate, changed_at): (RequestRate, Now),
+        demand: RequestRate,
     ) -> Option<RequestRate> {
         let known = self.by_life.get_mut(&life)?;
         let since_change = now.saturating_sub(changed_at.max(known.changed_at));
@@ -112,7 +125,10 @@
             return None;
         }
         known.changed_at = now;
-        Some(RequestRate::from_per_s(rate.per_s() * DECREASE))
+        let highest = known.highest(&self.run_times).unwrap_or(rate);
+        // A rate far above the demand would have to be halved several times to have an effect.
+        let sent = rate.min(highest).min(demand);
+        Some(RequestRate::from_per_s(sent.per_s() * DECREASE))
     }
 
     /// Returns the increased rates of the servers that this instance is to probe. `rate_of` returns
@@ -131,12 +147,13 @@
             };
             let changed_at = changed_at.max(known.changed_at);
             let is_due = now.saturating_sub(changed_at) >= GROWTH_INTERVAL;
-            if !is_due || rate >= known.highest || !probes(&known.server) {
+            let highest = known.highest(&self.run_times).unwrap_or(rate);
+            if !is_due || rate >= highest || !probes(&known.server) {
                 continue;
             }
             known.changed_at = now;
-            let step = known.highest.per_s() * GROWTH;
-            let next = RequestRate::from_per_s(rate.per_s() + step).min(known.highest);
+            let step = highest.per_s() * GROWTH;
+            let next = RequestRate::from_per_s(rate.per_s() + step).min(highest);
             grown.push((known.server.clone(), next));
         }
         grown
