Use the terms of the field in what the detours and brittle servers added

Cause: tests and two comments spoke of instances that hear, tell and are struck. Change: read notices, advertise, cut off; one test is now brittle_servers_that_nobody_reads_fall_over. No logic, bound, seed or assert changed.

--- a/crates/core/tests/brittle_scene/mod.rs
+++ b/crates/core/tests/brittle_scene/mod.rs
@@ -58,8 +58,8 @@
     instances: Vec<GatewayControl>,
     replicas: Vec<Replica>,
     servers: Vec<Server>,
-    /// Whether instances hear what the servers declare.
-    hears: bool,
+    /// Whether instances read what the servers declare.
+    reads_notices: bool,
     brittle_from: u64,
     brittle_until: u64,
     now: u64,
@@ -70,14 +70,14 @@
 
 impl BrittleFleet {
     /// Servers that are brittle from 2 s to 22 s.
-    pub fn new(instances: usize, servers: usize, hears: bool) -> BrittleFleet {
+    pub fn new(instances: usize, servers: usize, reads_notices: bool) -> BrittleFleet {
         let replicas: Vec<Replica> = (0..servers).map(plain_server).collect();
         let controls = (0..instances).map(|number| instance(number, &replicas));
         BrittleFleet {
             instances: controls.collect(),
             servers: (0..servers).map(|_| Server::default()).collect(),
             replicas,
-            hears,
+            reads_notices,
             brittle_from: 2_000,
             brittle_until: 22_000,
             now: 0,
@@ -148,17 +148,17 @@
                 shares: self.instances[from].advertised_shares(now),
                 digest: None,
             };
-            self.tell_all(from, |control| {
+            self.advertise_to_all(from, |control| {
                 control.apply_peer_load(now, loads.clone());
                 control.apply_peer_limits(now, limits.clone());
             });
         }
     }
 
-    fn tell_all(&mut self, from: usize, tell: impl Fn(&mut GatewayControl)) {
+    fn advertise_to_all(&mut self, from: usize, apply: impl Fn(&mut GatewayControl)) {
         let others = self.instances.iter_mut().enumerate();
         let others = others.filter(|(number, _)| *number != from);
-        others.for_each(|(_, control)| tell(control));
+        others.for_each(|(_, control)| apply(control));
     }
 
     fn request(&mut self, is_first: bool) {
@@ -211,9 +211,9 @@
             }
         }
         let life = self.replicas[index].server_life();
-        self.hear(number, index, false);
+        self.read_answer(number, index, false);
         let change = self.instances[number].rejected_for_room(now, &life);
-        self.tell_at_once(number, change);
+        self.advertise_at_once(number, change);
         self.instances[number].ended(now, &id, RunEnd::Refused);
         self.come_back(is_first);
     }
@@ -226,7 +226,7 @@
                 .partition(|(ends, ..)| *ends <= self.now);
             self.servers[index].running = running;
             for (_, number, id) in ended {
-                self.hear(number, index, true);
+                self.read_answer(number, index, true);
                 self.instances[number].ended(ms(self.now), &id, RunEnd::Answered);
                 self.served += 1;
             }
@@ -234,8 +234,8 @@
     }
 
     /// An instance reads what an answer declares.
-    fn hear(&mut self, number: usize, index: usize, is_success: bool) {
-        let brittle = match self.is_brittle() && self.hears {
+    fn read_answer(&mut self, number: usize, index: usize, is_success: bool) {
+        let brittle = match self.is_brittle() && self.reads_notices {
             true => DeclaredBound::Of(BOUND),
             false => DeclaredBound::Absent,
         };
@@ -250,15 +250,15 @@
         let life = self.replicas[index].server_life();
         let now = ms(self.now);
         let change = self.instances[number].observe_limit(now, &life, &observed);
-        self.tell_at_once(number, change);
+        self.advertise_at_once(number, change);
     }
 
     /// A changed limit is advertised in an immediate heartbeat.
-    fn tell_at_once(&mut self, number: usize, change: Option<LimitChange>) {
+    fn advertise_at_once(&mut self, number: usize, change: Option<LimitChange>) {
         if change.is_some() {
             let now = ms(self.now);
             let limits = self.instances[number].advertised_limits(now, false);
-            self.tell_all(number, |control| {
+            self.advertise_to_all(number, |control| {
                 control.apply_peer_limits(now, limits.clone());
             });
         }
--- a/crates/core/tests/brittle_servers.rs
+++ b/crates/core/tests/brittle_servers.rs
@@ -10,8 +10,8 @@
 use brittle_scene::BrittleFleet;
 
 /// Plays a calm time, a burst beyond the capacity, and a calm time.
-fn played(instances: usize, servers: usize, hears: bool) -> BrittleFleet {
-    let mut fleet = BrittleFleet::new(instances, servers, hears);
+fn played(instances: usize, servers: usize, reads_notices: bool) -> BrittleFleet {
+    let mut fleet = BrittleFleet::new(instances, servers, reads_notices);
     let capacity = fleet.capacity_per_s();
     fleet.run(Duration::from_secs(6), capacity * 6 / 10);
     fleet.run(Duration::from_secs(5), capacity * 13 / 10);
@@ -32,13 +32,13 @@
 
 /// The servers of these schedules do fall over, and then serve less.
 #[test]
-fn brittle_servers_that_nobody_heeds_fall_over() {
-    let (deaf, fleet) = (played(9, 10, false), played(9, 10, true));
-    assert!(deaf.falls() > 3, "{} falls", deaf.falls());
+fn brittle_servers_that_nobody_reads_fall_over() {
+    let (without, fleet) = (played(9, 10, false), played(9, 10, true));
+    assert!(without.falls() > 3, "{} falls", without.falls());
     assert!(
-        fleet.served > deaf.served,
+        fleet.served > without.served,
         "{} of {}",
         fleet.served,
-        deaf.served
+        without.served
     );
 }
--- a/crates/daemon/src/detour/server_dialer.rs
+++ b/crates/daemon/src/detour/server_dialer.rs
@@ -163,8 +163,8 @@
     }
 
     /// Returns whether another server of the same service accepts connections of this instance.
-    /// Without another server nothing tells a failed server from a failed connection; the server
-    /// is then taken for the cause.
+    /// Without another server a failed server can't be distinguished from a failed connection; the
+    /// server is then taken for the cause.
     async fn reaches_another(&self, server: &Replica) -> bool {
         let others = self.others_to_check(server);
         if others.is_empty() {
@@ -245,7 +245,7 @@
         )))
     }
 
-    /// Requests a connection from one peer; `None` if the peer can't tell anything about the server.
+    /// Requests a connection from one peer; `None` if the reply shows nothing about the server.
     async fn dial_through(
         &self,
         peer: &DetourTarget,
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -87,12 +87,12 @@
 #[test]
 fn services_without_a_path_survive_encoding_and_cost_nothing_otherwise() {
     let calm = heartbeat(7, 3);
-    let struck = Heartbeat {
+    let without_path = Heartbeat {
         cut_off: vec!["engines".to_owned()],
         ..calm.clone()
     };
-    let sealed = struck.seal(&keyring('a')).unwrap();
-    assert_eq!(sealed.open(&keyring('a')), Ok(struck.clone()));
+    let sealed = without_path.seal(&keyring('a')).unwrap();
+    assert_eq!(sealed.open(&keyring('a')), Ok(without_path.clone()));
     // The name, its length and the number of names: an earlier version ignores them.
     let calm = calm.seal(&keyring('a')).unwrap();
     assert_eq!(sealed.size_bytes(), calm.size_bytes() + 9);
