Carry the service level into decisions, and totals between instances

Cause: placement knew no workspace, rank, objective or deadline of a request, refusals and failed attempts were logged without them, and instances could tell each other nothing but loads. Ruled out: more fields in LoadShare, which travel with every heartbeat that a placement triggers. Change: ServiceLevel in PlacementRequest, pause_objective from the routes' configuration; Totals (speeds, memory by workspace, tokens that seek room), appended to heartbeats at most twice a second and summed up by zone; entry points for admission that decide as before; six settings, off or neutral by default; lines of placements, refusals and failed attempts name route, workspace, ranks, attempt and status.

--- a/crates/core/src/configuration/gateway_config.rs
+++ b/crates/core/src/configuration/gateway_config.rs
@@ -48,6 +48,10 @@
     pub timeout: Duration,
     /// Target latency of the answer, or of the first event of a stream.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that still counts as in time; `None` if the
+    /// operators name none.
+    #[serde(default)]
+    pub pause_objective: Option<Duration>,
     /// Priority of its requests; 0 is the highest.
     pub rank: u8,
     /// Services that run its requests.
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,3 +7,4 @@
 pub(crate) mod length_estimator;
 pub(crate) mod memory_demand;
 pub(crate) mod placement_request;
+pub(crate) mod service_level;
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -23,6 +23,7 @@
 use crate::Now;
 use crate::OwnRun;
 use crate::PeerLoads;
+use crate::PeerTotals;
 use crate::PlacementRequest;
 use crate::Ranking;
 use crate::Refusal;
@@ -41,6 +42,7 @@
 use crate::ZoneEvacuations;
 use crate::own_shares;
 
+mod admission;
 mod brittle;
 mod cold;
 mod crash_attribution;
@@ -52,7 +54,9 @@
 mod notices;
 mod ranking;
 mod server_list;
+mod totals;
 
+pub use admission::Admission;
 pub use engine_watch::EngineChecks;
 pub use notices::SendRestrictions;
 
@@ -108,6 +112,7 @@
     pauses: BTreeMap<BackendId, FailureBackoff>,
     runs: HashMap<RequestId, OwnRun>,
     peers: PeerLoads,
+    peer_totals: PeerTotals,
     budget: RetryBudget,
     random: Pcg32,
     is_list_stale: bool,
@@ -133,6 +138,7 @@
             pauses: BTreeMap::new(),
             runs: HashMap::new(),
             peers: PeerLoads::new(parameters.zone.clone()),
+            peer_totals: PeerTotals::new(parameters.zone.clone()),
             budget: RetryBudget::with_parameters(parameters.retry_ratio, 0.0),
             random,
             is_list_stale: false,
@@ -206,6 +212,7 @@
     /// Removes silent peers and expired entries and retries pending moves.
     pub fn tick(&mut self, now: Now) -> TickOutcome {
         let silent = self.peers.expire(now);
+        self.peer_totals.expire(now);
         let gone = self.list.expire(now);
         let mut evacuations = match gone.is_empty() {
             true => Vec::new(),
--- a/crates/core/src/gateway/gateway_parameters.rs
+++ b/crates/core/src/gateway/gateway_parameters.rs
@@ -27,6 +27,19 @@
     pub copy_limit: f64,
     /// Minimum expected output tokens for a session to get a backup.
     pub least_copied_tokens: u32,
+    /// Whether the speed of backend servers is learnt and counts when one is chosen.
+    pub learn_speeds: bool,
+    /// Relative difference in speed up to which backend servers count as equally fast.
+    pub speed_tolerance: f64,
+    /// Fraction of the memory that the moves off draining engines have needed lately that is kept
+    /// free of new sessions.
+    pub move_reserve: f64,
+    /// Whether memory is kept free for requests of a more urgent rank.
+    pub rank_reserve: bool,
+    /// Maximum number of requests that wait for room; with 0 they are refused at once.
+    pub max_waiting: usize,
+    /// Whether the Retry-After of a refusal for want of room follows from the forecast of room.
+    pub forecast_retry_after: bool,
     /// The region of each availability zone.
     pub regions: BTreeMap<ZoneId, RegionId>,
     /// Seed of the random number generator.
--- a/crates/core/src/gateway/placement_request.rs
+++ b/crates/core/src/gateway/placement_request.rs
@@ -8,6 +8,7 @@
 use crate::Replica;
 use crate::RequestClass;
 use crate::RequestId;
+use crate::ServiceLevel;
 
 /// A request that needs a backend server.
 #[derive(Clone, Debug)]
@@ -28,6 +29,8 @@
     pub expected_tokens: Option<u32>,
     /// Regions to which the request is restricted; `None` allows all regions.
     pub homes: Option<BTreeSet<RegionId>>,
+    /// What its caller is owed.
+    pub level: ServiceLevel,
 }
 
 impl PlacementRequest {
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -10,4 +10,6 @@
 pub(crate) mod message_order;
 pub(crate) mod peer_guard;
 pub(crate) mod peer_loads;
+pub(crate) mod peer_totals;
 pub(crate) mod rendezvous;
+pub(crate) mod totals;
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -24,6 +24,7 @@
 use iristhread_core::RequestClass;
 use iristhread_core::Route;
 use iristhread_core::RouteTarget;
+use iristhread_core::ServiceLevel;
 
 /// Memory of one engine of the tests, in tokens.
 pub const MEMORY_TOKENS: u64 = 10_000;
@@ -48,6 +49,7 @@
         class: RequestClass::Stream,
         timeout: ms(39_000),
         objective: ms(1_800),
+        pause_objective: Some(ms(180)),
         rank: 0,
         targets: vec![target("engines", 1)],
         max_attempts: 1,
@@ -108,6 +110,12 @@
         memory_limit: 1.0,
         copy_limit: 0.75,
         least_copied_tokens: 100,
+        learn_speeds: false,
+        speed_tolerance: 0.25,
+        move_reserve: 0.0,
+        rank_reserve: false,
+        max_waiting: 0,
+        forecast_retry_after: false,
         regions: BTreeMap::new(),
         seed: 1,
     }
@@ -171,6 +179,13 @@
         max_tokens: 800,
         expected_tokens: Some(400),
         homes: None,
+        level: ServiceLevel {
+            route: "chat".to_owned(),
+            workspace: Some("one".to_owned()),
+            objective: ms(1_800),
+            deadline: ms(39_000),
+            ..ServiceLevel::default()
+        },
     }
 }
 
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -8,6 +8,7 @@
 use iristhread_core::AdvertisedList;
 use iristhread_core::AdvertisedLoads;
 use iristhread_core::AdvertisedSuspect;
+use iristhread_core::AdvertisedTotals;
 use iristhread_core::BackendId;
 use iristhread_core::ConfigVersion;
 use iristhread_core::EngineChecks;
@@ -27,6 +28,7 @@
 use iristhread_core::RunEnd;
 use iristhread_core::ServerLife;
 use iristhread_core::SessionSignal;
+use iristhread_core::Totals;
 use iristhread_core::ZoneDigest;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -56,6 +58,10 @@
     /// Request fingerprints that are suspected to crash backend servers; empty if the state is
     /// not for a heartbeat.
     pub suspects: Vec<AdvertisedSuspect>,
+    /// Totals of this instance; `None` if the state is not for a heartbeat that carries them.
+    pub totals: Option<Totals>,
+    /// Totals of its whole zone, if this instance is a relay.
+    pub zone_totals: Option<Totals>,
 }
 
 impl OwnState {
@@ -345,6 +351,11 @@
         /// The advertised loads.
         told: AdvertisedLoads,
     },
+    /// A peer advertised its totals or those of its zone.
+    TotalsReceived {
+        /// The advertised totals.
+        totals: AdvertisedTotals,
+    },
     /// Returns the state of this instance.
     OwnState {
         /// The recipient of the state.
--- a/crates/daemon/src/gateway/gateway_settings.rs
+++ b/crates/daemon/src/gateway/gateway_settings.rs
@@ -66,6 +66,18 @@
     pub copy_limit: f64,
     /// Minimum number of expected tokens for which a session gets a backup.
     pub least_copied_tokens: u32,
+    /// Whether the speed of backend servers is learnt and counts when one is chosen.
+    pub learn_speeds: bool,
+    /// Relative difference in speed up to which backend servers count as equally fast.
+    pub speed_tolerance: f64,
+    /// Fraction of the memory that moves have needed lately that is kept free of new sessions.
+    pub move_reserve: f64,
+    /// Whether memory is kept free for requests of a more urgent rank.
+    pub rank_reserve: bool,
+    /// Maximum number of requests that wait for room.
+    pub max_waiting: usize,
+    /// Whether refused callers are told the time at which room is expected.
+    pub forecast_retry_after: bool,
 }
 
 impl GatewaySettings {
@@ -103,6 +115,13 @@
             // Backups save the sessions of crashed engines, but take memory from other sessions.
             copy_limit: reader.share("copy_limit", 0.5, 0.0..=4.0),
             least_copied_tokens: reader.number("least_copied_tokens", 100, 0..=1_000_000) as u32,
+            learn_speeds: reader.flag("learn_speeds", false),
+            // Within a quarter, load decides more than speed.
+            speed_tolerance: reader.share("speed_tolerance", 0.25, 0.0..=10.0),
+            move_reserve: reader.share("move_reserve", 0.0, 0.0..=4.0),
+            rank_reserve: reader.flag("rank_reserve", false),
+            max_waiting: reader.number("max_waiting", 0, 0..=100_000) as usize,
+            forecast_retry_after: reader.flag("forecast_retry_after", false),
         };
         let faults = reader.finish();
         if faults.is_empty() {
@@ -123,6 +142,12 @@
             memory_limit: self.memory_limit,
             copy_limit: self.copy_limit,
             least_copied_tokens: self.least_copied_tokens,
+            learn_speeds: self.learn_speeds,
+            speed_tolerance: self.speed_tolerance,
+            move_reserve: self.move_reserve,
+            rank_reserve: self.rank_reserve,
+            max_waiting: self.max_waiting,
+            forecast_retry_after: self.forecast_retry_after,
             regions: self.regions.clone(),
             seed,
         }
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -296,6 +296,9 @@
             GatewayMessage::ListStale { is_lost } => self.set_list_stale(is_lost),
             GatewayMessage::OutageEnded => self.control.outage_ended(now),
             GatewayMessage::PeerMessageReceived { told } => self.control.apply_peer_load(now, told),
+            GatewayMessage::TotalsReceived { totals } => {
+                self.control.apply_peer_totals(now, totals);
+            }
             GatewayMessage::OwnState { audience, reply } => {
                 let _ = reply.send(self.own_state(audience));
             }
@@ -343,6 +346,7 @@
     ) -> Placed {
         let request = ask.request.clone();
         let fingerprint = ask.fingerprint;
+        let level = ask.level.clone();
         let is_session = ask.class == RequestClass::Stream;
         let placed = self.control.place(self.clock.now(), ask);
         self.notify_demand_update();
@@ -356,6 +360,10 @@
                 info!(self.log, "backend server chosen";
                     "request" => &request,
                     "content" => fingerprint.to_string(),
+                    "route" => &level.route,
+                    "workspace" => &level.workspace,
+                    "workspace_rank" => level.rank.workspace,
+                    "route_rank" => level.rank.route,
                     "ranking" => format!("{:?}", ids(&ranking)),
                     "passed_over" => passed_over(&ranking),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
@@ -371,6 +379,10 @@
                 info!(self.log, "request refused";
                     "request" => &request,
                     "content" => fingerprint.to_string(),
+                    "route" => &level.route,
+                    "workspace" => &level.workspace,
+                    "workspace_rank" => level.rank.workspace,
+                    "route_rank" => level.rank.route,
                     "reason" => &refusal.message,
                     "retry_after_ms" => refusal.retry_after.as_millis() as u64,
                     "list_revision" => %self.control.list().revision());
--- a/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
+++ b/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
@@ -20,9 +20,16 @@
                 control.advertised_shares(now),
             ),
         };
+        let totals = match audience {
+            Audience::Own => None,
+            Audience::Peers { .. } => control.advertised_totals(now),
+        };
         let control = &self.control;
+        let zone_totals = totals.as_ref().filter(|_| is_relay);
         OwnState {
             suspects,
+            zone_totals: zone_totals.map(|own| control.zone_totals(own)),
+            totals,
             limits,
             config_version: self.control.config_version(),
             list_revision: self.control.list().revision(),
--- a/crates/daemon/src/peers/fleet_link/receiving.rs
+++ b/crates/daemon/src/peers/fleet_link/receiving.rs
@@ -7,6 +7,7 @@
 
 use iristhread_core::AdvertisedEvacuations;
 use iristhread_core::AdvertisedLoads;
+use iristhread_core::AdvertisedTotals;
 use iristhread_core::Arrival;
 use iristhread_core::DetourPeer;
 use iristhread_core::EvacuationUpdate;
@@ -170,7 +171,21 @@
                     .tell(GatewayMessage::UnreachableReceived { replica });
             }
         }
-        if counts_individually || heartbeat.digest.is_some() {
+        let is_zone_sum = heartbeat.digest.is_some();
+        if let Some(totals) = heartbeat
+            .totals
+            .filter(|_| counts_individually || is_zone_sum)
+        {
+            self.control.tell(GatewayMessage::TotalsReceived {
+                totals: AdvertisedTotals {
+                    instance: heartbeat.instance.clone(),
+                    zone: heartbeat.zone.clone(),
+                    totals,
+                    is_zone_sum,
+                },
+            });
+        }
+        if counts_individually || is_zone_sum {
             self.control.tell(GatewayMessage::PeerMessageReceived {
                 told: AdvertisedLoads {
                     instance: heartbeat.instance,
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -15,6 +15,7 @@
 use iristhread_core::ReplicaChange;
 use iristhread_core::Revision;
 use iristhread_core::ServerLife;
+use iristhread_core::Totals;
 use iristhread_core::ZoneDigest;
 use iristhread_core::ZoneId;
 use serde::Deserialize;
@@ -110,6 +111,10 @@
     /// any, so that instances of an earlier version read the heartbeats of this one and vice versa.
     #[serde(skip)]
     pub cut_off: Vec<String>,
+    /// Totals of the sender, or of its whole zone in a heartbeat with a digest. Appended to the
+    /// encoding after `cut_off`, with the same effect.
+    #[serde(skip)]
+    pub totals: Option<Totals>,
 }
 
 /// Reason why a datagram or heartbeat is rejected.
@@ -174,8 +179,13 @@
         let unreadable = |_| HeartbeatFault::Unreadable;
         let (mut heartbeat, appended): (Heartbeat, &[u8]) =
             postcard::take_from_bytes(&self.body).map_err(unreadable)?;
+        if appended.is_empty() {
+            return Ok(heartbeat);
+        }
+        let (cut_off, appended) = postcard::take_from_bytes(appended).map_err(unreadable)?;
+        heartbeat.cut_off = cut_off;
         if !appended.is_empty() {
-            heartbeat.cut_off = postcard::from_bytes(appended).map_err(unreadable)?;
+            heartbeat.totals = Some(postcard::from_bytes(appended).map_err(unreadable)?);
         }
         Ok(heartbeat)
     }
@@ -185,9 +195,12 @@
     /// Encodes and signs the heartbeat; `None` only if the encoder fails.
     pub fn seal(&self, keyring: &Keyring) -> Option<SealedHeartbeat> {
         let mut body = postcard::to_allocvec(self).ok()?;
-        if !self.cut_off.is_empty() {
+        if !self.cut_off.is_empty() || self.totals.is_some() {
             body.extend(postcard::to_allocvec(&self.cut_off).ok()?);
         }
+        if let Some(totals) = &self.totals {
+            body.extend(postcard::to_allocvec(totals).ok()?);
+        }
         let tag = keyring.sign(PURPOSE, &body);
         Some(SealedHeartbeat { tag, body })
     }
--- a/crates/daemon/src/process/settings_reader.rs
+++ b/crates/daemon/src/process/settings_reader.rs
@@ -135,6 +135,15 @@
         }
     }
 
+    /// Reads an optional switch; returns `default` if the key is absent.
+    pub fn flag(&mut self, key: &str, default: bool) -> bool {
+        match self.take(key) {
+            None => default,
+            Some(Value::Boolean(flag)) => flag,
+            found => self.reject(key, found, "write true or false", default),
+        }
+    }
+
     /// Reads an optional fraction or factor in `range`; returns `default` if the key is absent.
     pub fn share(&mut self, key: &str, default: f64, range: RangeInclusive<f64>) -> f64 {
         let fix = format!("give a number from {} to {}", range.start(), range.end());
--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -19,7 +19,6 @@
 use iristhread_core::RequestClass;
 use iristhread_core::RunEnd;
 use iristhread_core::SendResult;
-use slog::debug;
 use slog::info;
 use tokio::sync::mpsc;
 
@@ -102,6 +101,7 @@
     let mut last = None;
     let mut last_server = None;
     let mut previous = None;
+    let mut attempts = 0_u32;
     loop {
         let mut step = decisions.next(app.clock.now());
         if let (CallStep::Send(name), Some(result)) = (&step, previous)
@@ -129,10 +129,19 @@
             answer,
             end,
         } = attempt(exchange, replica, repeatable).await;
-        debug!(app.log, "attempt ended";
-            "request" => &exchange.head.request,
-            "backend_server" => &replica.id,
-            "result" => format!("{result:?}"));
+        attempts += 1;
+        if result != SendResult::Answered {
+            info!(app.log, "attempt failed";
+                "request" => &exchange.head.request,
+                "content" => exchange.fingerprint.to_string(),
+                "route" => &exchange.route.name,
+                "service" => &exchange.service,
+                "backend_server" => &replica.id,
+                "attempt" => attempts,
+                "max_attempts" => exchange.route.max_attempts,
+                "result" => result.as_str(),
+                "status" => answer.as_ref().map(|answer| answer.status.as_u16()));
+        }
         app.metrics.tried(result.as_str());
         guard.set_end(end);
         decisions.sent(result);
--- a/crates/daemon/src/relaying/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -19,9 +19,11 @@
 use iristhread_core::Ranking;
 use iristhread_core::RegionId;
 use iristhread_core::Replica;
+use iristhread_core::RequestRank;
 use iristhread_core::Route;
 use iristhread_core::RunEnd;
 use iristhread_core::SendResult;
+use iristhread_core::ServiceLevel;
 use iristhread_core::SessionSignal;
 use iristhread_core::engine_priority;
 use slog::info;
@@ -133,6 +135,18 @@
             max_tokens: self.head.max_tokens - held,
             expected_tokens: expected.map(|tokens| tokens.saturating_sub(held)),
             homes: self.homes.clone(),
+            level: ServiceLevel {
+                route: self.route.name.clone(),
+                workspace: self.workspace.clone(),
+                rank: RequestRank {
+                    workspace: self.workspace_rank,
+                    route: self.route.rank,
+                },
+                objective: self.route.objective,
+                pause_objective: self.route.pause_objective,
+                arrived: self.arrived,
+                deadline: self.answer_deadline,
+            },
         }
     }
 
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -7,6 +7,7 @@
 use iristhread_core::Keyring;
 use iristhread_core::LoadShare;
 use iristhread_core::ServerLife;
+use iristhread_core::Totals;
 use iristhread_core::ZoneDigest;
 use iristhread_daemon::Datagram;
 use iristhread_daemon::Heartbeat;
@@ -64,6 +65,7 @@
         suspects: Vec::new(),
         news: Vec::new(),
         cut_off: Vec::new(),
+        totals: None,
     }
 }
 
@@ -98,6 +100,24 @@
     assert_eq!(sealed.size_bytes(), calm.size_bytes() + 9);
 }
 
+/// Instances that don't know the totals must read the rest of the heartbeat.
+#[test]
+fn totals_survive_encoding_and_cost_nothing_otherwise() {
+    let calm = heartbeat(7, 3);
+    let with_totals = Heartbeat {
+        totals: Some(Totals {
+            seeking_tokens: [("engines".to_owned(), 9)].into(),
+            ..Totals::default()
+        }),
+        ..calm.clone()
+    };
+    let sealed = with_totals.seal(&keyring('a')).unwrap();
+    assert_eq!(sealed.open(&keyring('a')), Ok(with_totals));
+    // No service without a path, two empty maps, and a map of one name and number.
+    let calm = calm.seal(&keyring('a')).unwrap();
+    assert_eq!(sealed.size_bytes(), calm.size_bytes() + 13);
+}
+
 #[test]
 fn a_heartbeat_of_another_fleet_is_rejected() {
     let sealed = heartbeat(7, 3).seal(&keyring('a')).unwrap();
