Learn the speed of backend servers and count it when one is chosen

Cause: placements did not know which servers need more time per token. Ruled out: means by load over all servers, since fast servers are given more load and would be compared with themselves. Change: ServerSpeeds keeps measured and expected times by incarnation, LoadCurve learns the expected time from differences within each server, the relative time is a factor of a server's own load cost, and scores have forecasts of the first event and of the gap between events.

--- a/crates/core/src/directory/replica_view.rs
+++ b/crates/core/src/directory/replica_view.rs
@@ -14,6 +14,8 @@
 use crate::PlacementRequest;
 use crate::Replica;
 use crate::RequestId;
+use crate::ServerSpeed;
+use crate::ServerView;
 use crate::ZoneId;
 use crate::rendezvous_rank;
 
@@ -39,6 +41,11 @@
 /// Cost of prompts that are waiting for prefill, per share of memory.
 const UNREAD_COST: f64 = 1.0;
 
+/// Load cost to which the relative time of a server applies beside its own: a request takes longer
+/// at a slow server also while that is idle. At least the random part, which would otherwise
+/// outweigh the speed of idle servers.
+const IDLE_COST: f64 = RELAYED_NOISE_COST;
+
 /// Cost of the random part in fleets where all instances receive the update of a session at
 /// once: it breaks ties between instances.
 const NOISE_COST: f64 = 0.02;
@@ -122,6 +129,27 @@
     pub memory: f64,
     /// The sum of all costs; the lowest is best.
     pub cost: f64,
+    /// Time that the replica needs as a multiple of the usual time under the same load.
+    pub relative_time: f64,
+    /// Forecast time from the send to the first event of a stream, or to the answer of a server
+    /// that is not an engine; zero if it isn't known.
+    pub first_event: Duration,
+    /// Forecast time between two events of a stream; zero if it isn't known.
+    pub event_gap: Duration,
+}
+
+impl ReplicaScore {
+    /// Returns the state of the replica as this instance and `instances` others know it.
+    pub fn view(&self, instances: usize) -> ServerView {
+        ServerView {
+            requests: self.load.requests,
+            memory: self.memory,
+            instances,
+            relative_time: self.relative_time,
+            first_event: self.first_event,
+            event_gap: self.event_gap,
+        }
+    }
 }
 
 /// Inputs of the scoring besides the replica.
@@ -142,6 +170,8 @@
     pub noise: f64,
     /// Whether instances receive each other's load through relays.
     pub by_relays: bool,
+    /// Speed of the replica.
+    pub speed: ServerSpeed,
 }
 
 /// Scores one replica under the load of all instances.
@@ -160,6 +190,8 @@
         memory = (load.memory_tokens() as f64 + prompt) / capacity;
         cost += memory + load.unread_tokens as f64 / capacity * UNREAD_COST;
     }
+    let speed = &context.speed;
+    cost += (cost + IDLE_COST) * (speed.relative_time - 1.0);
     if replica.availability_zone != context.zone {
         cost += OTHER_ZONE_COST;
         if context.by_relays {
@@ -180,6 +212,14 @@
         load,
         memory,
         cost,
+        relative_time: speed.relative_time,
+        first_event: match context.engine {
+            Some(_) => speed.first_event(&load, context.ask.prompt_tokens),
+            None => speed.answer(),
+        },
+        event_gap: context.engine.map_or(Duration::ZERO, |engine| {
+            speed.event_gap(engine.tokens_per_event)
+        }),
     }
 }
 
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -36,7 +36,6 @@
 use crate::RouteTable;
 use crate::RunEnd;
 use crate::ServerLimits;
-use crate::ServerView;
 use crate::Suspicions;
 use crate::ZoneDigest;
 use crate::ZoneEvacuations;
@@ -54,6 +53,7 @@
 mod notices;
 mod ranking;
 mod server_list;
+mod speeds;
 mod totals;
 
 pub use admission::Admission;
@@ -64,6 +64,7 @@
 use crash_attribution::BrokenRuns;
 use engine_watch::EngineWatch;
 use notices::ServerBackoffs;
+use speeds::SpeedLearning;
 
 /// Retry-After for callers when every replica is full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -122,6 +123,7 @@
     backoffs: ServerBackoffs,
     limits: ServerLimits,
     brittle: BrittleServers,
+    speeds: SpeedLearning,
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: KnownGoodRequests,
@@ -148,6 +150,7 @@
             backoffs: ServerBackoffs::default(),
             limits: ServerLimits::default(),
             brittle: BrittleServers::default(),
+            speeds: SpeedLearning::default(),
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: KnownGoodRequests::default(),
@@ -213,6 +216,7 @@
     pub fn tick(&mut self, now: Now) -> TickOutcome {
         let silent = self.peers.expire(now);
         self.peer_totals.expire(now);
+        self.update_speeds(now);
         let gone = self.list.expire(now);
         let mut evacuations = match gone.is_empty() {
             true => Vec::new(),
@@ -253,11 +257,8 @@
         let Some(first) = fitting.first() else {
             return Err(self.all_limited(now, &ask, &passed_over));
         };
-        let server_view = ServerView {
-            requests: first.load.requests,
-            memory: first.memory,
-            instances: self.peers.count(),
-        };
+        let server_view = first.view(self.peers.count());
+        self.time_run(now, &ask.request, first);
         let first = first.replica.clone();
         let incarnation = first.life();
         self.note_send(now, &first.id);
@@ -294,6 +295,7 @@
         self.note_send(now, &replica);
         let incarnation = self.list.replica(&replica).map(Replica::life);
         self.backoffs.gone(request);
+        self.speeds.runs.forget(request);
         if let Some(incarnation) = incarnation {
             self.backoffs.sent(now, incarnation, request);
         }
@@ -331,6 +333,7 @@
         if is_proof {
             self.ran_well(now, fingerprint);
         }
+        self.time_progress(now, request, generated);
         !had_begun
     }
 
@@ -349,6 +352,7 @@
         }
         self.backoffs.gone(request);
         self.limits.drop_grant(request);
+        self.time_end(now, request, &run, end);
         match end {
             RunEnd::Answered => {
                 self.watch.answered(now, &run.replica);
--- a/crates/core/src/gateway/gateway_control/ranking.rs
+++ b/crates/core/src/gateway/gateway_control/ranking.rs
@@ -90,6 +90,8 @@
             if pause.is_backing_off(now) && !all_paused {
                 continue;
             }
+            let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
+            load.add(&self.peers.on(&replica.id));
             let context = ScoreContext {
                 now,
                 zone,
@@ -99,9 +101,8 @@
                 cold_for: self.list.cold_for(now, &replica.id),
                 noise: f64::from(self.random.next_u32()) / f64::from(u32::MAX),
                 by_relays: self.peers.uses_relays(),
+                speed: self.speed_of(&replica, &load),
             };
-            let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
-            load.add(&self.peers.on(&replica.id));
             if load.requests >= service.max_connections {
                 // Each request uses a connection, and the replica would reset an additional one.
                 continue;
--- a/crates/core/src/gateway/gateway_control/totals.rs
+++ b/crates/core/src/gateway/gateway_control/totals.rs
@@ -27,6 +27,9 @@
 
     /// Returns the totals of this instance.
     fn own_totals(&self, _now: Now) -> Totals {
-        Totals::default()
+        Totals {
+            speeds: self.speeds.servers.advertised(),
+            ..Totals::default()
+        }
     }
 }
--- a/crates/core/src/gateway/placement_request.rs
+++ b/crates/core/src/gateway/placement_request.rs
@@ -1,6 +1,7 @@
 //! The input of a placement decision and its result.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::BackendId;
 use crate::Fingerprint;
@@ -65,6 +66,13 @@
     pub memory: f64,
     /// Number of other instances whose load is included.
     pub instances: usize,
+    /// Time that it needs as a multiple of the usual time under the same load.
+    pub relative_time: f64,
+    /// Forecast time from the send to the first event of a stream, or to the answer of a server
+    /// that is not an engine; zero if it isn't known.
+    pub first_event: Duration,
+    /// Forecast time between two events of a stream; zero if it isn't known.
+    pub event_gap: Duration,
 }
 
 /// A signal to a session in progress.
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -1,14 +1,19 @@
-//! State of single backend servers: the notices in their answers, their failures, and the
-//! requests that are suspected to crash them.
+//! State of single backend servers: the notices in their answers, their failures, their speed, and
+//! the requests that are suspected to crash them.
 
 pub(crate) mod brittle_servers;
 pub(crate) mod draining_marks;
 pub(crate) mod failure_backoff;
 pub(crate) mod fingerprint;
 pub(crate) mod known_good_requests;
+pub(crate) mod load_curve;
 pub(crate) mod load_report;
+pub(crate) mod run_timings;
 pub(crate) mod server_backoff;
 pub(crate) mod server_links;
 pub(crate) mod server_notice;
+pub(crate) mod server_speed;
+pub(crate) mod server_speeds;
+pub(crate) mod speed_class;
 pub(crate) mod suspect;
 pub(crate) mod suspicions;
