Log and count the speed of backend servers

Cause: nobody could see which servers count as slow, nor what a choice forecast. Change: fields of 'backend server chosen', a line when the speed of a server becomes or ceases to be usual, three gauges, and a message from the relay when a stream waited for something other than its engine.

--- a/crates/cli/src/log_trace.rs
+++ b/crates/cli/src/log_trace.rs
@@ -19,7 +19,7 @@
 ];
 
 /// Messages that report a change of state, or a wait that delayed one.
-const STATE_CHANGES: [&str; 18] = [
+const STATE_CHANGES: [&str; 19] = [
     "directory lost",
     "directory regained",
     "directory came back from an older copy",
@@ -36,6 +36,7 @@
     "backend server rests",
     "backend server names a limit",
     "backend server names a limit no more",
+    "speed of a backend server changed",
     "zone is evacuated: nothing new goes there",
     "zone is no longer evacuated",
 ];
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -257,7 +257,7 @@
         let Some(first) = fitting.first() else {
             return Err(self.all_limited(now, &ask, &passed_over));
         };
-        let server_view = first.view(self.peers.count());
+        let server_view = Box::new(first.view(self.peers.count()));
         self.time_run(now, &ask.request, first);
         let first = first.replica.clone();
         let incarnation = first.life();
--- a/crates/core/src/gateway/gateway_control/speeds.rs
+++ b/crates/core/src/gateway/gateway_control/speeds.rs
@@ -36,7 +36,7 @@
 
     /// Records that a stream has waited for something other than the speed of its engine: a silence
     /// of the engine or the connection, or its caller.
-    pub fn progress_interrupted(&mut self, request: &str) {
+    pub fn interrupted(&mut self, request: &str) {
         self.speeds.runs.interrupt(request);
     }
 
--- a/crates/core/src/gateway/placement_request.rs
+++ b/crates/core/src/gateway/placement_request.rs
@@ -52,7 +52,7 @@
     /// Engine that should hold a backup of the session.
     pub backup: Option<Replica>,
     /// State of the first backend server as known to this instance.
-    pub server_view: ServerView,
+    pub server_view: Box<ServerView>,
     /// Backend servers that ranked higher but were skipped because of their request limits.
     pub passed_over: Vec<BackendId>,
 }
--- a/crates/core/src/servers/run_timings.rs
+++ b/crates/core/src/servers/run_timings.rs
@@ -108,9 +108,13 @@
         })
     }
 
-    /// Records that a request has waited for something other than the speed of its server.
+    /// Records that a request has waited for something other than the speed of its server. A wait
+    /// for the first event is one for the prompts ahead.
     pub(crate) fn interrupt(&mut self, request: &str) {
-        if let Some(timing) = self.runs.get_mut(request) {
+        let timing = self.runs.get_mut(request);
+        let is_generating =
+            |timing: &&mut RunTiming| matches!(timing.phase, Phase::Generating { .. });
+        if let Some(timing) = timing.filter(is_generating) {
             timing.phase = Phase::Interrupted;
         }
     }
--- a/crates/core/tests/gateway_speeds.rs
+++ b/crates/core/tests/gateway_speeds.rs
@@ -109,20 +109,24 @@
 fn interrupted_and_moved_sessions_are_not_timed() {
     let mut control = control_with(&["e1", "e2"]);
     learn(&mut control);
+    let mut engines = Vec::new();
     for request in ["interrupted", "moved"] {
-        control.place(ms(0), ask(request)).unwrap();
+        let ranking = control.place(ms(0), ask(request)).unwrap();
+        engines.push(ranking.replicas[0].id.clone());
         control.progress(ms(100), request, 4);
         control.progress(ms(800), request, 68);
     }
     control.tick(ms(1_000));
-    control.progress_interrupted("interrupted");
-    control.moved(ms(1_000), "moved", "e1".to_owned());
+    control.interrupted("interrupted");
+    // Back to its engine, after a move that failed.
+    control.moved(ms(1_000), "moved", engines[1].clone());
+    // By then nothing is left of the timings before.
+    control.tick(ms(30_000));
     for request in ["interrupted", "moved"] {
-        control.progress(ms(9_000), request, 132);
+        control.progress(ms(30_100), request, 132);
     }
-    control.tick(ms(9_000));
     assert!(control.speeds().advertised().is_empty());
-    control.progress(ms(9_700), "moved", 196);
+    control.progress(ms(30_800), "moved", 196);
     assert_eq!(control.speeds().advertised().len(), 1);
 }
 
--- a/crates/core/tests/server_speeds.rs
+++ b/crates/core/tests/server_speeds.rs
@@ -122,6 +122,24 @@
     assert!(slow.event_gap(4) > usual.event_gap(4));
 }
 
+/// A server whose speed changes all the time would fill the logs.
+#[test]
+fn changes_of_a_server_are_reported_at_most_each_five_seconds() {
+    let mut speeds = play(5, &[(1.0, 0.2, 0.1); 3]);
+    for second in 5..25 {
+        let slow = SpeedSample {
+            measured_ms: 40_000,
+            expected_ms: 20_000,
+        };
+        let is_slow = second % 2 == 0;
+        let peers = is_slow.then_some((0, slow)).into_iter().collect();
+        update(&mut speeds, second, &peers);
+    }
+    let changes = speeds.take_changes();
+    assert!((2..=4).contains(&changes.len()), "{changes:?}");
+    assert_eq!(changes[0].peers.measured_ms, 40_000);
+}
+
 /// Timings without weight would add to each heartbeat.
 #[test]
 fn only_timings_that_matter_are_advertised() {
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -167,6 +167,11 @@
         /// Number of tokens generated so far.
         generated: u32,
     },
+    /// The stream of a session has waited for something other than the speed of its engine.
+    Interrupted {
+        /// The session.
+        request: RequestId,
+    },
     /// The connection to the engine of a session was lost: chooses the engine for its failover.
     FailOver {
         /// The session.
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -15,6 +15,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::gateway::speed_metrics::SpeedMetrics;
+
 /// Bucket bounds of the histograms, in seconds. They cover the latency objectives of requests
 /// (0.1 to 1.8 s) and the longest allowed pause of a stream (0.18 s).
 const BOUNDS_S: [f64; 14] = [
@@ -73,6 +75,8 @@
     directory_era: Gauge,
     config_age: Histogram,
     config_behind: Histogram,
+    /// Gauges of the speed of backend servers.
+    pub speeds: SpeedMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -112,6 +116,7 @@
             directory_era: Gauge::default(),
             config_age: histogram(),
             config_behind: histogram(),
+            speeds: SpeedMetrics::default(),
         };
         metrics.register();
         metrics
@@ -199,6 +204,7 @@
             "Time behind peers with the configuration",
             behind,
         );
+        self.speeds.register(r);
     }
 
     /// Returns all metrics in the OpenMetrics text format.
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -38,10 +38,12 @@
 mod server_events;
 mod server_view;
 mod sessions;
+mod speeds;
 mod state_snapshots;
 
 use limits::passed_over;
 use server_view::ServersVersion;
+use speeds::SpeedFields;
 
 /// Time between two ticks. Expired entries and silent peers are detected with at most this
 /// delay, which is short against their bounds of several seconds.
@@ -198,6 +200,7 @@
                     self.immediate_heartbeat.notify_one();
                 }
             }
+            GatewayMessage::Interrupted { request } => self.control.interrupted(&request),
             GatewayMessage::FailOver { request, reply } => {
                 let _ = reply.send(self.control.fail_over(now, &request));
             }
@@ -328,13 +331,8 @@
         self.publish_servers();
         self.publish_evacuations(&outcome.ended_evacuations, "no operator has renewed it");
         self.publish_send_restrictions();
-        let control = &self.control;
-        let (version, revision) = (control.config_version(), control.list().revision());
-        self.metrics
-            .state(version, revision, control.peers(), control.running());
-        self.metrics
-            .suspects(control.suspected(), control.quarantined());
-        self.metrics.backing_off(control.resting(self.clock.now()));
+        self.set_gauges();
+        self.report_speeds();
         self.grow_brittle();
         self.count_limits();
     }
@@ -370,6 +368,7 @@
                     "requests_there" => ranking.server_view.requests,
                     "memory_share" => ranking.server_view.memory,
                     "instances_counted" => ranking.server_view.instances,
+                    SpeedFields(*ranking.server_view),
                     "list_revision" => %self.control.list().revision());
                 self.signals.insert(request, signals);
                 Placed::Ranked(ranking)
--- a/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
+++ b/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
@@ -41,6 +41,17 @@
         }
     }
 
+    /// Sets the gauges of what this instance knows.
+    pub(super) fn set_gauges(&self) {
+        let control = &self.control;
+        let (version, revision) = (control.config_version(), control.list().revision());
+        self.metrics
+            .state(version, revision, control.peers(), control.running());
+        self.metrics
+            .suspects(control.suspected(), control.quarantined());
+        self.metrics.backing_off(control.resting(self.clock.now()));
+    }
+
     pub(super) fn known_state(&self, list_above: Revision) -> KnownState {
         let table = self.control.table();
         KnownState {
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -116,6 +116,9 @@
     engine_restarted: bool,
     /// Whether the stream is waiting for an unreachable engine, which is logged once.
     is_waiting_for_engine: bool,
+    /// Whether the stream has waited for something other than the speed of its engine since the
+    /// last progress report.
+    is_interrupted: bool,
 }
 
 impl StreamRelay {
@@ -150,6 +153,7 @@
             tried: Vec::new(),
             engine_restarted: false,
             is_waiting_for_engine: false,
+            is_interrupted: false,
         };
         (relay, ReceiverStream::new(pieces))
     }
@@ -220,6 +224,9 @@
         if events_before == 0 || events_before / PROGRESS_EVERY != self.events / PROGRESS_EVERY {
             self.report_progress();
         }
+        if self.to_caller.capacity() == 0 {
+            self.report_interruption();
+        }
         let deadline = self
             .exchange
             .app
@@ -248,17 +255,30 @@
         self.last_event_at = now;
     }
 
-    fn report_progress(&self) {
+    fn report_progress(&mut self) {
+        self.is_interrupted = false;
         self.exchange.app.control.tell(GatewayMessage::Progress {
             request: self.exchange.head.request.clone(),
             generated: self.events * self.tokens_per_event,
         });
     }
 
+    /// Reports that the time until the next progress says nothing of the speed of the engine: it was
+    /// silent, or the caller reads slowly.
+    fn report_interruption(&mut self) {
+        if std::mem::replace(&mut self.is_interrupted, true) {
+            return;
+        }
+        self.exchange.app.control.tell(GatewayMessage::Interrupted {
+            request: self.exchange.head.request.clone(),
+        });
+    }
+
     /// Checks whether a silent engine is reachable. It may be gone, or it may have preempted the
     /// session and will continue it later.
     async fn check_engine(&mut self) -> Step {
         self.silent_since = self.exchange.app.clock.now();
+        self.report_interruption();
         if self.engine_restarted {
             return Step::Broken("the engine has restarted");
         }
