Time the prompt of a stream whose first send is reported

Cause: the daemon reports each send, the first as well, and that dropped the timing of the prompt: the time to the first event was never learnt. Ruled out: not reporting the first send, which other decisions need.

--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -295,7 +295,11 @@
         self.note_send(now, &replica);
         let incarnation = self.list.replica(&replica).map(Replica::life);
         self.backoffs.gone(request);
-        self.speeds.runs.forget(request);
+        // The first send is reported as well; its timing began with the placement.
+        let is_resent = |run: &OwnRun| run.has_begun || run.replica != replica;
+        if self.runs.get(request).is_some_and(is_resent) {
+            self.speeds.runs.forget(request);
+        }
         if let Some(incarnation) = incarnation {
             self.backoffs.sent(now, incarnation, request);
         }
--- a/crates/core/tests/gateway_speeds.rs
+++ b/crates/core/tests/gateway_speeds.rs
@@ -130,6 +130,19 @@
     assert_eq!(control.speeds().advertised().len(), 1);
 }
 
+/// The daemon reports the first send as well; if that dropped the timing, the time to the first
+/// event would never be learnt.
+#[test]
+fn the_report_of_the_first_send_keeps_the_timing_of_the_prompt() {
+    let mut control = control_with(&["e1", "e2"]);
+    learn(&mut control);
+    let ranking = control.place(ms(0), ask("r1")).unwrap();
+    control.moved(ms(1), "r1", ranking.replicas[0].id.clone());
+    control.progress(ms(100), "r1", 4);
+    let ranking = control.place(ms(200), ask("r2")).unwrap();
+    assert!(ranking.server_view.first_event > ms(0));
+}
+
 /// Idle slow servers would be preferred to idle fast ones, whose load cost is zero as well.
 #[test]
 fn plain_servers_are_compared_by_the_times_of_their_answers() {
