Keep memory free for requests of more urgent ranks

Cause: long streams of a low rank take all memory of the engines as soon as it appears, and short urgent requests beside them are refused as often as they are. Ruled out: a fixed fraction by rank, wrong when the mix changes; the whole need of the urgent requests, which counts those that run twice; the rate of the last second alone, which in a large fleet is mostly chance. Change: RankDemand counts arrivals, sizes and times by service and rank. With rank_reserve a request may use memory_limit less the need of more urgent ranks by Little's law and two deviations, less what they use. Arrivals are counted in `place`, which hands on to the former decision. The log lines of placements and refusals name memory_limit and rank_headroom. Configuration methods of GatewayControl move to a file of their own, unchanged.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,4 +7,5 @@
 pub(crate) mod length_estimator;
 pub(crate) mod memory_demand;
 pub(crate) mod placement_request;
+pub(crate) mod rank_demand;
 pub(crate) mod service_level;
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -11,10 +11,8 @@
 use crate::AdvertisedLoads;
 use crate::BackendId;
 use crate::BrittleServers;
-use crate::ConfigVersion;
 use crate::EvacuationChange;
 use crate::FailureBackoff;
-use crate::GatewayConfig;
 use crate::GatewayParameters;
 use crate::InstanceId;
 use crate::KnownGoodRequests;
@@ -25,6 +23,7 @@
 use crate::PeerLoads;
 use crate::PeerTotals;
 use crate::PlacementRequest;
+use crate::RankDemand;
 use crate::Ranking;
 use crate::Refusal;
 use crate::RefusalKind;
@@ -45,6 +44,7 @@
 mod admission;
 mod brittle;
 mod cold;
+mod configuration;
 mod crash_attribution;
 mod engine_watch;
 mod evacuation;
@@ -52,11 +52,13 @@
 mod incarnations;
 mod limits;
 mod notices;
+mod rank_headroom;
 mod ranking;
 mod server_list;
 mod totals;
 
 pub use admission::Admission;
+pub use configuration::ConfigVerdict;
 pub use engine_watch::EngineChecks;
 pub use notices::SendRestrictions;
 
@@ -72,17 +74,6 @@
 /// again.
 const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Result of offering a configuration.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ConfigVerdict {
-    /// The configuration is in force now.
-    InForce,
-    /// The configuration is not newer than the one in force.
-    Stale,
-    /// Validation failed with these errors; the previous configuration stays in force.
-    Refused(Vec<String>),
-}
-
 /// The move of a session in progress to another engine.
 #[derive(Clone, Debug)]
 pub struct Evacuation {
@@ -122,6 +113,7 @@
     backoffs: ServerBackoffs,
     limits: ServerLimits,
     brittle: BrittleServers,
+    rank_demand: RankDemand,
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: KnownGoodRequests,
@@ -148,6 +140,7 @@
             backoffs: ServerBackoffs::default(),
             limits: ServerLimits::default(),
             brittle: BrittleServers::default(),
+            rank_demand: RankDemand::default(),
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: KnownGoodRequests::default(),
@@ -169,29 +162,6 @@
         self.share_budget();
     }
 
-    /// Applies a configuration if it is newer and valid.
-    pub fn offer_config(&mut self, config: Arc<GatewayConfig>) -> ConfigVerdict {
-        if config.version <= self.config_version() {
-            return ConfigVerdict::Stale;
-        }
-        let faults = config.faults();
-        if !faults.is_empty() {
-            return ConfigVerdict::Refused(faults);
-        }
-        self.table = Some(Arc::new(RouteTable::new(config)));
-        ConfigVerdict::InForce
-    }
-
-    /// Returns the version of the configuration in force, 0 if there is none.
-    pub fn config_version(&self) -> ConfigVersion {
-        self.table.as_ref().map_or(0, |table| table.version())
-    }
-
-    /// Returns the configuration in force.
-    pub fn table(&self) -> Option<&Arc<RouteTable>> {
-        self.table.as_ref()
-    }
-
     /// Applies the load of the replicas that a peer advertises.
     pub fn apply_peer_load(&mut self, now: Now, advertised: AdvertisedLoads) {
         self.peers.apply(now, advertised);
@@ -229,18 +199,15 @@
         }
     }
 
-    /// Ranks the replicas for a request and counts it as sent to the first.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if no replica can take the request; nothing was counted as sent.
-    pub fn place(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
+    /// Ranks the replicas for a request whose arrival is counted, and counts it as sent to the
+    /// first.
+    fn place_arrived(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
         self.check_quarantine(now, ask.fingerprint)?;
         let scores = self.scores(now, &ask, None);
         if scores.is_empty() {
             return Err(self.no_replica_refusal(now, &ask));
         }
-        let limit = self.parameters.memory_limit;
+        let limit = self.placement_limit(now, &ask);
         let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
         if fitting.is_empty() {
             return Err(Refusal::new(
@@ -265,6 +232,7 @@
         self.limits.keep_grant(now, &ask.request, incarnation);
         let backup = self.choose_backup(now, &ask, &first);
         self.budget.earn(&ask.service);
+        self.rank_demand.placed(now, &ask);
         self.runs.insert(
             ask.request.clone(),
             OwnRun {
@@ -349,6 +317,9 @@
         }
         self.backoffs.gone(request);
         self.limits.drop_grant(request);
+        let is_whole = matches!(end, RunEnd::Answered | RunEnd::Withdrawn);
+        let held = is_whole.then(|| now.saturating_sub(run.sent_at));
+        self.rank_demand.ended(now, &run.ask, held);
         match end {
             RunEnd::Answered => {
                 self.watch.answered(now, &run.replica);
--- /dev/null
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -0,0 +1,64 @@
+//! Memory of engines that is kept free for requests of a more urgent rank.
+
+use super::GatewayControl;
+use crate::EngineTraits;
+use crate::Now;
+use crate::PlacementRequest;
+use crate::Ranking;
+use crate::Refusal;
+
+/// Largest fraction of an engine's memory that is kept free: at least as much is left to each rank,
+/// so that none starves.
+const MAX_HEADROOM: f64 = 0.5;
+
+impl GatewayControl {
+    /// Ranks the replicas for a new request and counts it as sent to the first.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no replica can take the request; nothing was counted as sent.
+    pub fn place(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
+        self.rank_demand.arrived(now, &ask);
+        self.place_arrived(now, ask)
+    }
+
+    /// Returns the fraction of an engine's memory up to which a new request may use it.
+    pub fn placement_limit(&mut self, now: Now, ask: &PlacementRequest) -> f64 {
+        let limit = self.parameters.memory_limit;
+        let headroom = self.rank_headroom(now, ask);
+        if headroom <= 0.0 {
+            return limit;
+        }
+        // A request that is larger than the rest may still use an engine that has no load.
+        let own = self.engine_traits(&ask.service).map_or(0.0, |engine| {
+            ask.memory_tokens() / engine.memory_tokens.max(1) as f64
+        });
+        (limit - headroom).max(own).min(limit)
+    }
+
+    /// Returns the fraction of an engine's memory that is kept free of a request, for requests of
+    /// more urgent ranks that are expected.
+    pub fn rank_headroom(&self, now: Now, ask: &PlacementRequest) -> f64 {
+        if !self.parameters.rank_reserve {
+            return 0.0;
+        }
+        let Some(engine) = self.engine_traits(&ask.service) else {
+            return 0.0;
+        };
+        let serving = self.list.serving(now);
+        let engines = serving.filter(|r| r.service == ask.service).count().max(1);
+        let instances = self.peers.count() + 1;
+        let need = self
+            .rank_demand
+            .more_urgent(now, &ask.service, ask.level.rank);
+        let tokens = need.headroom_tokens(instances as f64 / engines as f64);
+        let usable = self.parameters.memory_limit.min(1.0);
+        (tokens / engine.memory_tokens.max(1) as f64).min(MAX_HEADROOM * usable)
+    }
+
+    /// Returns the traits of the engines of a service; `None` if it has none.
+    fn engine_traits(&self, service: &str) -> Option<&EngineTraits> {
+        let table = self.table.as_ref()?;
+        table.config().service(service)?.engine.as_ref()
+    }
+}
--- a/crates/core/src/gateway/placement_request.rs
+++ b/crates/core/src/gateway/placement_request.rs
@@ -40,6 +40,12 @@
         let estimate = self.expected_tokens.unwrap_or(self.max_tokens / 2);
         estimate.min(self.max_tokens)
     }
+
+    /// Returns the tokens that it is expected to hold in memory on average; 0 if the service is
+    /// not an engine.
+    pub fn memory_tokens(&self) -> f64 {
+        f64::from(self.prompt_tokens + self.likely_tokens() / 2)
+    }
 }
 
 /// Result of a placement: the backend servers that may handle the request.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -118,6 +118,8 @@
 pub use gateway::placement_request::RunEnd;
 pub use gateway::placement_request::ServerView;
 pub use gateway::placement_request::SessionSignal;
+pub use gateway::rank_demand::MemoryNeed;
+pub use gateway::rank_demand::RankDemand;
 pub use gateway::service_level::RequestRank;
 pub use gateway::service_level::ServiceLevel;
 pub use ids::Attempt;
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -35,12 +35,14 @@
 use crate::process::control_sender::ControlSender;
 
 mod limits;
+mod placement_fields;
 mod server_events;
 mod server_view;
 mod sessions;
 mod state_snapshots;
 
 use limits::passed_over;
+use placement_fields::PlacementFields;
 use server_view::ServersVersion;
 
 /// Time between two ticks. Expired entries and silent peers are detected with at most this
@@ -346,9 +348,14 @@
     ) -> Placed {
         let request = ask.request.clone();
         let fingerprint = ask.fingerprint;
-        let level = ask.level.clone();
+        let now = self.clock.now();
+        let fields = PlacementFields {
+            level: ask.level.clone(),
+            memory_limit: self.control.placement_limit(now, &ask),
+            rank_headroom: self.control.rank_headroom(now, &ask),
+        };
         let is_session = ask.class == RequestClass::Stream;
-        let placed = self.control.place(self.clock.now(), ask);
+        let placed = self.control.place(now, ask);
         self.notify_demand_update();
         match placed {
             Ok(ranking) => {
@@ -360,10 +367,7 @@
                 info!(self.log, "backend server chosen";
                     "request" => &request,
                     "content" => fingerprint.to_string(),
-                    "route" => &level.route,
-                    "workspace" => &level.workspace,
-                    "workspace_rank" => level.rank.workspace,
-                    "route_rank" => level.rank.route,
+                    &fields,
                     "ranking" => format!("{:?}", ids(&ranking)),
                     "passed_over" => passed_over(&ranking),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
@@ -379,10 +383,7 @@
                 info!(self.log, "request refused";
                     "request" => &request,
                     "content" => fingerprint.to_string(),
-                    "route" => &level.route,
-                    "workspace" => &level.workspace,
-                    "workspace_rank" => level.rank.workspace,
-                    "route_rank" => level.rank.route,
+                    &fields,
                     "reason" => &refusal.message,
                     "retry_after_ms" => refusal.retry_after.as_millis() as u64,
                     "list_revision" => %self.control.list().revision());
