Let streams wait for room that is expected in time

Cause: a stream for which no engine has room is refused at once, also when a session ends some moments later; its caller comes back after half a second, to another instance and behind others. Ruled out: waiting without a forecast, which holds callers who can't be served; a fixed order by arrival, by which a workspace that sends most gets most. Change: with max_waiting, `admit` lets a stream wait if the memory that becomes free per second bears the tokens ahead of it before its objective less the usual time to the first event. `admit_waiting` places by rank, part of the workspace's fair share in use, and arrival, up to this instance's part of the room. The memory of workspaces is advertised while requests wait somewhere.

--- a/crates/core/src/directory/replica_view.rs
+++ b/crates/core/src/directory/replica_view.rs
@@ -87,7 +87,8 @@
 }
 
 impl OwnRun {
-    fn memory_tokens(&self) -> u64 {
+    /// Returns the tokens that it is expected to hold in memory, half-way to its end.
+    pub(crate) fn memory_tokens(&self) -> u64 {
         let expected = self.ask.likely_tokens().saturating_sub(self.generated) / 2;
         u64::from(self.ask.prompt_tokens + self.generated + expected)
     }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,3 +9,5 @@
 pub(crate) mod placement_request;
 pub(crate) mod rank_demand;
 pub(crate) mod service_level;
+pub(crate) mod waiting_requests;
+pub(crate) mod workspace_shares;
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -26,7 +26,6 @@
 use crate::RankDemand;
 use crate::Ranking;
 use crate::Refusal;
-use crate::RefusalKind;
 use crate::Replica;
 use crate::ReplicaList;
 use crate::ReplicaScore;
@@ -37,6 +36,7 @@
 use crate::ServerLimits;
 use crate::ServerView;
 use crate::Suspicions;
+use crate::WaitingRequests;
 use crate::ZoneDigest;
 use crate::ZoneEvacuations;
 use crate::own_shares;
@@ -56,8 +56,10 @@
 mod ranking;
 mod server_list;
 mod totals;
+mod waiting;
 
 pub use admission::Admission;
+pub use admission::RoomForecast;
 pub use configuration::ConfigVerdict;
 pub use engine_watch::EngineChecks;
 pub use notices::SendRestrictions;
@@ -114,6 +116,7 @@
     limits: ServerLimits,
     brittle: BrittleServers,
     rank_demand: RankDemand,
+    waiting: WaitingRequests,
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: KnownGoodRequests,
@@ -141,6 +144,7 @@
             limits: ServerLimits::default(),
             brittle: BrittleServers::default(),
             rank_demand: RankDemand::default(),
+            waiting: WaitingRequests::default(),
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: KnownGoodRequests::default(),
@@ -210,11 +214,7 @@
         let limit = self.placement_limit(now, &ask);
         let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
         if fitting.is_empty() {
-            return Err(Refusal::new(
-                RefusalKind::QueueFull,
-                FULL_RETRY_AFTER,
-                format!("the engines of {} have no memory left", ask.service),
-            ));
+            return Err(self.full_refusal(&ask));
         }
         let (fitting, passed_over) = self.skip_limited(now, fitting);
         let Some(first) = fitting.first() else {
@@ -289,6 +289,10 @@
         self.watch.answered(now, &run.replica);
         self.backoffs.served(request);
         let had_begun = std::mem::replace(&mut run.has_begun, true);
+        if !had_begun {
+            let took = now.saturating_sub(run.sent_at);
+            self.rank_demand.began(&run.ask, took);
+        }
         run.begun_at.get_or_insert(now);
         let is_proof = !run.is_proven && run.has_run_well(now);
         run.is_proven |= is_proof;
@@ -320,6 +324,7 @@
         let is_whole = matches!(end, RunEnd::Answered | RunEnd::Withdrawn);
         let held = is_whole.then(|| now.saturating_sub(run.sent_at));
         self.rank_demand.ended(now, &run.ask, held);
+        self.waiting.room_appeared();
         match end {
             RunEnd::Answered => {
                 self.watch.answered(now, &run.replica);
--- a/crates/core/src/gateway/gateway_control/rank_headroom.rs
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -45,8 +45,7 @@
         let Some(engine) = self.engine_traits(&ask.service) else {
             return 0.0;
         };
-        let serving = self.list.serving(now);
-        let engines = serving.filter(|r| r.service == ask.service).count().max(1);
+        let engines = self.count_serving(now, &ask.service).max(1);
         let instances = self.peers.count() + 1;
         let need = self
             .rank_demand
@@ -56,8 +55,14 @@
         (tokens / engine.memory_tokens.max(1) as f64).min(MAX_HEADROOM * usable)
     }
 
+    /// Returns the number of servers of a service that accept new work.
+    pub(super) fn count_serving(&self, now: Now, service: &str) -> usize {
+        let serving = self.list.serving(now);
+        serving.filter(|replica| replica.service == service).count()
+    }
+
     /// Returns the traits of the engines of a service; `None` if it has none.
-    fn engine_traits(&self, service: &str) -> Option<&EngineTraits> {
+    pub(super) fn engine_traits(&self, service: &str) -> Option<&EngineTraits> {
         let table = self.table.as_ref()?;
         table.config().service(service)?.engine.as_ref()
     }
--- a/crates/core/src/gateway/gateway_control/totals.rs
+++ b/crates/core/src/gateway/gateway_control/totals.rs
@@ -26,7 +26,10 @@
     }
 
     /// Returns the totals of this instance.
-    fn own_totals(&self, _now: Now) -> Totals {
-        Totals::default()
+    fn own_totals(&mut self, _now: Now) -> Totals {
+        Totals {
+            workspaces: self.own_workspaces(),
+            ..Totals::default()
+        }
     }
 }
--- /dev/null
+++ b/crates/core/src/gateway/gateway_control/waiting.rs
@@ -0,0 +1,195 @@
+//! Places the requests that wait for room, in order and by this instance's part of the room.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+
+use super::Admission;
+use super::GatewayControl;
+use crate::LoadShare;
+use crate::Now;
+use crate::PlacementRequest;
+use crate::Ranking;
+use crate::Refusal;
+use crate::RefusalKind;
+use crate::RequestId;
+use crate::RequestRank;
+use crate::Verdict;
+use crate::WaitingRequest;
+use crate::WorkspaceId;
+use crate::WorkspaceShares;
+use crate::WorkspaceUse;
+use crate::workspace_of;
+
+impl GatewayControl {
+    /// Returns the memory by service and workspace of the requests of this instance, as advertised
+    /// to the others. It is empty while no instance has requests that wait, when nobody needs it.
+    pub(super) fn own_workspaces(&mut self) -> BTreeMap<(String, WorkspaceId), WorkspaceUse> {
+        if self.parameters.max_waiting == 0 {
+            return BTreeMap::new();
+        }
+        let mut others = self.peer_totals.sums().workspaces.values();
+        let is_contended = others.any(|used| used.waiting_tokens > 0) || self.waiting.count() > 0;
+        if !is_contended {
+            return BTreeMap::new();
+        }
+        let mut uses: BTreeMap<(String, WorkspaceId), WorkspaceUse> = BTreeMap::new();
+        for run in self
+            .runs
+            .values()
+            .filter(|run| run.ask.memory_tokens() > 0.0)
+        {
+            let key = (run.ask.service.clone(), workspace_of(&run.ask).to_owned());
+            uses.entry(key).or_default().running_tokens += run.memory_tokens();
+        }
+        for (key, tokens) in self.waiting.tokens_by_workspace() {
+            uses.entry(key).or_default().waiting_tokens += tokens as u64;
+        }
+        uses
+    }
+
+    /// Returns whether requests wait that come before a new one and need no more room than it.
+    /// Those that need more may have to wait although there is room for the new one.
+    pub(super) fn is_preceded(&mut self, now: Now, ask: &PlacementRequest) -> bool {
+        if self.waiting.count() == 0 {
+            return false;
+        }
+        let shares = self.workspace_shares(now, &ask.service);
+        let size = ask.memory_tokens();
+        let is_retry = self.is_retry(ask);
+        let before = self.waiting.before(ask, is_retry, &shares);
+        let mut sizes = before.iter().map(|waiting| waiting.ask.memory_tokens());
+        sizes.any(|waiting_size| waiting_size <= size)
+    }
+
+    /// Returns the tokens that requests before a new one wait for. The ranks of those of other
+    /// instances aren't known; they count if their workspace comes before, or is the same.
+    pub(super) fn tokens_ahead(&mut self, now: Now, ask: &PlacementRequest) -> f64 {
+        let shares = self.workspace_shares(now, &ask.service);
+        let is_retry = self.is_retry(ask);
+        let own = self.waiting.before(ask, is_retry, &shares);
+        let own: f64 = own.iter().map(|waiting| waiting.ask.memory_tokens()).sum();
+        let part = shares.part_in_use(workspace_of(ask));
+        let others = self.peer_totals.sums().workspaces.iter();
+        let others = others.filter(|((service, workspace), _)| {
+            *service == ask.service && shares.part_in_use(workspace) <= part
+        });
+        let others: u64 = others.map(|(_, used)| used.waiting_tokens).sum();
+        own + others as f64
+    }
+
+    /// Places the requests that wait for a service and for which there is room now.
+    pub(super) fn place_waiting(
+        &mut self,
+        now: Now,
+        service: &str,
+        decided: &mut Vec<(RequestId, Admission)>,
+    ) {
+        let mut shares = self.workspace_shares(now, service);
+        let mut tried = HashSet::new();
+        // Sizes, by rank, for which there is no room.
+        let mut too_large: BTreeMap<RequestRank, f64> = BTreeMap::new();
+        loop {
+            let ordered = self.waiting.ordered(service, &shares);
+            let next = ordered.into_iter().find(|waiting| {
+                let size = waiting.ask.memory_tokens();
+                let least = too_large.get(&waiting.ask.level.rank);
+                least.is_none_or(|least| size < *least) && !tried.contains(&waiting.ask.request)
+            });
+            let Some(WaitingRequest { ask, .. }) = next else {
+                return;
+            };
+            tried.insert(ask.request.clone());
+            let (rank, size) = (ask.level.rank, ask.memory_tokens());
+            let request = ask.request.clone();
+            let workspace = workspace_of(&ask).to_owned();
+            match self.place_within_part(now, ask) {
+                Ok(ranking) => {
+                    self.waiting.remove(&request);
+                    shares.use_more(&workspace, size);
+                    decided.push((request, Admission::Placed(ranking)));
+                }
+                Err(refusal) if refusal.kind == RefusalKind::QueueFull => {
+                    too_large.insert(rank, size);
+                }
+                Err(refusal) => {
+                    // No server can take it, with room or without.
+                    self.waiting.remove(&request);
+                    decided.push((request, Admission::Refused(refusal)));
+                }
+            }
+        }
+    }
+
+    /// Refuses the waiting requests whose content is quarantined by now.
+    pub(super) fn refuse_quarantined(
+        &mut self,
+        now: Now,
+        decided: &mut Vec<(RequestId, Admission)>,
+    ) {
+        let suspicions = &self.suspicions;
+        let quarantine =
+            |waiting: &WaitingRequest| match suspicions.verdict(waiting.ask.fingerprint) {
+                Verdict::Quarantined { ends, until } if now < until => {
+                    Some(Refusal::quarantined(ends, until.saturating_sub(now)))
+                }
+                _ => None,
+            };
+        let taken = self.waiting.take(|waiting| quarantine(waiting).is_some());
+        for waiting in taken {
+            if let Some(refusal) = quarantine(&waiting) {
+                decided.push((waiting.ask.request, Admission::Refused(refusal)));
+            }
+        }
+    }
+
+    fn place_within_part(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
+        let room = self.room_for(now, &ask);
+        let others = self.peer_totals.sums().workspaces.iter();
+        let others = others.filter(|((service, _), _)| *service == ask.service);
+        let others: u64 = others.map(|(_, used)| used.waiting_tokens).sum();
+        let draw = self.chance();
+        let waiting = &mut self.waiting;
+        if room <= 0.0 || !waiting.may_take(now, &ask, room, others as f64, draw) {
+            return Err(self.full_refusal(&ask));
+        }
+        let ranking = self.place_arrived(now, ask.clone())?;
+        self.waiting.taken(&ask);
+        Ok(ranking)
+    }
+
+    /// Returns the free tokens of the engines that have room for a request.
+    fn room_for(&mut self, now: Now, ask: &PlacementRequest) -> f64 {
+        let limit = self.placement_limit(now, ask);
+        let Some(engine) = self.engine_traits(&ask.service) else {
+            return 0.0;
+        };
+        let capacity = engine.memory_tokens.max(1) as f64;
+        let own = self.shares();
+        let serving = self.list.serving(now).filter(|r| r.service == ask.service);
+        let free = serving.map(|replica| {
+            let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
+            load.add(&self.peers.on(&replica.id));
+            let used = load.memory_tokens() as f64;
+            let fits = (used + ask.memory_tokens()) / capacity <= limit;
+            if fits { limit * capacity - used } else { 0.0 }
+        });
+        free.sum()
+    }
+
+    /// Returns the fair shares of the memory of a service, by the use at all instances.
+    fn workspace_shares(&mut self, now: Now, service: &str) -> WorkspaceShares {
+        let mut uses: BTreeMap<WorkspaceId, WorkspaceUse> = BTreeMap::new();
+        let own = self.own_workspaces();
+        let others = self.peer_totals.sums().workspaces.iter();
+        let of_service = others.chain(&own).filter(|((of, _), _)| of == service);
+        for ((_, workspace), used) in of_service {
+            let sum = uses.entry(workspace.clone()).or_default();
+            sum.running_tokens = sum.running_tokens.saturating_add(used.running_tokens);
+            sum.waiting_tokens = sum.waiting_tokens.saturating_add(used.waiting_tokens);
+        }
+        let engines = self.count_serving(now, service) as f64;
+        let traits = self.engine_traits(service);
+        let memory = traits.map_or(0.0, |engine| engine.memory_tokens as f64 * engines);
+        WorkspaceShares::new(memory, &uses)
+    }
+}
--- a/crates/core/src/gateway/rank_demand.rs
+++ b/crates/core/src/gateway/rank_demand.rs
@@ -70,6 +70,8 @@
     tokens: RunningMean,
     squared_tokens: RunningMean,
     held_seconds: RunningMean,
+    first_event_seconds: RunningMean,
+    ends: EventRate,
     in_use: MemoryInUse,
 }
 
@@ -81,6 +83,8 @@
             tokens: RunningMean::default(),
             squared_tokens: RunningMean::default(),
             held_seconds: RunningMean::default(),
+            first_event_seconds: RunningMean::default(),
+            ends: EventRate::new(now, USUAL_WINDOW),
             in_use: MemoryInUse::default(),
         }
     }
@@ -176,12 +180,41 @@
     pub fn ended(&mut self, now: Now, ask: &PlacementRequest, held: Option<Duration>) {
         if let Some(requests) = self.requests_of(ask) {
             requests.in_use.change(now, -ask.memory_tokens());
+            requests.ends.note(now);
             if let Some(held) = held {
                 requests.held_seconds.add(held.as_secs_f64());
             }
         }
     }
 
+    /// Counts the first event of a request, which took this long since it was sent.
+    pub fn began(&mut self, ask: &PlacementRequest, took: Duration) {
+        if let Some(requests) = self.requests_of(ask) {
+            requests.first_event_seconds.add(took.as_secs_f64());
+        }
+    }
+
+    /// Returns the mean time from the send of a request to its first event; zero if none is known.
+    pub fn first_event(&self, service: &str, rank: RequestRank) -> Duration {
+        let ranks = self.services.get(service);
+        let requests = ranks.and_then(|ranks| ranks.get(&rank));
+        let seconds = requests.map_or(0.0, |requests| requests.first_event_seconds.value);
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// Returns the tokens per second that become free for requests of `rank`: those of all requests
+    /// that end, less those that more urgent ones ask for.
+    pub fn freed_per_s(&self, now: Now, service: &str, rank: RequestRank) -> f64 {
+        let Some(ranks) = self.services.get(service) else {
+            return 0.0;
+        };
+        let ends = ranks.values();
+        let freed = ends.map(|r| r.ends.per_s(now) * r.tokens.value);
+        let urgent = ranks.range(..rank);
+        let asked = urgent.map(|(_, r)| r.usual.per_s(now) * r.tokens.value);
+        (freed.sum::<f64>() - asked.sum::<f64>()).max(0.0)
+    }
+
     /// Returns the memory that requests of more urgent ranks than `rank` need.
     pub fn more_urgent(&self, now: Now, service: &str, rank: RequestRank) -> MemoryNeed {
         let mut sum = MemoryNeed::default();
