--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -11,10 +11,8 @@
 use crate::AdvertisedLoads;
 use crate::BackendId;
 use crate::BrittleServers;
-use crate::ConfigVersion;
 use crate::EvacuationChange;
 use crate::FailureBackoff;
-use crate::GatewayConfig;
 use crate::GatewayParameters;
 use crate::InstanceId;
 use crate::KnownGoodRequests;
@@ -25,9 +23,9 @@
 use crate::PeerLoads;
 use crate::PeerTotals;
 use crate::PlacementRequest;
+use crate::RankDemand;
 use crate::Ranking;
 use crate::Refusal;
-use crate::RefusalKind;
 use crate::Replica;
 use crate::ReplicaList;
 use crate::ReplicaScore;
@@ -37,6 +35,7 @@
 use crate::RunEnd;
 use crate::ServerLimits;
 use crate::Suspicions;
+use crate::WaitingRequests;
 use crate::ZoneDigest;
 use crate::ZoneEvacuations;
 use crate::own_shares;
@@ -44,6 +43,7 @@
 mod admission;
 mod brittle;
 mod cold;
+mod configuration;
 mod crash_attribution;
 mod engine_watch;
 mod evacuation;
@@ -51,12 +51,16 @@
 mod incarnations;
 mod limits;
 mod notices;
+mod rank_headroom;
 mod ranking;
 mod server_list;
 mod speeds;
 mod totals;
+mod waiting;
 
 pub use admission::Admission;
+pub use admission::RoomForecast;
+pub use configuration::ConfigVerdict;
 pub use engine_watch::EngineChecks;
 pub use notices::SendRestrictions;
 
@@ -73,17 +77,6 @@
 /// again.
 const NO_BACKEND_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Result of offering a configuration.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ConfigVerdict {
-    /// The configuration is in force now.
-    InForce,
-    /// The configuration is not newer than the one in force.
-    Stale,
-    /// Validation failed with these errors; the previous configuration stays in force.
-    Refused(Vec<String>),
-}
-
 /// The move of a session in progress to another engine.
 #[derive(Clone, Debug)]
 pub struct Evacuation {
@@ -124,6 +117,8 @@
     limits: ServerLimits,
     brittle: BrittleServers,
     speeds: SpeedLearning,
+    rank_demand: RankDemand,
+    waiting: WaitingRequests,
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: KnownGoodRequests,
@@ -151,6 +146,8 @@
             limits: ServerLimits::default(),
             brittle: BrittleServers::default(),
             speeds: SpeedLearning::default(),
+            rank_demand: RankDemand::default(),
+            waiting: WaitingRequests::default(),
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: KnownGoodRequests::default(),
@@ -172,29 +169,6 @@
         self.share_budget();
     }
 
-    /// Applies a configuration if it is newer and valid.
-    pub fn offer_config(&mut self, config: Arc<GatewayConfig>) -> ConfigVerdict {
-        if config.version <= self.config_version() {
-            return ConfigVerdict::Stale;
-        }
-        let faults = config.faults();
-        if !faults.is_empty() {
-            return ConfigVerdict::Refused(faults);
-        }
-        self.table = Some(Arc::new(RouteTable::new(config)));
-        ConfigVerdict::InForce
-    }
-
-    /// Returns the version of the configuration in force, 0 if there is none.
-    pub fn config_version(&self) -> ConfigVersion {
-        self.table.as_ref().map_or(0, |table| table.version())
-    }
-
-    /// Returns the configuration in force.
-    pub fn table(&self) -> Option<&Arc<RouteTable>> {
-        self.table.as_ref()
-    }
-
     /// Applies the load of the replicas that a peer advertises.
     pub fn apply_peer_load(&mut self, now: Now, advertised: AdvertisedLoads) {
         self.peers.apply(now, advertised);
@@ -233,25 +207,18 @@
         }
     }
 
-    /// Ranks the replicas for a request and counts it as sent to the first.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if no replica can take the request; nothing was counted as sent.
-    pub fn place(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
+    /// Ranks the replicas for a request whose arrival is counted, and counts it as sent to the
+    /// first.
+    fn place_arrived(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
         self.check_quarantine(now, ask.fingerprint)?;
         let scores = self.scores(now, &ask, None);
         if scores.is_empty() {
             return Err(self.no_replica_refusal(now, &ask));
         }
-        let limit = self.parameters.memory_limit;
+        let limit = self.placement_limit(now, &ask);
         let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
         if fitting.is_empty() {
-            return Err(Refusal::new(
-                RefusalKind::QueueFull,
-                FULL_RETRY_AFTER,
-                format!("the engines of {} have no memory left", ask.service),
-            ));
+            return Err(self.full_refusal(&ask));
         }
         let (fitting, passed_over) = self.skip_limited(now, fitting);
         let Some(first) = fitting.first() else {
@@ -266,6 +233,7 @@
         self.limits.keep_grant(now, &ask.request, incarnation);
         let backup = self.choose_backup(now, &ask, &first);
         self.budget.earn(&ask.service);
+        self.rank_demand.placed(now, &ask);
         self.runs.insert(
             ask.request.clone(),
             OwnRun {
@@ -327,6 +295,10 @@
         self.watch.answered(now, &run.replica);
         self.backoffs.served(request);
         let had_begun = std::mem::replace(&mut run.has_begun, true);
+        if !had_begun {
+            let took = now.saturating_sub(run.sent_at);
+            self.rank_demand.began(&run.ask, took);
+        }
         run.begun_at.get_or_insert(now);
         let is_proof = !run.is_proven && run.has_run_well(now);
         run.is_proven |= is_proof;
@@ -357,6 +329,10 @@
         self.backoffs.gone(request);
         self.limits.drop_grant(request);
         self.time_end(now, request, &run, end);
+        let is_whole = matches!(end, RunEnd::Answered | RunEnd::Withdrawn);
+        let held = is_whole.then(|| now.saturating_sub(run.sent_at));
+        self.rank_demand.ended(now, &run.ask, held);
+        self.waiting.room_appeared();
         match end {
             RunEnd::Answered => {
                 self.watch.answered(now, &run.replica);
--- a/crates/core/src/gateway/gateway_control/totals.rs
+++ b/crates/core/src/gateway/gateway_control/totals.rs
@@ -26,9 +26,10 @@
     }
 
     /// Returns the totals of this instance.
-    fn own_totals(&self, _now: Now) -> Totals {
+    fn own_totals(&mut self, _now: Now) -> Totals {
         Totals {
             speeds: self.speeds.servers.advertised(),
+            workspaces: self.own_workspaces(),
             ..Totals::default()
         }
     }
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -35,6 +35,7 @@
 use crate::process::control_sender::ControlSender;
 
 mod limits;
+mod placement_fields;
 mod server_events;
 mod server_view;
 mod sessions;
@@ -42,6 +43,7 @@
 mod state_snapshots;
 
 use limits::passed_over;
+use placement_fields::PlacementFields;
 use server_view::ServersVersion;
 use speeds::SpeedFields;
 
@@ -344,9 +346,14 @@
     ) -> Placed {
         let request = ask.request.clone();
         let fingerprint = ask.fingerprint;
-        let level = ask.level.clone();
+        let now = self.clock.now();
+        let fields = PlacementFields {
+            level: ask.level.clone(),
+            memory_limit: self.control.placement_limit(now, &ask),
+            rank_headroom: self.control.rank_headroom(now, &ask),
+        };
         let is_session = ask.class == RequestClass::Stream;
-        let placed = self.control.place(self.clock.now(), ask);
+        let placed = self.control.place(now, ask);
         self.notify_demand_update();
         match placed {
             Ok(ranking) => {
@@ -358,10 +365,7 @@
                 info!(self.log, "backend server chosen";
                     "request" => &request,
                     "content" => fingerprint.to_string(),
-                    "route" => &level.route,
-                    "workspace" => &level.workspace,
-                    "workspace_rank" => level.rank.workspace,
-                    "route_rank" => level.rank.route,
+                    &fields,
                     "ranking" => format!("{:?}", ids(&ranking)),
                     "passed_over" => passed_over(&ranking),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
@@ -378,10 +382,7 @@
                 info!(self.log, "request refused";
                     "request" => &request,
                     "content" => fingerprint.to_string(),
-                    "route" => &level.route,
-                    "workspace" => &level.workspace,
-                    "workspace_rank" => level.rank.workspace,
-                    "route_rank" => level.rank.route,
+                    &fields,
                     "reason" => &refusal.message,
                     "retry_after_ms" => refusal.retry_after.as_millis() as u64,
                     "list_revision" => %self.control.list().revision());
