Keep memory for sessions that must move

Cause: new sessions fill the room that sessions on leaving engines need. Change: MoveDemand learns what departures need; placements leave that and the claims of seeking sessions free; largest sessions go first; a refused target is skipped for a moment.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -6,5 +6,6 @@
 pub(crate) mod gateway_parameters;
 pub(crate) mod length_estimator;
 pub(crate) mod memory_demand;
+pub(crate) mod move_demand;
 pub(crate) mod placement_request;
 pub(crate) mod service_level;
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -51,6 +51,7 @@
 mod failover;
 mod incarnations;
 mod limits;
+mod move_room;
 mod notices;
 mod ranking;
 mod server_list;
@@ -58,11 +59,14 @@
 
 pub use admission::Admission;
 pub use engine_watch::EngineChecks;
+pub use move_room::MoveHeadroom;
+pub use move_room::UnplacedMove;
 pub use notices::SendRestrictions;
 
 use cold::ColdSends;
 use crash_attribution::BrokenRuns;
 use engine_watch::EngineWatch;
+use move_room::MoveRoom;
 use notices::ServerBackoffs;
 
 /// Retry-After for callers when every replica is full.
@@ -125,6 +129,7 @@
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: KnownGoodRequests,
+    move_room: MoveRoom,
     orphaned: Vec<RequestId>,
 }
 
@@ -151,6 +156,7 @@
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: KnownGoodRequests::default(),
+            move_room: MoveRoom::default(),
             orphaned: Vec::new(),
             parameters,
         };
@@ -222,6 +228,7 @@
         self.suspicions.expire(now);
         self.forget_backoffs(now);
         self.forget_limits(now);
+        self.forget_moves(now);
         TickOutcome {
             evacuations,
             silent,
@@ -240,7 +247,7 @@
         if scores.is_empty() {
             return Err(self.no_replica_refusal(now, &ask));
         }
-        let limit = self.parameters.memory_limit;
+        let limit = self.placement_limit(now, &ask);
         let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
         if fitting.is_empty() {
             return Err(Refusal::new(
--- a/crates/core/src/gateway/gateway_control/failover.rs
+++ b/crates/core/src/gateway/gateway_control/failover.rs
@@ -45,7 +45,11 @@
         let from = run.replica.clone();
         let mut ask = run.ask.clone();
         ask.prompt_tokens += run.generated;
-        let limit = self.parameters.memory_limit;
+        // Callers have read a part of a stream with events: it may use the room kept for moves.
+        let limit = match run.generated {
+            0 => self.placement_limit(now, &ask),
+            _ => self.parameters.memory_limit,
+        };
         let scores = self.scores(now, &ask, Some(&from)).into_iter();
         let fitting = scores.filter(|score| score.memory <= limit).collect();
         let (fitting, _) = self.skip_limited(now, fitting);
@@ -147,6 +151,7 @@
     /// Applies a change of the list: moves sessions without a backup off draining engines, and
     /// drops backups on draining engines.
     pub(super) fn replicas_changed(&mut self, now: Now) -> Vec<Evacuation> {
+        self.note_departures(now);
         self.confirm_by_list(now);
         self.reset_new_incarnations();
         self.forget_removed();
@@ -173,7 +178,7 @@
                 to_move.push(request.clone());
             }
         }
-        to_move.sort();
+        self.sort_moves(&mut to_move);
         to_move
             .into_iter()
             .filter_map(|request| self.evacuate(now, &request, &[]))
@@ -196,7 +201,7 @@
             .iter()
             .filter(|(_, run)| run.moving == Moving::Seeks);
         let mut seeking: Vec<RequestId> = seeking.map(|(request, _)| request.clone()).collect();
-        seeking.sort();
+        self.sort_moves(&mut seeking);
         let found = seeking
             .iter()
             .map(|request| self.evacuate(now, request, &[]));
@@ -221,15 +226,21 @@
         let zone = zone.unwrap_or_else(|| self.parameters.zone.clone());
         let scores = self.scores_from_zone(now, &ask, Some(&from), &zone);
         let fits = |score: &ReplicaScore| {
-            score.memory <= MOVE_MEMORY_LIMIT && !tried.contains(&score.replica.id)
+            let is_tried = tried.contains(&score.replica.id);
+            let is_full = score.memory > MOVE_MEMORY_LIMIT;
+            !is_full && !is_tried && !self.has_refused_move(now, &score.replica.id)
         };
+        let memory: Vec<f64> = scores.iter().map(|score| score.memory).collect();
         let fitting = scores.into_iter().filter(fits).map(|score| score.replica);
         let mut fitting: Vec<Replica> = fitting.collect();
         let is_free = |replica: &Replica| !self.limits.has(replica.life());
         if fitting.iter().any(is_free) {
             fitting.retain(is_free);
         }
-        let target = self.pick_from_better_half(fitting, &zone)?;
+        let Some(target) = self.pick_from_better_half(fitting, &zone) else {
+            self.note_unplaced(request, &memory);
+            return None;
+        };
         self.note_send(now, &target.id);
         let run = self.runs.get_mut(request)?;
         run.moving = Moving::Moves;
--- a/crates/core/src/gateway/gateway_control/totals.rs
+++ b/crates/core/src/gateway/gateway_control/totals.rs
@@ -27,6 +27,9 @@
 
     /// Returns the totals of this instance.
     fn own_totals(&self, _now: Now) -> Totals {
-        Totals::default()
+        Totals {
+            seeking_tokens: self.own_claims(),
+            ..Totals::default()
+        }
     }
 }
--- a/crates/core/src/membership/peer_totals.rs
+++ b/crates/core/src/membership/peer_totals.rs
@@ -47,6 +47,8 @@
     advertised_at: Option<Now>,
     /// Whether the totals that were advertised last were empty.
     advertised_empty: bool,
+    /// Whether they contained sessions that seek room.
+    advertised_claims: bool,
 }
 
 impl PeerTotals {
@@ -59,6 +61,7 @@
             sums: None,
             advertised_at: None,
             advertised_empty: true,
+            advertised_claims: false,
         }
     }
 
@@ -114,15 +117,19 @@
     }
 
     /// Returns whether the next heartbeat should carry totals: after the interval, unless they are
-    /// empty and were empty before.
+    /// empty and were empty before. Sessions that begin to seek room are advertised at once, since
+    /// their engines leave within seconds and the others still fill the room.
     pub fn is_advertisement_due(&mut self, now: Now, own: &Totals) -> bool {
         let is_early = |at: Now| now.saturating_sub(at) < ADVERTISE_INTERVAL;
         let is_idle = own.is_empty() && self.advertised_empty && self.instances.is_empty();
-        if is_idle || self.advertised_at.is_some_and(is_early) {
+        let has_claims = !own.seeking_tokens.is_empty();
+        let is_urgent = has_claims && !self.advertised_claims;
+        if is_idle || (!is_urgent && self.advertised_at.is_some_and(is_early)) {
             return false;
         }
         self.advertised_at = Some(now);
         self.advertised_empty = own.is_empty();
+        self.advertised_claims = has_claims;
         true
     }
 }
