--- a/crates/core/src/gateway/gateway_control/move_room.rs
+++ b/crates/core/src/gateway/gateway_control/move_room.rs
@@ -169,7 +169,10 @@
         let serving = serving.map(|replica| (replica.id.clone(), replica.service.clone()));
         let before = std::mem::replace(&mut self.move_room.serving, serving.collect());
         let is_leaving = |id: &BackendId| self.list.state(id).is_leaving();
-        let left: Vec<_> = before.into_iter().filter(|(id, _)| is_leaving(id)).collect();
+        let left: Vec<_> = before
+            .into_iter()
+            .filter(|(id, _)| is_leaving(id))
+            .collect();
         if left.is_empty() {
             return;
         }
