--- a/crates/core/src/gateway/move_demand.rs
+++ b/crates/core/src/gateway/move_demand.rs
@@ -52,12 +52,10 @@
             return;
         }
         let tokens = tokens as f64;
-        let known = self.departures.get_mut(service);
-        if let Some(known) = known {
-            if now.saturating_sub(known.began_at) < DEPARTURE_SPAN {
-                known.tokens += tokens;
-                return;
-            }
+        let is_same = |known: &&mut Departure| now.saturating_sub(known.began_at) < DEPARTURE_SPAN;
+        if let Some(known) = self.departures.get_mut(service).filter(is_same) {
+            known.tokens += tokens;
+            return;
         }
         let departure = Departure {
             began_at: now,
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -103,6 +103,17 @@
     Refused(Refusal),
 }
 
+/// A session that could not be moved to an engine.
+#[derive(Clone, Debug)]
+pub struct FailedMove {
+    /// The session.
+    pub request: RequestId,
+    /// Engines that were tried already.
+    pub tried: Vec<BackendId>,
+    /// The engine that has just refused it for lack of room.
+    pub without_room: Option<BackendId>,
+}
+
 /// Whether a request may be sent again.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Resend {
@@ -199,12 +210,7 @@
         reply: oneshot::Sender<Option<FailoverTarget>>,
     },
     /// A session could not be moved to an engine: chooses another target.
-    MoveFailed {
-        /// The session.
-        request: RequestId,
-        /// Engines that were tried already.
-        tried: Vec<BackendId>,
-    },
+    MoveFailed(FailedMove),
     /// A session can't be copied at the moment.
     MoveDelayed {
         /// The session.
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -15,6 +15,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::gateway::move_metrics::MoveMetrics;
+
 /// Bucket bounds of the histograms, in seconds. They cover the latency objectives of requests
 /// (0.1 to 1.8 s) and the longest allowed pause of a stream (0.18 s).
 const BOUNDS_S: [f64; 14] = [
@@ -73,6 +75,7 @@
     directory_era: Gauge,
     config_age: Histogram,
     config_behind: Histogram,
+    moves_room: MoveMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -112,6 +115,7 @@
             directory_era: Gauge::default(),
             config_age: histogram(),
             config_behind: histogram(),
+            moves_room: MoveMetrics::default(),
         };
         metrics.register();
         metrics
@@ -199,6 +203,7 @@
             "Time behind peers with the configuration",
             behind,
         );
+        self.moves_room.register(r);
     }
 
     /// Returns all metrics in the OpenMetrics text format.
@@ -292,6 +297,11 @@
         self.moves.get_or_create(&Kind { kind }).inc();
     }
 
+    /// Returns the gauges of the room that is kept for moves.
+    pub fn moves_room(&self) -> &MoveMetrics {
+        &self.moves_room
+    }
+
     /// Counts a call to the directory; `end` is its outcome.
     pub fn directory_called(&self, kind: &'static str, end: &'static str) {
         let labels = KindAndEnd { kind, end };
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -35,6 +35,7 @@
 use crate::process::control_sender::ControlSender;
 
 mod limits;
+mod move_room;
 mod server_events;
 mod server_view;
 mod sessions;
@@ -211,10 +212,7 @@
             } => {
                 let _ = reply.send(self.control.fail_over_to(now, &request, replica));
             }
-            GatewayMessage::MoveFailed { request, tried } => {
-                let evacuation = self.control.evacuate(now, &request, &tried);
-                self.evacuate(evacuation.into_iter().collect());
-            }
+            GatewayMessage::MoveFailed(failed) => self.move_failed(failed),
             GatewayMessage::MoveDelayed { request } => self.control.move_delayed(&request),
             GatewayMessage::EngineChecks { reply } => {
                 let _ = reply.send(self.control.engine_checks(now));
@@ -348,6 +346,7 @@
         let fingerprint = ask.fingerprint;
         let level = ask.level.clone();
         let is_session = ask.class == RequestClass::Stream;
+        let memory_limit = self.control.placement_limit(self.clock.now(), &ask);
         let placed = self.control.place(self.clock.now(), ask);
         self.notify_demand_update();
         match placed {
@@ -369,6 +368,7 @@
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
                     "requests_there" => ranking.server_view.requests,
                     "memory_share" => ranking.server_view.memory,
+                    "memory_limit" => memory_limit,
                     "instances_counted" => ranking.server_view.instances,
                     "list_revision" => %self.control.list().revision());
                 self.signals.insert(request, signals);
@@ -384,6 +384,7 @@
                     "workspace_rank" => level.rank.workspace,
                     "route_rank" => level.rank.route,
                     "reason" => &refusal.message,
+                    "memory_limit" => memory_limit,
                     "retry_after_ms" => refusal.retry_after.as_millis() as u64,
                     "list_revision" => %self.control.list().revision());
                 Placed::Refused(refusal)
--- a/crates/daemon/src/gateway/gateway_thread/sessions.rs
+++ b/crates/daemon/src/gateway/gateway_thread/sessions.rs
@@ -32,5 +32,6 @@
                 let _ = signals.send(SessionSignal::MoveTo(target));
             }
         }
+        self.report_moves();
     }
 }
--- a/crates/daemon/src/relaying/stream_relay/failover.rs
+++ b/crates/daemon/src/relaying/stream_relay/failover.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use iristhread_core::BackendId;
 use iristhread_core::FailoverTarget;
 use iristhread_core::Replica;
 use slog::info;
@@ -13,6 +14,7 @@
 use super::next_frame;
 use crate::engines::engine_watch::probe_broken_server;
 use crate::engines::session_mover::MoveError;
+use crate::gateway::gateway_message::FailedMove;
 use crate::gateway::gateway_message::GatewayMessage;
 use crate::relaying::wire_protocol::SessionCopy;
 
@@ -135,10 +137,8 @@
             FailoverOutcome::Ended(end) => Some(end),
             FailoverOutcome::NoTarget => {
                 self.wait_for_engine();
-                self.exchange.app.control.tell(GatewayMessage::MoveFailed {
-                    request: self.exchange.head.request.clone(),
-                    tried: vec![self.replica.id.clone()],
-                });
+                let tried = vec![self.replica.id.clone()];
+                self.tell_failed_move(tried, None);
                 None
             }
         }
@@ -261,17 +261,26 @@
     /// at the moment, because it was preempted, can't be copied to any target: the move is retried
     /// a little later.
     fn report_failed_move(&mut self, target: Replica, error: &MoveError) {
-        let request = self.exchange.head.request.clone();
-        let message = match error {
+        let without_room = match error {
             MoveError::NoSession | MoveError::Busy | MoveError::Withheld => {
-                GatewayMessage::MoveDelayed { request }
-            }
-            MoveError::NoRoom { .. } | MoveError::NoAnswer(_) => {
-                self.tried.push(target.id);
-                let tried = self.tried.clone();
-                GatewayMessage::MoveFailed { request, tried }
+                let request = self.exchange.head.request.clone();
+                let message = GatewayMessage::MoveDelayed { request };
+                return self.exchange.app.control.tell(message);
             }
+            MoveError::NoRoom { .. } => Some(target.id.clone()),
+            MoveError::NoAnswer(_) => None,
+        };
+        self.tried.push(target.id);
+        self.tell_failed_move(self.tried.clone(), without_room);
+    }
+
+    fn tell_failed_move(&self, tried: Vec<BackendId>, without_room: Option<BackendId>) {
+        let failed = FailedMove {
+            request: self.exchange.head.request.clone(),
+            tried,
+            without_room,
         };
+        let message = GatewayMessage::MoveFailed(failed);
         self.exchange.app.control.tell(message);
     }
 
@@ -333,10 +342,7 @@
         match self.resume(target, Some(copy)).await {
             ResumeOutcome::Continues => {
                 // The session still has to leave this engine.
-                self.exchange.app.control.tell(GatewayMessage::MoveFailed {
-                    request: self.exchange.head.request.clone(),
-                    tried: self.tried.clone(),
-                });
+                self.tell_failed_move(self.tried.clone(), None);
                 None
             }
             ResumeOutcome::NotRun | ResumeOutcome::Lost => Some(End::Lost),
