--- a/crates/core/tests/move_scene/mod.rs
+++ b/crates/core/tests/move_scene/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet of instances in front of engines that leave, in virtual time: the instances run the real
 //! decision code and advertise loads and totals to each other.
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -240,11 +241,13 @@
     fn end_departure(&mut self, count: usize) {
         let engines = self.engines.clone();
         let serves = |id: &str| engines.iter().any(|engine| engine.id == id);
-        let is_lost = |session: &Session| !serves(&session.engine);
-        for (request, session) in self.sessions.extract_if(.., |_, s| is_lost(s)) {
+        let lost = self.sessions.iter().filter(|(_, s)| !serves(&s.engine));
+        let lost: Vec<String> = lost.map(|(request, _)| request.clone()).collect();
+        self.lost += lost.len();
+        for request in lost {
+            let session = self.sessions.remove(&request).unwrap();
             let control = &mut self.instances[session.instance];
             control.ended(ms(self.now), &request, RunEnd::Withdrawn);
-            self.lost += 1;
         }
         for number in 0..count {
             let id = format!("e{}-{number}", self.now);
