--- a/crates/cli/src/log_trace.rs
+++ b/crates/cli/src/log_trace.rs
@@ -19,7 +19,7 @@
 ];
 
 /// Messages that report a change of state, or a wait that delayed one.
-const STATE_CHANGES: [&str; 18] = [
+const STATE_CHANGES: [&str; 19] = [
     "directory lost",
     "directory regained",
     "directory came back from an older copy",
@@ -38,6 +38,7 @@
     "backend server names a limit no more",
     "zone is evacuated: nothing new goes there",
     "zone is no longer evacuated",
+    "memory kept for moves",
 ];
 
 /// Maximum number of entries that are kept in memory, at a few hundred bytes each.
--- a/crates/cli/src/losses.rs
+++ b/crates/cli/src/losses.rs
@@ -26,6 +26,8 @@
     /// Backend server that the request was sent to first, and the time in milliseconds.
     chosen: Option<(String, i64)>,
     first_event_at_ms: Option<i64>,
+    /// Whether it had to leave its engine and no other had room for it.
+    had_no_room: bool,
     /// Line that reports the end of the request.
     end: Option<GatewayLine>,
 }
@@ -64,6 +66,7 @@
             "stream ended before it began" | "call ended" | "request refused" => {
                 trace.end = Some(line);
             }
+            "no engine has room for a session that must move" => trace.had_no_room = true,
             _ => {}
         }
     }
@@ -113,6 +116,9 @@
         "request refused" => format!("refused: {}", end.reason.as_deref().unwrap_or("-")),
         "stream ended before it began" => format!("not begun: {stream_end}"),
         "call ended" => call_cause(end),
+        _ if stream_end == "lost" && trace.had_no_room => {
+            "stream lost, no engine had room for its move".to_owned()
+        }
         _ if stream_end != "whole" => format!("stream {stream_end}"),
         _ => stream_cause(trace, end, objectives, waits),
     }
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -55,6 +55,16 @@
     assert!(text.ends_with(&format!("100.0%  {expected}\n")), "{text}");
 }
 
+/// Sessions lost for lack of room on other engines were counted with those of crashed engines.
+#[test]
+fn a_stream_lost_for_lack_of_room_has_its_own_cause() {
+    let no_room = r#""no engine has room for a session that must move","tokens":3000"#;
+    let lost = line(900, "r", r#""stream ended","end":"lost","route":"chat""#);
+    let text = loss_table(&[chosen(100, "r", "e1"), line(500, "r", no_room), lost]);
+    let expected = "stream lost, no engine had room for its move\n";
+    assert!(text.ends_with(expected), "{text}");
+}
+
 /// The lines of different instances may be read in any order.
 #[test]
 fn streams_waiting_at_same_engine_are_counted() {
