--- a/crates/cli/src/log_trace.rs
+++ b/crates/cli/src/log_trace.rs
@@ -39,6 +39,7 @@
     "speed of a backend server changed",
     "zone is evacuated: nothing new goes there",
     "zone is no longer evacuated",
+    "memory kept for moves",
 ];
 
 /// Maximum number of entries that are kept in memory, at a few hundred bytes each.
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -50,6 +50,7 @@
 mod failover;
 mod incarnations;
 mod limits;
+mod move_room;
 mod notices;
 mod rank_headroom;
 mod ranking;
@@ -62,11 +63,14 @@
 pub use admission::RoomForecast;
 pub use configuration::ConfigVerdict;
 pub use engine_watch::EngineChecks;
+pub use move_room::MoveHeadroom;
+pub use move_room::UnplacedMove;
 pub use notices::SendRestrictions;
 
 use cold::ColdSends;
 use crash_attribution::BrokenRuns;
 use engine_watch::EngineWatch;
+use move_room::MoveRoom;
 use notices::ServerBackoffs;
 use speeds::SpeedLearning;
 
@@ -122,6 +126,7 @@
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
     proven: KnownGoodRequests,
+    move_room: MoveRoom,
     orphaned: Vec<RequestId>,
 }
 
@@ -151,6 +156,7 @@
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
             proven: KnownGoodRequests::default(),
+            move_room: MoveRoom::default(),
             orphaned: Vec::new(),
             parameters,
         };
@@ -200,6 +206,7 @@
         self.suspicions.expire(now);
         self.forget_backoffs(now);
         self.forget_limits(now);
+        self.forget_moves(now);
         TickOutcome {
             evacuations,
             silent,
--- a/crates/core/src/gateway/gateway_control/rank_headroom.rs
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -25,7 +25,7 @@
     /// Returns the fraction of an engine's memory up to which a new request may use it.
     pub fn placement_limit(&mut self, now: Now, ask: &PlacementRequest) -> f64 {
         let limit = self.parameters.memory_limit;
-        let headroom = self.rank_headroom(now, ask);
+        let headroom = self.rank_headroom(now, ask) + self.memory_headroom(now, &ask.service);
         if headroom <= 0.0 {
             return limit;
         }
--- a/crates/core/src/gateway/gateway_control/totals.rs
+++ b/crates/core/src/gateway/gateway_control/totals.rs
@@ -30,7 +30,7 @@
         Totals {
             speeds: self.speeds.servers.advertised(),
             workspaces: self.own_workspaces(),
-            ..Totals::default()
+            seeking_tokens: self.own_claims(),
         }
     }
 }
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -16,6 +16,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::gateway::speed_metrics::SpeedMetrics;
+use crate::gateway::move_metrics::MoveMetrics;
 
 /// Bucket bounds of the histograms, in seconds. They cover the latency objectives of requests
 /// (0.1 to 1.8 s) and the longest allowed pause of a stream (0.18 s).
@@ -77,6 +78,7 @@
     config_behind: Histogram,
     /// Gauges of the speed of backend servers.
     pub speeds: SpeedMetrics,
+    moves_room: MoveMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -117,6 +119,7 @@
             config_age: histogram(),
             config_behind: histogram(),
             speeds: SpeedMetrics::default(),
+            moves_room: MoveMetrics::default(),
         };
         metrics.register();
         metrics
@@ -205,6 +208,7 @@
             behind,
         );
         self.speeds.register(r);
+        self.moves_room.register(r);
     }
 
     /// Returns all metrics in the OpenMetrics text format.
@@ -298,6 +302,11 @@
         self.moves.get_or_create(&Kind { kind }).inc();
     }
 
+    /// Returns the gauges of the room that is kept for moves.
+    pub fn moves_room(&self) -> &MoveMetrics {
+        &self.moves_room
+    }
+
     /// Counts a call to the directory; `end` is its outcome.
     pub fn directory_called(&self, kind: &'static str, end: &'static str) {
         let labels = KindAndEnd { kind, end };
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -35,6 +35,7 @@
 use crate::process::control_sender::ControlSender;
 
 mod limits;
+mod move_room;
 mod placement_fields;
 mod server_events;
 mod server_view;
@@ -216,10 +217,7 @@
             } => {
                 let _ = reply.send(self.control.fail_over_to(now, &request, replica));
             }
-            GatewayMessage::MoveFailed { request, tried } => {
-                let evacuation = self.control.evacuate(now, &request, &tried);
-                self.evacuate(evacuation.into_iter().collect());
-            }
+            GatewayMessage::MoveFailed(failed) => self.move_failed(failed),
             GatewayMessage::MoveDelayed { request } => self.control.move_delayed(&request),
             GatewayMessage::EngineChecks { reply } => {
                 let _ = reply.send(self.control.engine_checks(now));
