Forecast retry times and recognise the retries of refused contents

Cause: all callers refused for lack of memory were told 0.5 s, came back together and found engines full again; no instance knew that a request had been refused by another. Change: RoomForecast learns what becomes free and is asked for, keeps the order of refused callers, and gives the Retry-After. RefusedContents keeps refused contents, which heartbeats carry after the totals. First tries leave memory free for retries that are due, a fifth at most. All of it only with forecast_retry_after.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,4 +7,6 @@
 pub(crate) mod length_estimator;
 pub(crate) mod memory_demand;
 pub(crate) mod placement_request;
+pub(crate) mod refused_contents;
+pub(crate) mod room_forecast;
 pub(crate) mod service_level;
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -27,7 +27,6 @@
 use crate::PlacementRequest;
 use crate::Ranking;
 use crate::Refusal;
-use crate::RefusalKind;
 use crate::Replica;
 use crate::ReplicaList;
 use crate::ReplicaScore;
@@ -53,6 +52,7 @@
 mod limits;
 mod notices;
 mod ranking;
+mod retry_time;
 mod server_list;
 mod totals;
 
@@ -64,6 +64,7 @@
 use crash_attribution::BrokenRuns;
 use engine_watch::EngineWatch;
 use notices::ServerBackoffs;
+use retry_time::Retries;
 
 /// Retry-After for callers when every replica is full.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -126,6 +127,7 @@
     suspicions: Suspicions,
     proven: KnownGoodRequests,
     orphaned: Vec<RequestId>,
+    retries: Retries,
 }
 
 impl GatewayControl {
@@ -152,6 +154,7 @@
             suspicions: Suspicions::default(),
             proven: KnownGoodRequests::default(),
             orphaned: Vec::new(),
+            retries: Retries::default(),
             parameters,
         };
         control.share_budget();
@@ -222,6 +225,7 @@
         self.suspicions.expire(now);
         self.forget_backoffs(now);
         self.forget_limits(now);
+        self.forget_retries(now);
         TickOutcome {
             evacuations,
             silent,
@@ -240,14 +244,11 @@
         if scores.is_empty() {
             return Err(self.no_replica_refusal(now, &ask));
         }
-        let limit = self.parameters.memory_limit;
+        self.note_arrival(now, &ask);
+        let limit = self.placement_limit(now, &ask);
         let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
         if fitting.is_empty() {
-            return Err(Refusal::new(
-                RefusalKind::QueueFull,
-                FULL_RETRY_AFTER,
-                format!("the engines of {} have no memory left", ask.service),
-            ));
+            return Err(self.full_refusal(now, &ask));
         }
         let (fitting, passed_over) = self.skip_limited(now, fitting);
         let Some(first) = fitting.first() else {
@@ -260,6 +261,7 @@
         };
         let first = first.replica.clone();
         let incarnation = first.life();
+        self.note_placed(&ask);
         self.note_send(now, &first.id);
         self.backoffs.sent(now, incarnation, &ask.request);
         self.limits.keep_grant(now, &ask.request, incarnation);
@@ -349,6 +351,7 @@
         }
         self.backoffs.gone(request);
         self.limits.drop_grant(request);
+        self.note_freed(now, &run, end);
         match end {
             RunEnd::Answered => {
                 self.watch.answered(now, &run.replica);
--- a/crates/core/src/gateway/gateway_control/notices.rs
+++ b/crates/core/src/gateway/gateway_control/notices.rs
@@ -137,8 +137,9 @@
         self.backoffs.may_send(now, replica.life())
     }
 
-    /// Returns the Retry-After for a request that could not be placed or sent: `otherwise` if a
-    /// backend server takes requests now, else the time until the first backoff ends.
+    /// Returns the Retry-After for a request that could not be placed or sent: the time until
+    /// the first backoff ends if none takes requests now, else the forecast of room if the engines
+    /// are full, else `otherwise`.
     pub fn caller_retry_after(
         &mut self,
         now: Now,
@@ -146,7 +147,10 @@
         otherwise: Duration,
     ) -> Duration {
         let left = self.shortest_wait(now, ask);
-        left.map_or(otherwise, |left| self.spread(left))
+        match left {
+            Some(left) => self.spread(left),
+            None => self.refused_retry_after(now, ask, otherwise),
+        }
     }
 
     /// Returns the refusal of a request if all replicas that could take it are backing off.
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::ExpectedRoom;
+
 /// Reason of a refusal. A refused request is known to be `not_run`, because the decision is made
 /// before anything is sent to a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -70,6 +72,8 @@
     pub retry_after: Duration,
     /// Message for the caller, naming the limit.
     pub message: String,
+    /// The forecast behind `retry_after`, if it follows from one.
+    pub room: Option<ExpectedRoom>,
 }
 
 impl Refusal {
@@ -79,6 +83,7 @@
             kind,
             retry_after,
             message: message.into(),
+            room: None,
         }
     }
 
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -59,6 +59,7 @@
 pub(crate) mod gateway_thread;
 pub(crate) mod gateway_views;
 pub(crate) mod operator_routes;
+pub(crate) mod retry_metrics;
 
 /// Maximum size in bytes of an answer that the client reads as a whole.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -7,6 +7,7 @@
 use iristhread_core::AdvertisedLimit;
 use iristhread_core::AdvertisedList;
 use iristhread_core::AdvertisedLoads;
+use iristhread_core::AdvertisedRefusal;
 use iristhread_core::AdvertisedSuspect;
 use iristhread_core::AdvertisedTotals;
 use iristhread_core::BackendId;
@@ -62,6 +63,10 @@
     pub totals: Option<Totals>,
     /// Totals of its whole zone, if this instance is a relay.
     pub zone_totals: Option<Totals>,
+    /// Contents that this instance refused recently; empty if the state is not for a heartbeat.
+    pub refused: Vec<AdvertisedRefusal>,
+    /// Those that its whole zone refused, if this instance is a relay.
+    pub zone_refused: Vec<AdvertisedRefusal>,
 }
 
 impl OwnState {
@@ -245,6 +250,13 @@
         /// The peer.
         source: String,
     },
+    /// A peer advertised contents that were refused recently.
+    RefusalsReceived {
+        /// The contents.
+        refused: Vec<AdvertisedRefusal>,
+        /// Whether the peer is in another zone.
+        is_remote: bool,
+    },
     /// A replica had no room for a request.
     RejectedForRoom {
         /// The replica.
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -15,6 +15,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::gateway::retry_metrics::RetryMetrics;
+
 /// Bucket bounds of the histograms, in seconds. They cover the latency objectives of requests
 /// (0.1 to 1.8 s) and the longest allowed pause of a stream (0.18 s).
 const BOUNDS_S: [f64; 14] = [
@@ -43,6 +45,7 @@
     registry: Mutex<Registry>,
     requests: Family<KindAndEnd, Counter>,
     refusals: Family<Kind, Counter>,
+    retries: RetryMetrics,
     attempts: Family<Kind, Counter>,
     notices: Family<Kind, Counter>,
     limit_checks: Family<Kind, Counter>,
@@ -82,6 +85,7 @@
             registry: Mutex::new(Registry::with_prefix("iristhread")),
             requests: Family::default(),
             refusals: Family::default(),
+            retries: RetryMetrics::default(),
             attempts: Family::default(),
             notices: Family::default(),
             limit_checks: Family::default(),
@@ -124,6 +128,7 @@
         let r = &mut *registry;
         r.register("requests", "Requests that ended", self.requests.clone());
         r.register("refusals", "Requests refused unsent", self.refusals.clone());
+        self.retries.register(r);
         r.register("tries", "Sends to backend servers", self.attempts.clone());
         let detours = self.detours.clone();
         r.register("detours", "Connections requested from peers", detours);
@@ -237,6 +242,11 @@
         self.refusals.get_or_create(&Kind { kind }).inc();
     }
 
+    /// Returns the metrics of retry times.
+    pub fn retries(&self) -> &RetryMetrics {
+        &self.retries
+    }
+
     /// Counts an attempt to send a request; `kind` is its outcome.
     pub fn tried(&self, kind: &'static str) {
         self.attempts.get_or_create(&Kind { kind }).inc();
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -35,6 +35,7 @@
 use crate::process::control_sender::ControlSender;
 
 mod limits;
+mod refusals;
 mod server_events;
 mod server_view;
 mod sessions;
@@ -233,6 +234,9 @@
             GatewayMessage::LimitsReceived { limits, source } => {
                 self.limits_received(limits, &source)
             }
+            GatewayMessage::RefusalsReceived { refused, is_remote } => {
+                self.control.apply_peer_refusals(now, &refused, is_remote);
+            }
             GatewayMessage::RejectedForRoom { replica } => self.rejected_for_room(&replica),
             GatewayMessage::AddressReused { replica } => self.address_reused(&replica),
             GatewayMessage::CallerRetryAfter {
@@ -240,7 +244,7 @@
                 otherwise,
                 reply,
             } => {
-                let _ = reply.send(self.control.caller_retry_after(now, &ask, otherwise));
+                let _ = reply.send(self.caller_retry_after(&ask, otherwise));
             }
             GatewayMessage::Unreachable { replica } => self.unreachable(&replica),
             GatewayMessage::NotConnected { replica } => {
@@ -348,6 +352,7 @@
         let fingerprint = ask.fingerprint;
         let level = ask.level.clone();
         let is_session = ask.class == RequestClass::Stream;
+        let is_retry = self.control.is_retry(&ask);
         let placed = self.control.place(self.clock.now(), ask);
         self.notify_demand_update();
         match placed {
@@ -370,22 +375,14 @@
                     "requests_there" => ranking.server_view.requests,
                     "memory_share" => ranking.server_view.memory,
                     "instances_counted" => ranking.server_view.instances,
+                    "is_retry" => is_retry,
                     "list_revision" => %self.control.list().revision());
                 self.signals.insert(request, signals);
                 Placed::Ranked(ranking)
             }
             Err(refusal) => {
-                self.metrics.refused(refusal.kind.as_str());
-                info!(self.log, "request refused";
-                    "request" => &request,
-                    "content" => fingerprint.to_string(),
-                    "route" => &level.route,
-                    "workspace" => &level.workspace,
-                    "workspace_rank" => level.rank.workspace,
-                    "route_rank" => level.rank.route,
-                    "reason" => &refusal.message,
-                    "retry_after_ms" => refusal.retry_after.as_millis() as u64,
-                    "list_revision" => %self.control.list().revision());
+                let identity = (request.as_str(), fingerprint);
+                self.record_refusal(identity, &level, is_retry, &refusal);
                 Placed::Refused(refusal)
             }
         }
--- a/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
+++ b/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
@@ -1,6 +1,7 @@
 //! Snapshots of the control thread's state for tasks of the instance and for peers.
 
 use iristhread_core::Revision;
+use iristhread_core::ToldRefusals;
 
 use super::GatewayThread;
 use crate::gateway::gateway_message::Audience;
@@ -20,9 +21,12 @@
                 control.advertised_shares(now),
             ),
         };
-        let totals = match audience {
-            Audience::Own => None,
-            Audience::Peers { .. } => control.advertised_totals(now),
+        let (totals, refused) = match audience {
+            Audience::Own => (None, ToldRefusals::default()),
+            Audience::Peers { .. } => (
+                control.advertised_totals(now),
+                control.advertised_refusals(now, is_relay),
+            ),
         };
         let control = &self.control;
         let zone_totals = totals.as_ref().filter(|_| is_relay);
@@ -30,6 +34,8 @@
             suspects,
             zone_totals: zone_totals.map(|own| control.zone_totals(own)),
             totals,
+            refused: refused.own,
+            zone_refused: refused.zone,
             limits,
             config_version: self.control.config_version(),
             list_revision: self.control.list().revision(),
--- a/crates/daemon/src/peers/fleet_link.rs
+++ b/crates/daemon/src/peers/fleet_link.rs
@@ -222,13 +222,14 @@
     }
 
     async fn send(&self, socket: &UdpSocket, own: OwnState, sequence: u64, fan_out: FanOut) {
-        let zone_totals = own.zone_totals.clone();
+        let (zone_totals, zone_refused) = (own.zone_totals.clone(), own.zone_refused.clone());
         let mut heartbeat = self.heartbeat(own, sequence);
         if !fan_out.remote_relays.is_empty() {
             let mut remote = heartbeat.clone();
             // An instance that receives both heartbeats applies both, the sums last.
             remote.sequence += 1;
             remote.totals = zone_totals;
+            remote.refused = zone_refused;
             remote.news = self
                 .directory_state()
                 .updates_for_remote_zones(self.clock.now());
@@ -316,6 +317,7 @@
             news: Vec::new(),
             cut_off: self.dialer.cut_off_services(),
             totals: own.totals,
+            refused: own.refused,
         }
     }
 }
--- a/crates/daemon/src/peers/fleet_link/receiving.rs
+++ b/crates/daemon/src/peers/fleet_link/receiving.rs
@@ -159,6 +159,12 @@
                 source: heartbeat.instance.clone(),
             });
         }
+        if !heartbeat.refused.is_empty() {
+            self.control.tell(GatewayMessage::RefusalsReceived {
+                refused: heartbeat.refused,
+                is_remote: heartbeat.zone != self.settings.zone,
+            });
+        }
         for replica in heartbeat.said_leaving {
             self.control.tell(GatewayMessage::Leaves {
                 replica,
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -6,6 +6,7 @@
 
 use iristhread_core::AdvertisedEvacuations;
 use iristhread_core::AdvertisedLimit;
+use iristhread_core::AdvertisedRefusal;
 use iristhread_core::AdvertisedSuspect;
 use iristhread_core::ConfigVersion;
 use iristhread_core::Incarnation;
@@ -115,6 +116,18 @@
     /// encoding after `cut_off`, with the same effect.
     #[serde(skip)]
     pub totals: Option<Totals>,
+    /// Contents that the sender, or in a heartbeat with a digest its whole zone, refused recently
+    /// for lack of room. Appended to the encoding after `totals`, with the same effect.
+    #[serde(skip)]
+    pub refused: Vec<AdvertisedRefusal>,
+}
+
+/// What follows the totals in the encoding. The totals have to precede it even if the heartbeat
+/// carries none.
+#[derive(Debug, Deserialize, Serialize)]
+struct AfterTotals {
+    carries_totals: bool,
+    refused: Vec<AdvertisedRefusal>,
 }
 
 /// Reason why a datagram or heartbeat is rejected.
@@ -184,9 +197,17 @@
         }
         let (cut_off, appended) = postcard::take_from_bytes(appended).map_err(unreadable)?;
         heartbeat.cut_off = cut_off;
-        if !appended.is_empty() {
-            heartbeat.totals = Some(postcard::from_bytes(appended).map_err(unreadable)?);
+        if appended.is_empty() {
+            return Ok(heartbeat);
         }
+        let (totals, appended) = postcard::take_from_bytes(appended).map_err(unreadable)?;
+        heartbeat.totals = Some(totals);
+        if appended.is_empty() {
+            return Ok(heartbeat);
+        }
+        let after: AfterTotals = postcard::from_bytes(appended).map_err(unreadable)?;
+        heartbeat.totals = heartbeat.totals.filter(|_| after.carries_totals);
+        heartbeat.refused = after.refused;
         Ok(heartbeat)
     }
 }
@@ -195,11 +216,20 @@
     /// Encodes and signs the heartbeat; `None` only if the encoder fails.
     pub fn seal(&self, keyring: &Keyring) -> Option<SealedHeartbeat> {
         let mut body = postcard::to_allocvec(self).ok()?;
-        if !self.cut_off.is_empty() || self.totals.is_some() {
+        let has_refused = !self.refused.is_empty();
+        if !self.cut_off.is_empty() || self.totals.is_some() || has_refused {
             body.extend(postcard::to_allocvec(&self.cut_off).ok()?);
         }
-        if let Some(totals) = &self.totals {
-            body.extend(postcard::to_allocvec(totals).ok()?);
+        if self.totals.is_some() || has_refused {
+            let totals = self.totals.clone().unwrap_or_default();
+            body.extend(postcard::to_allocvec(&totals).ok()?);
+        }
+        if has_refused {
+            let after = AfterTotals {
+                carries_totals: self.totals.is_some(),
+                refused: self.refused.clone(),
+            };
+            body.extend(postcard::to_allocvec(&after).ok()?);
         }
         let tag = keyring.sign(PURPOSE, &body);
         Some(SealedHeartbeat { tag, body })
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -66,6 +66,7 @@
         news: Vec::new(),
         cut_off: Vec::new(),
         totals: None,
+        refused: Vec::new(),
     }
 }
 
