--- a/crates/core/src/gateway/room_forecast.rs
+++ b/crates/core/src/gateway/room_forecast.rs
@@ -28,6 +28,11 @@
 /// Width of the random spread, as a fraction of the Retry-After.
 const SPREAD: f64 = 0.25;
 
+/// Callers who can't be served within their objective any more are told times from this fraction of
+/// the longest time on: a late answer is worth the same whenever it comes, and the requests of the
+/// next seconds can still be served in time.
+const LATE_FROM: f64 = 0.5;
+
 /// Minimum fraction of the memory that becomes free which callers of a less urgent rank count on.
 const MIN_AVAILABLE: f64 = 0.1;
 
@@ -225,17 +230,15 @@
         let in_time = (level.arrived + level.objective).saturating_sub(ready_by);
         let expected = room.after.unwrap_or(UNKNOWN_RETRY_AFTER);
         let earliest = expected.max(MIN_RETRY_AFTER);
-        let latest = match earliest <= in_time {
-            true => in_time.min(longest),
-            false => longest,
+        let (from, to) = match earliest <= in_time {
+            true => (earliest, (earliest + earliest.mul_f64(SPREAD)).min(in_time)),
+            false => {
+                let from = earliest.max(longest.mul_f64(LATE_FROM));
+                (from.min(longest.mul_f64(1.0 - SPREAD)), longest)
+            }
         };
-        match earliest < latest {
-            true => (earliest + earliest.mul_f64(SPREAD * chance)).min(latest),
-            false => latest
-                .mul_f64(1.0 - SPREAD * chance)
-                .max(MIN_RETRY_AFTER)
-                .min(latest),
-        }
+        let told = from + to.saturating_sub(from).mul_f64(chance);
+        told.max(MIN_RETRY_AFTER).min(longest)
     }
 
     /// Returns the tokens that retries of the rank of a request, or a more urgent one, are about to
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use iristhread_core::AdvertisedRefusal;
 use iristhread_core::Keyring;
 use iristhread_core::LoadShare;
 use iristhread_core::ServerLife;
@@ -119,6 +120,35 @@
     assert_eq!(sealed.size_bytes(), calm.size_bytes() + 13);
 }
 
+/// An instance that knows the totals but not the refused contents must read the rest. One that
+/// knows them must not take totals that precede them in the encoding for those of the sender.
+#[test]
+fn refused_contents_survive_encoding_and_cost_nothing_otherwise() {
+    let calm = heartbeat(7, 3);
+    let refused = vec![AdvertisedRefusal {
+        content: 3,
+        age_ms: 20,
+        valid_ms: 100,
+    }];
+    let with_refusals = Heartbeat {
+        refused: refused.clone(),
+        ..calm.clone()
+    };
+    let sealed = with_refusals.seal(&keyring('a')).unwrap();
+    assert_eq!(sealed.open(&keyring('a')), Ok(with_refusals));
+    // No service without a path, three empty maps, the flag, and one refusal.
+    let size = calm.seal(&keyring('a')).unwrap().size_bytes();
+    assert_eq!(sealed.size_bytes(), size + 9);
+    let with_all = Heartbeat {
+        totals: Some(Totals::default()),
+        cut_off: vec!["engines".to_owned()],
+        refused,
+        ..calm
+    };
+    let sealed = with_all.seal(&keyring('a')).unwrap();
+    assert_eq!(sealed.open(&keyring('a')), Ok(with_all));
+}
+
 #[test]
 fn a_heartbeat_of_another_fleet_is_rejected() {
     let sealed = heartbeat(7, 3).seal(&keyring('a')).unwrap();
