--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,6 +9,8 @@
 pub(crate) mod move_demand;
 pub(crate) mod placement_request;
 pub(crate) mod rank_demand;
+pub(crate) mod refused_contents;
+pub(crate) mod room_forecast;
 pub(crate) mod service_level;
 pub(crate) mod waiting_requests;
 pub(crate) mod workspace_shares;
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -25,7 +25,6 @@
 use crate::PlacementRequest;
 use crate::RankDemand;
 use crate::Ranking;
-use crate::Refusal;
 use crate::Replica;
 use crate::ReplicaList;
 use crate::ReplicaScore;
@@ -54,24 +53,27 @@
 mod notices;
 mod rank_headroom;
 mod ranking;
+mod retry_time;
 mod server_list;
 mod speeds;
 mod totals;
 mod waiting;
 
 pub use admission::Admission;
-pub use admission::RoomForecast;
+pub use admission::WaitForecast;
 pub use configuration::ConfigVerdict;
 pub use engine_watch::EngineChecks;
 pub use move_room::MoveHeadroom;
 pub use move_room::UnplacedMove;
 pub use notices::SendRestrictions;
 
+use admission::NotPlaced;
 use cold::ColdSends;
 use crash_attribution::BrokenRuns;
 use engine_watch::EngineWatch;
 use move_room::MoveRoom;
 use notices::ServerBackoffs;
+use retry_time::Retries;
 use speeds::SpeedLearning;
 
 /// Retry-After for callers when every replica is full.
@@ -128,6 +130,7 @@
     proven: KnownGoodRequests,
     move_room: MoveRoom,
     orphaned: Vec<RequestId>,
+    retries: Retries,
 }
 
 impl GatewayControl {
@@ -158,6 +161,7 @@
             proven: KnownGoodRequests::default(),
             move_room: MoveRoom::default(),
             orphaned: Vec::new(),
+            retries: Retries::default(),
             parameters,
         };
         control.share_budget();
@@ -207,6 +211,7 @@
         self.forget_backoffs(now);
         self.forget_limits(now);
         self.forget_moves(now);
+        self.forget_retries(now);
         TickOutcome {
             evacuations,
             silent,
@@ -216,25 +221,26 @@
 
     /// Ranks the replicas for a request whose arrival is counted, and counts it as sent to the
     /// first.
-    fn place_arrived(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
+    fn place_arrived(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, NotPlaced> {
         self.check_quarantine(now, ask.fingerprint)?;
         let scores = self.scores(now, &ask, None);
         if scores.is_empty() {
-            return Err(self.no_replica_refusal(now, &ask));
+            return Err(self.no_replica_refusal(now, &ask).into());
         }
         let limit = self.placement_limit(now, &ask);
         let fitting: Vec<ReplicaScore> = scores.into_iter().filter(|s| s.memory <= limit).collect();
         if fitting.is_empty() {
-            return Err(self.full_refusal(&ask));
+            return Err(NotPlaced::NoMemory);
         }
         let (fitting, passed_over) = self.skip_limited(now, fitting);
         let Some(first) = fitting.first() else {
-            return Err(self.all_limited(now, &ask, &passed_over));
+            return Err(self.all_limited(now, &ask, &passed_over).into());
         };
         let server_view = Box::new(first.view(self.peers.count()));
         self.time_run(now, &ask.request, first);
         let first = first.replica.clone();
         let incarnation = first.life();
+        self.note_placed(&ask);
         self.note_send(now, &first.id);
         self.backoffs.sent(now, incarnation, &ask.request);
         self.limits.keep_grant(now, &ask.request, incarnation);
@@ -340,6 +346,7 @@
         let held = is_whole.then(|| now.saturating_sub(run.sent_at));
         self.rank_demand.ended(now, &run.ask, held);
         self.waiting.room_appeared();
+        self.note_freed(now, &run, end);
         match end {
             RunEnd::Answered => {
                 self.watch.answered(now, &run.replica);
--- a/crates/core/src/gateway/gateway_control/admission.rs
+++ b/crates/core/src/gateway/gateway_control/admission.rs
@@ -28,7 +28,7 @@
 
 /// When room for a request is expected, and the figures behind it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RoomForecast {
+pub struct WaitForecast {
     /// Tokens that requests before it wait for, at all instances.
     pub tokens_ahead: f64,
     /// Tokens per second that end at all instances and that more urgent requests don't need.
@@ -39,17 +39,43 @@
     pub until: Now,
 }
 
+/// Why a request was not placed.
+#[derive(Clone, Debug)]
+pub(super) enum NotPlaced {
+    /// No engine has memory for it now.
+    NoMemory,
+    /// No backend server takes it, with free memory or without.
+    Refused(Refusal),
+}
+
+impl From<Refusal> for NotPlaced {
+    fn from(refusal: Refusal) -> Self {
+        NotPlaced::Refused(refusal)
+    }
+}
+
 impl GatewayControl {
+    /// Ranks the replicas for a new request and counts it as sent to the first. The request doesn't
+    /// wait for room.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no replica can take the request; nothing was counted as sent.
+    pub fn place(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
+        self.note_arrival(now, &ask);
+        self.place_arrived(now, ask.clone())
+            .map_err(|cause| self.refusal(now, &ask, cause))
+    }
+
     /// Decides whether a request is placed, waits for room or is refused.
     pub fn admit(&mut self, now: Now, ask: PlacementRequest) -> Admission {
-        self.rank_demand.arrived(now, &ask);
-        if !(self.may_wait(&ask) && self.is_preceded(now, &ask)) {
+        self.note_arrival(now, &ask);
+        let may_wait = self.may_wait(&ask);
+        if !(may_wait && self.is_preceded(now, &ask)) {
             match self.place_arrived(now, ask.clone()) {
                 Ok(ranking) => return Admission::Placed(ranking),
-                Err(refusal) if refusal.kind != RefusalKind::QueueFull || !self.may_wait(&ask) => {
-                    return Admission::Refused(refusal);
-                }
-                Err(_) => {}
+                Err(NotPlaced::NoMemory) if may_wait => {}
+                Err(cause) => return Admission::Refused(self.refusal(now, &ask, cause)),
             }
         }
         self.wait_or_refuse(now, ask)
@@ -60,8 +86,9 @@
     pub fn admit_waiting(&mut self, now: Now) -> Vec<(RequestId, Admission)> {
         let late = self.waiting.take(|waiting| now >= waiting.until);
         let late = late.into_iter().map(|waiting| {
-            let message = format!("no engine of {} had room in time", waiting.ask.service);
-            let refusal = Refusal::new(RefusalKind::Deadline, FULL_RETRY_AFTER, message);
+            let mut refusal = self.full_refusal(now, &waiting.ask);
+            refusal.kind = RefusalKind::Deadline;
+            refusal.message = format!("no engine of {} had room in time", waiting.ask.service);
             (waiting.ask.request, Admission::Refused(refusal))
         });
         let mut decided: Vec<(RequestId, Admission)> = late.collect();
@@ -97,7 +124,7 @@
     }
 
     /// Returns when room for a request is expected.
-    pub fn room_forecast(&mut self, now: Now, ask: &PlacementRequest) -> RoomForecast {
+    pub fn room_forecast(&mut self, now: Now, ask: &PlacementRequest) -> WaitForecast {
         let tokens_ahead = self.tokens_ahead(now, ask);
         let instances = (self.peers.count() + 1) as f64;
         let own_per_s = self
@@ -108,7 +135,7 @@
         let wait = Duration::try_from_secs_f64(needed / freed_per_s).ok();
         let level = &ask.level;
         let first_event = self.first_event_forecast(ask);
-        RoomForecast {
+        WaitForecast {
             tokens_ahead,
             freed_per_s,
             wait,
@@ -116,19 +143,18 @@
         }
     }
 
-    /// Returns the refusal of a request for which no engine has room.
-    pub(super) fn full_refusal(&self, ask: &PlacementRequest) -> Refusal {
-        Refusal::new(
-            RefusalKind::QueueFull,
-            FULL_RETRY_AFTER,
-            format!("the engines of {} have no memory left", ask.service),
-        )
+    /// Returns the refusal of a request that was not placed.
+    fn refusal(&mut self, now: Now, ask: &PlacementRequest, cause: NotPlaced) -> Refusal {
+        match cause {
+            NotPlaced::NoMemory => self.full_refusal(now, ask),
+            NotPlaced::Refused(refusal) => refusal,
+        }
     }
 
-    /// Returns whether the content of a request was refused before. No instance tells the others
-    /// what it refused yet.
-    pub(super) fn is_retry(&self, _ask: &PlacementRequest) -> bool {
-        false
+    /// Counts a request that asks for memory, whether it is placed or not.
+    fn note_arrival(&mut self, now: Now, ask: &PlacementRequest) {
+        self.rank_demand.arrived(now, ask);
+        self.note_retry_arrival(now, ask);
     }
 
     fn may_wait(&self, ask: &PlacementRequest) -> bool {
@@ -141,13 +167,12 @@
         let forecast = self.room_forecast(now, &ask);
         let left = forecast.until.saturating_sub(now);
         let in_time = forecast.wait.is_some_and(|wait| wait < left);
-        let refusal = self.full_refusal(&ask);
         let is_retry = self.is_retry(&ask);
         let max_waiting = self.parameters.max_waiting;
         let until = forecast.until;
-        match in_time && self.waiting.push(max_waiting, ask, until, is_retry) {
+        match in_time && self.waiting.push(max_waiting, ask.clone(), until, is_retry) {
             true => Admission::Waiting { until },
-            false => Admission::Refused(refusal),
+            false => Admission::Refused(self.full_refusal(now, &ask)),
         }
     }
 
--- a/crates/core/src/gateway/gateway_control/rank_headroom.rs
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -4,28 +4,21 @@
 use crate::EngineTraits;
 use crate::Now;
 use crate::PlacementRequest;
-use crate::Ranking;
-use crate::Refusal;
 
 /// Largest fraction of an engine's memory that is kept free: at least as much is left to each rank,
 /// so that none starves.
 const MAX_HEADROOM: f64 = 0.5;
 
 impl GatewayControl {
-    /// Ranks the replicas for a new request and counts it as sent to the first.
-    ///
-    /// # Errors
-    ///
-    /// Returns a refusal if no replica can take the request; nothing was counted as sent.
-    pub fn place(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
-        self.rank_demand.arrived(now, &ask);
-        self.place_arrived(now, ask)
-    }
-
     /// Returns the fraction of an engine's memory up to which a new request may use it.
     pub fn placement_limit(&mut self, now: Now, ask: &PlacementRequest) -> f64 {
         let limit = self.parameters.memory_limit;
-        let headroom = self.rank_headroom(now, ask) + self.memory_headroom(now, &ask.service);
+        let kept_from_first_tries = match self.is_retry(ask) {
+            // A caller that is refused twice is lost.
+            true => 0.0,
+            false => self.rank_headroom(now, ask) + self.retry_headroom(now, ask),
+        };
+        let headroom = kept_from_first_tries + self.memory_headroom(now, &ask.service);
         if headroom <= 0.0 {
             return limit;
         }
--- a/crates/core/src/gateway/gateway_control/waiting.rs
+++ b/crates/core/src/gateway/gateway_control/waiting.rs
@@ -5,12 +5,12 @@
 
 use super::Admission;
 use super::GatewayControl;
+use super::admission::NotPlaced;
 use crate::LoadShare;
 use crate::Now;
 use crate::PlacementRequest;
 use crate::Ranking;
 use crate::Refusal;
-use crate::RefusalKind;
 use crate::RequestId;
 use crate::RequestRank;
 use crate::Verdict;
@@ -108,10 +108,10 @@
                     shares.use_more(&workspace, size);
                     decided.push((request, Admission::Placed(ranking)));
                 }
-                Err(refusal) if refusal.kind == RefusalKind::QueueFull => {
+                Err(NotPlaced::NoMemory) => {
                     too_large.insert(rank, size);
                 }
-                Err(refusal) => {
+                Err(NotPlaced::Refused(refusal)) => {
                     // No server can take it, with room or without.
                     self.waiting.remove(&request);
                     decided.push((request, Admission::Refused(refusal)));
@@ -142,7 +142,7 @@
         }
     }
 
-    fn place_within_part(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, Refusal> {
+    fn place_within_part(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, NotPlaced> {
         let room = self.room_for(now, &ask);
         let others = self.peer_totals.sums().workspaces.iter();
         let others = others.filter(|((service, _), _)| *service == ask.service);
@@ -150,7 +150,7 @@
         let draw = self.chance();
         let waiting = &mut self.waiting;
         if room <= 0.0 || !waiting.may_take(now, &ask, room, others as f64, draw) {
-            return Err(self.full_refusal(&ask));
+            return Err(NotPlaced::NoMemory);
         }
         let ranking = self.place_arrived(now, ask.clone())?;
         self.waiting.taken(&ask);
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -60,6 +60,7 @@
 pub(crate) mod gateway_views;
 pub(crate) mod move_metrics;
 pub(crate) mod operator_routes;
+pub(crate) mod retry_metrics;
 pub(crate) mod speed_metrics;
 
 /// Maximum size in bytes of an answer that the client reads as a whole.
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -37,6 +37,7 @@
 mod limits;
 mod move_room;
 mod placement_fields;
+mod refusals;
 mod server_events;
 mod server_view;
 mod sessions;
@@ -236,6 +237,9 @@
             GatewayMessage::LimitsReceived { limits, source } => {
                 self.limits_received(limits, &source)
             }
+            GatewayMessage::RefusalsReceived { refused, is_remote } => {
+                self.control.apply_peer_refusals(now, &refused, is_remote);
+            }
             GatewayMessage::RejectedForRoom { replica } => self.rejected_for_room(&replica),
             GatewayMessage::AddressReused { replica } => self.address_reused(&replica),
             GatewayMessage::CallerRetryAfter {
@@ -243,7 +247,7 @@
                 otherwise,
                 reply,
             } => {
-                let _ = reply.send(self.control.caller_retry_after(now, &ask, otherwise));
+                let _ = reply.send(self.caller_retry_after(&ask, otherwise));
             }
             GatewayMessage::Unreachable { replica } => self.unreachable(&replica),
             GatewayMessage::NotConnected { replica } => {
@@ -351,6 +355,7 @@
             rank_headroom: self.control.rank_headroom(now, &ask),
         };
         let is_session = ask.class == RequestClass::Stream;
+        let is_retry = self.control.is_retry(&ask);
         let placed = self.control.place(now, ask);
         self.notify_demand_update();
         match placed {
@@ -371,19 +376,14 @@
                     "memory_share" => ranking.server_view.memory,
                     "instances_counted" => ranking.server_view.instances,
                     SpeedFields(*ranking.server_view),
+                    "is_retry" => is_retry,
                     "list_revision" => %self.control.list().revision());
                 self.signals.insert(request, signals);
                 Placed::Ranked(ranking)
             }
             Err(refusal) => {
-                self.metrics.refused(refusal.kind.as_str());
-                info!(self.log, "request refused";
-                    "request" => &request,
-                    "content" => fingerprint.to_string(),
-                    &fields,
-                    "reason" => &refusal.message,
-                    "retry_after_ms" => refusal.retry_after.as_millis() as u64,
-                    "list_revision" => %self.control.list().revision());
+                let identity = (request.as_str(), fingerprint);
+                self.record_refusal(identity, fields, is_retry, &refusal);
                 Placed::Refused(refusal)
             }
         }
