Drive admission from the control thread, and answer waiting requests later

Cause: requests that wait for room need their reply channel kept, and an answer when room comes, when it can't come in time any more, when their caller leaves or when the instance stops. Besides, the load of a request whose caller left between its placement and the start of its task stayed forever: the guard that reports its end was created after the placement.

Ruled out: polling closed reply channels only, since a caller can leave after the reply was sent.

Change: WaitingReplies keeps the channels; the control thread checks them after messages that may make room, on ticks and every 10 ms while requests wait. The guard of a request now exists before it is placed. Nothing is sent after the deadline. Metrics of waiting requests and of memory by workspace; the metrics and the control thread are split by subject.

--- a/crates/core/src/directory/replica_view.rs
+++ b/crates/core/src/directory/replica_view.rs
@@ -87,7 +87,8 @@
 }
 
 impl OwnRun {
-    fn memory_tokens(&self) -> u64 {
+    /// Returns the memory in tokens that it uses, with half of its expected further output.
+    pub(crate) fn memory_tokens(&self) -> u64 {
         let expected = self.ask.likely_tokens().saturating_sub(self.generated) / 2;
         u64::from(self.ask.prompt_tokens + self.generated + expected)
     }
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -55,6 +55,7 @@
 mod ranking;
 mod server_list;
 mod totals;
+mod workspace_memory;
 
 pub use admission::Admission;
 pub use engine_watch::EngineChecks;
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -31,6 +31,8 @@
     /// All backend servers that could serve the request have announced limits and accept no more at
     /// present.
     Limited,
+    /// The instance stops.
+    Stopping,
 }
 
 impl RefusalKind {
@@ -47,6 +49,7 @@
             RefusalKind::Quarantined => "quarantined",
             RefusalKind::Resting => "resting",
             RefusalKind::Limited => "limited",
+            RefusalKind::Stopping => "stopping",
         }
     }
 }
--- a/crates/daemon/src/completion/api_error.rs
+++ b/crates/daemon/src/completion/api_error.rs
@@ -83,7 +83,8 @@
             | RefusalKind::NotReady
             | RefusalKind::Quarantined
             | RefusalKind::Resting
-            | RefusalKind::Limited => (StatusCode::SERVICE_UNAVAILABLE, SERVER),
+            | RefusalKind::Limited
+            | RefusalKind::Stopping => (StatusCode::SERVICE_UNAVAILABLE, SERVER),
         };
         let code = serde_json::to_value(refusal.kind).unwrap_or_default();
         let code = code.as_str().unwrap_or_default();
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -326,6 +326,7 @@
         let began = self.app.clock.now();
         info!(log, "planned stop begins");
         self.app.stopping.store(true, Ordering::Relaxed);
+        self.app.control.tell(GatewayMessage::Stopping);
         let grace = self.stop_grace;
         tokio::time::sleep(STOP_LINGER.min(grace / 2)).await;
         self.stop.send_replace(true);
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -96,6 +96,7 @@
 }
 
 /// Result of the placement of a request.
+#[derive(Debug)]
 pub enum Placed {
     /// The request goes to the first replica of the ranking and counts as load there.
     Ranked(Ranking),
@@ -125,6 +126,8 @@
         /// The answer.
         reply: oneshot::Sender<Placed>,
     },
+    /// A planned stop has begun: no request may wait for room any more.
+    Stopping,
     /// A request goes to a replica other than the first of its ranking.
     Moved {
         /// The request.
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -15,6 +15,11 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+mod admission_metrics;
+mod server_metrics;
+
+use admission_metrics::AdmissionMetrics;
+
 /// Bucket bounds of the histograms, in seconds. They cover the latency objectives of requests
 /// (0.1 to 1.8 s) and the longest allowed pause of a stream (0.18 s).
 const BOUNDS_S: [f64; 14] = [
@@ -40,6 +45,8 @@
 /// Metrics of one gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
+    /// Metrics of the admission of requests.
+    pub admission: AdmissionMetrics,
     registry: Mutex<Registry>,
     requests: Family<KindAndEnd, Counter>,
     refusals: Family<Kind, Counter>,
@@ -79,6 +86,7 @@
     fn default() -> Self {
         let histogram = || Histogram::new(BOUNDS_S);
         let metrics = GatewayMetrics {
+            admission: AdmissionMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("iristhread")),
             requests: Family::default(),
             refusals: Family::default(),
@@ -122,6 +130,7 @@
     fn register(&self) {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let r = &mut *registry;
+        self.admission.register(r);
         r.register("requests", "Requests that ended", self.requests.clone());
         r.register("refusals", "Requests refused unsent", self.refusals.clone());
         r.register("tries", "Sends to backend servers", self.attempts.clone());
@@ -242,43 +251,6 @@
         self.attempts.get_or_create(&Kind { kind }).inc();
     }
 
-    /// Counts a connection that was requested from a peer; `kind` is the reply.
-    pub fn detour(&self, kind: &'static str) {
-        self.detours.get_or_create(&Kind { kind }).inc();
-    }
-
-    /// Counts a connection that a peer requested; `kind` is the reply.
-    pub fn detour_served(&self, kind: &'static str) {
-        self.detours_served.get_or_create(&Kind { kind }).inc();
-    }
-
-    /// Sets the number of services of which this instance reaches no server.
-    pub fn cut_off_services(&self, count: usize) {
-        self.cut_off_services
-            .set(i64::try_from(count).unwrap_or(i64::MAX));
-    }
-
-    /// Counts a server notice in an answer.
-    pub fn notice_observed(&self, kind: &'static str) {
-        self.notices.get_or_create(&Kind { kind }).inc();
-    }
-
-    /// Counts a check of a server's limit before a send; `kind` says whether it was granted.
-    pub fn limit_checked(&self, kind: &'static str) {
-        self.limit_checks.get_or_create(&Kind { kind }).inc();
-    }
-
-    /// Adds the number of requests that the limits in force allowed all instances together since
-    /// the last call.
-    pub fn limits_allow(&self, requests: f64) {
-        self.limits_allow.inc_by(requests);
-    }
-
-    /// Sets the number of backend servers that declare a limit.
-    pub fn limited(&self, count: usize) {
-        self.limited.set(i64::try_from(count).unwrap_or(i64::MAX));
-    }
-
     /// Counts a failover of a stream with outcome `end` and observes the pause of the stream.
     pub fn failover_ended(&self, kind: &'static str, end: &'static str, pause: Duration) {
         self.failovers
@@ -325,31 +297,6 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
-    /// Counts a backend server that crashed while it ran a request of this instance.
-    pub fn server_crashed(&self) {
-        self.server_crashes.inc();
-    }
-
-    /// Counts an unusable entry of the directory.
-    pub fn entry_skipped(&self) {
-        self.skipped_entries.inc();
-    }
-
-    /// Sets the number of request fingerprints that are suspected to crash backend servers, and
-    /// the number of those that are quarantined.
-    pub fn suspects(&self, suspected: usize, quarantined: usize) {
-        let signed = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
-        self.suspects.set(signed(suspected));
-        self.quarantined.set(signed(quarantined));
-    }
-
-    /// Sets the number of backend servers that asked this instance for a backoff which is still
-    /// running.
-    pub fn backing_off(&self, count: usize) {
-        self.backing_off
-            .set(i64::try_from(count).unwrap_or(i64::MAX));
-    }
-
     /// Sets the era of the directory from which the list of backend servers comes.
     pub fn directory_era(&self, era: u64) {
         self.directory_era
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -5,11 +5,9 @@
 use std::time::Duration;
 
 use iristhread_core::GatewayControl;
-use iristhread_core::GatewayParameters;
 use iristhread_core::Now;
-use iristhread_core::PlacementRequest;
 use iristhread_core::Ranking;
-use iristhread_core::RequestClass;
+use iristhread_core::Refusal;
 use iristhread_core::RequestId;
 use iristhread_core::RouteTable;
 use iristhread_core::SendRestrictions;
@@ -23,105 +21,45 @@
 use tokio::sync::watch;
 
 use crate::detour::known_servers::KnownServers;
-use crate::gateway::gateway_message::Audience;
 use crate::gateway::gateway_message::GatewayMessage;
-use crate::gateway::gateway_message::OwnState;
-use crate::gateway::gateway_message::Placed;
 use crate::gateway::gateway_message::Resend;
 use crate::gateway::gateway_metrics::GatewayMetrics;
-use crate::gateway::gateway_views::GatewayViews;
 use crate::process::clock::Clock;
 use crate::process::clock::SuspensionDetector;
-use crate::process::control_sender::ControlSender;
 
+mod admission;
 mod limits;
 mod server_events;
 mod server_view;
 mod sessions;
+mod start;
 mod state_snapshots;
+pub(crate) mod waiting;
 
+pub use start::GatewayHandle;
+pub use start::start;
+
+use admission::WAITING_CHECK;
+use admission::may_end_wait;
 use limits::passed_over;
 use server_view::ServersVersion;
+use waiting::AskedRequest;
+use waiting::WaitingReplies;
 
 /// Time between two ticks. Expired entries and silent peers are detected with at most this
 /// delay, which is short against their bounds of several seconds.
 const TICK: Duration = Duration::from_millis(200);
 
-/// Sends messages to the gateway's control thread.
-pub type GatewayHandle = ControlSender<GatewayMessage>;
-
-impl GatewayHandle {
-    /// Returns the state of this instance for its own tasks; `None` if the process is stopping.
-    pub async fn own_state(&self) -> Option<OwnState> {
-        self.state_for(Audience::Own).await
-    }
-
-    /// Returns the state that is advertised to the peers; a relay adds the sums of its zone.
-    pub async fn advertised_state(&self, is_relay: bool) -> Option<OwnState> {
-        self.state_for(Audience::Peers { is_relay }).await
-    }
-
-    async fn state_for(&self, audience: Audience) -> Option<OwnState> {
-        self.ask(|reply| GatewayMessage::OwnState { audience, reply })
-            .await
-    }
-}
-
-/// Starts the control thread. It notifies `immediate_heartbeat` of changes that the other
-/// instances should learn at once.
-///
-/// # Errors
-///
-/// If the operating system can't create the thread or the runtime.
-pub fn start(
-    parameters: GatewayParameters,
-    clock: Clock,
-    log: Logger,
-    metrics: Arc<GatewayMetrics>,
-    immediate_heartbeat: Arc<Notify>,
-) -> std::io::Result<(GatewayHandle, GatewayViews)> {
-    let (sender, inbox) = ControlSender::new();
-    let (table, tables) = watch::channel(None);
-    let (list_known, knows_list) = watch::channel(false);
-    let (evacuations, evacuations_view) = watch::channel(ZoneEvacuations::default());
-    let (restrictions, restrictions_view) = watch::channel(Arc::default());
-    let (servers, servers_view) = watch::channel(Arc::default());
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .build()?;
-    let thread = GatewayThread {
-        control: GatewayControl::new(parameters),
-        signals: HashMap::new(),
-        clock,
-        log,
-        table,
-        list_known,
-        servers,
-        servers_version: ServersVersion::default(),
-        evacuations,
-        restrictions,
-        restrictions_version: 0,
-        limits_counted_at: clock.now(),
-        metrics,
-        immediate_heartbeat,
-        suspensions: SuspensionDetector::new(clock),
-    };
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || runtime.block_on(thread.run(inbox)))?;
-    let views = GatewayViews {
-        tables,
-        knows_list,
-        servers: servers_view,
-        evacuations: evacuations_view,
-        restrictions: restrictions_view,
-    };
-    Ok((sender, views))
-}
+/// Maximum number of workspaces whose memory use is shown: each one adds a time series at the
+/// metrics collector.
+const MAX_SHOWN_WORKSPACES: usize = 16;
 
 struct GatewayThread {
     control: GatewayControl,
     signals: HashMap<RequestId, mpsc::UnboundedSender<SessionSignal>>,
+    waiting: WaitingReplies,
+    /// When the waiting requests were last checked.
+    waiting_checked_at: Now,
     clock: Clock,
     log: Logger,
     table: watch::Sender<Option<Arc<RouteTable>>>,
@@ -144,18 +82,25 @@
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<GatewayMessage>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut waiting_checks = tokio::time::interval(WAITING_CHECK);
+        waiting_checks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 message = inbox.recv() => match message {
                     Some(message) => {
+                        let may_end_wait = may_end_wait(&message);
                         self.take(message);
                         self.publish_suspicion_updates();
                         self.signal_orphaned();
                         self.publish_servers();
+                        if may_end_wait {
+                            self.check_waiting_after_message();
+                        }
                     }
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
+                _ = waiting_checks.tick(), if !self.waiting.is_empty() => self.check_waiting(),
             }
         }
     }
@@ -168,9 +113,8 @@
                 ask,
                 signals,
                 reply,
-            } => {
-                let _ = reply.send(self.place(ask, signals));
-            }
+            } => self.place(ask, signals, reply),
+            GatewayMessage::Stopping => self.stop_waiting(),
             GatewayMessage::Moved { request, replica } => {
                 self.control.moved(now, &request, replica);
             }
@@ -335,58 +279,65 @@
         self.metrics
             .suspects(control.suspected(), control.quarantined());
         self.metrics.backing_off(control.resting(self.clock.now()));
+        let memory = self.control.workspace_memory(MAX_SHOWN_WORKSPACES);
+        self.metrics.admission.workspace_memory(memory);
         self.grow_brittle();
         self.count_limits();
+        self.check_waiting();
     }
 
-    fn place(
-        &mut self,
-        ask: PlacementRequest,
-        signals: mpsc::UnboundedSender<SessionSignal>,
-    ) -> Placed {
-        let request = ask.request.clone();
-        let fingerprint = ask.fingerprint;
-        let level = ask.level.clone();
-        let is_session = ask.class == RequestClass::Stream;
-        let placed = self.control.place(self.clock.now(), ask);
-        self.notify_demand_update();
-        match placed {
+    /// Logs and counts a decision about a request. `waited` is the time for which it waited for
+    /// room, if it did.
+    fn log_decision(
+        &self,
+        asked: &AskedRequest,
+        waited: Option<Duration>,
+        decision: Result<&Ranking, &Refusal>,
+    ) {
+        let (request, level) = (&asked.request, &asked.level);
+        let fingerprint = asked.fingerprint;
+        let waited_ms = waited.map(|waited| waited.as_millis() as u64);
+        match decision {
             Ok(ranking) => {
-                self.count_skipped(&ranking);
-                if is_session {
+                self.count_skipped(ranking);
+                if asked.is_session {
                     // The other instances must not choose the same engine.
                     self.immediate_heartbeat.notify_one();
                 }
-                info!(self.log, "backend server chosen";
-                    "request" => &request,
+                let message = match waited {
+                    Some(_) => "request placed from the queue",
+                    None => "backend server chosen",
+                };
+                info!(self.log, "{}", message;
+                    "request" => request,
                     "content" => fingerprint.to_string(),
                     "route" => &level.route,
                     "workspace" => &level.workspace,
                     "workspace_rank" => level.rank.workspace,
                     "route_rank" => level.rank.route,
-                    "ranking" => format!("{:?}", ids(&ranking)),
-                    "passed_over" => passed_over(&ranking),
+                    "waited_ms" => waited_ms,
+                    "ranking" => format!("{:?}", ids(ranking)),
+                    "passed_over" => passed_over(ranking),
                     "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
                     "requests_there" => ranking.server_view.requests,
                     "memory_share" => ranking.server_view.memory,
                     "instances_counted" => ranking.server_view.instances,
                     "list_revision" => %self.control.list().revision());
-                self.signals.insert(request, signals);
-                Placed::Ranked(ranking)
             }
             Err(refusal) => {
                 self.metrics.refused(refusal.kind.as_str());
                 info!(self.log, "request refused";
-                    "request" => &request,
+                    "request" => request,
                     "content" => fingerprint.to_string(),
                     "route" => &level.route,
                     "workspace" => &level.workspace,
                     "workspace_rank" => level.rank.workspace,
                     "route_rank" => level.rank.route,
+                    "waited_ms" => waited_ms,
+                    "kind" => refusal.kind.as_str(),
                     "reason" => &refusal.message,
                     "retry_after_ms" => refusal.retry_after.as_millis() as u64,
                     "list_revision" => %self.control.list().revision());
-                Placed::Refused(refusal)
             }
         }
     }
--- /dev/null
+++ b/crates/daemon/src/gateway/gateway_thread/admission.rs
@@ -0,0 +1,188 @@
+//! Admission of requests, as driven by the control thread: requests that wait for room are answered
+//! when it comes, when they can no longer be served in time, or when the instance stops.
+
+use std::time::Duration;
+
+use iristhread_core::PlacementAdmission;
+use iristhread_core::PlacementRequest;
+use iristhread_core::Refusal;
+use iristhread_core::RefusalKind;
+use iristhread_core::RequestClass;
+use iristhread_core::RunEnd;
+use iristhread_core::SessionSignal;
+use slog::info;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::GatewayThread;
+use super::waiting::AskedRequest;
+use super::waiting::EndedWait;
+use super::waiting::STOPPING_RETRY_AFTER;
+use super::waiting::WaitEnd;
+use super::waiting::WaitingRequest;
+use crate::gateway::gateway_message::GatewayMessage;
+use crate::gateway::gateway_message::Placed;
+
+/// Interval at which waiting requests are checked. Their objectives are a second or more, so that
+/// this delay is not noticed.
+pub(super) const WAITING_CHECK: Duration = Duration::from_millis(10);
+
+/// Minimum time between two checks that messages cause: heartbeats of a large fleet and progress
+/// reports arrive several hundred times a second.
+const MIN_CHECK_GAP: Duration = Duration::from_millis(5);
+
+impl GatewayThread {
+    /// Answers a placement request, or keeps its reply channel until there is room.
+    pub(super) fn place(
+        &mut self,
+        ask: PlacementRequest,
+        signals: mpsc::UnboundedSender<SessionSignal>,
+        reply: oneshot::Sender<Placed>,
+    ) {
+        let now = self.clock.now();
+        let asked = AskedRequest {
+            request: ask.request.clone(),
+            fingerprint: ask.fingerprint,
+            level: ask.level.clone(),
+            is_session: ask.class == RequestClass::Stream,
+        };
+        let admission = match self.waiting.contains(&ask.request) {
+            true => PlacementAdmission::Refused(already_waiting()),
+            false => self.control.admit(now, ask),
+        };
+        self.notify_demand_update();
+        match admission {
+            PlacementAdmission::Placed(ranking) => {
+                self.log_decision(&asked, None, Ok(&ranking));
+                let request = asked.request;
+                self.signals.insert(request.clone(), signals);
+                if reply.send(Placed::Ranked(ranking)).is_err() {
+                    // The caller has disconnected: without this, the load would stay.
+                    self.ended(&request, RunEnd::Withdrawn);
+                }
+            }
+            PlacementAdmission::Refused(refusal) => {
+                self.log_decision(&asked, None, Err(&refusal));
+                // Fails if the caller has disconnected.
+                let _ = reply.send(Placed::Refused(refusal));
+            }
+            PlacementAdmission::Waiting { until } => self.wait(WaitingRequest {
+                asked,
+                signals,
+                reply,
+                since: now,
+                until,
+            }),
+        }
+    }
+
+    fn wait(&mut self, waiting: WaitingRequest) {
+        let (asked, until) = (waiting.asked.clone(), waiting.until);
+        let now = self.clock.now();
+        let refused = self.waiting.add(now, &mut self.control, waiting);
+        if refused.is_none() {
+            info!(self.log, "request waits for room";
+                "request" => &asked.request,
+                "content" => asked.fingerprint.to_string(),
+                "route" => &asked.level.route,
+                "workspace" => &asked.level.workspace,
+                "workspace_rank" => asked.level.rank.workspace,
+                "route_rank" => asked.level.rank.route,
+                "wait_until_ms" => until.saturating_sub(now).as_millis() as u64,
+                "waiting" => self.waiting.count());
+        }
+        self.waits_ended(refused.into_iter().collect());
+    }
+
+    /// Answers the waiting requests about which a decision can be made now.
+    pub(super) fn check_waiting(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        self.waiting_checked_at = now;
+        let ended = self.waiting.check(now, &mut self.control);
+        if !ended.is_empty() {
+            self.notify_demand_update();
+        }
+        self.waits_ended(ended);
+    }
+
+    /// Checks the waiting requests after a message that may have made room, unless that was done a
+    /// moment ago.
+    pub(super) fn check_waiting_after_message(&mut self) {
+        let now = self.clock.now();
+        if now.saturating_sub(self.waiting_checked_at) >= MIN_CHECK_GAP {
+            self.check_waiting();
+        }
+    }
+
+    /// Drops a request whose caller has disconnected; returns whether it was waiting.
+    pub(super) fn withdraw_waiting(&mut self, request: &str) -> bool {
+        let now = self.clock.now();
+        let withdrawn = self.waiting.withdraw(now, &mut self.control, request);
+        let was_waiting = withdrawn.is_some();
+        self.waits_ended(withdrawn.into_iter().collect());
+        was_waiting
+    }
+
+    /// Refuses all waiting requests, because a planned stop has begun.
+    pub(super) fn stop_waiting(&mut self) {
+        let ended = self.waiting.stop(self.clock.now(), &mut self.control);
+        self.waits_ended(ended);
+    }
+
+    fn waits_ended(&mut self, ended: Vec<EndedWait>) {
+        for EndedWait { asked, waited, end } in ended {
+            let label = match end {
+                WaitEnd::Placed { ranking, signals } => {
+                    self.log_decision(&asked, Some(waited), Ok(&ranking));
+                    self.signals.insert(asked.request, signals);
+                    "placed"
+                }
+                WaitEnd::Refused(refusal) => {
+                    self.log_decision(&asked, Some(waited), Err(&refusal));
+                    "refused"
+                }
+                WaitEnd::Withdrawn { was_placed } => {
+                    self.log_withdrawal(&asked, waited, was_placed);
+                    "withdrawn"
+                }
+            };
+            self.metrics.admission.wait_ended(label, waited);
+        }
+        self.metrics.admission.waiting(self.waiting.count());
+    }
+
+    fn log_withdrawal(&self, asked: &AskedRequest, waited: Duration, was_placed: bool) {
+        info!(self.log, "request withdrawn from the queue";
+            "request" => &asked.request,
+            "content" => asked.fingerprint.to_string(),
+            "route" => &asked.level.route,
+            "workspace" => &asked.level.workspace,
+            "workspace_rank" => asked.level.rank.workspace,
+            "route_rank" => asked.level.rank.route,
+            "was_placed" => was_placed,
+            "waited_ms" => waited.as_millis() as u64);
+    }
+}
+
+/// Whether a message may make room for a waiting request, or end its wait. Queries change nothing.
+pub(super) fn may_end_wait(message: &GatewayMessage) -> bool {
+    !matches!(
+        message,
+        GatewayMessage::Place { .. }
+            | GatewayMessage::Resend { .. }
+            | GatewayMessage::EngineChecks { .. }
+            | GatewayMessage::MaySend { .. }
+            | GatewayMessage::CallerRetryAfter { .. }
+            | GatewayMessage::OwnState { .. }
+            | GatewayMessage::KnownState { .. }
+    )
+}
+
+/// Refuses a request while another one with its ID waits: their answers would be mixed up.
+fn already_waiting() -> Refusal {
+    let message = "a request with this id is waiting already";
+    Refusal::new(RefusalKind::QueueFull, STOPPING_RETRY_AFTER, message)
+}
--- a/crates/daemon/src/gateway/gateway_thread/sessions.rs
+++ b/crates/daemon/src/gateway/gateway_thread/sessions.rs
@@ -19,6 +19,9 @@
     }
 
     pub(super) fn ended(&mut self, request: &str, end: RunEnd) {
+        if self.withdraw_waiting(request) {
+            return;
+        }
         self.signals.remove(request);
         self.control.ended(self.clock.now(), request, end);
     }
--- a/crates/daemon/src/relaying.rs
+++ b/crates/daemon/src/relaying.rs
@@ -6,6 +6,7 @@
 pub(crate) mod event_splitter;
 pub(crate) mod exchange;
 pub(crate) mod http_front_end;
+pub(crate) mod run_guard;
 pub(crate) mod send_outcome;
 pub(crate) mod stream_call;
 pub(crate) mod stream_relay;
--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -28,7 +28,7 @@
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
 use crate::relaying::exchange::Exchange;
-use crate::relaying::exchange::RunGuard;
+use crate::relaying::run_guard::RunGuard;
 use crate::relaying::send_outcome::BackendAnswer;
 use crate::relaying::send_outcome::SendOutcome;
 
@@ -68,11 +68,10 @@
     let app = &exchange.app;
     // Only sessions receive signals about later decisions.
     let (signals, _) = mpsc::unbounded_channel();
-    let ranking = match exchange.place(signals).await {
-        Ok(ranking) => ranking,
+    let (ranking, mut guard) = match exchange.place(signals).await {
+        Ok(placed) => placed,
         Err(answer) => return *answer,
     };
-    let mut guard = RunGuard::new(app.clone(), exchange.head.request.clone());
     let call = drive(exchange, &ranking, &mut guard).await;
     info!(app.log, "call ended";
         "request" => &exchange.head.request,
@@ -155,7 +154,10 @@
     let sent = exchange.send(replica, None, None, by).await;
     let is_unsent = matches!(
         sent,
-        SendOutcome::NoPath(_) | SendOutcome::ZoneEvacuated | SendOutcome::Withheld(_)
+        SendOutcome::NoPath(_)
+            | SendOutcome::ZoneEvacuated
+            | SendOutcome::Withheld(_)
+            | SendOutcome::DeadlinePassed
     );
     let (result, answer) = classify(exchange, replica, sent, by).await;
     if matches!(result, SendResult::Lost | SendResult::NotConnected) && !is_unsent {
@@ -184,7 +186,8 @@
         SendOutcome::NotConnected(_)
         | SendOutcome::NoPath(_)
         | SendOutcome::ZoneEvacuated
-        | SendOutcome::Withheld(_) => (SendResult::NotConnected, None),
+        | SendOutcome::Withheld(_)
+        | SendOutcome::DeadlinePassed => (SendResult::NotConnected, None),
         SendOutcome::Lost(_) => {
             probe_broken_server(&exchange.app, &exchange.head.request, replica).await;
             (SendResult::Lost, None)
--- a/crates/daemon/src/relaying/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -21,7 +21,6 @@
 use iristhread_core::Replica;
 use iristhread_core::RequestRank;
 use iristhread_core::Route;
-use iristhread_core::RunEnd;
 use iristhread_core::SendResult;
 use iristhread_core::ServiceLevel;
 use iristhread_core::SessionSignal;
@@ -39,6 +38,7 @@
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
 use crate::relaying::caller_answer::end_to_end_headers;
+use crate::relaying::run_guard::RunGuard;
 use crate::relaying::send_outcome::BackendAnswer;
 use crate::relaying::send_outcome::SendOutcome;
 use crate::relaying::wire_protocol::AnswerHead;
@@ -91,7 +91,8 @@
 }
 
 impl Exchange {
-    /// Requests a ranking of backend servers from the gateway thread.
+    /// Requests a ranking of backend servers from the gateway thread. The request may wait for room
+    /// first; that time belongs to its objective and its deadline.
     ///
     /// # Errors
     ///
@@ -99,8 +100,11 @@
     pub async fn place(
         &self,
         signals: mpsc::UnboundedSender<SessionSignal>,
-    ) -> Result<Ranking, Box<CallerAnswer>> {
+    ) -> Result<(Ranking, RunGuard), Box<CallerAnswer>> {
         let began = self.app.clock.now();
+        // Without it, the load of the request would stay if the caller disconnects at the moment of
+        // the placement.
+        let mut guard = RunGuard::new(self.app.clone(), self.head.request.clone());
         let placed = self.app.control.ask(|reply| GatewayMessage::Place {
             ask: self.placement_request(),
             signals,
@@ -109,12 +113,13 @@
         let placed = placed.await;
         self.app.metrics.placed(self.app.clock.now() - began);
         let refused = match placed {
-            Some(Placed::Ranked(ranking)) => return Ok(ranking),
+            Some(Placed::Ranked(ranking)) => return Ok((ranking, guard)),
             Some(Placed::Refused(refusal)) => {
                 caller_answer::not_run(refusal.retry_after, &refusal.message)
             }
             None => caller_answer::not_run(STOPPING_RETRY_AFTER, "the instance is stopping"),
         };
+        guard.disarm();
         Err(Box::new(refused))
     }
 
@@ -224,6 +229,10 @@
             self.log_withheld(replica, stop);
             return SendOutcome::Withheld(stop);
         }
+        // The process may have been suspended since the request was placed.
+        if self.time_left().is_zero() {
+            return SendOutcome::DeadlinePassed;
+        }
         let parameters = SendParameters {
             request: self.head.request.clone(),
             replica: replica.id.clone(),
@@ -260,9 +269,10 @@
             }
             SendOutcome::Lost(cause) => (cause.as_str(), true),
             SendOutcome::TimedOut => ("no answer in time", true),
-            SendOutcome::Answer(_) | SendOutcome::ZoneEvacuated | SendOutcome::Withheld(_) => {
-                return;
-            }
+            SendOutcome::Answer(_)
+            | SendOutcome::ZoneEvacuated
+            | SendOutcome::Withheld(_)
+            | SendOutcome::DeadlinePassed => return,
         };
         info!(self.app.log, "send to a backend server failed";
             "request" => &self.head.request,
@@ -367,37 +377,3 @@
     );
     is_busy && head.notice.rest().is_none()
 }
-
-/// Reports the end of a request to the gateway thread when dropped, also when its task is
-/// dropped because the caller disconnected.
-pub struct RunGuard {
-    app: Arc<GatewayApp>,
-    request: String,
-    end: RunEnd,
-}
-
-impl RunGuard {
-    /// Guards a placed request; its end is `Withdrawn` until [`set_end`](Self::set_end) is
-    /// called.
-    pub fn new(app: Arc<GatewayApp>, request: String) -> Self {
-        RunGuard {
-            app,
-            request,
-            end: RunEnd::Withdrawn,
-        }
-    }
-
-    /// Sets the end to report.
-    pub fn set_end(&mut self, end: RunEnd) {
-        self.end = end;
-    }
-}
-
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        self.app.control.tell(GatewayMessage::Ended {
-            request: self.request.clone(),
-            end: self.end,
-        });
-    }
-}
--- a/crates/daemon/src/relaying/send_outcome.rs
+++ b/crates/daemon/src/relaying/send_outcome.rs
@@ -31,6 +31,8 @@
     ZoneEvacuated,
     /// Nothing was sent: a server notice of the backend server restricts sends of this kind.
     Withheld(SendRestriction),
+    /// Nothing was sent: the deadline of the answer has passed.
+    DeadlinePassed,
     /// The connection was lost, or the answer is not an answer to this request.
     Lost(String),
     /// No answer arrived before the deadline.
@@ -47,6 +49,7 @@
             SendOutcome::NoPath(_) => "no_path",
             SendOutcome::ZoneEvacuated => "zone_closed",
             SendOutcome::Withheld(_) => "withheld",
+            SendOutcome::DeadlinePassed => "deadline_passed",
             SendOutcome::Lost(_) => "lost",
             SendOutcome::TimedOut => "timed_out",
         }
--- a/crates/daemon/src/relaying/stream_call.rs
+++ b/crates/daemon/src/relaying/stream_call.rs
@@ -21,7 +21,7 @@
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
 use crate::relaying::exchange::Exchange;
-use crate::relaying::exchange::RunGuard;
+use crate::relaying::run_guard::RunGuard;
 use crate::relaying::send_outcome::BackendAnswer;
 use crate::relaying::send_outcome::SendOutcome;
 use crate::relaying::stream_relay::StreamRelay;
@@ -38,13 +38,11 @@
 
 /// Starts a stream and returns the answer for its caller.
 pub async fn run(exchange: Exchange) -> CallerAnswer {
-    let app = exchange.app.clone();
     let (signals, signals_out) = mpsc::unbounded_channel();
-    let ranking = match exchange.place(signals).await {
-        Ok(ranking) => ranking,
+    let (ranking, mut guard) = match exchange.place(signals).await {
+        Ok(placed) => placed,
         Err(answer) => return *answer,
     };
-    let mut guard = RunGuard::new(app.clone(), exchange.head.request.clone());
     let start = start(&exchange, &ranking).await;
     match start {
         StartResult::Answered(replica, answer) if answer.status.is_success() => {
@@ -124,7 +122,9 @@
                     "request" => &exchange.head.request, "backend_server" => &replica.id);
                 SendResult::NotConnected
             }
-            SendOutcome::NoPath(_) | SendOutcome::Withheld(_) => SendResult::NotConnected,
+            SendOutcome::NoPath(_) | SendOutcome::Withheld(_) | SendOutcome::DeadlinePassed => {
+                SendResult::NotConnected
+            }
             SendOutcome::Lost(_) => {
                 probe_broken_server(app, &exchange.head.request, replica).await;
                 cause = "connection to the engine lost before its answer";
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -29,7 +29,7 @@
 use crate::relaying::caller_answer::StreamBroken;
 use crate::relaying::event_splitter::EventSplitter;
 use crate::relaying::exchange::Exchange;
-use crate::relaying::exchange::RunGuard;
+use crate::relaying::run_guard::RunGuard;
 
 mod failover;
 mod resume;
--- a/crates/daemon/src/relaying/stream_relay/resume.rs
+++ b/crates/daemon/src/relaying/stream_relay/resume.rs
@@ -68,6 +68,9 @@
                 ResumeOutcome::NotRun,
             ),
             SendOutcome::Withheld(stop) => (stop.as_str().to_owned(), ResumeOutcome::NotRun),
+            SendOutcome::DeadlinePassed => {
+                ("the deadline has passed".to_owned(), ResumeOutcome::NotRun)
+            }
             SendOutcome::Lost(cause) => {
                 probe_broken_server(&app, &self.exchange.head.request, &target.replica).await;
                 (cause, ResumeOutcome::Lost)
