--- a/crates/cli/src/gateway_log.rs
+++ b/crates/cli/src/gateway_log.rs
@@ -31,6 +31,14 @@
     pub status: Option<u16>,
     /// Reason for a refusal.
     pub reason: Option<String>,
+    /// Time for which the request waited for room, in milliseconds; `None` if it did not wait.
+    pub waited_ms: Option<u64>,
+    /// Number of the attempt, the first being 1.
+    pub attempt: Option<u32>,
+    /// Maximum number of attempts that the route allows.
+    pub max_attempts: Option<u32>,
+    /// Result of the attempt.
+    pub result: Option<String>,
     /// Candidate backend servers as a JSON list, the chosen one first.
     pub ranking: Option<String>,
     /// Time until the first event of the stream, in milliseconds.
--- a/crates/cli/src/losses.rs
+++ b/crates/cli/src/losses.rs
@@ -25,11 +25,21 @@
 struct RequestTrace {
     /// Backend server that the request was sent to first, and the time in milliseconds.
     chosen: Option<(String, i64)>,
+    /// Time for which it waited for room before, in milliseconds.
+    waited_ms: u64,
+    /// Line that reports its last failed attempt.
+    failed_attempt: Option<GatewayLine>,
     first_event_at_ms: Option<i64>,
     /// Line that reports the end of the request.
     end: Option<GatewayLine>,
 }
 
+impl RequestTrace {
+    fn last_failed_attempt(&self) -> Option<u32> {
+        self.failed_attempt.as_ref().and_then(|line| line.attempt)
+    }
+}
+
 /// Collects the log lines of all instances, in any order.
 #[derive(Debug, Default)]
 pub struct Losses {
@@ -53,15 +63,22 @@
         }
         let trace = self.traces.entry(request).or_default();
         match line.msg.as_str() {
-            "backend server chosen" => {
+            "backend server chosen" | "request placed from the queue" => {
                 let at_ms = line.at_ms();
                 trace.chosen = line.chosen().map(|server| (server, at_ms));
+                trace.waited_ms = line.waited_ms.unwrap_or(0);
+            }
+            "attempt failed" if line.attempt >= trace.last_failed_attempt() => {
+                trace.failed_attempt = Some(line);
             }
             "stream ended" => {
                 trace.first_event_at_ms = first_event_at(&line, trace);
                 trace.end = Some(line);
             }
-            "stream ended before it began" | "call ended" | "request refused" => {
+            "stream ended before it began"
+            | "call ended"
+            | "request refused"
+            | "request withdrawn from the queue" => {
                 trace.end = Some(line);
             }
             _ => {}
@@ -98,8 +115,9 @@
 
 fn first_event_at(end: &GatewayLine, trace: &RequestTrace) -> Option<i64> {
     let (_, chosen_ms) = trace.chosen.as_ref()?;
-    let waited_ms = i64::try_from(end.first_event_ms?).ok()?;
-    Some(chosen_ms + waited_ms)
+    // The time to the first event counts from the arrival of the request.
+    let at_server_ms = end.first_event_ms?.saturating_sub(trace.waited_ms);
+    Some(chosen_ms + i64::try_from(at_server_ms).ok()?)
 }
 
 fn cause(
@@ -110,14 +128,38 @@
 ) -> String {
     let stream_end = end.end.as_deref().unwrap_or("-");
     match end.msg.as_str() {
-        "request refused" => format!("refused: {}", end.reason.as_deref().unwrap_or("-")),
+        "request refused" => refusal_cause(end),
+        "request withdrawn from the queue" => "caller left while it waited for room".to_owned(),
         "stream ended before it began" => format!("not begun: {stream_end}"),
-        "call ended" => call_cause(end),
+        "call ended" => call_cause(end) + &failed_attempts(trace, end),
         _ if stream_end != "whole" => format!("stream {stream_end}"),
         _ => stream_cause(trace, end, objectives, waits),
     }
 }
 
+fn refusal_cause(end: &GatewayLine) -> String {
+    let reason = end.reason.as_deref().unwrap_or("-");
+    match end.waited_ms {
+        Some(_) => format!("refused after a wait: {reason}"),
+        None => format!("refused: {reason}"),
+    }
+}
+
+/// Describes the last failed attempt of a call that was not served; empty if no line reports one.
+fn failed_attempts(trace: &RequestTrace, end: &GatewayLine) -> String {
+    let Some(line) = &trace.failed_attempt else {
+        return String::new();
+    };
+    if end.outcome.as_deref() == Some("ran") {
+        return String::new();
+    }
+    let (number, max) = (line.attempt.unwrap_or(0), line.max_attempts.unwrap_or(0));
+    let result = line.result.as_deref().unwrap_or("-");
+    let status = line.status.map(|status| format!(" {status}"));
+    let status = status.unwrap_or_default();
+    format!("; attempt {number} of {max}: {result}{status}")
+}
+
 fn call_cause(end: &GatewayLine) -> String {
     match (end.outcome.as_deref(), end.status) {
         (Some("ran"), _) => "served".to_owned(),
@@ -133,10 +175,13 @@
     objectives: Objectives,
     waits: &HashMap<&str, Vec<(i64, i64)>>,
 ) -> String {
-    if end
-        .first_event_ms
-        .is_some_and(|time| time > objectives.first_event_ms)
+    let objective_ms = objectives.first_event_ms;
+    if let Some(time_ms) = end.first_event_ms
+        && time_ms > objective_ms
     {
+        if time_ms.saturating_sub(trace.waited_ms) <= objective_ms {
+            return "first event late because it waited for room".to_owned();
+        }
         return format!(
             "first event late behind {} unread prompts",
             count_ahead(trace, waits)
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -55,6 +55,73 @@
     assert!(text.ends_with(&format!("100.0%  {expected}\n")), "{text}");
 }
 
+/// A refusal without a wait has a null there, as the log writes it.
+#[test_case(r#""request refused","route":"chat","reason":"full","waited_ms":null"#, "refused: full"; "at once")]
+#[test_case(r#""request refused","route":"chat","reason":"full","waited_ms":700"#, "refused after a wait: full"; "after a wait")]
+#[test_case(r#""request withdrawn from the queue","route":"chat","waited_ms":700"#, "caller left while it waited for room"; "withdrawn")]
+fn refusals_are_counted_by_route_and_reason(end: &str, expected: &str) {
+    let waits = r#""request waits for room","route":"chat","wait_until_ms":900"#;
+    let text = loss_table(&[line(100, "r", waits), line(800, "r", end)]);
+    let expected = format!("chat: 1 requests\n         1  100.0%  {expected}\n");
+    assert_eq!(text, expected);
+}
+
+/// Without its wait, a late stream would be put down to the prompts at its engine.
+#[test_case(1_900, "first event late because it waited for room"; "late by its wait")]
+#[test_case(2_900, "first event late behind 0 unread prompts"; "late by its engine as well")]
+#[test_case(1_700, "served"; "in time in spite of its wait")]
+fn wait_that_made_a_stream_late_is_named(first_event_ms: u32, expected: &str) {
+    let placed =
+        r#""request placed from the queue","waited_ms":1000,"ranking":"[\"e1\", \"other\"]""#;
+    let lines = [
+        line(1_100, "r", placed),
+        ended(9_000, "r", first_event_ms, 50, 0),
+        // Its first event came at 1,095 ms, since its wait is part of the 1,005 ms: its prompt was
+        // no longer ahead.
+        line(1_090, "before", placed),
+        ended(9_000, "before", 1_005, 50, 0),
+    ];
+    let text = loss_table(&lines);
+    assert!(text.contains(expected), "{text}");
+}
+
+/// The result of the last attempt is lost otherwise: the end of a call states only that none
+/// succeeded.
+#[test]
+fn failed_attempts_of_a_call_are_named() {
+    let attempt = |number: u32, result: &str, status: &str| {
+        let rest = format!(
+            r#""attempt failed","attempt":{number},"max_attempts":2,"result":"{result}","status":{status}"#
+        );
+        line(100 * number, "r", &rest)
+    };
+    let end = |outcome: &str| {
+        let rest = format!(r#""call ended","outcome":"{outcome}","status":500,"route":"look""#);
+        line(900, "r", &rest)
+    };
+    let lines = [attempt(2, "failed", "500"), attempt(1, "lost", "null")];
+    let text = loss_table(&[&lines[..], &[end("unknown")]].concat());
+    let expected = "the server's own failure: 500; attempt 2 of 2: failed 500\n";
+    assert!(text.ends_with(expected), "{text}");
+    let text = loss_table(&[&lines[..], &[end("ran")]].concat());
+    assert!(text.ends_with("100.0%  served\n"), "{text}");
+}
+
+/// The trace of a request shows its wait and what ended it.
+#[test]
+fn request_trace_shows_wait_for_room() {
+    let waits = r#""request waits for room","route":"chat","wait_until_ms":900,"waiting":3"#;
+    let refused = r#""request refused","route":"chat","kind":"queue_full","waited_ms":700"#;
+    let mut trace = LogTrace::of("r");
+    let lines = [line(800, "r", refused), line(100, "r", waits)];
+    trace.read(lines.join("\n").as_bytes()).unwrap();
+    let text = trace.text().unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[0].contains("waits for room") && lines[0].contains("wait_until_ms 900"));
+    assert!(lines[1].starts_with("+700 ms") && lines[1].contains("waited_ms 700"));
+    assert!(lines[1].contains("kind queue_full"), "{text}");
+}
+
 /// The lines of different instances may be read in any order.
 #[test]
 fn streams_waiting_at_same_engine_are_counted() {
