Merge the queue in the control thread

The lines of placements, refusals and waits take their common fields from the asked request; the headroom, the limit and whether it is a retry go with it.

--- a/crates/cli/src/log_trace.rs
+++ b/crates/cli/src/log_trace.rs
@@ -19,7 +19,7 @@
 ];
 
 /// Messages that report a change of state, or a wait that delayed one.
-const STATE_CHANGES: [&str; 19] = [
+const STATE_CHANGES: [&str; 20] = [
     "directory lost",
     "directory regained",
     "directory came back from an older copy",
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -58,6 +58,7 @@
 mod speeds;
 mod totals;
 mod waiting;
+mod workspace_memory;
 
 pub use admission::Admission;
 pub use admission::WaitForecast;
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -5,11 +5,7 @@
 use std::time::Duration;
 
 use iristhread_core::GatewayControl;
-use iristhread_core::GatewayParameters;
 use iristhread_core::Now;
-use iristhread_core::PlacementRequest;
-use iristhread_core::Ranking;
-use iristhread_core::RequestClass;
 use iristhread_core::RequestId;
 use iristhread_core::RouteTable;
 use iristhread_core::SendRestrictions;
@@ -23,111 +19,43 @@
 use tokio::sync::watch;
 
 use crate::detour::known_servers::KnownServers;
-use crate::gateway::gateway_message::Audience;
 use crate::gateway::gateway_message::GatewayMessage;
-use crate::gateway::gateway_message::OwnState;
-use crate::gateway::gateway_message::Placed;
 use crate::gateway::gateway_message::Resend;
 use crate::gateway::gateway_metrics::GatewayMetrics;
-use crate::gateway::gateway_views::GatewayViews;
 use crate::process::clock::Clock;
 use crate::process::clock::SuspensionDetector;
-use crate::process::control_sender::ControlSender;
 
+mod admission;
+mod decision_log;
 mod limits;
 mod move_room;
-mod placement_fields;
 mod refusals;
 mod server_events;
 mod server_view;
 mod sessions;
 mod speeds;
+mod start;
 mod state_snapshots;
+pub(crate) mod waiting;
 
-use limits::passed_over;
-use placement_fields::PlacementFields;
+pub use start::GatewayHandle;
+pub use start::start;
+
+use admission::WAITING_CHECK;
+use admission::may_end_wait;
 use server_view::ServersVersion;
-use speeds::SpeedFields;
+use waiting::WaitingReplies;
 
 /// Time between two ticks. Expired entries and silent peers are detected with at most this
 /// delay, which is short against their bounds of several seconds.
 const TICK: Duration = Duration::from_millis(200);
 
-/// Sends messages to the gateway's control thread.
-pub type GatewayHandle = ControlSender<GatewayMessage>;
-
-impl GatewayHandle {
-    /// Returns the state of this instance for its own tasks; `None` if the process is stopping.
-    pub async fn own_state(&self) -> Option<OwnState> {
-        self.state_for(Audience::Own).await
-    }
-
-    /// Returns the state that is advertised to the peers; a relay adds the sums of its zone.
-    pub async fn advertised_state(&self, is_relay: bool) -> Option<OwnState> {
-        self.state_for(Audience::Peers { is_relay }).await
-    }
-
-    async fn state_for(&self, audience: Audience) -> Option<OwnState> {
-        self.ask(|reply| GatewayMessage::OwnState { audience, reply })
-            .await
-    }
-}
-
-/// Starts the control thread. It notifies `immediate_heartbeat` of changes that the other
-/// instances should learn at once.
-///
-/// # Errors
-///
-/// If the operating system can't create the thread or the runtime.
-pub fn start(
-    parameters: GatewayParameters,
-    clock: Clock,
-    log: Logger,
-    metrics: Arc<GatewayMetrics>,
-    immediate_heartbeat: Arc<Notify>,
-) -> std::io::Result<(GatewayHandle, GatewayViews)> {
-    let (sender, inbox) = ControlSender::new();
-    let (table, tables) = watch::channel(None);
-    let (list_known, knows_list) = watch::channel(false);
-    let (evacuations, evacuations_view) = watch::channel(ZoneEvacuations::default());
-    let (restrictions, restrictions_view) = watch::channel(Arc::default());
-    let (servers, servers_view) = watch::channel(Arc::default());
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .build()?;
-    let thread = GatewayThread {
-        control: GatewayControl::new(parameters),
-        signals: HashMap::new(),
-        clock,
-        log,
-        table,
-        list_known,
-        servers,
-        servers_version: ServersVersion::default(),
-        evacuations,
-        restrictions,
-        restrictions_version: 0,
-        limits_counted_at: clock.now(),
-        metrics,
-        immediate_heartbeat,
-        suspensions: SuspensionDetector::new(clock),
-    };
-    std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || runtime.block_on(thread.run(inbox)))?;
-    let views = GatewayViews {
-        tables,
-        knows_list,
-        servers: servers_view,
-        evacuations: evacuations_view,
-        restrictions: restrictions_view,
-    };
-    Ok((sender, views))
-}
-
 struct GatewayThread {
     control: GatewayControl,
     signals: HashMap<RequestId, mpsc::UnboundedSender<SessionSignal>>,
+    waiting: WaitingReplies,
+    /// When the waiting requests were last checked.
+    waiting_checked_at: Now,
     clock: Clock,
     log: Logger,
     table: watch::Sender<Option<Arc<RouteTable>>>,
@@ -150,18 +78,25 @@
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<GatewayMessage>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut waiting_checks = tokio::time::interval(WAITING_CHECK);
+        waiting_checks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 message = inbox.recv() => match message {
                     Some(message) => {
+                        let may_end_wait = may_end_wait(&message);
                         self.take(message);
                         self.publish_suspicion_updates();
                         self.signal_orphaned();
                         self.publish_servers();
+                        if may_end_wait {
+                            self.check_waiting_after_message();
+                        }
                     }
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
+                _ = waiting_checks.tick(), if !self.waiting.is_empty() => self.check_waiting(),
             }
         }
     }
@@ -174,9 +109,8 @@
                 ask,
                 signals,
                 reply,
-            } => {
-                let _ = reply.send(self.place(ask, signals));
-            }
+            } => self.place(ask, signals, reply),
+            GatewayMessage::Stopping => self.stop_waiting(),
             GatewayMessage::Moved { request, replica } => {
                 self.control.moved(now, &request, replica);
             }
@@ -339,58 +273,6 @@
         self.report_speeds();
         self.grow_brittle();
         self.count_limits();
+        self.check_waiting();
     }
-
-    fn place(
-        &mut self,
-        ask: PlacementRequest,
-        signals: mpsc::UnboundedSender<SessionSignal>,
-    ) -> Placed {
-        let request = ask.request.clone();
-        let fingerprint = ask.fingerprint;
-        let now = self.clock.now();
-        let fields = PlacementFields {
-            level: ask.level.clone(),
-            memory_limit: self.control.placement_limit(now, &ask),
-            rank_headroom: self.control.rank_headroom(now, &ask),
-        };
-        let is_session = ask.class == RequestClass::Stream;
-        let is_retry = self.control.is_retry(&ask);
-        let placed = self.control.place(now, ask);
-        self.notify_demand_update();
-        match placed {
-            Ok(ranking) => {
-                self.count_skipped(&ranking);
-                if is_session {
-                    // The other instances must not choose the same engine.
-                    self.immediate_heartbeat.notify_one();
-                }
-                info!(self.log, "backend server chosen";
-                    "request" => &request,
-                    "content" => fingerprint.to_string(),
-                    &fields,
-                    "ranking" => format!("{:?}", ids(&ranking)),
-                    "passed_over" => passed_over(&ranking),
-                    "backup" => ranking.backup.as_ref().map(|b| b.id.clone()),
-                    "requests_there" => ranking.server_view.requests,
-                    "memory_share" => ranking.server_view.memory,
-                    "instances_counted" => ranking.server_view.instances,
-                    SpeedFields(*ranking.server_view),
-                    "is_retry" => is_retry,
-                    "list_revision" => %self.control.list().revision());
-                self.signals.insert(request, signals);
-                Placed::Ranked(ranking)
-            }
-            Err(refusal) => {
-                let identity = (request.as_str(), fingerprint);
-                self.record_refusal(identity, fields, is_retry, &refusal);
-                Placed::Refused(refusal)
-            }
-        }
-    }
-}
-
-fn ids(ranking: &Ranking) -> Vec<&str> {
-    let replicas = ranking.replicas.iter();
-    replicas.map(|replica| replica.id.as_str()).collect()
 }
--- a/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
+++ b/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
@@ -8,6 +8,10 @@
 use crate::gateway::gateway_message::KnownState;
 use crate::gateway::gateway_message::OwnState;
 
+/// Maximum number of workspaces whose memory use is shown: each one adds a time series at the
+/// metrics collector.
+const MAX_SHOWN_WORKSPACES: usize = 16;
+
 impl GatewayThread {
     pub(super) fn own_state(&mut self, audience: Audience) -> OwnState {
         let now = self.clock.now();
@@ -56,6 +60,8 @@
         self.metrics
             .suspects(control.suspected(), control.quarantined());
         self.metrics.backing_off(control.resting(self.clock.now()));
+        let memory = control.workspace_memory(MAX_SHOWN_WORKSPACES);
+        self.metrics.admission.workspace_memory(memory);
     }
 
     pub(super) fn known_state(&self, list_above: Revision) -> KnownState {
