Learn the first departure after the setting was switched on

Cause: engines that serve were noted only with a change of the list, so that after a reload of the settings the first departure was not counted. Change: noted with the next tick.

--- a/crates/core/src/gateway/gateway_control/move_room.rs
+++ b/crates/core/src/gateway/gateway_control/move_room.rs
@@ -220,6 +220,10 @@
 
     /// Removes ended backoffs and the state of sessions that have ended.
     pub(super) fn forget_moves(&mut self, now: Now) {
+        if self.move_room.serving.is_empty() {
+            // The configuration or the setting may be newer than the list.
+            self.note_departures(now);
+        }
         let runs = &self.runs;
         let room = &mut self.move_room;
         room.no_room_until.retain(|_, until| now < *until);
--- a/crates/core/tests/gateway_move_room.rs
+++ b/crates/core/tests/gateway_move_room.rs
@@ -190,6 +190,19 @@
     assert!(control.advertised_totals(ms(150)).is_none());
 }
 
+/// The first departure after the setting was switched on without a restart was not learned.
+#[test]
+fn a_departure_counts_soon_after_the_setting_was_switched_on() {
+    let mut control = gateway_with(0.0, &[("r1", 2_000)]);
+    control.set_terms(iristhread_core::GatewayParameters {
+        move_reserve: 1.0,
+        ..gateway_scene::terms()
+    });
+    control.tick(ms(200));
+    drain_first(&mut control, 0);
+    assert!(control.move_headrooms(ms(200))[0].needed_tokens >= 2_000.0);
+}
+
 /// Engines that leave together need room together; a smaller departure must not hide a larger one,
 /// and a reserve must end.
 #[test]
