--- a/crates/core/tests/gateway_move_room.rs
+++ b/crates/core/tests/gateway_move_room.rs
@@ -139,6 +139,17 @@
     assert!(control.place(ms(3_200), ask("r2")).is_ok());
 }
 
+/// A stream that its caller has read in part would be lost with room left on an engine.
+#[test]
+fn only_streams_without_events_leave_the_kept_room_free() {
+    let mut control = gateway_with(1.0, &[("begun", 2_000), ("fresh", 2_000)]);
+    control.progress(ms(0), "begun", 40);
+    drain_first(&mut control, 0);
+    control.apply_peer_totals(ms(0), advertised("i2", claims(MEMORY_TOKENS)));
+    assert!(control.restart_stream(ms(10), "fresh").is_none());
+    assert!(control.restart_stream(ms(10), "begun").is_some());
+}
+
 /// Small sessions used up the room in which a large one would have fitted.
 #[test]
 fn the_largest_session_goes_first() {
