--- a/crates/core/tests/gateway_move_room.rs
+++ b/crates/core/tests/gateway_move_room.rs
@@ -139,6 +139,17 @@
     assert!(control.place(ms(3_200), ask("r2")).is_ok());
 }
 
+/// A stream that its caller has read in part would be lost with room left on an engine.
+#[test]
+fn only_streams_without_events_leave_the_kept_room_free() {
+    let mut control = gateway_with(1.0, &[("begun", 2_000), ("fresh", 2_000)]);
+    control.progress(ms(0), "begun", 40);
+    drain_first(&mut control, 0);
+    control.apply_peer_totals(ms(0), advertised("i2", claims(MEMORY_TOKENS)));
+    assert!(control.restart_stream(ms(10), "fresh").is_none());
+    assert!(control.restart_stream(ms(10), "begun").is_some());
+}
+
 /// Small sessions used up the room in which a large one would have fitted.
 #[test]
 fn the_largest_session_goes_first() {
@@ -190,6 +201,19 @@
     assert!(control.advertised_totals(ms(150)).is_none());
 }
 
+/// The first departure after the setting was switched on without a restart was not learned.
+#[test]
+fn a_departure_counts_soon_after_the_setting_was_switched_on() {
+    let mut control = gateway_with(0.0, &[("r1", 2_000)]);
+    control.set_terms(iristhread_core::GatewayParameters {
+        move_reserve: 1.0,
+        ..gateway_scene::terms()
+    });
+    control.tick(ms(200));
+    drain_first(&mut control, 0);
+    assert!(control.move_headrooms(ms(200))[0].needed_tokens >= 2_000.0);
+}
+
 /// Engines that leave together need room together; a smaller departure must not hide a larger one,
 /// and a reserve must end.
 #[test]
