--- a/crates/daemon/tests/waiting_replies.rs
+++ b/crates/daemon/tests/waiting_replies.rs
@@ -95,11 +95,14 @@
     let ranking = Ranking {
         replicas: Vec::new(),
         backup: None,
-        server_view: ServerView {
+        server_view: Box::new(ServerView {
             requests: 0,
             memory: 0.0,
             instances: mark,
-        },
+            relative_time: 1.0,
+            first_event: Duration::ZERO,
+            event_gap: Duration::ZERO,
+        }),
         passed_over: Vec::new(),
     };
     (request.to_owned(), PlacementAdmission::Placed(ranking))
