--- a/crates/core/tests/retry_scene/mod.rs
+++ b/crates/core/tests/retry_scene/mod.rs
@@ -210,7 +210,7 @@
 
     /// Every 100 ms, instances exchange what they refused; every second, also their loads.
     fn exchange(&mut self) {
-        if self.now.as_millis() % 100 != 0 {
+        if !self.now.as_millis().is_multiple_of(100) {
             return;
         }
         for sender in 0..self.controls.len() {
@@ -223,7 +223,7 @@
                     self.controls[receiver].apply_peer_refusals(self.now, &told, false);
                 }
             }
-            if self.now.as_millis() % 1_000 == 0 {
+            if self.now.as_millis().is_multiple_of(1_000) {
                 self.advertise_load(sender);
             }
         }
