Advertise timings of a bounded number of servers

Ruled out: the servers with the most measured time first. Requests at fast engines are short, so their timings were left out, and some fast engines counted as usual. Change: as many servers that each is advertised by four instances on average, in an order by hash that doesn't depend on the timings.

--- a/crates/core/src/gateway/gateway_control/speeds.rs
+++ b/crates/core/src/gateway/gateway_control/speeds.rs
@@ -1,6 +1,9 @@
 //! Learns the speed of backend servers from the requests of this instance and its peers' timings.
 
+use std::collections::BTreeMap;
+
 use super::GatewayControl;
+use crate::IncarnationId;
 use crate::LoadShare;
 use crate::Now;
 use crate::OwnRun;
@@ -12,6 +15,8 @@
 use crate::ServerSpeed;
 use crate::ServerSpeeds;
 use crate::SpeedChange;
+use crate::SpeedSample;
+use crate::membership::rendezvous::weight;
 use crate::servers::run_timings::RunTimings;
 use crate::servers::run_timings::Timed;
 
@@ -23,6 +28,10 @@
     pub(super) runs: RunTimings,
 }
 
+/// Instances that advertise their timings of a server, on average, if all have some: enough that the
+/// noise of each matters little. All of them would make the heartbeats of a large fleet longer than needed.
+const ADVERTISERS_OF_SERVER: usize = 4;
+
 impl GatewayControl {
     /// Returns what is known of the speed of the backend servers.
     pub fn speeds(&self) -> &ServerSpeeds {
@@ -40,6 +49,14 @@
         self.speeds.runs.interrupt(request);
     }
 
+    /// Returns the timings that this instance advertises.
+    pub(super) fn advertised_speeds(&self) -> BTreeMap<IncarnationId, SpeedSample> {
+        let instances = self.peers.count() + 1;
+        let max_servers = (ADVERTISERS_OF_SERVER * self.list.count()).div_ceil(instances);
+        let rank = |life: IncarnationId| weight(&self.parameters.instance, &life.to_string());
+        self.speeds.servers.advertised(max_servers, rank)
+    }
+
     /// Returns what is known of the speed of a replica with the load of all instances and one more
     /// request.
     pub(super) fn speed_of(&self, replica: &Replica, load: &LoadShare) -> ServerSpeed {
--- a/crates/core/src/gateway/gateway_control/totals.rs
+++ b/crates/core/src/gateway/gateway_control/totals.rs
@@ -28,7 +28,7 @@
     /// Returns the totals of this instance.
     fn own_totals(&self, _now: Now) -> Totals {
         Totals {
-            speeds: self.speeds.servers.advertised(),
+            speeds: self.advertised_speeds(),
             ..Totals::default()
         }
     }
--- a/crates/core/src/servers/server_speeds.rs
+++ b/crates/core/src/servers/server_speeds.rs
@@ -30,7 +30,7 @@
 
 /// Minimum expected time of the timings of a server that are advertised, in ms. Less than that
 /// hardly moves the relative time beside [`USUAL_MS`], and would add to each heartbeat.
-const MIN_ADVERTISED_MS: f64 = 200.0;
+const MIN_ADVERTISED_MS: f64 = 500.0;
 
 /// Expected time below which the timings of a server are dropped, in ms.
 const MIN_KEPT_MS: f64 = 1.0;
@@ -177,10 +177,20 @@
         }
     }
 
-    /// Returns the timings of this instance that matter to others.
-    pub fn advertised(&self) -> BTreeMap<IncarnationId, SpeedSample> {
+    /// Returns the timings of this instance that matter to others, of the `max_servers` servers that
+    /// rank lowest. The rank must not depend on the timings: if the servers with the longest came
+    /// first, those of fast servers, whose requests are short, would be left out.
+    pub fn advertised(
+        &self,
+        max_servers: usize,
+        rank: impl Fn(IncarnationId) -> u64,
+    ) -> BTreeMap<IncarnationId, SpeedSample> {
         let own = self.own.iter();
-        let matter = own.filter(|(_, sums)| sums.expected_ms >= MIN_ADVERTISED_MS);
+        let mut matter: Vec<_> = own
+            .filter(|(_, sums)| sums.expected_ms >= MIN_ADVERTISED_MS)
+            .collect();
+        matter.sort_by_key(|(life, _)| rank(**life));
+        let matter = matter.into_iter().take(max_servers);
         matter.map(|(life, sums)| (*life, sums.sample())).collect()
     }
 
--- a/crates/core/tests/gateway_speeds.rs
+++ b/crates/core/tests/gateway_speeds.rs
@@ -125,9 +125,9 @@
     for request in ["interrupted", "moved"] {
         control.progress(ms(30_100), request, 132);
     }
-    assert!(control.speeds().advertised().is_empty());
+    assert!(control.speeds().advertised(9, |life| life).is_empty());
     control.progress(ms(30_800), "moved", 196);
-    assert_eq!(control.speeds().advertised().len(), 1);
+    assert_eq!(control.speeds().advertised(9, |life| life).len(), 1);
 }
 
 /// Idle slow servers would be preferred to idle fast ones, whose load cost is zero as well.
--- a/crates/core/tests/server_speeds.rs
+++ b/crates/core/tests/server_speeds.rs
@@ -143,8 +143,9 @@
 /// Timings without weight would add to each heartbeat.
 #[test]
 fn only_timings_that_matter_are_advertised() {
-    let mut speeds = play(10, &[(1.0, 0.2, 0.1)]);
-    assert_eq!(speeds.advertised().len(), 1);
+    let mut speeds = play(10, &[(1.0, 0.2, 0.1), (1.5, 0.2, 0.1), (1.0, 0.2, 0.1)]);
+    assert_eq!(speeds.advertised(9, |life| life).len(), 3);
+    assert!(speeds.advertised(1, |life| 9 - life).contains_key(&2));
     update(&mut speeds, 40, &NONE);
-    assert!(speeds.advertised().is_empty());
+    assert!(speeds.advertised(9, |life| life).is_empty());
 }
