--- a/crates/core/src/gateway/gateway_control/totals.rs
+++ b/crates/core/src/gateway/gateway_control/totals.rs
@@ -13,7 +13,7 @@
 
     /// Returns the totals for the next heartbeat, `None` if it carries none.
     pub fn advertised_totals(&mut self, now: Now) -> Option<Totals> {
-        let own = self.own_totals(now);
+        let own = self.own_totals();
         self.peer_totals
             .is_advertisement_due(now, &own)
             .then_some(own)
@@ -26,9 +26,9 @@
     }
 
     /// Returns the totals of this instance.
-    fn own_totals(&mut self, _now: Now) -> Totals {
+    fn own_totals(&mut self) -> Totals {
         Totals {
-            speeds: self.speeds.servers.advertised(),
+            speeds: self.advertised_speeds(),
             workspaces: self.own_workspaces(),
             seeking_tokens: self.own_claims(),
         }
