--- a/crates/core/src/gateway/gateway_control/waiting.rs
+++ b/crates/core/src/gateway/gateway_control/waiting.rs
@@ -1,7 +1,7 @@
 //! Places the requests that wait for room, in order and by this instance's part of the room.
 
 use std::collections::BTreeMap;
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
 use super::Admission;
 use super::GatewayControl;
@@ -11,6 +11,7 @@
 use crate::Ranking;
 use crate::Refusal;
 use crate::RefusalKind;
+use crate::RegionId;
 use crate::RequestId;
 use crate::RequestRank;
 use crate::Verdict;
@@ -20,6 +21,13 @@
 use crate::WorkspaceUse;
 use crate::workspace_of;
 
+/// What decides on the engines and the memory that a request may use, besides its size.
+type Kind = (RequestRank, Option<BTreeSet<RegionId>>);
+
+fn kind_of(ask: &PlacementRequest) -> Kind {
+    (ask.level.rank, ask.homes.clone())
+}
+
 impl GatewayControl {
     /// Returns the memory by service and workspace of the requests of this instance, as advertised
     /// to the others. It is empty while no instance has requests that wait, when nobody needs it.
@@ -85,21 +93,18 @@
         decided: &mut Vec<(RequestId, Admission)>,
     ) {
         let mut shares = self.workspace_shares(now, service);
-        let mut tried = HashSet::new();
-        // Sizes, by rank, for which there is no room.
-        let mut too_large: BTreeMap<RequestRank, f64> = BTreeMap::new();
+        // Least size for which there is no room, by rank and home regions.
+        let mut too_large: BTreeMap<Kind, f64> = BTreeMap::new();
         loop {
             let ordered = self.waiting.ordered(service, &shares);
             let next = ordered.into_iter().find(|waiting| {
-                let size = waiting.ask.memory_tokens();
-                let least = too_large.get(&waiting.ask.level.rank);
-                least.is_none_or(|least| size < *least) && !tried.contains(&waiting.ask.request)
+                let least = too_large.get(&kind_of(&waiting.ask));
+                least.is_none_or(|least| waiting.ask.memory_tokens() < *least)
             });
-            let Some(WaitingRequest { ask, .. }) = next else {
+            let Some(ask) = next.map(|waiting| waiting.ask.clone()) else {
                 return;
             };
-            tried.insert(ask.request.clone());
-            let (rank, size) = (ask.level.rank, ask.memory_tokens());
+            let (kind, size) = (kind_of(&ask), ask.memory_tokens());
             let request = ask.request.clone();
             let workspace = workspace_of(&ask).to_owned();
             match self.place_within_part(now, ask) {
@@ -109,7 +114,7 @@
                     decided.push((request, Admission::Placed(ranking)));
                 }
                 Err(refusal) if refusal.kind == RefusalKind::QueueFull => {
-                    too_large.insert(rank, size);
+                    too_large.insert(kind, size);
                 }
                 Err(refusal) => {
                     // No server can take it, with room or without.
--- a/crates/core/src/gateway/waiting_requests.rs
+++ b/crates/core/src/gateway/waiting_requests.rs
@@ -126,10 +126,9 @@
     }
 
     /// Returns the requests that wait for a service, in order.
-    pub fn ordered(&self, service: &str, shares: &WorkspaceShares) -> Vec<WaitingRequest> {
-        let of_service = self.of_service(service).cloned();
-        let mut ordered: Vec<WaitingRequest> = of_service.collect();
-        ordered.sort_by_key(|waiting| waiting.position(shares));
+    pub fn ordered(&self, service: &str, shares: &WorkspaceShares) -> Vec<&WaitingRequest> {
+        let mut ordered: Vec<&WaitingRequest> = self.of_service(service).collect();
+        ordered.sort_by_cached_key(|waiting| waiting.position(shares));
         ordered
     }
 
