--- a/crates/core/src/gateway/gateway_control/admission.rs
+++ b/crates/core/src/gateway/gateway_control/admission.rs
@@ -72,7 +72,11 @@
         self.note_arrival(now, &ask);
         let may_wait = self.may_wait(&ask);
         if !(may_wait && self.is_preceded(now, &ask)) {
-            match self.place_arrived(now, ask.clone()) {
+            let placed = match self.shares_room(&ask) {
+                true => self.place_within_part(now, ask.clone()),
+                false => self.place_arrived(now, ask.clone()),
+            };
+            match placed {
                 Ok(ranking) => return Admission::Placed(ranking),
                 Err(NotPlaced::NoMemory) if may_wait => {}
                 Err(cause) => return Admission::Refused(self.refusal(now, &ask, cause)),
@@ -157,7 +161,8 @@
         self.note_retry_arrival(now, ask);
     }
 
-    fn may_wait(&self, ask: &PlacementRequest) -> bool {
+    /// Returns whether a request is of a kind that may wait for room.
+    pub(super) fn may_wait(&self, ask: &PlacementRequest) -> bool {
         let is_stream = ask.class == RequestClass::Stream && ask.memory_tokens() > 0.0;
         is_stream && self.parameters.max_waiting > 0
     }
--- a/crates/core/src/gateway/gateway_control/rank_headroom.rs
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -18,15 +18,21 @@
             true => 0.0,
             false => self.rank_headroom(now, ask) + self.retry_headroom(now, ask),
         };
-        let headroom = kept_from_first_tries + self.memory_headroom(now, &ask.service);
-        if headroom <= 0.0 {
-            return limit;
-        }
-        // A request that is larger than the rest may still use an engine that has no load.
-        let own = self.engine_traits(&ask.service).map_or(0.0, |engine| {
+        let limit = match kept_from_first_tries > 0.0 {
+            // A request that is larger than the rest may still use an engine that has no load.
+            true => (limit - kept_from_first_tries)
+                .max(self.memory_share(ask))
+                .min(limit),
+            false => limit,
+        };
+        limit - self.memory_headroom(now, &ask.service)
+    }
+
+    /// Returns the fraction of an engine's memory that a request needs.
+    fn memory_share(&self, ask: &PlacementRequest) -> f64 {
+        self.engine_traits(&ask.service).map_or(0.0, |engine| {
             ask.memory_tokens() / engine.memory_tokens.max(1) as f64
-        });
-        (limit - headroom).max(own).min(limit)
+        })
     }
 
     /// Returns the fraction of an engine's memory that is kept free of a request, for requests of
--- a/crates/core/src/gateway/waiting_requests.rs
+++ b/crates/core/src/gateway/waiting_requests.rs
@@ -126,10 +126,9 @@
     }
 
     /// Returns the requests that wait for a service, in order.
-    pub fn ordered(&self, service: &str, shares: &WorkspaceShares) -> Vec<WaitingRequest> {
-        let of_service = self.of_service(service).cloned();
-        let mut ordered: Vec<WaitingRequest> = of_service.collect();
-        ordered.sort_by_key(|waiting| waiting.position(shares));
+    pub fn ordered(&self, service: &str, shares: &WorkspaceShares) -> Vec<&WaitingRequest> {
+        let mut ordered: Vec<&WaitingRequest> = self.of_service(service).collect();
+        ordered.sort_by_cached_key(|waiting| waiting.position(shares));
         ordered
     }
 
@@ -189,10 +188,12 @@
         others: f64,
         draw: f64,
     ) -> bool {
-        let waiting: f64 = self
-            .of_service(&ask.service)
-            .map(|waiting| waiting.ask.memory_tokens())
-            .sum();
+        let size = ask.memory_tokens();
+        let waiting = self.of_service(&ask.service);
+        let mut waiting: f64 = waiting.map(|waiting| waiting.ask.memory_tokens()).sum();
+        if !self.requests.contains_key(&ask.request) {
+            waiting += size;
+        }
         let round = self.rounds.entry(ask.service.clone()).or_default();
         if now.saturating_sub(round.started_at) >= ROUND {
             *round = Round {
@@ -205,7 +206,6 @@
         }
         let own = waiting + round.taken_tokens;
         let part = (room + round.taken_tokens) * own / (own + others) - round.taken_tokens;
-        let size = ask.memory_tokens();
         if part >= size {
             return true;
         }
