Time streams of engines only

Cause: the progress of a stream of a plain service would have been counted in the same units as its answers.

--- a/crates/core/src/gateway/gateway_control/speeds.rs
+++ b/crates/core/src/gateway/gateway_control/speeds.rs
@@ -84,8 +84,12 @@
 
     /// Times the progress of a session.
     pub(super) fn time_progress(&mut self, now: Now, request: &str, generated: u32) {
+        if !self.parameters.learn_speeds {
+            return;
+        }
+        // Streams of other services have no tokens, and their answers differ in length.
         let run = self.runs.get(request);
-        let Some(run) = run.filter(|_| self.parameters.learn_speeds) else {
+        let Some(run) = run.filter(|run| self.is_engine(&run.ask.service)) else {
             return;
         };
         let Some(server) = run.life else {
@@ -111,10 +115,7 @@
 
     /// Times the answer of a server that is not an engine, and ends the timing of the request.
     pub(super) fn time_end(&mut self, now: Now, request: &str, run: &OwnRun, end: RunEnd) {
-        let table = self.table.as_ref();
-        let service = table.and_then(|table| table.config().service(&run.ask.service));
-        let is_plain = service.is_some_and(|service| service.engine.is_none());
-        let is_call = is_plain && run.ask.class != RequestClass::Stream;
+        let is_call = run.ask.class != RequestClass::Stream && !self.is_engine(&run.ask.service);
         if let Some(server) = run.life.filter(|_| is_call && end == RunEnd::Answered) {
             let load = self.speeds.servers.load(server);
             if let Some(timed) = self.speeds.runs.answered(now, request, load) {
@@ -124,6 +125,12 @@
         self.speeds.runs.forget(request);
     }
 
+    fn is_engine(&self, service: &str) -> bool {
+        let table = self.table.as_ref();
+        let service = table.and_then(|table| table.config().service(service));
+        service.is_some_and(|service| service.engine.is_some())
+    }
+
     /// Learns from what was timed since the last update.
     pub(super) fn update_speeds(&mut self, now: Now) {
         if !self.parameters.learn_speeds {
