Log the forecast with the wait of a request

Cause: the line of a wait stated until when a request may wait, but not why room was expected by then. The forecast of a request that waits already counted the request itself as one before it.

Ruled out: a forecast before each decision, since most requests don't wait.

Change: the line has tokens_ahead, freed_per_s, expected_wait_ms and instances_counted; a request doesn't come before itself.

Result: forecast_of_waiting_request_leaves_itself_out seen failing, then green with the other tests of the queue, waiting_replies, losses, waiting_requests and operating.

--- a/crates/core/src/gateway/waiting_requests.rs
+++ b/crates/core/src/gateway/waiting_requests.rs
@@ -133,7 +133,7 @@
         ordered
     }
 
-    /// Returns the requests that come before a new one.
+    /// Returns the requests that come before a new one, or before one that has just begun to wait.
     pub fn before(
         &self,
         ask: &PlacementRequest,
@@ -148,6 +148,7 @@
         };
         let position = new.position(shares);
         self.of_service(&new.ask.service)
+            .filter(|waiting| waiting.ask.request != ask.request)
             .filter(|waiting| waiting.position(shares) < position)
             .collect()
     }
--- a/crates/core/tests/gateway_waiting.rs
+++ b/crates/core/tests/gateway_waiting.rs
@@ -290,3 +290,17 @@
     let totals = control.advertised_totals(ms(START_MS + 2_000)).unwrap();
     assert!(!totals.is_empty());
 }
+
+/// The forecast in the log line of a wait counted the request itself among those before it, so that
+/// it seemed to wait although room was expected too late.
+#[test]
+fn forecast_of_waiting_request_leaves_itself_out() {
+    let mut control = full(10, 1);
+    let ask = request("r1", "w1", START_MS);
+    assert!(waits(&mut control, ask.clone()));
+    let forecast = control.room_forecast(ms(START_MS), &ask);
+    assert_eq!(forecast.tokens_ahead, 0.0);
+    assert!(ms(START_MS) + forecast.wait.unwrap() < forecast.until);
+    let next = control.room_forecast(ms(START_MS), &request("r2", "w1", START_MS));
+    assert!(next.tokens_ahead > 0.0);
+}
--- a/crates/daemon/src/gateway/gateway_thread/admission.rs
+++ b/crates/daemon/src/gateway/gateway_thread/admission.rs
@@ -54,7 +54,7 @@
         };
         let admission = match self.waiting.contains(&ask.request) {
             true => PlacementAdmission::Refused(already_waiting()),
-            false => self.control.admit(now, ask),
+            false => self.control.admit(now, ask.clone()),
         };
         self.notify_demand_update();
         match admission {
@@ -72,23 +72,31 @@
                 // Fails if the caller has disconnected.
                 let _ = reply.send(Placed::Refused(refusal));
             }
-            PlacementAdmission::Waiting { until } => self.wait(WaitingRequest {
-                asked,
-                signals,
-                reply,
-                since: now,
-                until,
-            }),
+            PlacementAdmission::Waiting { until } => {
+                let waiting = WaitingRequest {
+                    asked,
+                    signals,
+                    reply,
+                    since: now,
+                    until,
+                };
+                self.wait(&ask, waiting);
+            }
         }
     }
 
-    fn wait(&mut self, waiting: WaitingRequest) {
+    fn wait(&mut self, ask: &PlacementRequest, waiting: WaitingRequest) {
         let (asked, until) = (waiting.asked.clone(), waiting.until);
         let now = self.clock.now();
         let refused = self.waiting.add(now, &mut self.control, waiting);
         if refused.is_none() {
+            let forecast = self.control.room_forecast(now, ask);
             info!(self.log, "request waits for room";
                 asked,
+                "tokens_ahead" => forecast.tokens_ahead,
+                "freed_per_s" => forecast.freed_per_s,
+                "expected_wait_ms" => forecast.wait.map(|wait| wait.as_millis() as u64),
+                "instances_counted" => self.control.peers(),
                 "wait_until_ms" => until.saturating_sub(now).as_millis() as u64,
                 "waiting" => self.waiting.count());
         }
