--- a/crates/core/src/gateway/gateway_control/waiting.rs
+++ b/crates/core/src/gateway/gateway_control/waiting.rs
@@ -1,7 +1,7 @@
 //! Places the requests that wait for room, in order and by this instance's part of the room.
 
 use std::collections::BTreeMap;
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
 use super::Admission;
 use super::GatewayControl;
@@ -11,6 +11,7 @@
 use crate::PlacementRequest;
 use crate::Ranking;
 use crate::Refusal;
+use crate::RegionId;
 use crate::RequestId;
 use crate::RequestRank;
 use crate::Verdict;
@@ -20,6 +21,13 @@
 use crate::WorkspaceUse;
 use crate::workspace_of;
 
+/// What decides on the engines and the memory that a request may use, besides its size.
+type Kind = (RequestRank, Option<BTreeSet<RegionId>>);
+
+fn kind_of(ask: &PlacementRequest) -> Kind {
+    (ask.level.rank, ask.homes.clone())
+}
+
 impl GatewayControl {
     /// Returns the memory by service and workspace of the requests of this instance, as advertised
     /// to the others. It is empty while no instance has requests that wait, when nobody needs it.
@@ -85,21 +93,18 @@
         decided: &mut Vec<(RequestId, Admission)>,
     ) {
         let mut shares = self.workspace_shares(now, service);
-        let mut tried = HashSet::new();
-        // Sizes, by rank, for which there is no room.
-        let mut too_large: BTreeMap<RequestRank, f64> = BTreeMap::new();
+        // Least size for which there is no room, by rank and home regions.
+        let mut too_large: BTreeMap<Kind, f64> = BTreeMap::new();
         loop {
             let ordered = self.waiting.ordered(service, &shares);
             let next = ordered.into_iter().find(|waiting| {
-                let size = waiting.ask.memory_tokens();
-                let least = too_large.get(&waiting.ask.level.rank);
-                least.is_none_or(|least| size < *least) && !tried.contains(&waiting.ask.request)
+                let least = too_large.get(&kind_of(&waiting.ask));
+                least.is_none_or(|least| waiting.ask.memory_tokens() < *least)
             });
-            let Some(WaitingRequest { ask, .. }) = next else {
+            let Some(ask) = next.map(|waiting| waiting.ask.clone()) else {
                 return;
             };
-            tried.insert(ask.request.clone());
-            let (rank, size) = (ask.level.rank, ask.memory_tokens());
+            let (kind, size) = (kind_of(&ask), ask.memory_tokens());
             let request = ask.request.clone();
             let workspace = workspace_of(&ask).to_owned();
             match self.place_within_part(now, ask) {
@@ -109,7 +114,7 @@
                     decided.push((request, Admission::Placed(ranking)));
                 }
                 Err(NotPlaced::NoMemory) => {
-                    too_large.insert(rank, size);
+                    too_large.insert(kind, size);
                 }
                 Err(NotPlaced::Refused(refusal)) => {
                     // No server can take it, with room or without.
@@ -142,11 +147,23 @@
         }
     }
 
-    fn place_within_part(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, NotPlaced> {
+    /// Returns whether a new request takes room only as those that wait do, because requests of
+    /// other instances wait for it. Their ranks aren't known, so more urgent requests don't.
+    pub(super) fn shares_room(&mut self, ask: &PlacementRequest) -> bool {
+        let rank = ask.level.rank;
+        self.may_wait(ask)
+            && self.rank_demand.is_least_urgent(&ask.service, rank)
+            && self.waiting_elsewhere(&ask.service) > 0
+    }
+
+    /// Places a request if this instance may use as much of the room now.
+    pub(super) fn place_within_part(
+        &mut self,
+        now: Now,
+        ask: PlacementRequest,
+    ) -> Result<Ranking, NotPlaced> {
         let room = self.room_for(now, &ask);
-        let others = self.peer_totals.sums().workspaces.iter();
-        let others = others.filter(|((service, _), _)| *service == ask.service);
-        let others: u64 = others.map(|(_, used)| used.waiting_tokens).sum();
+        let others = self.waiting_elsewhere(&ask.service);
         let draw = self.chance();
         let waiting = &mut self.waiting;
         if room <= 0.0 || !waiting.may_take(now, &ask, room, others as f64, draw) {
@@ -157,6 +174,13 @@
         Ok(ranking)
     }
 
+    /// Returns the tokens that requests of other instances wait for.
+    fn waiting_elsewhere(&mut self, service: &str) -> u64 {
+        let others = self.peer_totals.sums().workspaces.iter();
+        let others = others.filter(|((of, _), _)| of == service);
+        others.map(|(_, used)| used.waiting_tokens).sum()
+    }
+
     /// Returns the free tokens of the engines that have room for a request.
     fn room_for(&mut self, now: Now, ask: &PlacementRequest) -> f64 {
         let limit = self.placement_limit(now, ask);
