--- a/crates/core/src/gateway/gateway_control/rank_headroom.rs
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -2,6 +2,7 @@
 
 use super::GatewayControl;
 use crate::EngineTraits;
+use crate::LoadShare;
 use crate::Now;
 use crate::PlacementRequest;
 
@@ -13,17 +14,15 @@
     /// Returns the fraction of an engine's memory up to which a new request may use it.
     pub fn placement_limit(&mut self, now: Now, ask: &PlacementRequest) -> f64 {
         let limit = self.parameters.memory_limit;
-        let kept_from_first_tries = match self.is_retry(ask) {
+        let kept = match self.is_retry(ask) {
             // A caller that is refused twice is lost.
             true => 0.0,
             false => self.rank_headroom(now, ask) + self.retry_headroom(now, ask),
         };
-        let limit = match kept_from_first_tries > 0.0 {
+        let limit = match kept <= 0.0 || self.leaves_free(now, ask, kept) {
+            true => limit,
             // A request that is larger than the rest may still use an engine that has no load.
-            true => (limit - kept_from_first_tries)
-                .max(self.memory_share(ask))
-                .min(limit),
-            false => limit,
+            false => (limit - kept).max(self.memory_share(ask)).min(limit),
         };
         limit - self.memory_headroom(now, &ask.service)
     }
@@ -54,6 +53,32 @@
         (tokens / engine.memory_tokens.max(1) as f64).min(MAX_HEADROOM * usable)
     }
 
+    /// Returns whether the engines of a service still have a fraction of their memory free on
+    /// average if a request is placed. Others then find that room, though on another engine.
+    fn leaves_free(&self, now: Now, ask: &PlacementRequest, fraction: f64) -> bool {
+        let engines = self.count_serving(now, &ask.service).max(1) as f64;
+        let free = self.mean_free_memory(now, &ask.service);
+        free - self.memory_share(ask) / engines >= fraction
+    }
+
+    /// Returns the mean fraction of the memory of a service's engines that new requests may still
+    /// use.
+    fn mean_free_memory(&self, now: Now, service: &str) -> f64 {
+        let Some(engine) = self.engine_traits(service) else {
+            return 0.0;
+        };
+        let capacity = engine.memory_tokens.max(1) as f64;
+        let own = self.shares();
+        let serving = self.list.serving(now).filter(|r| r.service == service);
+        let free = serving.map(|replica| {
+            let own_tokens = own.get(&replica.id).map_or(0, LoadShare::memory_tokens);
+            let used = own_tokens + self.peers.on(&replica.id).memory_tokens();
+            (self.parameters.memory_limit - used as f64 / capacity).max(0.0)
+        });
+        let free: Vec<f64> = free.collect();
+        free.iter().sum::<f64>() / free.len().max(1) as f64
+    }
+
     /// Returns the number of servers of a service that accept new work.
     pub(super) fn count_serving(&self, now: Now, service: &str) -> usize {
         let serving = self.list.serving(now);
--- a/crates/core/tests/gateway_rank_headroom.rs
+++ b/crates/core/tests/gateway_rank_headroom.rs
@@ -8,6 +8,7 @@
 
 use iristhread_core::GatewayControl;
 use iristhread_core::GatewayParameters;
+use iristhread_core::LoadShare;
 use iristhread_core::PlacementRequest;
 use iristhread_core::RunEnd;
 use rand_core::Rng;
@@ -183,6 +184,40 @@
     assert!(control.rank_headroom(ms(70_000), &long) < 0.005);
 }
 
+/// Loads the engines by a fraction of their memory.
+fn load_engines(control: &mut GatewayControl, now: Duration, engines: &[(&str, f64)]) {
+    let load = |fraction: f64| LoadShare {
+        session_tokens: (MEMORY_TOKENS as f64 * fraction) as u64,
+        ..LoadShare::default()
+    };
+    let shares = engines
+        .iter()
+        .map(|(id, part)| ((*id).to_owned(), load(*part)));
+    control.apply_peer_load(now, told("i2", 1, shares.collect()));
+}
+
+/// While the engines have enough free on average, urgent requests find their room on another engine:
+/// keeping it free on each would only move long streams to engines that serve them worse.
+#[test]
+fn nothing_is_kept_free_while_the_engines_have_room() {
+    let mut control = control(true);
+    for number in 0..200_u64 {
+        let (at, id) = (ms(number * 50), format!("r{number}"));
+        control.place(at, request(&SHORT, &id)).unwrap();
+        control.ended(at + ms(50), &id, RunEnd::Answered);
+    }
+    let (now, long) = (ms(10_000), request(&LONG, "long"));
+    let headroom = control.rank_headroom(now, &long);
+    assert!(headroom > 0.02);
+    load_engines(&mut control, now, &[("e1", 0.98), ("e2", 0.3)]);
+    assert_eq!(control.placement_limit(now, &long), 1.0);
+    // The load of a peer that is silent by then is forgotten.
+    let now = now + ms(4_000);
+    control.tick(now);
+    load_engines(&mut control, now, &ENGINES.map(|id| (id, 0.98)));
+    assert!(control.placement_limit(now, &long) < 1.0);
+}
+
 /// Urgent requests that ask for more than the whole memory leave half of it to the other ranks, and
 /// a request larger than that half may still use an engine without load.
 #[test]
@@ -198,6 +233,7 @@
     let now = ms(20_000);
     let mut largest = request(&LONG, "largest");
     largest.prompt_tokens = 8_000;
+    load_engines(&mut control, now, &[("e1", 0.9), ("e2", 0.9), ("e3", 0.9)]);
     assert_eq!(control.rank_headroom(now, &largest), 0.5);
     assert_eq!(control.placement_limit(now, &request(&LONG, "r")), 0.5);
     assert!(control.place(now, largest).is_ok());
