Split the heartbeat's appended fields and the log of attempts

Change: `append` and `read_appended` hold the appended fields of a heartbeat, `log_failed_attempt` the log line. The encoding and the line are the same.

--- a/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
+++ b/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
@@ -8,8 +8,8 @@
 use crate::gateway::gateway_message::KnownState;
 use crate::gateway::gateway_message::OwnState;
 
-/// Maximum number of workspaces whose memory use is shown: each one adds a time series at the
-/// metrics collector.
+/// Maximum number of workspaces whose memory use the metrics show: each one adds a time series at
+/// the metrics collector.
 const MAX_SHOWN_WORKSPACES: usize = 16;
 
 impl GatewayThread {
@@ -17,17 +17,18 @@
         let now = self.clock.now();
         let is_relay = audience == Audience::Peers { is_relay: true };
         let control = &mut self.control;
-        let (suspects, limits, shares) = match audience {
-            Audience::Own => (Vec::new(), Vec::new(), control.shares()),
+        let (suspects, limits, shares, totals, refused) = match audience {
+            Audience::Own => (
+                Vec::new(),
+                Vec::new(),
+                control.shares(),
+                None,
+                ToldRefusals::default(),
+            ),
             Audience::Peers { .. } => (
                 control.advertised_suspects(now),
                 control.advertised_limits(now, is_relay),
                 control.advertised_shares(now),
-            ),
-        };
-        let (totals, refused) = match audience {
-            Audience::Own => (None, ToldRefusals::default()),
-            Audience::Peers { .. } => (
                 control.advertised_totals(now),
                 control.advertised_refusals(now, is_relay),
             ),
@@ -51,7 +52,8 @@
         }
     }
 
-    /// Sets the gauges of what this instance knows.
+    /// Sets the gauges that are read from the state: versions, numbers of requests and peers, and the
+    /// memory of workspaces.
     pub(super) fn set_gauges(&self) {
         let control = &self.control;
         let (version, revision) = (control.config_version(), control.list().revision());
--- a/crates/daemon/src/peers/fleet_link/receiving.rs
+++ b/crates/daemon/src/peers/fleet_link/receiving.rs
@@ -178,10 +178,8 @@
             }
         }
         let is_zone_sum = heartbeat.digest.is_some();
-        if let Some(totals) = heartbeat
-            .totals
-            .filter(|_| counts_individually || is_zone_sum)
-        {
+        let applies_load = counts_individually || is_zone_sum;
+        if let Some(totals) = heartbeat.totals.filter(|_| applies_load) {
             self.control.tell(GatewayMessage::TotalsReceived {
                 totals: AdvertisedTotals {
                     instance: heartbeat.instance.clone(),
@@ -191,7 +189,7 @@
                 },
             });
         }
-        if counts_individually || is_zone_sum {
+        if applies_load {
             self.control.tell(GatewayMessage::PeerMessageReceived {
                 told: AdvertisedLoads {
                     instance: heartbeat.instance,
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -192,22 +192,7 @@
         let unreadable = |_| HeartbeatFault::Unreadable;
         let (mut heartbeat, appended): (Heartbeat, &[u8]) =
             postcard::take_from_bytes(&self.body).map_err(unreadable)?;
-        if appended.is_empty() {
-            return Ok(heartbeat);
-        }
-        let (cut_off, appended) = postcard::take_from_bytes(appended).map_err(unreadable)?;
-        heartbeat.cut_off = cut_off;
-        if appended.is_empty() {
-            return Ok(heartbeat);
-        }
-        let (totals, appended) = postcard::take_from_bytes(appended).map_err(unreadable)?;
-        heartbeat.totals = Some(totals);
-        if appended.is_empty() {
-            return Ok(heartbeat);
-        }
-        let after: AfterTotals = postcard::from_bytes(appended).map_err(unreadable)?;
-        heartbeat.totals = heartbeat.totals.filter(|_| after.carries_totals);
-        heartbeat.refused = after.refused;
+        heartbeat.read_appended(appended).map_err(unreadable)?;
         Ok(heartbeat)
     }
 }
@@ -216,22 +201,51 @@
     /// Encodes and signs the heartbeat; `None` only if the encoder fails.
     pub fn seal(&self, keyring: &Keyring) -> Option<SealedHeartbeat> {
         let mut body = postcard::to_allocvec(self).ok()?;
+        self.append(&mut body).ok()?;
+        let tag = keyring.sign(PURPOSE, &body);
+        Some(SealedHeartbeat { tag, body })
+    }
+
+    /// Appends the fields that instances of earlier versions don't know, up to the last one that is
+    /// not empty.
+    fn append(&self, body: &mut Vec<u8>) -> postcard::Result<()> {
         let has_refused = !self.refused.is_empty();
-        if !self.cut_off.is_empty() || self.totals.is_some() || has_refused {
-            body.extend(postcard::to_allocvec(&self.cut_off).ok()?);
+        let has_totals = self.totals.is_some();
+        if !self.cut_off.is_empty() || has_totals || has_refused {
+            body.extend(postcard::to_allocvec(&self.cut_off)?);
         }
-        if self.totals.is_some() || has_refused {
+        if has_totals || has_refused {
             let totals = self.totals.clone().unwrap_or_default();
-            body.extend(postcard::to_allocvec(&totals).ok()?);
+            body.extend(postcard::to_allocvec(&totals)?);
         }
         if has_refused {
             let after = AfterTotals {
-                carries_totals: self.totals.is_some(),
+                carries_totals: has_totals,
                 refused: self.refused.clone(),
             };
-            body.extend(postcard::to_allocvec(&after).ok()?);
+            body.extend(postcard::to_allocvec(&after)?);
         }
-        let tag = keyring.sign(PURPOSE, &body);
-        Some(SealedHeartbeat { tag, body })
+        Ok(())
+    }
+
+    /// Reads the fields that [`append`](Self::append) wrote; those of an earlier version end sooner.
+    fn read_appended(&mut self, appended: &[u8]) -> postcard::Result<()> {
+        if appended.is_empty() {
+            return Ok(());
+        }
+        let (cut_off, appended) = postcard::take_from_bytes(appended)?;
+        self.cut_off = cut_off;
+        if appended.is_empty() {
+            return Ok(());
+        }
+        let (totals, appended) = postcard::take_from_bytes(appended)?;
+        self.totals = Some(totals);
+        if appended.is_empty() {
+            return Ok(());
+        }
+        let after: AfterTotals = postcard::from_bytes(appended)?;
+        self.totals = self.totals.take().filter(|_| after.carries_totals);
+        self.refused = after.refused;
+        Ok(())
     }
 }
--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -130,16 +130,8 @@
         } = attempt(exchange, replica, repeatable).await;
         attempts += 1;
         if result != SendResult::Answered {
-            info!(app.log, "attempt failed";
-                "request" => &exchange.head.request,
-                "content" => exchange.fingerprint.to_string(),
-                "route" => &exchange.route.name,
-                "service" => &exchange.service,
-                "backend_server" => &replica.id,
-                "attempt" => attempts,
-                "max_attempts" => exchange.route.max_attempts,
-                "result" => result.as_str(),
-                "status" => answer.as_ref().map(|answer| answer.status.as_u16()));
+            let status = answer.as_ref().map(|answer| answer.status);
+            log_failed_attempt(exchange, replica, attempts, result, status);
         }
         app.metrics.tried(result.as_str());
         guard.set_end(end);
@@ -149,6 +141,25 @@
     }
 }
 
+fn log_failed_attempt(
+    exchange: &Exchange,
+    replica: &Replica,
+    attempt: u32,
+    result: SendResult,
+    status: Option<StatusCode>,
+) {
+    info!(exchange.app.log, "attempt failed";
+        "request" => &exchange.head.request,
+        "content" => exchange.fingerprint.to_string(),
+        "route" => &exchange.route.name,
+        "service" => &exchange.service,
+        "backend_server" => &replica.id,
+        "attempt" => attempt,
+        "max_attempts" => exchange.route.max_attempts,
+        "result" => result.as_str(),
+        "status" => status.map(|status| status.as_u16()));
+}
+
 async fn attempt(exchange: &Exchange, replica: &Replica, repeatable: bool) -> AttemptResult {
     let by = exchange.attempt_deadline(repeatable);
     let sent = exchange.send(replica, None, None, by).await;
