Keep all families of gateway metrics in one folder

Cause: of five modules with metrics of the gateway two stood in `gateway_metrics` and three beside it. `log_decision` also counted and notified the other instances, and dispatched on a result that its callers had just taken apart. The Retry-After of a stopping instance stood twice, and a request with an ID in use was refused with it too.

Change: all modules are in `gateway_metrics`. `report_placement` and `report_refusal` count, notify and call functions that only log. `waits_ended` is `report_ended_waits`, `wait` is `enqueue`. The constant stands once; the refusal of an ID in use has its own with the same value. Comments and settings say what they did not: why the other instances learn of a refusal at once, what the bounds of Retry-After cover, and that `max_waiting` of 0 refuses at once.

Result: behaviour, names of metrics and log lines are the same.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -58,10 +58,7 @@
 pub(crate) mod gateway_settings;
 pub(crate) mod gateway_thread;
 pub(crate) mod gateway_views;
-pub(crate) mod move_metrics;
 pub(crate) mod operator_routes;
-pub(crate) mod retry_metrics;
-pub(crate) mod speed_metrics;
 
 /// Maximum size in bytes of an answer that the client reads as a whole.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -15,14 +15,16 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::gateway::move_metrics::MoveMetrics;
-use crate::gateway::retry_metrics::RetryMetrics;
-use crate::gateway::speed_metrics::SpeedMetrics;
-
 mod admission_metrics;
+mod move_metrics;
+mod retry_metrics;
 mod server_metrics;
+mod speed_metrics;
 
 use admission_metrics::AdmissionMetrics;
+use move_metrics::MoveMetrics;
+use retry_metrics::RetryMetrics;
+use speed_metrics::SpeedMetrics;
 
 /// Bucket bounds of the histograms, in seconds. They cover the latency objectives of requests
 /// (0.1 to 1.8 s) and the longest allowed pause of a stream (0.18 s).
@@ -283,7 +285,7 @@
         self.moves.get_or_create(&Kind { kind }).inc();
     }
 
-    /// Returns the gauges of the room that is kept for moves.
+    /// Returns the gauges of the memory kept free for moves.
     pub fn moves_room(&self) -> &MoveMetrics {
         &self.moves_room
     }
--- a/crates/daemon/src/gateway/move_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics/move_metrics.rs
@@ -1,11 +1,11 @@
-//! Gauges of the room that is kept for sessions that must move.
+//! Gauges of the memory that is kept free for sessions that must move.
 
 use std::sync::atomic::AtomicU64;
 
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-/// Gauges of the room that is kept for moves.
+/// Gauges of the memory kept free for moves, and of the sessions that need it.
 #[derive(Debug, Default)]
 pub struct MoveMetrics {
     headroom: Gauge<f64, AtomicU64>,
@@ -13,7 +13,6 @@
 }
 
 impl MoveMetrics {
-    /// Registers the gauges.
     pub(super) fn register(&self, registry: &mut Registry) {
         registry.register(
             "move_headroom",
--- a/crates/daemon/src/gateway/retry_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics/retry_metrics.rs
@@ -7,12 +7,13 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-use crate::gateway::gateway_metrics::Kind;
+use super::Kind;
 
-/// Bucket bounds of Retry-After, in seconds: from the shortest that is told to a third of a minute.
+/// Bucket bounds of Retry-After, in seconds: from 0.1 s, which an instance that stops tells, to 20 s,
+/// a third of a time-out of one minute.
 const RETRY_BOUNDS_S: [f64; 9] = [0.1, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0, 13.0, 20.0];
 
-/// Refusals by try, and what their callers were told.
+/// Refusals by whether the request was a retry, and the Retry-After that callers were told.
 #[derive(Debug)]
 pub struct RetryMetrics {
     refused: Family<Kind, Counter>,
@@ -29,8 +30,7 @@
 }
 
 impl RetryMetrics {
-    /// Adds the metrics to a registry.
-    pub fn register(&self, registry: &mut Registry) {
+    pub(super) fn register(&self, registry: &mut Registry) {
         let refused = self.refused.clone();
         registry.register("refused_tries", "Refusals by first try or retry", refused);
         let told = self.retry_after.clone();
--- a/crates/daemon/src/gateway/speed_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics/speed_metrics.rs
@@ -5,7 +5,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
-/// Gauges of the speed of backend servers. A family by server would grow with their number.
+/// Gauges of the speed of backend servers. They have no label for the server, since each server
+/// would add time series at the metrics collector.
 #[derive(Debug, Default)]
 pub struct SpeedMetrics {
     fastest: Gauge<f64, AtomicU64>,
@@ -14,8 +15,7 @@
 }
 
 impl SpeedMetrics {
-    /// Registers the gauges.
-    pub fn register(&self, registry: &mut Registry) {
+    pub(super) fn register(&self, registry: &mut Registry) {
         let fastest = self.fastest.clone();
         registry.register("fastest_relative_time", "Of the fastest server", fastest);
         let slowest = self.slowest.clone();
--- a/crates/daemon/src/gateway/gateway_settings.rs
+++ b/crates/daemon/src/gateway/gateway_settings.rs
@@ -66,7 +66,7 @@
     pub copy_limit: f64,
     /// Minimum number of expected tokens for which a session gets a backup.
     pub least_copied_tokens: u32,
-    /// Whether the speed of backend servers is learnt and counts when one is chosen.
+    /// Whether the speed of backend servers is learned and counts when one is chosen.
     pub learn_speeds: bool,
     /// Relative difference in speed up to which backend servers count as equally fast.
     pub speed_tolerance: f64,
@@ -74,9 +74,10 @@
     pub move_reserve: f64,
     /// Whether memory is kept free for requests of a more urgent rank.
     pub rank_reserve: bool,
-    /// Maximum number of requests that wait for room.
+    /// Maximum number of requests that wait for room; with 0 they are refused at once.
     pub max_waiting: usize,
-    /// Whether refused callers are told the time at which room is expected.
+    /// Whether the Retry-After of refusals for lack of memory follows from a forecast of room, and
+    /// retries find room before first tries.
     pub forecast_retry_after: bool,
 }
 
--- a/crates/daemon/src/gateway/gateway_thread/admission.rs
+++ b/crates/daemon/src/gateway/gateway_thread/admission.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use iristhread_core::Now;
 use iristhread_core::PlacementAdmission;
 use iristhread_core::PlacementRequest;
 use iristhread_core::Refusal;
@@ -18,7 +19,6 @@
 use super::waiting::AskedLimits;
 use super::waiting::AskedRequest;
 use super::waiting::EndedWait;
-use super::waiting::STOPPING_RETRY_AFTER;
 use super::waiting::WaitEnd;
 use super::waiting::WaitingRequest;
 use crate::gateway::gateway_message::GatewayMessage;
@@ -32,6 +32,10 @@
 /// reports arrive several hundred times a second.
 const MIN_CHECK_GAP: Duration = Duration::from_millis(5);
 
+/// Retry-After of a request whose ID another waiting request has. It is short, since that one may
+/// end at any time.
+const DUPLICATE_ID_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 impl GatewayThread {
     /// Answers a placement request, or keeps its reply channel until there is room.
     pub(super) fn place(
@@ -41,17 +45,8 @@
         reply: oneshot::Sender<Placed>,
     ) {
         let now = self.clock.now();
-        let asked = AskedRequest {
-            request: ask.request.clone(),
-            fingerprint: ask.fingerprint,
-            level: ask.level.clone(),
-            limits: AskedLimits {
-                memory_limit: self.control.placement_limit(now, &ask),
-                rank_headroom: self.control.rank_headroom(now, &ask),
-                is_retry: self.control.is_retry(&ask),
-            },
-            is_session: ask.class == RequestClass::Stream,
-        };
+        // The limits that the log states are those before the request itself counts as demand.
+        let asked = self.describe(now, &ask);
         let admission = match self.waiting.contains(&ask.request) {
             true => PlacementAdmission::Refused(already_waiting()),
             false => self.control.admit(now, ask.clone()),
@@ -59,7 +54,7 @@
         self.notify_demand_update();
         match admission {
             PlacementAdmission::Placed(ranking) => {
-                self.log_decision(&asked, None, Ok(&ranking));
+                self.report_placement(&asked, None, &ranking);
                 let request = asked.request;
                 self.signals.insert(request.clone(), signals);
                 if reply.send(Placed::Ranked(ranking)).is_err() {
@@ -68,7 +63,7 @@
                 }
             }
             PlacementAdmission::Refused(refusal) => {
-                self.log_decision(&asked, None, Err(&refusal));
+                self.report_refusal(&asked, None, &refusal);
                 // Fails if the caller has disconnected.
                 let _ = reply.send(Placed::Refused(refusal));
             }
@@ -80,14 +75,28 @@
                     since: now,
                     until,
                 };
-                self.wait(&ask, waiting);
+                self.enqueue(now, &ask, waiting);
             }
         }
     }
 
-    fn wait(&mut self, ask: &PlacementRequest, waiting: WaitingRequest) {
+    /// Returns the values of a request that log lines about its admission contain.
+    fn describe(&mut self, now: Now, ask: &PlacementRequest) -> AskedRequest {
+        AskedRequest {
+            request: ask.request.clone(),
+            fingerprint: ask.fingerprint,
+            level: ask.level.clone(),
+            limits: AskedLimits {
+                memory_limit: self.control.placement_limit(now, ask),
+                rank_headroom: self.control.rank_headroom(now, ask),
+                is_retry: self.control.is_retry(ask),
+            },
+            is_session: ask.class == RequestClass::Stream,
+        }
+    }
+
+    fn enqueue(&mut self, now: Now, ask: &PlacementRequest, waiting: WaitingRequest) {
         let (asked, until) = (waiting.asked.clone(), waiting.until);
-        let now = self.clock.now();
         let refused = self.waiting.add(now, &mut self.control, waiting);
         if refused.is_none() {
             let forecast = self.control.room_forecast(now, ask);
@@ -100,7 +109,7 @@
                 "wait_until_ms" => until.saturating_sub(now).as_millis() as u64,
                 "waiting" => self.waiting.count());
         }
-        self.waits_ended(refused.into_iter().collect());
+        self.report_ended_waits(refused.into_iter().collect());
     }
 
     /// Answers the waiting requests about which a decision can be made now.
@@ -114,7 +123,7 @@
         if !ended.is_empty() {
             self.notify_demand_update();
         }
-        self.waits_ended(ended);
+        self.report_ended_waits(ended);
     }
 
     /// Checks the waiting requests after a message that may have made room, unless that was done a
@@ -131,26 +140,27 @@
         let now = self.clock.now();
         let withdrawn = self.waiting.withdraw(now, &mut self.control, request);
         let was_waiting = withdrawn.is_some();
-        self.waits_ended(withdrawn.into_iter().collect());
+        self.report_ended_waits(withdrawn.into_iter().collect());
         was_waiting
     }
 
     /// Refuses all waiting requests, because a planned stop has begun.
     pub(super) fn stop_waiting(&mut self) {
         let ended = self.waiting.stop(self.clock.now(), &mut self.control);
-        self.waits_ended(ended);
+        self.report_ended_waits(ended);
     }
 
-    fn waits_ended(&mut self, ended: Vec<EndedWait>) {
+    /// Logs and counts ended waits, and keeps the signal channels of the placed requests.
+    fn report_ended_waits(&mut self, ended: Vec<EndedWait>) {
         for EndedWait { asked, waited, end } in ended {
             let label = match end {
                 WaitEnd::Placed { ranking, signals } => {
-                    self.log_decision(&asked, Some(waited), Ok(&ranking));
+                    self.report_placement(&asked, Some(waited), &ranking);
                     self.signals.insert(asked.request, signals);
                     "placed"
                 }
                 WaitEnd::Refused(refusal) => {
-                    self.log_decision(&asked, Some(waited), Err(&refusal));
+                    self.report_refusal(&asked, Some(waited), &refusal);
                     "refused"
                 }
                 WaitEnd::Withdrawn { was_placed } => {
@@ -171,7 +181,8 @@
     }
 }
 
-/// Whether a message may make room for a waiting request, or end its wait. Queries change nothing.
+/// Whether a message may make room for a waiting request, or end its wait. Requests for a decision
+/// or for the state make no room.
 pub(super) fn may_end_wait(message: &GatewayMessage) -> bool {
     !matches!(
         message,
@@ -185,8 +196,8 @@
     )
 }
 
-/// Refuses a request while another one with its ID waits: their answers would be mixed up.
+/// The refusal of a request while another one with its ID waits: their answers would be mixed up.
 fn already_waiting() -> Refusal {
     let message = "a request with this id is waiting already";
-    Refusal::new(RefusalKind::QueueFull, STOPPING_RETRY_AFTER, message)
+    Refusal::new(RefusalKind::QueueFull, DUPLICATE_ID_RETRY_AFTER, message)
 }
--- a/crates/daemon/src/gateway/gateway_thread/decision_log.rs
+++ b/crates/daemon/src/gateway/gateway_thread/decision_log.rs
@@ -1,4 +1,4 @@
-//! Log lines about the admission of requests.
+//! Reports placements and refusals of requests: in the log, in metrics, and to the other instances.
 
 use std::time::Duration;
 
@@ -33,26 +33,23 @@
 }
 
 impl GatewayThread {
-    /// Logs and counts a decision about a request. `waited` is the time for which it waited for
-    /// room, if it did.
-    pub(super) fn log_decision(
+    /// Reports that a request was placed. `waited` is the time for which it waited for room, if it
+    /// did.
+    pub(super) fn report_placement(
         &self,
         asked: &AskedRequest,
         waited: Option<Duration>,
-        decision: Result<&Ranking, &Refusal>,
+        ranking: &Ranking,
     ) {
-        match decision {
-            Ok(ranking) => self.log_placement(asked, waited, ranking),
-            Err(refusal) => self.log_refusal(asked, waited, refusal),
-        }
-    }
-
-    fn log_placement(&self, asked: &AskedRequest, waited: Option<Duration>, ranking: &Ranking) {
         self.count_skipped(ranking);
         if asked.is_session {
             // The other instances must not choose the same engine.
             self.immediate_heartbeat.notify_one();
         }
+        self.log_placement(asked, waited, ranking);
+    }
+
+    fn log_placement(&self, asked: &AskedRequest, waited: Option<Duration>, ranking: &Ranking) {
         let message = match waited {
             Some(_) => "request placed from the queue",
             None => "backend server chosen",
@@ -70,16 +67,26 @@
             "list_revision" => %self.control.list().revision());
     }
 
-    /// Other instances learn at once that a content was refused for lack of memory, since its
-    /// caller may come back to any of them.
-    fn log_refusal(&self, asked: &AskedRequest, waited: Option<Duration>, refusal: &Refusal) {
+    /// Reports that a request was refused. `waited` is the time for which it waited for room, if it
+    /// did.
+    pub(super) fn report_refusal(
+        &self,
+        asked: &AskedRequest,
+        waited: Option<Duration>,
+        refusal: &Refusal,
+    ) {
         self.metrics.refused(refusal.kind.as_str());
         let retries = self.metrics.retries();
         retries.refused(asked.limits.is_retry);
         retries.told(refusal.retry_after);
         if refusal.room.is_some() {
+            // The content was refused for lack of memory: its caller may retry at any instance.
             self.immediate_heartbeat.notify_one();
         }
+        self.log_refusal(asked, waited, refusal);
+    }
+
+    fn log_refusal(&self, asked: &AskedRequest, waited: Option<Duration>, refusal: &Refusal) {
         let forecast = refusal.room.and_then(|room| room.after);
         info!(self.log, "request refused";
             asked.clone(),
--- a/crates/daemon/src/gateway/gateway_thread/refusals.rs
+++ b/crates/daemon/src/gateway/gateway_thread/refusals.rs
@@ -17,6 +17,7 @@
         let now = self.clock.now();
         let retry_after = self.control.caller_retry_after(now, ask, otherwise);
         if !was_retry && self.control.is_retry(ask) {
+            // The content was refused for lack of memory: its caller may retry at any instance.
             self.immediate_heartbeat.notify_one();
         }
         self.metrics.retries().told(retry_after);
--- a/crates/daemon/src/gateway/gateway_thread/waiting.rs
+++ b/crates/daemon/src/gateway/gateway_thread/waiting.rs
@@ -21,7 +21,7 @@
 
 /// Retry-After of requests that are refused because the instance stops. It is short, since the load
 /// balancer knows other instances.
-pub(super) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
+pub(crate) const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Retry-After of a request that waited in vain and for which no other time is known: approximately
 /// the time until a session ends.
--- a/crates/daemon/src/relaying/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -34,6 +34,7 @@
 use crate::gateway::gateway_message::GatewayMessage;
 use crate::gateway::gateway_message::Placed;
 use crate::gateway::gateway_message::Resend;
+use crate::gateway::gateway_thread::waiting::STOPPING_RETRY_AFTER;
 use crate::relaying::answer_timeout;
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
@@ -46,10 +47,6 @@
 use crate::relaying::wire_protocol::ResumePoint;
 use crate::relaying::wire_protocol::SendParameters;
 
-/// Retry-After while the process stops. It is short, since the load balancer knows another
-/// instance.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(100);
-
 /// An attempt of a repeatable request is abandoned after this many times its latency objective,
 /// so that a second attempt is still useful.
 const ATTEMPT_OBJECTIVES: u32 = 2;
