End the running request when another one with its ID waits

Cause: the end of a request withdrew a waiting one of the same ID, and the load of the running one stayed; found by reading. Change: a running request is ended first. Result: clippy clean; no test brings it about. A caller that repeats an ID and leaves before its refusal still withdraws the waiting one: open.

--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -367,6 +367,11 @@
         self.peers.count()
     }
 
+    /// Returns whether a request of this instance is in progress.
+    pub fn is_running(&self, request: &str) -> bool {
+        self.runs.contains_key(request)
+    }
+
     /// Returns the number of requests of this instance in progress.
     pub fn running(&self) -> usize {
         self.runs.len()
--- a/crates/daemon/src/gateway/gateway_thread/sessions.rs
+++ b/crates/daemon/src/gateway/gateway_thread/sessions.rs
@@ -19,7 +19,9 @@
     }
 
     pub(super) fn ended(&mut self, request: &str, end: RunEnd) {
-        if self.withdraw_waiting(request) {
+        // A running request goes first: another one with its ID may wait, and the load of the
+        // running one must not stay.
+        if !self.control.is_running(request) && self.withdraw_waiting(request) {
             return;
         }
         self.signals.remove(request);
