Compute load and memory of engines in one place

Cause: five files summed up the load of this instance and its peers on an engine, three computed the memory of a service, two the period in which retries are due, and two the tokens that a request holds. `place_waiting`, `may_take` and `ServerSpeeds::update` were long.

Ruled out: joining the rates of freed memory in `RankDemand` and `RoomForecast`. They differ in window, in the count of retries and refused runs, and in their minimum, so that joining them changes decisions. Their comments say how they differ.

No decision changes. Some comments of the same files are reworded.

No test was added, since no behavior changed.

--- a/crates/core/src/directory/replica_view.rs
+++ b/crates/core/src/directory/replica_view.rs
@@ -187,8 +187,7 @@
     let mut memory = 0.0;
     if let Some(engine) = context.engine {
         let capacity = engine.memory_tokens.max(1) as f64;
-        let prompt = f64::from(context.ask.prompt_tokens + context.ask.likely_tokens() / 2);
-        memory = (load.memory_tokens() as f64 + prompt) / capacity;
+        memory = (load.memory_tokens() as f64 + context.ask.memory_tokens()) / capacity;
         cost += memory + load.unread_tokens as f64 / capacity * UNREAD_COST;
     }
     let speed = &context.speed;
--- a/crates/core/src/gateway/gateway_control/move_room.rs
+++ b/crates/core/src/gateway/gateway_control/move_room.rs
@@ -75,7 +75,8 @@
 }
 
 impl GatewayControl {
-    /// Returns the share of the memory of a service's engines that is kept for moves.
+    /// Returns the share of the memory of a service's engines that new sessions may not use, because
+    /// it is kept for moves.
     pub fn memory_headroom(&mut self, now: Now, service: &str) -> f64 {
         self.move_headroom(now, service).share
     }
@@ -92,8 +93,8 @@
             .collect()
     }
 
-    /// Returns those of `headrooms` that differ much from what was returned last, so that
-    /// they are worth a log line.
+    /// Returns those of `headrooms` to log: those that differ by more than a tenth of the memory from
+    /// what was returned last.
     pub fn changed_headrooms(
         &mut self,
         now: Now,
@@ -172,8 +173,7 @@
         }
         let own = self.shares();
         for (id, service) in left {
-            let own_tokens = own.get(&id).map_or(0, |share| share.session_tokens);
-            let tokens = own_tokens + self.peers.on(&id).session_tokens;
+            let tokens = self.total_load(&own, &id).session_tokens;
             self.move_room.demand.departed(now, &service, tokens);
         }
     }
@@ -239,20 +239,17 @@
             service: service.to_owned(),
             ..MoveHeadroom::default()
         };
-        let table = self.table.clone().filter(|_| self.keeps_move_room());
-        let config = table.as_ref().and_then(|t| t.config().service(service));
-        let Some(engine) = config.and_then(|config| config.engine.as_ref()) else {
+        if !self.keeps_move_room() || self.engine_traits(service).is_none() {
             return headroom;
-        };
-        let serving = self.list.serving(now);
-        headroom.engines = serving.filter(|r| r.service == service).count();
+        }
+        headroom.engines = self.count_serving(now, service);
         headroom.needed_tokens = self.move_room.demand.needed(now, service);
         let peer_claims = self.peer_totals.sums().seeking_tokens.get(service).copied();
         let own_claims = self.own_claims().get(service).copied();
         headroom.claimed_tokens = peer_claims
             .unwrap_or_default()
             .saturating_add(own_claims.unwrap_or_default());
-        let memory = (headroom.engines as f64 * engine.memory_tokens as f64).max(1.0);
+        let memory = self.service_memory(now, service).max(1) as f64;
         let reserved = headroom.needed_tokens * self.parameters.move_reserve / memory;
         let reserved = reserved.min(self.parameters.memory_limit * MAX_RESERVED);
         headroom.share = reserved + headroom.claimed_tokens as f64 / memory;
--- a/crates/core/src/gateway/gateway_control/ranking.rs
+++ b/crates/core/src/gateway/gateway_control/ranking.rs
@@ -5,7 +5,6 @@
 use rand_core::Rng;
 
 use super::GatewayControl;
-use crate::LoadShare;
 use crate::Now;
 use crate::PlacementRequest;
 use crate::Replica;
@@ -90,8 +89,7 @@
             if pause.is_backing_off(now) && !all_paused {
                 continue;
             }
-            let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
-            load.add(&self.peers.on(&replica.id));
+            let load = self.total_load(&own, &replica.id);
             let context = ScoreContext {
                 now,
                 zone,
--- a/crates/core/src/gateway/gateway_control/retry_time.rs
+++ b/crates/core/src/gateway/gateway_control/retry_time.rs
@@ -16,14 +16,12 @@
 use crate::RoomForecast;
 use crate::RunEnd;
 use crate::ToldRefusals;
-use crate::gateway::room_forecast::PLACE_MARGIN;
-use crate::gateway::room_forecast::RESERVED_AHEAD;
 
 /// Maximum fraction of the memory of a service that is kept free for retries: if more is due, first
 /// tries compete with them, so that new callers are still served.
 const MAX_RETRY_HEADROOM: f64 = 0.2;
 
-/// State behind retry times.
+/// What this instance knows of refused requests and of the room for their retries.
 #[derive(Debug, Default)]
 pub(super) struct Retries {
     room: RoomForecast,
@@ -99,7 +97,7 @@
         }
     }
 
-    /// Records that a request was placed: if it is a retry, it is over.
+    /// Records that a request was placed. Its content counts as refused no more.
     pub(super) fn note_placed(&mut self, ask: &PlacementRequest) {
         self.retries.refused.served(ask.fingerprint);
     }
@@ -118,38 +116,30 @@
         self.retries.refused.expire(now);
     }
 
-    /// Returns the fraction of the memory that a request leaves free for the retries of its rank and
-    /// more urgent ones that are due soon; 0 for a retry.
+    /// Returns the fraction of the memory that a request leaves free for the retries of its rank
+    /// and more urgent ones that are due soon; 0 for a retry.
     pub(super) fn retry_headroom(&self, now: Now, ask: &PlacementRequest) -> f64 {
         if !self.parameters.forecast_retry_after || self.is_retry(ask) {
             return 0.0;
         }
-        let (from, to) = (now.saturating_sub(PLACE_MARGIN), now + RESERVED_AHEAD);
+        let (from, to) = RoomForecast::due_period(now);
         let due_elsewhere = self.retries.refused.count_due_elsewhere(from, to);
         let due = self.retries.room.due_tokens(now, ask, due_elsewhere);
-        match self.memory_tokens(now, &ask.service) {
+        match self.service_memory(now, &ask.service) {
             0 => 0.0,
             memory => (due as f64 / memory as f64).min(MAX_RETRY_HEADROOM),
         }
     }
 
-    /// Returns the memory of all engines of a service, in tokens.
-    fn memory_tokens(&self, now: Now, service: &str) -> u64 {
-        let table = self.table.as_ref();
-        let listed = table.and_then(|table| table.config().service(service));
-        let Some(engine) = listed.and_then(|service| service.engine.as_ref()) else {
-            return 0;
-        };
-        let engines = self.list.serving(now).filter(|r| r.service == service);
-        engine.memory_tokens * engines.count() as u64
-    }
-
-    /// Determines when the caller of a refused request should come back, and keeps its place.
+    /// Determines when the caller of a refused request should come back, and keeps its place in
+    /// the order of retries.
     fn reserve_retry(&mut self, now: Now, ask: &PlacementRequest) -> (Duration, ExpectedRoom) {
         let chance = self.chance();
         let instances = self.peers.count() + 1;
         let Retries { room, refused } = &mut self.retries;
-        let waiting_elsewhere = refused.count_due_elsewhere(now, Now::MAX / 2);
+        // Half, so that margins can be added without overflow.
+        let any_time = Now::MAX / 2;
+        let waiting_elsewhere = refused.count_due_elsewhere(now, any_time);
         let expected = room.expected(now, ask, waiting_elsewhere, instances);
         let retry_after = room.retry_after(now, ask, expected, chance);
         room.refused(now, ask, retry_after);
--- a/crates/core/src/gateway/gateway_control/speeds.rs
+++ b/crates/core/src/gateway/gateway_control/speeds.rs
@@ -20,18 +20,19 @@
 use crate::servers::run_timings::RunTimings;
 use crate::servers::run_timings::Timed;
 
+/// Instances that advertise their timings of a server, on average, if all have some: enough that
+/// the noise of each matters little. With all of them, the heartbeats of a large fleet would be
+/// longer than needed.
+const ADVERTISERS_OF_SERVER: usize = 4;
+
 /// Speed of the backend servers, and the requests that are being timed. Empty unless the settings
-/// say that speeds are learnt.
+/// say that speeds are learned.
 #[derive(Debug, Default)]
 pub(super) struct SpeedLearning {
     pub(super) servers: ServerSpeeds,
     pub(super) runs: RunTimings,
 }
 
-/// Instances that advertise their timings of a server, on average, if all have some: enough that the
-/// noise of each matters little. All of them would make the heartbeats of a large fleet longer than needed.
-const ADVERTISERS_OF_SERVER: usize = 4;
-
 impl GatewayControl {
     /// Returns what is known of the speed of the backend servers.
     pub fn speeds(&self) -> &ServerSpeeds {
@@ -126,9 +127,7 @@
     }
 
     fn is_engine(&self, service: &str) -> bool {
-        let table = self.table.as_ref();
-        let service = table.and_then(|table| table.config().service(service));
-        service.is_some_and(|service| service.engine.is_some())
+        self.engine_traits(service).is_some()
     }
 
     /// Learns from what was timed since the last update.
@@ -139,8 +138,7 @@
         }
         let own = self.shares();
         let listed = self.list.listed().map(|replica| {
-            let mut load = own.get(&replica.id).copied().unwrap_or_default();
-            load.add(&self.peers.on(&replica.id));
+            let load = self.total_load(&own, &replica.id);
             ServerLoad {
                 server: replica.server_life(),
                 service: replica.service.clone(),
--- a/crates/core/src/gateway/gateway_control/waiting.rs
+++ b/crates/core/src/gateway/gateway_control/waiting.rs
@@ -6,7 +6,6 @@
 use super::Admission;
 use super::GatewayControl;
 use super::admission::NotPlaced;
-use crate::LoadShare;
 use crate::Now;
 use crate::PlacementRequest;
 use crate::Ranking;
@@ -21,31 +20,33 @@
 use crate::WorkspaceUse;
 use crate::workspace_of;
 
-/// What decides on the engines and the memory that a request may use, besides its size.
+/// What decides on the engines and the memory that a request may use, besides its size. Retries may
+/// use more than others, but are tried before them.
 type Kind = (RequestRank, Option<BTreeSet<RegionId>>);
 
+/// Least size, in tokens, for which there is no room.
+type TooLarge = BTreeMap<Kind, f64>;
+
 fn kind_of(ask: &PlacementRequest) -> Kind {
     (ask.level.rank, ask.homes.clone())
 }
 
 impl GatewayControl {
     /// Returns the memory by service and workspace of the requests of this instance, as advertised
-    /// to the others. It is empty while no instance has requests that wait, when nobody needs it.
+    /// to the others. It is empty while no instance has requests that wait, since only they are
+    /// ordered by it.
     pub(super) fn own_workspaces(&mut self) -> BTreeMap<(String, WorkspaceId), WorkspaceUse> {
         if self.parameters.max_waiting == 0 {
             return BTreeMap::new();
         }
         let mut others = self.peer_totals.sums().workspaces.values();
-        let is_contended = others.any(|used| used.waiting_tokens > 0) || self.waiting.count() > 0;
-        if !is_contended {
+        let waits_elsewhere = others.any(|used| used.waiting_tokens > 0);
+        if !waits_elsewhere && self.waiting.count() == 0 {
             return BTreeMap::new();
         }
         let mut uses: BTreeMap<(String, WorkspaceId), WorkspaceUse> = BTreeMap::new();
-        for run in self
-            .runs
-            .values()
-            .filter(|run| run.ask.memory_tokens() > 0.0)
-        {
+        let runs = self.runs.values();
+        for run in runs.filter(|run| run.ask.memory_tokens() > 0.0) {
             let key = (run.ask.service.clone(), workspace_of(&run.ask).to_owned());
             uses.entry(key).or_default().running_tokens += run.memory_tokens();
         }
@@ -93,17 +94,8 @@
         decided: &mut Vec<(RequestId, Admission)>,
     ) {
         let mut shares = self.workspace_shares(now, service);
-        // Least size for which there is no room, by rank and home regions.
-        let mut too_large: BTreeMap<Kind, f64> = BTreeMap::new();
-        loop {
-            let ordered = self.waiting.ordered(service, &shares);
-            let next = ordered.into_iter().find(|waiting| {
-                let least = too_large.get(&kind_of(&waiting.ask));
-                least.is_none_or(|least| waiting.ask.memory_tokens() < *least)
-            });
-            let Some(ask) = next.map(|waiting| waiting.ask.clone()) else {
-                return;
-            };
+        let mut too_large = TooLarge::new();
+        while let Some(ask) = self.next_to_try(service, &shares, &too_large) {
             let (kind, size) = (kind_of(&ask), ask.memory_tokens());
             let request = ask.request.clone();
             let workspace = workspace_of(&ask).to_owned();
@@ -125,6 +117,21 @@
         }
     }
 
+    /// Returns the first waiting request that may fit beside those that were found too large.
+    fn next_to_try(
+        &self,
+        service: &str,
+        shares: &WorkspaceShares,
+        too_large: &TooLarge,
+    ) -> Option<PlacementRequest> {
+        let ordered = self.waiting.ordered(service, shares);
+        let next = ordered.into_iter().find(|waiting| {
+            let least = too_large.get(&kind_of(&waiting.ask));
+            least.is_none_or(|least| waiting.ask.memory_tokens() < *least)
+        });
+        next.map(|waiting| waiting.ask.clone())
+    }
+
     /// Refuses the waiting requests whose content is quarantined by now.
     pub(super) fn refuse_quarantined(
         &mut self,
@@ -189,11 +196,8 @@
         };
         let capacity = engine.memory_tokens.max(1) as f64;
         let own = self.shares();
-        let serving = self.list.serving(now).filter(|r| r.service == ask.service);
-        let free = serving.map(|replica| {
-            let mut load: LoadShare = own.get(&replica.id).copied().unwrap_or_default();
-            load.add(&self.peers.on(&replica.id));
-            let used = load.memory_tokens() as f64;
+        let free = self.serving_of(now, &ask.service).map(|replica| {
+            let used = self.total_load(&own, &replica.id).memory_tokens() as f64;
             let fits = (used + ask.memory_tokens()) / capacity <= limit;
             if fits { limit * capacity - used } else { 0.0 }
         });
@@ -211,9 +215,6 @@
             sum.running_tokens = sum.running_tokens.saturating_add(used.running_tokens);
             sum.waiting_tokens = sum.waiting_tokens.saturating_add(used.waiting_tokens);
         }
-        let engines = self.count_serving(now, service) as f64;
-        let traits = self.engine_traits(service);
-        let memory = traits.map_or(0.0, |engine| engine.memory_tokens as f64 * engines);
-        WorkspaceShares::new(memory, &uses)
+        WorkspaceShares::new(self.service_memory(now, service) as f64, &uses)
     }
 }
--- a/crates/core/src/gateway/room_forecast.rs
+++ b/crates/core/src/gateway/room_forecast.rs
@@ -1,5 +1,9 @@
 //! Forecast of the time at which engines have room for a request that was refused for lack of
 //! memory, from the requests of this instance that ended and that arrived.
+//!
+//! [`RankDemand`](crate::RankDemand) also has rates by rank, for requests that wait. Here, retries
+//! are no arrivals, since their places are counted, and requests that an engine refused free no
+//! memory.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -33,23 +37,26 @@
 /// next seconds can still be served in time.
 const LATE_FROM: f64 = 0.5;
 
-/// Minimum fraction of the memory that becomes free which callers of a less urgent rank count on.
+/// Minimum fraction of the memory that becomes free which the forecast assumes for a rank, however
+/// much more urgent ones ask for: without it, a burst of these would make the forecast endless.
 const MIN_AVAILABLE: f64 = 0.1;
 
 /// How long before its time, memory is kept free for a retry: long enough for sessions to end, and
 /// as long as a heartbeat about the refusal may take.
-pub(crate) const RESERVED_AHEAD: Duration = Duration::from_secs(1);
+const RESERVED_AHEAD: Duration = Duration::from_secs(1);
 
 /// How long after its time a caller keeps its place: the time to connect.
-pub(crate) const PLACE_MARGIN: Duration = Duration::from_millis(300);
+const PLACE_MARGIN: Duration = Duration::from_millis(300);
 
-/// Maximum number of callers that keep a place, so that many refusals don't exhaust the memory.
+/// Maximum number of callers of a service that keep a place, so that many refusals don't exhaust
+/// the memory.
 const MAX_PLACES: usize = 4_096;
 
 /// Upper bound of a forecast, far beyond what any caller waits.
 const MAX_FORECAST: Duration = Duration::from_secs(3_600);
 
-/// Minimum decayed number of requests from which the size of others is estimated.
+/// Minimum decayed number of requests from which the size of others is estimated: one request
+/// counts for about seven seconds.
 const MIN_SAMPLES: f64 = 0.5;
 
 /// Room that is expected for a refused request.
@@ -61,7 +68,7 @@
     pub waiting_tokens: u64,
 }
 
-/// Number and tokens of requests, decayed over [`RATE_WINDOW`].
+/// Number and tokens of requests, each with a weight that decays over [`RATE_WINDOW`].
 #[derive(Clone, Copy, Debug, Default)]
 struct Decayed {
     at: Now,
@@ -88,6 +95,7 @@
 struct Demand {
     /// First tries, refused ones included.
     asked: Decayed,
+    /// Refused requests, first tries and retries.
     refused: Decayed,
 }
 
@@ -101,9 +109,10 @@
 /// Time of return and content of a caller.
 type PlaceKey = (Now, u128);
 
+/// Rates and refused callers of one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceRoom {
-    /// When the first request arrived.
+    /// Time of the first observation.
     since: Now,
     freed: Decayed,
     demands: BTreeMap<RequestRank, Demand>,
@@ -241,13 +250,19 @@
         told.max(MIN_RETRY_AFTER).min(longest)
     }
 
+    /// Returns the first and the last time of return of the callers for whose retries memory is
+    /// kept free now.
+    pub fn due_period(now: Now) -> (Now, Now) {
+        (now.saturating_sub(PLACE_MARGIN), now + RESERVED_AHEAD)
+    }
+
     /// Returns the tokens that retries of the rank of a request, or a more urgent one, are about to
     /// ask for. `due_elsewhere` is the number of those that other instances refused.
     pub fn due_tokens(&self, now: Now, ask: &PlacementRequest, due_elsewhere: usize) -> u64 {
         let Some(room) = self.services.get(&ask.service) else {
             return 0;
         };
-        let (from, to) = (now.saturating_sub(PLACE_MARGIN), now + RESERVED_AHEAD);
+        let (from, to) = Self::due_period(now);
         let own = room.tokens_between(from, to, ask.level.rank);
         own + self.estimated_tokens(now, ask, due_elsewhere)
     }
@@ -298,8 +313,7 @@
     }
 }
 
-/// Returns the tokens that the placement of a request counts: its prompt and, as the average over
-/// its run, half of its output.
+/// Returns the tokens that a request is expected to hold in memory, which are a whole number.
 fn tokens_of(ask: &PlacementRequest) -> u64 {
-    u64::from(ask.prompt_tokens) + u64::from(ask.likely_tokens() / 2)
+    ask.memory_tokens() as u64
 }
--- a/crates/core/src/gateway/waiting_requests.rs
+++ b/crates/core/src/gateway/waiting_requests.rs
@@ -60,6 +60,7 @@
 struct Round {
     started_at: Now,
     taken_tokens: f64,
+    /// Whether the instance has taken its chance of a request that is larger than its part.
     has_drawn: bool,
 }
 
@@ -176,11 +177,11 @@
         self.next_attempt = Now::ZERO;
     }
 
-    /// Returns whether a request may use room now: this instance takes a part of it, its own waiting
-    /// tokens by those of all. Where less than one request is left of the part, it takes one with
-    /// that chance, so that all instances together take as much as there is. `room` is the tokens
-    /// of all engines that fit the request, `others` those that requests of other instances wait
-    /// for, `draw` a random number from 0 to 1.
+    /// Returns whether a request may use room now. This instance takes a part of the room: its own
+    /// waiting tokens by those of all. Where less than one request is left of the part, it takes
+    /// one with that chance, so that all instances together take as much as there is. `room` is the
+    /// free tokens of the engines that have room for the request, `others` the tokens that requests
+    /// of other instances wait for, `draw` a random number from 0 to 1.
     pub fn may_take(
         &mut self,
         now: Now,
@@ -195,16 +196,11 @@
         if !self.requests.contains_key(&ask.request) {
             waiting += size;
         }
-        let round = self.rounds.entry(ask.service.clone()).or_default();
-        if now.saturating_sub(round.started_at) >= ROUND {
-            *round = Round {
-                started_at: now,
-                ..Round::default()
-            };
-        }
+        let round = self.current_round(now, &ask.service);
         if others <= 0.0 {
             return true;
         }
+        // What was taken in this round counts as still waiting, and as room.
         let own = waiting + round.taken_tokens;
         let part = (room + round.taken_tokens) * own / (own + others) - round.taken_tokens;
         if part >= size {
@@ -220,6 +216,18 @@
         }
     }
 
+    /// Returns the round of a service, a new one if the last is over.
+    fn current_round(&mut self, now: Now, service: &str) -> &mut Round {
+        let round = self.rounds.entry(service.to_owned()).or_default();
+        if now.saturating_sub(round.started_at) >= ROUND {
+            *round = Round {
+                started_at: now,
+                ..Round::default()
+            };
+        }
+        round
+    }
+
     fn of_service(&self, service: &str) -> impl Iterator<Item = &WaitingRequest> {
         let requests = self.requests.values();
         requests.filter(move |waiting| waiting.ask.service == service)
--- a/crates/core/src/servers/server_speeds.rs
+++ b/crates/core/src/servers/server_speeds.rs
@@ -2,7 +2,8 @@
 //!
 //! Each timing is kept beside the time that a usual server would have taken under the same load, so
 //! that a crowded server doesn't count as slow, nor an idle one as fast. Instances advertise the
-//! sums of both. The relative time of a server is the quotient of the sums of all instances.
+//! sums of both. The relative time of a server is the quotient of the sums of all instances, as a
+//! multiple of the median of its service: a usual server is one with the median.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,7 +21,7 @@
 /// Half-life of the timings of a server: a change of its speed shows within seconds.
 const SAMPLE_HALF_LIFE: Duration = Duration::from_secs(3);
 
-/// Half-life of the timings from which the time by load is learnt. It belongs to the service and
+/// Half-life of the timings from which the time by load is learned. It belongs to the service and
 /// changes slowly, and one instance times each server seldom.
 const CURVE_HALF_LIFE: Duration = Duration::from_secs(30);
 
@@ -100,7 +101,16 @@
     }
 }
 
-/// What was learnt of one service.
+/// A listed server with its timings.
+struct TimedServer<'a> {
+    listed: &'a ServerLoad,
+    /// Timings of this instance.
+    own: TimedSums,
+    /// Sums of the timings of all other instances.
+    peers: SpeedSample,
+}
+
+/// What was learned of one service.
 #[derive(Clone, Debug, Default)]
 struct ServiceTimes {
     curve: LoadCurve,
@@ -177,8 +187,8 @@
         }
     }
 
-    /// Returns the timings of this instance that matter to others, of the `max_servers` servers that
-    /// rank lowest. The rank must not depend on the timings: if the servers with the longest came
+    /// Returns the timings of this instance that matter to others, of the `max_servers` servers
+    /// that rank lowest. The rank must not depend on the timings: if the servers with the longest came
     /// first, those of fast servers, whose requests are short, would be left out.
     pub fn advertised(
         &self,
@@ -210,35 +220,18 @@
             .iter()
             .map(|listed| (listed.server.life, listed.load));
         self.loads = loads.collect();
-        let decay = decay(elapsed, SAMPLE_HALF_LIFE);
-        let loads = &self.loads;
-        self.own.retain(|life, sums| {
-            sums.measured_ms *= decay;
-            sums.expected_ms *= decay;
-            sums.expected_ms >= MIN_KEPT_MS && loads.contains_key(life)
-        });
-        let of_peers = |life| peers.get(life).copied().unwrap_or_default();
+        self.decay_own(elapsed);
         let timed = listed.iter().map(|listed| {
-            let own = self.own.get(&listed.server.life).copied();
-            (
+            let life = &listed.server.life;
+            TimedServer {
                 listed,
-                own.unwrap_or_default(),
-                of_peers(&listed.server.life),
-            )
+                own: self.own.get(life).copied().unwrap_or_default(),
+                peers: peers.get(life).copied().unwrap_or_default(),
+            }
         });
-        let timed: Vec<_> = timed.collect();
-        self.relative = relative_times(
-            timed
-                .iter()
-                .map(|(listed, own, peers)| (*listed, own.plus(TimedSums::from(*peers)))),
-        );
-        for (listed, own, peers) in timed {
-            let relative = self.relative_time(listed.server.life);
-            let inputs = (own.sample(), peers);
-            self.classes
-                .update(now, &listed.server, relative, tolerance, inputs);
-        }
-        self.classes.retain(|life| self.loads.contains_key(&life));
+        let timed: Vec<TimedServer<'_>> = timed.collect();
+        self.relative = relative_times(&timed);
+        self.update_classes(now, &timed);
         self.learn(elapsed);
     }
 
@@ -263,6 +256,27 @@
         self.relative.get(&server).copied().unwrap_or(1.0)
     }
 
+    /// Reduces the weight of earlier timings, and drops those of servers that are not listed.
+    fn decay_own(&mut self, elapsed: Duration) {
+        let decay = decay(elapsed, SAMPLE_HALF_LIFE);
+        let loads = &self.loads;
+        self.own.retain(|life, sums| {
+            sums.measured_ms *= decay;
+            sums.expected_ms *= decay;
+            sums.expected_ms >= MIN_KEPT_MS && loads.contains_key(life)
+        });
+    }
+
+    fn update_classes(&mut self, now: Now, timed: &[TimedServer<'_>]) {
+        for TimedServer { listed, own, peers } in timed {
+            let relative = self.relative_time(listed.server.life);
+            let inputs = (own.sample(), *peers);
+            self.classes
+                .update(now, &listed.server, relative, self.tolerance, inputs);
+        }
+        self.classes.retain(|life| self.loads.contains_key(&life));
+    }
+
     fn learn(&mut self, elapsed: Duration) {
         let decay = decay(elapsed, CURVE_HALF_LIFE);
         let relative = &self.relative;
@@ -277,11 +291,13 @@
 
 /// Returns the relative times of the servers that were timed. They relate to the median of each
 /// service: a mean would move with a single server that is very slow.
-fn relative_times<'a>(
-    timed: impl Iterator<Item = (&'a ServerLoad, TimedSums)>,
-) -> BTreeMap<IncarnationId, f64> {
+fn relative_times(timed: &[TimedServer<'_>]) -> BTreeMap<IncarnationId, f64> {
     let mut by_service: BTreeMap<&str, Vec<(IncarnationId, f64)>> = BTreeMap::new();
-    for (listed, sums) in timed.filter(|(_, sums)| sums.expected_ms >= MIN_KEPT_MS) {
+    for TimedServer { listed, own, peers } in timed {
+        let sums = own.plus(TimedSums::from(*peers));
+        if sums.expected_ms < MIN_KEPT_MS {
+            continue;
+        }
         let ratios = by_service.entry(listed.service.as_str()).or_default();
         ratios.push((listed.server.life, sums.ratio()));
     }
