Name the forecast for waiting requests and reword comments

Cause: `GatewayControl::room_forecast` returned a `WaitForecast`, while `RoomForecast` is the forecast for refused callers. Some comments used figurative words or named only a part: a content counts as a retry until a retry is placed, not served; `forecast_retry_after` also keeps memory free; a usual server was also called an average one; learnt and learned were both used.

Change: the method is now `wait_forecast`; its callers in the daemon and in one test follow. Comments and doc comments are reworded. Settings, metrics, messages and log lines are unchanged.

--- a/crates/core/src/gateway/gateway_control/admission.rs
+++ b/crates/core/src/gateway/gateway_control/admission.rs
@@ -26,7 +26,8 @@
     Refused(Refusal),
 }
 
-/// When room for a request is expected, and the figures behind it.
+/// When a request that waits at this instance is expected to get room, and the figures behind it.
+/// [`RoomForecast`](crate::RoomForecast) is for callers who were refused and come back.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WaitForecast {
     /// Tokens that requests before it wait for, at all instances.
@@ -86,7 +87,7 @@
     }
 
     /// Returns the decisions about waiting requests that can be made now: those that are placed and
-    /// those that can no longer be served in time.
+    /// those that are refused, because they can no longer be served in time or by any server.
     pub fn admit_waiting(&mut self, now: Now) -> Vec<(RequestId, Admission)> {
         let late = self.waiting.take(|waiting| now >= waiting.until);
         let late = late.into_iter().map(|waiting| {
@@ -127,8 +128,8 @@
         self.waiting.count()
     }
 
-    /// Returns when room for a request is expected.
-    pub fn room_forecast(&mut self, now: Now, ask: &PlacementRequest) -> WaitForecast {
+    /// Returns when room for a request that waits is expected.
+    pub fn wait_forecast(&mut self, now: Now, ask: &PlacementRequest) -> WaitForecast {
         let tokens_ahead = self.tokens_ahead(now, ask);
         let instances = (self.peers.count() + 1) as f64;
         let own_per_s = self
@@ -136,6 +137,7 @@
             .freed_per_s(now, &ask.service, ask.level.rank);
         let freed_per_s = own_per_s * instances;
         let needed = tokens_ahead + ask.memory_tokens();
+        // Fails if nothing becomes free: the quotient is infinite.
         let wait = Duration::try_from_secs_f64(needed / freed_per_s).ok();
         let level = &ask.level;
         let first_event = self.first_event_forecast(ask);
@@ -169,7 +171,7 @@
 
     /// Lets a request wait if room is expected in time.
     fn wait_or_refuse(&mut self, now: Now, ask: PlacementRequest) -> Admission {
-        let forecast = self.room_forecast(now, &ask);
+        let forecast = self.wait_forecast(now, &ask);
         let left = forecast.until.saturating_sub(now);
         let in_time = forecast.wait.is_some_and(|wait| wait < left);
         let is_retry = self.is_retry(&ask);
--- a/crates/core/src/gateway/gateway_parameters.rs
+++ b/crates/core/src/gateway/gateway_parameters.rs
@@ -27,7 +27,7 @@
     pub copy_limit: f64,
     /// Minimum expected output tokens for a session to get a backup.
     pub least_copied_tokens: u32,
-    /// Whether the speed of backend servers is learnt and counts when one is chosen.
+    /// Whether the speed of backend servers is learned and counts when one is chosen.
     pub learn_speeds: bool,
     /// Relative difference in speed up to which backend servers count as equally fast.
     pub speed_tolerance: f64,
@@ -38,7 +38,8 @@
     pub rank_reserve: bool,
     /// Maximum number of requests that wait for room; with 0 they are refused at once.
     pub max_waiting: usize,
-    /// Whether the Retry-After of a refusal for want of room follows from the forecast of room.
+    /// Whether the Retry-After of a refusal for lack of room follows from the forecast of room, and
+    /// memory is kept free for the retries of refused callers.
     pub forecast_retry_after: bool,
     /// The region of each availability zone.
     pub regions: BTreeMap<ZoneId, RegionId>,
--- a/crates/core/src/gateway/placement_request.rs
+++ b/crates/core/src/gateway/placement_request.rs
@@ -30,7 +30,7 @@
     pub expected_tokens: Option<u32>,
     /// Regions to which the request is restricted; `None` allows all regions.
     pub homes: Option<BTreeSet<RegionId>>,
-    /// What its caller is owed.
+    /// Its priority, objectives and deadline.
     pub level: ServiceLevel,
 }
 
@@ -42,8 +42,8 @@
         estimate.min(self.max_tokens)
     }
 
-    /// Returns the tokens that it is expected to hold in memory on average; 0 if the service is
-    /// not an engine.
+    /// Returns the tokens that it is expected to hold in memory on average, its prompt and half of
+    /// its output; 0 if the service is not an engine.
     pub fn memory_tokens(&self) -> f64 {
         f64::from(self.prompt_tokens + self.likely_tokens() / 2)
     }
--- a/crates/core/src/gateway/rank_demand.rs
+++ b/crates/core/src/gateway/rank_demand.rs
@@ -1,4 +1,7 @@
 //! The memory that requests of each rank need, as one instance sees them arrive and end.
+//!
+//! Retries count as arrivals, and all requests that end as freed. The rates of
+//! [`RoomForecast`](crate::RoomForecast) leave out retries and requests that engines refused.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -90,7 +93,8 @@
     }
 
     /// Returns the requests per second: the recent rate, as far as it counts enough requests, and
-    /// the usual one otherwise.
+    /// the usual one otherwise. For this, [`USUAL_WEIGHT_REQUESTS`] requests at the usual rate are
+    /// added to those of the recent window.
     fn per_s(&self, now: Now) -> f64 {
         let usual = self.usual.per_s(now);
         if usual <= 0.0 {
--- a/crates/core/src/gateway/refused_contents.rs
+++ b/crates/core/src/gateway/refused_contents.rs
@@ -14,7 +14,7 @@
 
 /// How long after its Retry-After a refused caller is still expected: connections and heartbeats
 /// may each take about a second.
-pub(crate) const RETRY_MARGIN: Duration = Duration::from_secs(2);
+const RETRY_MARGIN: Duration = Duration::from_secs(2);
 
 /// Upper bound of the time for which a content that another instance refused is kept. Callers that
 /// are told to wait longer rarely come back.
@@ -68,7 +68,7 @@
     valid_until: Now,
     /// Number of heartbeats that carried it.
     advertised: u8,
-    /// Whether its retry was served here. It is kept so that a late heartbeat doesn't restore it.
+    /// Whether its retry was placed here. It is kept so that a late heartbeat doesn't restore it.
     is_served: bool,
 }
 
@@ -130,14 +130,14 @@
         }
     }
 
-    /// Records that a request with this content was served.
+    /// Records that a request with this content was placed.
     pub fn served(&mut self, fingerprint: Fingerprint) {
         if let Some(entry) = self.entries.get_mut(&content_of(fingerprint)) {
             entry.is_served = true;
         }
     }
 
-    /// Returns whether a request with this content was refused, and its retry not served yet.
+    /// Returns whether a request with this content was refused, and no retry placed here yet.
     pub fn contains(&self, fingerprint: Fingerprint) -> bool {
         let entry = self.entries.get(&content_of(fingerprint));
         entry.is_some_and(|entry| !entry.is_served)
@@ -180,7 +180,7 @@
     }
 
     /// Returns the number of callers refused by other instances who were told to come back between
-    /// two times.
+    /// two times. `to` plus two seconds must not overflow.
     pub fn count_due_elsewhere(&self, from: Now, to: Now) -> usize {
         let ends = (from + RETRY_MARGIN, 0)..=(to + RETRY_MARGIN, u64::MAX);
         let contents = self.by_end.range(ends).map(|(_, content)| content);
--- a/crates/core/src/gateway/service_level.rs
+++ b/crates/core/src/gateway/service_level.rs
@@ -1,4 +1,4 @@
-//! What the caller of a request is owed, as far as placement decisions depend on it.
+//! Service level of a request: its priority, objectives and deadline, for placement decisions.
 
 use std::time::Duration;
 
--- a/crates/core/src/membership/peer_totals.rs
+++ b/crates/core/src/membership/peer_totals.rs
@@ -117,8 +117,9 @@
     }
 
     /// Returns whether the next heartbeat should carry totals: after the interval, unless they are
-    /// empty and were empty before. Sessions that begin to seek room are advertised at once, since
-    /// their engines leave within seconds and the others still fill the room.
+    /// empty, were empty before, and no instance is heard whose totals a relay has to sum up.
+    /// Sessions that begin to seek room are advertised at once, since their engines leave within
+    /// seconds and the others still fill the room.
     pub fn is_advertisement_due(&mut self, now: Now, own: &Totals) -> bool {
         let is_early = |at: Now| now.saturating_sub(at) < ADVERTISE_INTERVAL;
         let is_idle = own.is_empty() && self.advertised_empty && self.instances.is_empty();
--- a/crates/core/src/membership/totals.rs
+++ b/crates/core/src/membership/totals.rs
@@ -9,7 +9,7 @@
 use crate::WorkspaceId;
 
 /// Time that tokens or answers of a backend server took, beside the time that they would have
-/// taken at an average server under the same load.
+/// taken at a usual server of its service under the same load.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct SpeedSample {
     /// Measured time in milliseconds.
--- a/crates/core/src/servers/load_curve.rs
+++ b/crates/core/src/servers/load_curve.rs
@@ -61,7 +61,8 @@
     growth: f64,
 }
 
-/// Learnt time per unit (token or answer) of a service by load. A load of 1 is a full set of slots.
+/// Learned time per unit (token or answer) of a service by load. With a load of 1, all slots are in
+/// use.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LoadCurve {
     servers: BTreeMap<IncarnationId, ServerSums>,
--- a/crates/core/src/servers/run_timings.rs
+++ b/crates/core/src/servers/run_timings.rs
@@ -49,8 +49,8 @@
 }
 
 impl RunTimings {
-    /// Records that a request was sent to a server. `tokens_ahead` are the prompt tokens that the server
-    /// reads before those of the request.
+    /// Records that a request was sent to a server. `tokens_ahead` are the prompt tokens that the
+    /// server reads before those of the request.
     pub(crate) fn sent(
         &mut self,
         now: Now,
@@ -68,8 +68,9 @@
         self.runs.insert(request.to_owned(), timing);
     }
 
-    /// Records that a request has generated tokens at a server with a load. Returns the timing since
-    /// the last report; `None` if it has begun to run on that server since then, or was interrupted.
+    /// Records that a request has generated tokens at a server with a load. Returns the timing
+    /// since the last report; `None` if it has begun to run on that server since then, or was
+    /// interrupted.
     pub(crate) fn progress(
         &mut self,
         now: Now,
@@ -97,8 +98,8 @@
         }
     }
 
-    /// Records that a request was answered by the server to which it was sent. Returns the timing of
-    /// the answer; `None` if the request was sent again elsewhere.
+    /// Records that a request was answered by the server to which it was sent. Returns the timing
+    /// of the answer; `None` if the request was sent again elsewhere.
     pub(crate) fn answered(&mut self, now: Now, request: &str, load: f64) -> Option<TimedUnits> {
         let sent = self.runs.remove(request)?;
         Some(TimedUnits {
--- a/crates/core/tests/gateway_speeds.rs
+++ b/crates/core/tests/gateway_speeds.rs
@@ -131,7 +131,7 @@
 }
 
 /// The daemon reports the first send as well; if that dropped the timing, the time to the first
-/// event would never be learnt.
+/// event would never be learned.
 #[test]
 fn the_report_of_the_first_send_keeps_the_timing_of_the_prompt() {
     let mut control = control_with(&["e1", "e2"]);
--- a/crates/core/tests/gateway_waiting.rs
+++ b/crates/core/tests/gateway_waiting.rs
@@ -364,9 +364,9 @@
     let mut control = full(10, 1);
     let ask = request("r1", "w1", START_MS);
     assert!(waits(&mut control, ask.clone()));
-    let forecast = control.room_forecast(ms(START_MS), &ask);
+    let forecast = control.wait_forecast(ms(START_MS), &ask);
     assert_eq!(forecast.tokens_ahead, 0.0);
     assert!(ms(START_MS) + forecast.wait.unwrap() < forecast.until);
-    let next = control.room_forecast(ms(START_MS), &request("r2", "w1", START_MS));
+    let next = control.wait_forecast(ms(START_MS), &request("r2", "w1", START_MS));
     assert!(next.tokens_ahead > 0.0);
 }
--- a/crates/daemon/src/gateway/gateway_thread/admission.rs
+++ b/crates/daemon/src/gateway/gateway_thread/admission.rs
@@ -90,7 +90,7 @@
         let now = self.clock.now();
         let refused = self.waiting.add(now, &mut self.control, waiting);
         if refused.is_none() {
-            let forecast = self.control.room_forecast(now, ask);
+            let forecast = self.control.wait_forecast(now, ask);
             info!(self.log, "request waits for room";
                 asked,
                 "tokens_ahead" => forecast.tokens_ahead,
