Count only runs that held memory in the demand by rank

Cause: found by reading: a run that its engine refused counted as memory that becomes free, and a run that was placed and never begun as one that held memory for no time. Change: both are left out.

--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -346,9 +346,7 @@
         self.backoffs.gone(request);
         self.limits.drop_grant(request);
         self.time_end(now, request, &run, end);
-        let is_whole = matches!(end, RunEnd::Answered | RunEnd::Withdrawn);
-        let held = is_whole.then(|| now.saturating_sub(run.sent_at));
-        self.rank_demand.ended(now, &run.ask, held);
+        self.note_end_of_rank(now, &run, end);
         self.waiting.room_appeared();
         self.note_freed(now, &run, end);
         match end {
--- a/crates/core/src/gateway/gateway_control/rank_headroom.rs
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -2,7 +2,9 @@
 
 use super::GatewayControl;
 use crate::Now;
+use crate::OwnRun;
 use crate::PlacementRequest;
+use crate::RunEnd;
 
 /// Largest fraction of an engine's memory that is kept free: at least as much is left to each rank,
 /// so that none starves.
@@ -27,4 +29,17 @@
         let usable = self.parameters.memory_limit.min(1.0);
         (tokens / engine.memory_tokens.max(1) as f64).min(MAX_HEADROOM * usable)
     }
+
+    /// Counts the end of a run. Only runs that began tell for how long requests hold memory.
+    pub(super) fn note_end_of_rank(&mut self, now: Now, run: &OwnRun, end: RunEnd) {
+        let held = now.saturating_sub(run.sent_at);
+        match end {
+            RunEnd::Refused => self.rank_demand.refused(now, &run.ask),
+            RunEnd::Failed => self.rank_demand.ended(now, &run.ask, None),
+            RunEnd::Withdrawn if !run.has_begun => self.rank_demand.ended(now, &run.ask, None),
+            RunEnd::Answered | RunEnd::Withdrawn => {
+                self.rank_demand.ended(now, &run.ask, Some(held));
+            }
+        }
+    }
 }
--- a/crates/core/src/gateway/rank_demand.rs
+++ b/crates/core/src/gateway/rank_demand.rs
@@ -179,6 +179,13 @@
         }
     }
 
+    /// Counts a request that its engine refused: it held no memory.
+    pub fn refused(&mut self, now: Now, ask: &PlacementRequest) {
+        if let Some(requests) = self.requests_of(ask) {
+            requests.in_use.change(now, -ask.memory_tokens());
+        }
+    }
+
     /// Counts a request as holding no memory any more. `held` is the time for which it did; `None`
     /// if that says nothing about others, because it failed.
     pub fn ended(&mut self, now: Now, ask: &PlacementRequest, held: Option<Duration>) {
--- a/crates/core/tests/rank_demand.rs
+++ b/crates/core/tests/rank_demand.rs
@@ -130,3 +130,25 @@
     };
     assert!(headroom(&refused) > headroom(&served) + 1_000.0);
 }
+
+/// If refused runs counted as memory that becomes free, a request would wait for room that doesn't
+/// come.
+#[test]
+fn runs_that_engines_refuse_free_no_memory() {
+    let ask = urgent();
+    let freed = |is_refused: bool| {
+        let mut demand = RankDemand::default();
+        for number in 0..40_u64 {
+            let now = Duration::from_millis(number * 200);
+            demand.arrived(now, &ask);
+            demand.placed(now, &ask);
+            match is_refused {
+                true => demand.refused(now, &ask),
+                false => demand.ended(now, &ask, Some(Duration::from_millis(100))),
+            }
+        }
+        demand.freed_per_s(Duration::from_secs(8), &ask.service, ask.level.rank)
+    };
+    assert_eq!(freed(true), 0.0);
+    assert!(freed(false) > 0.0);
+}
