Keep the timings of servers for longer, so that a burst doesn't count as speed

Change: half-life 10 s, two seconds of usual time beside the timings. The test of silent peers waits ten half-lives as before, now 100 s of virtual time.

--- a/crates/core/src/servers/server_speeds.rs
+++ b/crates/core/src/servers/server_speeds.rs
@@ -18,8 +18,10 @@
 use crate::servers::load_curve::LoadCurve;
 use crate::servers::speed_class::SpeedClasses;
 
-/// Half-life of the timings of a server: a change of its speed shows within seconds.
-const SAMPLE_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Half-life of the timings of a server: longer than the prompts of a burst hold up an engine, so
+/// that its load isn't taken for its speed, and short enough for a lasting change to show within
+/// seconds.
+const SAMPLE_HALF_LIFE: Duration = Duration::from_secs(10);
 
 /// Half-life of the timings from which the time by load is learned. It belongs to the service and
 /// changes slowly, and one instance times each server seldom.
@@ -27,7 +29,7 @@
 
 /// Expected time for which a server counts as usual beside its timings, in ms: single events come
 /// late for other reasons than the speed of the server.
-const USUAL_MS: f64 = 1_000.0;
+const USUAL_MS: f64 = 2_000.0;
 
 /// Minimum expected time of the timings of a server that are advertised, in ms. Less than that
 /// hardly moves the relative time beside [`USUAL_MS`], and would add to each heartbeat.
