--- a/crates/core/tests/server_speeds.rs
+++ b/crates/core/tests/server_speeds.rs
@@ -146,6 +146,7 @@
     let mut speeds = play(10, &[(1.0, 0.2, 0.1), (1.5, 0.2, 0.1), (1.0, 0.2, 0.1)]);
     assert_eq!(speeds.advertised(9, |life| life).len(), 3);
     assert!(speeds.advertised(1, |life| 9 - life).contains_key(&2));
-    update(&mut speeds, 40, &NONE);
+    // Ten half-lives later.
+    update(&mut speeds, 110, &NONE);
     assert!(speeds.advertised(9, |life| life).is_empty());
 }
