--- a/crates/core/src/servers/server_speeds.rs
+++ b/crates/core/src/servers/server_speeds.rs
@@ -29,7 +29,7 @@
 
 /// Expected time for which a server counts as usual beside its timings, in ms: single events come
 /// late for other reasons than the speed of the server.
-const USUAL_MS: f64 = 1_500.0;
+const USUAL_MS: f64 = 1_000.0;
 
 /// Minimum expected time of the timings of a server that are advertised, in ms. Less than that
 /// hardly moves the relative time beside [`USUAL_MS`], and would add to each heartbeat.
