--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -16,7 +16,7 @@
     RateLimit,
     /// The workspace has reached its limit of open requests.
     ConcurrencyLimit,
-    /// The entry queue of the workspace is full.
+    /// The entry queue of the workspace is full, or no engine has room for the request now.
     QueueFull,
     /// The request can't start before its deadline.
     Deadline,
