Say in the terms of the field what five comments mean

Cause: reading the diff once more: one comment spoke of what a caller is owed, two of instances that hear, one of runs that tell, one read like a measurement. Ruled out: renaming told, ToldRefusals and tell, which older code shares; that belongs to all of them at once. Change: five comments.

--- a/crates/core/src/gateway/gateway_control/rank_headroom.rs
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -30,7 +30,7 @@
         (tokens / engine.memory_tokens.max(1) as f64).min(MAX_HEADROOM * usable)
     }
 
-    /// Counts the end of a run. Only runs that began tell for how long requests hold memory.
+    /// Counts the end of a run. Only runs that began show for how long requests hold memory.
     pub(super) fn note_end_of_rank(&mut self, now: Now, run: &OwnRun, end: RunEnd) {
         let held = now.saturating_sub(run.sent_at);
         match end {
--- a/crates/core/src/gateway/waiting_requests.rs
+++ b/crates/core/src/gateway/waiting_requests.rs
@@ -11,7 +11,7 @@
 use crate::WorkspaceId;
 use crate::WorkspaceShares;
 
-/// Time in which the other instances hear of what this one has placed. Within it, an instance takes
+/// Time in which the other instances receive what this one has placed. Within it, an instance takes
 /// its part of the room that appeared once.
 const ROUND: Duration = Duration::from_millis(200);
 
--- a/crates/core/src/membership/peer_totals.rs
+++ b/crates/core/src/membership/peer_totals.rs
@@ -35,7 +35,7 @@
     totals: Totals,
 }
 
-/// Latest totals of the other instances: one entry for each instance that is heard directly, and
+/// Latest totals of the other instances: one entry for each instance whose heartbeats arrive directly, and
 /// the sums of the other zones.
 #[derive(Debug)]
 pub struct PeerTotals {
--- a/crates/core/src/membership/totals.rs
+++ b/crates/core/src/membership/totals.rs
@@ -12,7 +12,7 @@
 /// taken at a usual server of its service under the same load.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct SpeedSample {
-    /// Measured time in milliseconds.
+    /// Time that they took, in milliseconds.
     pub measured_ms: u32,
     /// Expected time in milliseconds.
     pub expected_ms: u32,
--- a/crates/daemon/src/gateway/gateway_thread/waiting.rs
+++ b/crates/daemon/src/gateway/gateway_thread/waiting.rs
@@ -78,7 +78,7 @@
     pub request: RequestId,
     /// Digest of its content.
     pub fingerprint: Fingerprint,
-    /// What its caller is owed.
+    /// Its priority, latency objectives and deadline.
     pub level: ServiceLevel,
     /// The limits that applied when it arrived.
     pub limits: AskedLimits,
