Log what becomes of runs that break off, and what probes of their servers find

The logs showed only ends that were; one that stays unconfirmed left no line. Now each broken run has a line with its state, each probe that finds no listening server one with its result, and the gauge iristhread_unconfirmed_crashes counts what waits. No decision changes.

--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -65,6 +65,7 @@
 pub use admission::Admission;
 pub use admission::WaitForecast;
 pub use configuration::ConfigVerdict;
+pub use crash_attribution::BrokenRunVerdict;
 pub use engine_watch::EngineChecks;
 pub use move_room::MoveHeadroom;
 pub use move_room::UnplacedMove;
--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -40,6 +40,34 @@
     at: Now,
 }
 
+/// What became of a report that the connection of a run was lost or stalled.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BrokenRunVerdict {
+    /// The run had ended already, or has run well: it crashed nothing.
+    NotSuspected,
+    /// The server was draining and closed its connections as announced.
+    ServerDrains,
+    /// The server is known to have crashed.
+    Crashed,
+    /// The crash of the server is not confirmed yet.
+    Unconfirmed,
+    /// Too many runs wait for a confirmation already.
+    Dropped,
+}
+
+impl BrokenRunVerdict {
+    /// Text for log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            BrokenRunVerdict::NotSuspected => "not_suspected",
+            BrokenRunVerdict::ServerDrains => "server_drains",
+            BrokenRunVerdict::Crashed => "crashed",
+            BrokenRunVerdict::Unconfirmed => "unconfirmed",
+            BrokenRunVerdict::Dropped => "dropped",
+        }
+    }
+}
+
 /// Broken runs that wait for the confirmation of a crash, and the current probe.
 #[derive(Debug, Default)]
 pub(super) struct BrokenRuns {
@@ -51,13 +79,16 @@
 impl GatewayControl {
     /// Records that the connection of a run was lost or stalled. The run is ignored if the replica
     /// was draining or the run had made progress for long enough.
-    pub fn note_broken_run(&mut self, now: Now, request: &str, replica: &Replica) {
-        let Some(run) = self.runs.get(request) else {
-            return;
+    pub fn note_broken_run(
+        &mut self,
+        now: Now,
+        request: &str,
+        replica: &Replica,
+    ) -> BrokenRunVerdict {
+        let run = self.runs.get(request);
+        let Some(run) = run.filter(|run| !run.has_run_well(now)) else {
+            return BrokenRunVerdict::NotSuspected;
         };
-        if run.has_run_well(now) {
-            return;
-        }
         let broken = BrokenRun {
             fingerprint: run.ask.fingerprint,
             replica: replica.id.clone(),
@@ -67,18 +98,29 @@
         let listed = self.list.replica(&replica.id);
         if listed.is_some_and(|listed| listed.life() != broken.incarnation) {
             // The replica has restarted already.
-            return self.attribute(now, &broken);
+            self.attribute(now, &broken);
+            return BrokenRunVerdict::Crashed;
         }
         if self.list.state(&replica.id).is_leaving() {
-            return;
+            return BrokenRunVerdict::ServerDrains;
         }
         let waiting = &self.broken_runs.unconfirmed;
         let is_same_run = |known: &BrokenRun| {
             (known.fingerprint, known.incarnation) == (broken.fingerprint, broken.incarnation)
         };
-        if waiting.len() < MAX_UNCONFIRMED && !waiting.iter().any(is_same_run) {
-            self.broken_runs.unconfirmed.push(broken);
+        if waiting.iter().any(is_same_run) {
+            return BrokenRunVerdict::Unconfirmed;
         }
+        if waiting.len() >= MAX_UNCONFIRMED {
+            return BrokenRunVerdict::Dropped;
+        }
+        self.broken_runs.unconfirmed.push(broken);
+        BrokenRunVerdict::Unconfirmed
+    }
+
+    /// Returns the number of broken runs whose servers may have crashed without a confirmation.
+    pub fn unconfirmed_crashes(&self) -> usize {
+        self.broken_runs.unconfirmed.len()
     }
 
     /// Records that nothing listens any more at the address of a backend server.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -101,6 +101,7 @@
 pub use gateway::event_order::EventOrder;
 pub use gateway::event_order::EventVerdict;
 pub use gateway::gateway_control::Admission as PlacementAdmission;
+pub use gateway::gateway_control::BrokenRunVerdict;
 pub use gateway::gateway_control::ConfigVerdict;
 pub use gateway::gateway_control::EngineChecks;
 pub use gateway::gateway_control::Evacuation;
--- a/crates/daemon/src/detour/server_dialer.rs
+++ b/crates/daemon/src/detour/server_dialer.rs
@@ -51,6 +51,19 @@
     Unknown,
 }
 
+impl Reach {
+    /// Text for log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reach::Accepts => "accepts",
+            Reach::OnlyByPeer => "only_by_peer",
+            Reach::Refuses => "refuses",
+            Reach::Silent => "silent",
+            Reach::Unknown => "unknown",
+        }
+    }
+}
+
 /// Parts of the process that a [`ServerDialer`] uses.
 pub struct DialerPorts {
     /// Opens direct connections.
--- a/crates/daemon/src/engines/engine_watch.rs
+++ b/crates/daemon/src/engines/engine_watch.rs
@@ -12,6 +12,7 @@
 use iristhread_api::TcpDial;
 use iristhread_core::Replica;
 use slog::debug;
+use slog::info;
 
 use crate::detour::server_dialer::Reach;
 use crate::gateway::GatewayApp;
@@ -67,6 +68,10 @@
 async fn probe(app: &GatewayApp, engine: Replica) -> Reach {
     let reach = app.dialer.reach(engine.address).await;
     let replica = engine.server_life();
+    if reach != Reach::Accepts {
+        info!(app.log, "backend server was probed";
+            "backend_server" => &replica.id, "reach" => reach.as_str());
+    }
     if reach == Reach::Refuses {
         app.control.tell(GatewayMessage::ServerCrashed {
             replica: replica.clone(),
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -81,6 +81,7 @@
     evacuated_zones: Gauge,
     server_crashes: Counter,
     suspects: Gauge,
+    unconfirmed_crashes: Gauge,
     quarantined: Gauge,
     skipped_entries: Counter,
     backing_off: Gauge,
@@ -125,6 +126,7 @@
             evacuated_zones: Gauge::default(),
             server_crashes: Counter::default(),
             suspects: Gauge::default(),
+            unconfirmed_crashes: Gauge::default(),
             quarantined: Gauge::default(),
             skipped_entries: Counter::default(),
             backing_off: Gauge::default(),
@@ -206,6 +208,9 @@
         r.register("server_ends", "Servers that ended under a request", ends);
         let suspects = self.suspects.clone();
         r.register("suspects", "Contents under which servers ended", suspects);
+        let unconfirmed = self.unconfirmed_crashes.clone();
+        let help = "Broken runs whose servers may have ended";
+        r.register("unconfirmed_crashes", help, unconfirmed);
         let quarantined = self.quarantined.clone();
         r.register("quarantined", "Contents that are refused", quarantined);
         let skipped = self.skipped_entries.clone();
--- a/crates/daemon/src/gateway/gateway_metrics/server_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics/server_metrics.rs
@@ -59,6 +59,12 @@
         self.quarantined.set(signed(quarantined));
     }
 
+    /// Sets the number of broken runs for which it is not known whether their servers crashed.
+    pub fn unconfirmed_crashes(&self, count: usize) {
+        self.unconfirmed_crashes
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of backend servers that asked this instance for a backoff which is still
     /// running.
     pub fn backing_off(&self, count: usize) {
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -123,7 +123,7 @@
                 let _ = reply.send(self.grant_resend(&request, &service, spends_budget));
             }
             GatewayMessage::RunBroken { request, replica } => {
-                self.control.note_broken_run(now, &request, &replica);
+                self.run_broken(&request, &replica);
             }
             GatewayMessage::ServerCrashed { replica } => {
                 self.control.server_ended(now, &replica);
--- a/crates/daemon/src/gateway/gateway_thread/server_events.rs
+++ b/crates/daemon/src/gateway/gateway_thread/server_events.rs
@@ -11,6 +11,7 @@
 use iristhread_core::Fingerprint;
 use iristhread_core::GatewayConfig;
 use iristhread_core::ObservedNotice;
+use iristhread_core::Replica;
 use iristhread_core::Revision;
 use iristhread_core::ServerLife;
 use iristhread_core::SessionSignal;
@@ -263,6 +264,18 @@
         self.evacuate(evacuations);
     }
 
+    /// Records that the connection of a run was lost or stalled, and logs what is known of its
+    /// server by then.
+    pub(super) fn run_broken(&mut self, request: &str, server: &Replica) {
+        let now = self.clock.now();
+        let verdict = self.control.note_broken_run(now, request, server);
+        info!(self.log, "run broke off at a backend server";
+            "request" => request,
+            "backend_server" => &server.id,
+            "crash" => verdict.as_str(),
+            "unconfirmed_crashes" => self.control.unconfirmed_crashes());
+    }
+
     /// Logs changed suspicions and advertises them at once.
     pub(super) fn publish_suspicion_updates(&mut self) {
         let updates = self.control.suspicion_updates();
--- a/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
+++ b/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
@@ -61,6 +61,8 @@
             .state(version, revision, control.peers(), control.running());
         self.metrics
             .suspects(control.suspected(), control.quarantined());
+        self.metrics
+            .unconfirmed_crashes(control.unconfirmed_crashes());
         self.metrics.backing_off(control.resting(self.clock.now()));
         let memory = control.workspace_memory(MAX_SHOWN_WORKSPACES);
         self.metrics.admission.workspace_memory(memory);
