Name the shared parts of prompts in the lines about the admission of requests

The adapter decodes the parts once, all but the last; the core knows digests of them, in the workspace and in all. Lines of placements and refusals name them as parts. No decision changes.

--- a/crates/core/src/gateway/placement_request.rs
+++ b/crates/core/src/gateway/placement_request.rs
@@ -5,6 +5,7 @@
 
 use crate::BackendId;
 use crate::Fingerprint;
+use crate::PromptParts;
 use crate::RegionId;
 use crate::Replica;
 use crate::RequestClass;
@@ -18,6 +19,8 @@
     pub request: RequestId,
     /// Digest of the content of the request.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share; empty if the service is not an engine.
+    pub parts: PromptParts,
     /// Service that runs it.
     pub service: String,
     /// What may be done after a failure.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -194,6 +194,8 @@
 pub use servers::fingerprint::FingerprintInput;
 pub use servers::known_good_requests::KnownGoodRequests;
 pub use servers::load_report::LoadReport;
+pub use servers::prompt_part::PromptPart;
+pub use servers::prompt_part::PromptParts;
 pub use servers::server_backoff::ServerBackoff;
 pub use servers::server_links::LinkChange;
 pub use servers::server_links::ServerLinks;
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -8,6 +8,7 @@
 pub(crate) mod known_good_requests;
 pub(crate) mod load_curve;
 pub(crate) mod load_report;
+pub(crate) mod prompt_part;
 pub(crate) mod run_timings;
 pub(crate) mod server_backoff;
 pub(crate) mod server_links;
--- a/crates/core/src/servers/fingerprint.rs
+++ b/crates/core/src/servers/fingerprint.rs
@@ -9,6 +9,12 @@
 /// Hexadecimal digits of the digest that logs show: in a million requests, two share them.
 const DISPLAYED_DIGITS: usize = 12;
 
+/// Takes the place of a workspace in fingerprints that hold for all of them.
+const FLEET_KEY: &[u8] = b"fleet";
+
+/// Distinguishes the fingerprints of parts of prompts from those of requests: no method is empty.
+const PART_FIELD: &[u8] = b"";
+
 /// Identifies the workspace and the content of a request. Digests of two workspaces never
 /// collide, and no caller can forge the digest of another workspace's request (BLAKE3).
 #[derive(
@@ -39,28 +45,56 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request; the result is the same in every process.
     pub fn of(input: &FingerprintInput<'_>) -> Self {
-        let workspace = match input.workspace {
-            Some(workspace) => [b"w", workspace.as_bytes()].concat(),
-            None => Vec::new(),
-        };
-        let mut hasher = blake3::Hasher::new();
-        for part in [
+        let workspace = workspace_key(input.workspace);
+        let fields = [
             workspace.as_slice(),
             input.method.as_bytes(),
             input.host.as_bytes(),
             input.path.as_bytes(),
-        ] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
+        ];
+        Fingerprint {
+            workspace: first_u64(&blake3::hash(&workspace)),
+            content: digest(&fields, input.body),
         }
-        hasher.update(input.body);
+    }
+
+    /// Computes the fingerprint of a part of a prompt in one workspace.
+    pub(super) fn of_part(workspace: Option<&str>, id: &str) -> Self {
+        let workspace = workspace_key(workspace);
         Fingerprint {
             workspace: first_u64(&blake3::hash(&workspace)),
-            content: first_u128(&hasher.finalize()),
+            content: digest(&[workspace.as_slice(), PART_FIELD], id.as_bytes()),
+        }
+    }
+
+    /// Computes the fingerprint of a part of a prompt in all workspaces together.
+    pub(super) fn of_part_in_fleet(id: &str) -> Self {
+        Fingerprint {
+            workspace: first_u64(&blake3::hash(FLEET_KEY)),
+            content: digest(&[FLEET_KEY, PART_FIELD], id.as_bytes()),
         }
     }
 }
 
+/// Returns what identifies a workspace; differs from [`FLEET_KEY`] for all workspaces.
+fn workspace_key(workspace: Option<&str>) -> Vec<u8> {
+    match workspace {
+        Some(workspace) => [b"w", workspace.as_bytes()].concat(),
+        None => Vec::new(),
+    }
+}
+
+/// Digest of fields and of what follows them.
+fn digest(fields: &[&[u8]], rest: &[u8]) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    for field in fields {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.update(rest);
+    first_u128(&hasher.finalize())
+}
+
 /// The first digits of the digest, enough to distinguish requests in logs.
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/core/tests/gateway_scene/mod.rs
+++ b/crates/core/tests/gateway_scene/mod.rs
@@ -20,6 +20,7 @@
 use iristhread_core::LoadShare;
 use iristhread_core::LoadShares;
 use iristhread_core::PlacementRequest;
+use iristhread_core::PromptParts;
 use iristhread_core::Replica;
 use iristhread_core::RequestClass;
 use iristhread_core::Route;
@@ -173,6 +174,7 @@
     PlacementRequest {
         request: request.to_owned(),
         fingerprint: fingerprint(request),
+        parts: PromptParts::default(),
         service: "engines".to_owned(),
         class: RequestClass::Stream,
         prompt_tokens: 1_000,
--- a/crates/daemon/src/gateway/gateway_thread/admission.rs
+++ b/crates/daemon/src/gateway/gateway_thread/admission.rs
@@ -85,6 +85,7 @@
         AskedRequest {
             request: ask.request.clone(),
             fingerprint: ask.fingerprint,
+            parts: ask.parts.clone(),
             level: ask.level.clone(),
             limits: AskedLimits {
                 memory_limit: self.control.placement_limit(now, ask),
--- a/crates/daemon/src/gateway/gateway_thread/decision_log.rs
+++ b/crates/daemon/src/gateway/gateway_thread/decision_log.rs
@@ -19,6 +19,8 @@
     fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
         serializer.emit_str("request", &self.request)?;
         serializer.emit_str("content", &self.fingerprint.to_string())?;
+        let parts = self.parts.iter().map(|part| part.in_workspace.to_string());
+        serializer.emit_str("parts", &parts.collect::<Vec<_>>().join(","))?;
         serializer.emit_str("route", &self.level.route)?;
         match &self.level.workspace {
             Some(workspace) => serializer.emit_str("workspace", workspace)?,
--- a/crates/daemon/src/gateway/gateway_thread/waiting.rs
+++ b/crates/daemon/src/gateway/gateway_thread/waiting.rs
@@ -7,6 +7,7 @@
 use iristhread_core::GatewayControl;
 use iristhread_core::Now;
 use iristhread_core::PlacementAdmission;
+use iristhread_core::PromptParts;
 use iristhread_core::Ranking;
 use iristhread_core::Refusal;
 use iristhread_core::RefusalKind;
@@ -78,6 +79,8 @@
     pub request: RequestId,
     /// Digest of its content.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub parts: PromptParts,
     /// Its priority, latency objectives and deadline.
     pub level: ServiceLevel,
     /// The limits that applied when it arrived.
--- a/crates/daemon/src/relaying/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -16,6 +16,7 @@
 use iristhread_core::Now;
 use iristhread_core::ObservedNotice;
 use iristhread_core::PlacementRequest;
+use iristhread_core::PromptParts;
 use iristhread_core::Ranking;
 use iristhread_core::RegionId;
 use iristhread_core::Replica;
@@ -67,6 +68,8 @@
     pub body: Bytes,
     /// Digest of the request, by which crashes under equal requests are recognised.
     pub fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share.
+    pub parts: PromptParts,
     /// Route of the request.
     pub route: Route,
     /// The service that runs it.
@@ -131,6 +134,7 @@
         PlacementRequest {
             request: self.head.request.clone(),
             fingerprint: self.fingerprint,
+            parts: self.parts.clone(),
             service: self.service.clone(),
             class: self.route.class,
             prompt_tokens: self.head.prompt_tokens.saturating_add(held),
--- a/crates/daemon/src/relaying/http_front_end.rs
+++ b/crates/daemon/src/relaying/http_front_end.rs
@@ -17,6 +17,7 @@
 use iristhread_core::Fingerprint;
 use iristhread_core::FingerprintInput;
 use iristhread_core::GatewayWorkspace;
+use iristhread_core::PromptPart;
 use iristhread_core::RegionId;
 use iristhread_core::RequestClass;
 use iristhread_core::Route;
@@ -105,9 +106,11 @@
         path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
         body: &body,
     });
+    let shared_parts = head.shared_parts.iter().map(String::as_str);
     Ok(Exchange {
         app: app.clone(),
         fingerprint,
+        parts: PromptPart::all_of(workspace_name.as_deref(), shared_parts),
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
--- a/crates/daemon/src/relaying/wire_protocol.rs
+++ b/crates/daemon/src/relaying/wire_protocol.rs
@@ -25,6 +25,8 @@
     pub max_tokens: u32,
     /// The caller's estimate of the number of output tokens.
     pub expected_tokens: Option<u32>,
+    /// Ids of the parts of the prompt that other requests may share, in the order of the prompt.
+    pub shared_parts: Vec<String>,
     /// The last event of the stream that the caller has received, `None` when it requests the
     /// whole stream. Only used on routes whose streams may be resumed.
     pub last_event: Option<LastEvent>,
--- a/crates/daemon/tests/waiting_replies.rs
+++ b/crates/daemon/tests/waiting_replies.rs
@@ -6,6 +6,7 @@
 use iristhread_core::Fingerprint;
 use iristhread_core::Now;
 use iristhread_core::PlacementAdmission;
+use iristhread_core::PromptParts;
 use iristhread_core::Ranking;
 use iristhread_core::Refusal;
 use iristhread_core::RefusalKind;
@@ -73,6 +74,7 @@
     let asked = AskedRequest {
         request: request.to_owned(),
         fingerprint: Fingerprint::default(),
+        parts: PromptParts::default(),
         level: ServiceLevel {
             deadline: at(6_000),
             ..ServiceLevel::default()
