Put a crash down to a request also when no server of its service is left

Cause: two questions shared one answer. 'May the fleet be told that this server can't be reached?' needs an instance that reaches another server. 'Did the server go while this content was there?' was answered by the same rule: when the last server of a service crashes nobody reaches another one, each probe ended as unknown, and the end waited for the list, which shows it three seconds later, when the servers are back.

Ruled out: a quarantine that was lifted (none had begun), news that came late (the end was never put down).

Change: a probe that is refused by the server itself while nobody is known to reach another one ends as refuses_here. It confirms the crash for the contents that ran there, and concludes nothing else: the server isn't told to be unreachable, and streams go on waiting.

--- a/crates/daemon/src/detour/server_dialer.rs
+++ b/crates/daemon/src/detour/server_dialer.rs
@@ -44,6 +44,9 @@
     OnlyByPeer,
     /// The server refuses the connection, also to a peer: it has ended.
     Refuses,
+    /// The server refuses the connection, and no instance is known to reach another server of the
+    /// service: the server has ended, or this instance is cut off from all of them.
+    RefusesHere,
     /// The server does not answer.
     Silent,
     /// No instance that reaches other servers of the service was found, so that nothing is known
@@ -58,6 +61,7 @@
             Reach::Accepts => "accepts",
             Reach::OnlyByPeer => "only_by_peer",
             Reach::Refuses => "refuses",
+            Reach::RefusesHere => "refuses_here",
             Reach::Silent => "silent",
             Reach::Unknown => "unknown",
         }
@@ -134,11 +138,21 @@
             Ok(_) => Reach::OnlyByPeer,
             Err(DialError::Refused) => Reach::Refuses,
             Err(DialError::NoPath(_)) if self.reaches_another(&server).await => Reach::Refuses,
-            Err(DialError::NoPath(_)) => Reach::Unknown,
+            Err(DialError::NoPath(_)) => self.reach_without_peers(&server).await,
             Err(_) => Reach::Silent,
         }
     }
 
+    /// Returns what this instance finds by itself while nobody is known to reach another server of
+    /// the service.
+    async fn reach_without_peers(&self, server: &Replica) -> Reach {
+        match self.connect(server).await {
+            Ok(_) => Reach::Accepts,
+            Err(DialError::Refused) => Reach::RefusesHere,
+            Err(_) => Reach::Unknown,
+        }
+    }
+
     /// Connects for a peer, directly only: a detour has one hop.
     pub async fn connect_for_peer(&self, id: &str) -> (DetourReply, Option<TcpStream>) {
         let server = self.ports.servers.borrow().with_id(id);
--- a/crates/daemon/src/engines/engine_watch.rs
+++ b/crates/daemon/src/engines/engine_watch.rs
@@ -72,7 +72,9 @@
         info!(app.log, "backend server was probed";
             "backend_server" => &replica.id, "reach" => reach.as_str());
     }
-    if reach == Reach::Refuses {
+    // A crash that is assumed wrongly costs some seconds of one request's repeats. That the server
+    // can't be reached is told to all instances, and needs one that reaches other servers.
+    if matches!(reach, Reach::Refuses | Reach::RefusesHere) {
         app.control.tell(GatewayMessage::ServerCrashed {
             replica: replica.clone(),
         });
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -286,7 +286,7 @@
             Reach::Accepts => Step::Continue,
             Reach::OnlyByPeer => Step::CutOff,
             // No other engine can be reached, either.
-            Reach::Unknown => Step::Continue,
+            Reach::RefusesHere | Reach::Unknown => Step::Continue,
             Reach::Refuses | Reach::Silent => Step::Unreachable,
         }
     }
