Keep a quarantine when another suspect gets worse, and end it at the same time everywhere

Cause: a verdict was derived anew at each look from the ends known then. A content with more ends took those that it shared with another one, so the fourth end of one poison content, its try after the quarantine, left the other one with two ends and allowed it at all instances at once. And each instance derived the end of a quarantine from the ends that it had heard, at most the six latest, and from proofs that a newcomer lacks: 4,986 ms where the others held the content for 29,988 ms.

Ruled out for it: a run that wrongly counted as good (no line that a suspicion was cleared).

Change: whether an end was explained is judged by what was known when enough ends had come, and that stays; later ends of others lift the verdict only if they explain all of its ends. The result depends on the set of ends only, not on the order of the news. Instances tell a quarantine by its number of moments and the end from which it counts, so it doesn't get longer on its way; one that knows of a later good run than the teller ignores it.

--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -1,6 +1,7 @@
 //! State of single backend servers: the notices in their answers, their failures, their speed, and
 //! the requests that are suspected to crash them.
 
+pub(crate) mod advertised_suspect;
 pub(crate) mod brittle_servers;
 pub(crate) mod draining_marks;
 pub(crate) mod failure_backoff;
@@ -9,6 +10,7 @@
 pub(crate) mod load_curve;
 pub(crate) mod load_report;
 pub(crate) mod prompt_part;
+pub(crate) mod quarantine;
 pub(crate) mod run_timings;
 pub(crate) mod server_backoff;
 pub(crate) mod server_links;
--- a/crates/core/src/servers/suspect.rs
+++ b/crates/core/src/servers/suspect.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use crate::AdvertisedQuarantine;
 use crate::IncarnationId;
 use crate::Now;
+use crate::servers::quarantine::Quarantine;
 
 /// Time after the first event at which a stream counts as known-good on its server: a poison
 /// request crashes its server soon after the server has burst_started_at to run it.
@@ -14,7 +16,10 @@
 
 /// Crashes within this time are one crash burst: many servers that are killed together crash within
 /// milliseconds of each other, and instances observe it up to a heartbeat apart.
-const CRASH_BURST_WINDOW: Duration = Duration::from_millis(250);
+pub(crate) const CRASH_BURST_WINDOW: Duration = Duration::from_millis(250);
+
+/// Difference by which two instances may date the same good run: some heartbeats.
+const GOOD_RUN_TOLERANCE: Duration = Duration::from_secs(1);
 
 /// How long a fingerprint that ran well is assumed to be sent by many callers: their requests are
 /// on many servers at once, and all of these may crash for another reason.
@@ -38,6 +43,8 @@
     known_good_at: Option<Now>,
     /// When this state last changed.
     changed_at: Now,
+    /// The longest quarantine that other instances told.
+    told_quarantine: Option<AdvertisedQuarantine>,
 }
 
 impl Suspect {
@@ -47,6 +54,7 @@
             crashes: Vec::new(),
             known_good_at,
             changed_at: now,
+            told_quarantine: None,
         }
     }
 
@@ -80,6 +88,13 @@
     /// Records that a request ran well at `at`; returns whether this cleared crashes that
     /// counted.
     pub fn record_good_run(&mut self, now: Now, at: Now) -> bool {
+        if self
+            .known_good_at
+            .is_none_or(|known| at > known + GOOD_RUN_TOLERANCE)
+        {
+            // Those who told it may not have known of this run.
+            self.told_quarantine = None;
+        }
         self.known_good_at = self.known_good_at.max(Some(at));
         let before = self.crashes.len();
         self.crashes
@@ -91,6 +106,42 @@
         is_cleared
     }
 
+    /// Applies a quarantine that another instance told, which knew of a good run at `good_at`. One
+    /// that knew of no good run as late as this instance may not have known that the crashes were
+    /// those of a request that many callers send.
+    pub(crate) fn hear_quarantine(&mut self, told: AdvertisedQuarantine, good_at: Option<Now>) {
+        let is_informed = |own: Now| good_at.is_some_and(|at| at + GOOD_RUN_TOLERANCE >= own);
+        if !self.known_good_at.is_none_or(is_informed) {
+            return;
+        }
+        let known = self.told_quarantine();
+        self.told_quarantine = Some(told);
+        if known.map(|known| known.until()) > self.told_quarantine().map(|new| new.until()) {
+            self.told_quarantine = known.map(|known| AdvertisedQuarantine {
+                bursts: known.bursts,
+                life: known.last.life,
+            });
+        }
+    }
+
+    /// The longest quarantine that other instances told, unless its crash no longer counts.
+    pub(crate) fn told_quarantine(&self) -> Option<Quarantine> {
+        let told = self.told_quarantine?;
+        let mut crashes = self.crashes.iter();
+        let last = crashes.find(|crash| crash.life == told.life)?;
+        Some(Quarantine {
+            bursts: told.bursts,
+            last: *last,
+        })
+    }
+
+    /// Whether this suspect explains a crash of another one, of which `count` crashes were known at
+    /// `until`: it was there and had more crashes by then.
+    pub(crate) fn explains(&self, crash: &ServerCrash, count: usize, until: Now) -> bool {
+        let known = self.crashes.partition_point(|own| own.at <= until);
+        known > count && self.has_crashed(crash.life)
+    }
+
     /// The crashes that count, oldest first.
     pub fn crashes(&self) -> &[ServerCrash] {
         &self.crashes
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -4,14 +4,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
+use crate::AdvertisedCrash;
+use crate::AdvertisedQuarantine;
+use crate::AdvertisedSuspect;
 use crate::Fingerprint;
-use crate::IncarnationId;
 use crate::Now;
 use crate::ServerCrash;
 use crate::Suspect;
+use crate::servers::quarantine::Quarantine;
+use crate::servers::suspect::CRASH_BURST_WINDOW;
 use crate::servers::suspect::crash_bursts;
 
 /// Number of crashes without another explanation that quarantine a fingerprint. With one, every
@@ -19,20 +20,6 @@
 /// backup engine is involved in two if that engine crashes, too.
 const QUARANTINE_CRASHES: usize = 3;
 
-/// Quarantine after a single crash burst, which may have had another cause: as long as callers and
-/// load balancers take to settle after one.
-const INITIAL_QUARANTINE: Duration = Duration::from_secs(5);
-
-/// Factor by which each further crash burst extends the quarantine: after the third it is 180 s,
-/// in which callers that wait up to 39 s give up.
-const QUARANTINE_GROWTH: u32 = 6;
-
-/// Maximum quarantine: a repaired server is detected within one hour.
-const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
-
-/// Number of crash bursts after which the quarantine no longer grows.
-const MAX_CRASH_BURSTS: u32 = 5;
-
 /// Maximum number of suspects stored per workspace, so that no workspace can evict those of the
 /// others. About 200 bytes each.
 const MAX_PER_WORKSPACE: usize = 64;
@@ -79,26 +66,6 @@
     },
 }
 
-/// A crash as instances advertise it to each other.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-pub struct AdvertisedCrash {
-    /// The incarnation that crashed.
-    pub life: IncarnationId,
-    /// Milliseconds since the crash was observed.
-    pub age_ms: u64,
-}
-
-/// A suspect as instances advertise it to each other.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct AdvertisedSuspect {
-    /// The fingerprint.
-    pub fingerprint: Fingerprint,
-    /// The latest crashes, latest first.
-    pub ends: Vec<AdvertisedCrash>,
-    /// Milliseconds since a request with this fingerprint ran well.
-    pub proof_age_ms: Option<u64>,
-}
-
 /// A change of the state of a suspect.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SuspicionUpdate {
@@ -180,6 +147,9 @@
             let (life, at) = (crash.life, at(crash.age_ms));
             suspect.add_crash(now, ServerCrash { life, at });
         }
+        if let Some(told) = advertised.quarantine {
+            suspect.hear_quarantine(told, received);
+        }
         if is_cleared {
             self.updates.push(SuspicionUpdate::Cleared { fingerprint });
         }
@@ -198,39 +168,56 @@
         }
     }
 
-    /// Whether requests with this fingerprint may be sent. Requests that only ran next to the real
-    /// cause are distinguished from it by their crashes: a suspect with more crashes explains those
-    /// that both have in common.
+    /// Whether requests with this fingerprint may be sent.
     pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
-        let Some(suspect) = self.suspect(fingerprint) else {
-            return Verdict::Allowed;
-        };
+        let suspect = self.suspect(fingerprint);
+        let quarantine = suspect.and_then(|suspect| self.quarantine(suspect));
+        match (suspect, quarantine) {
+            (Some(suspect), Some(quarantine)) => Verdict::Quarantined {
+                ends: suspect.crashes().len(),
+                until: quarantine.until(),
+            },
+            _ => Verdict::Allowed,
+        }
+    }
+
+    /// Returns the quarantine that follows from what this instance knows, or the one that others
+    /// told if it is longer. The crashes that led to it stay its reason: crashes of other suspects
+    /// that come later end it only if they explain all of them.
+    fn quarantine(&self, suspect: &Suspect) -> Option<Quarantine> {
         if suspect.crashes().len() < QUARANTINE_CRASHES {
-            return Verdict::Allowed;
+            return None;
         }
-        let crashes = suspect.crashes().iter().copied();
-        let crashes: Vec<ServerCrash> =
-            crashes.filter(|c| !self.is_explained(suspect, c)).collect();
-        let weight = suspect.weight(&crashes);
-        let (Some(last), true) = (crashes.last(), weight >= QUARANTINE_CRASHES) else {
-            return Verdict::Allowed;
+        let others = self.sharing_crashes(suspect);
+        let is_beside = |crash: &ServerCrash| {
+            let count = suspect.crashes().len();
+            others
+                .iter()
+                .any(|other| other.explains(crash, count, Now::MAX))
         };
-        Verdict::Quarantined {
-            ends: crashes.len(),
-            until: last.at + quarantine(crash_bursts(&crashes)),
+        if suspect.crashes().iter().all(is_beside) {
+            return None;
         }
+        let concluded = concluded_quarantine(suspect, &others);
+        let quarantines = concluded.into_iter().chain(suspect.told_quarantine());
+        quarantines.max_by_key(Quarantine::until)
     }
 
-    fn is_explained(&self, suspect: &Suspect, crash: &ServerCrash) -> bool {
-        let suspects = self.workspaces.values().flat_map(BTreeMap::values);
-        let mut stronger = suspects.filter(|other| other.crashes().len() > suspect.crashes().len());
-        stronger.any(|other| other.has_crashed(crash.life))
+    /// Returns the other suspects that were at one of the crashes of a suspect.
+    fn sharing_crashes(&self, suspect: &Suspect) -> Vec<&Suspect> {
+        let all = self.workspaces.values().flat_map(BTreeMap::values);
+        let others = all.filter(|other| !std::ptr::eq(*other, suspect));
+        let is_shared = |other: &&Suspect| {
+            let mut crashes = suspect.crashes().iter();
+            crashes.any(|crash| other.has_crashed(crash.life))
+        };
+        others.filter(is_shared).collect()
     }
 
     /// Returns the known suspects for an instance that requests them, those with enough crashes for
     /// a quarantine first, then the latest, and at most as many as one heartbeat carries.
     pub fn known(&self, now: Now) -> Vec<AdvertisedSuspect> {
-        prioritized(now, self.suspects().collect())
+        self.prioritized(now, self.suspects().collect())
     }
 
     /// Returns the suspects to advertise to the other instances now.
@@ -244,7 +231,7 @@
             let is_recent = now.saturating_sub(suspect.changed_at()) < UPDATE_ADVERTISED_FOR;
             is_recent || (readvertises && suspect.crashes().len() > 1)
         });
-        prioritized(now, due.collect())
+        self.prioritized(now, due.collect())
     }
 
     /// Returns and clears the updates since the last call.
@@ -336,37 +323,68 @@
             suspects.remove(&weakest);
         }
     }
-}
 
-fn quarantine(bursts: usize) -> Duration {
-    let bursts = u32::try_from(bursts).unwrap_or(MAX_CRASH_BURSTS);
-    let further = bursts.clamp(1, MAX_CRASH_BURSTS) - 1;
-    let time = INITIAL_QUARANTINE * QUARANTINE_GROWTH.pow(further);
-    time.min(MAX_QUARANTINE)
-}
+    /// Returns suspects as advertised, those with enough crashes for a quarantine first, then the
+    /// latest.
+    fn prioritized(
+        &self,
+        now: Now,
+        mut suspects: Vec<(Fingerprint, &Suspect)>,
+    ) -> Vec<AdvertisedSuspect> {
+        suspects.sort_by_key(|(_, suspect)| {
+            let is_quarantined = suspect.crashes().len() >= QUARANTINE_CRASHES;
+            std::cmp::Reverse((is_quarantined, suspect.changed_at()))
+        });
+        suspects.truncate(MAX_ADVERTISED_PER_HEARTBEAT);
+        let suspects = suspects.into_iter();
+        suspects.map(|(f, s)| self.advertised(now, f, s)).collect()
+    }
 
-fn prioritized(now: Now, mut suspects: Vec<(Fingerprint, &Suspect)>) -> Vec<AdvertisedSuspect> {
-    suspects.sort_by_key(|(_, suspect)| {
-        let is_quarantined = suspect.crashes().len() >= QUARANTINE_CRASHES;
-        std::cmp::Reverse((is_quarantined, suspect.changed_at()))
-    });
-    suspects.truncate(MAX_ADVERTISED_PER_HEARTBEAT);
-    suspects
-        .into_iter()
-        .map(|(f, s)| advertised(now, f, s))
-        .collect()
+    fn advertised(
+        &self,
+        now: Now,
+        fingerprint: Fingerprint,
+        suspect: &Suspect,
+    ) -> AdvertisedSuspect {
+        let age_ms = |at: Now| now.saturating_sub(at).as_millis() as u64;
+        let latest = suspect.crashes().iter().rev().take(MAX_ADVERTISED_CRASHES);
+        let ends = latest.map(|crash| AdvertisedCrash {
+            life: crash.life,
+            age_ms: age_ms(crash.at),
+        });
+        let quarantine = self.quarantine(suspect);
+        AdvertisedSuspect {
+            fingerprint,
+            ends: ends.collect(),
+            proof_age_ms: suspect.known_good_at().map(age_ms),
+            quarantine: quarantine.map(|quarantine| AdvertisedQuarantine {
+                bursts: quarantine.bursts,
+                life: quarantine.last.life,
+            }),
+        }
+    }
 }
 
-fn advertised(now: Now, fingerprint: Fingerprint, suspect: &Suspect) -> AdvertisedSuspect {
-    let age_ms = |at: Now| now.saturating_sub(at).as_millis() as u64;
-    let latest = suspect.crashes().iter().rev().take(MAX_ADVERTISED_CRASHES);
-    let ends = latest.map(|crash| AdvertisedCrash {
-        life: crash.life,
-        age_ms: age_ms(crash.at),
-    });
-    AdvertisedSuspect {
-        fingerprint,
-        ends: ends.collect(),
-        proof_age_ms: suspect.known_good_at().map(age_ms),
-    }
+/// Returns the quarantine that follows from the crashes of a suspect. It begins at the first crash by
+/// which there were enough that no other suspect explained by then: requests that only ran next to
+/// the real cause are distinguished from it by their crashes.
+fn concluded_quarantine(suspect: &Suspect, others: &[&Suspect]) -> Option<Quarantine> {
+    let crashes = suspect.crashes();
+    let unexplained_at = |count: usize| -> Vec<ServerCrash> {
+        let (known, _) = crashes.split_at(count);
+        let at = known.last().map_or(Now::ZERO, |crash| crash.at) + CRASH_BURST_WINDOW;
+        let is_explained =
+            |crash: &&ServerCrash| others.iter().any(|other| other.explains(crash, count, at));
+        let unexplained = known.iter().filter(|crash| !is_explained(crash));
+        unexplained.copied().collect()
+    };
+    let counts = QUARANTINE_CRASHES..=crashes.len();
+    let (count, mut reasons) = counts
+        .map(|count| (count, unexplained_at(count)))
+        .find(|(_, reasons)| suspect.weight(reasons) >= QUARANTINE_CRASHES)?;
+    reasons.extend_from_slice(&crashes[count..]);
+    Some(Quarantine {
+        bursts: u32::try_from(crash_bursts(&reasons)).unwrap_or(u32::MAX),
+        last: *reasons.last()?,
+    })
 }
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -16,6 +16,7 @@
 use iristhread_core::ReplicaChange;
 use iristhread_core::Revision;
 use iristhread_core::ServerLife;
+use iristhread_core::SuspectAppendix;
 use iristhread_core::Totals;
 use iristhread_core::ZoneDigest;
 use iristhread_core::ZoneId;
@@ -209,7 +210,9 @@
     /// Appends the fields that instances of earlier versions don't know, up to the last one that is
     /// not empty.
     fn append(&self, body: &mut Vec<u8>) -> postcard::Result<()> {
-        let has_refused = !self.refused.is_empty();
+        let suspects = SuspectAppendix::of(&self.suspects);
+        let has_suspects = !suspects.is_empty();
+        let has_refused = !self.refused.is_empty() || has_suspects;
         let has_totals = self.totals.is_some();
         if !self.cut_off.is_empty() || has_totals || has_refused {
             body.extend(postcard::to_allocvec(&self.cut_off)?);
@@ -225,6 +228,9 @@
             };
             body.extend(postcard::to_allocvec(&after)?);
         }
+        if has_suspects {
+            body.extend(postcard::to_allocvec(&suspects)?);
+        }
         Ok(())
     }
 
@@ -243,9 +249,14 @@
         if appended.is_empty() {
             return Ok(());
         }
-        let after: AfterTotals = postcard::from_bytes(appended)?;
+        let (after, appended): (AfterTotals, _) = postcard::take_from_bytes(appended)?;
         self.totals = self.totals.take().filter(|_| after.carries_totals);
         self.refused = after.refused;
+        if appended.is_empty() {
+            return Ok(());
+        }
+        let suspects: SuspectAppendix = postcard::from_bytes(appended)?;
+        suspects.add_to(&mut self.suspects);
         Ok(())
     }
 }
--- a/crates/daemon/src/peers/peer_answers.rs
+++ b/crates/daemon/src/peers/peer_answers.rs
@@ -8,6 +8,7 @@
 use iristhread_api::InstancesReply;
 use iristhread_core::Event;
 use iristhread_core::InstanceId;
+use iristhread_core::SuspectAppendix;
 
 use crate::completion::app::App;
 use crate::completion::control_message::ControlMessage;
@@ -115,10 +116,9 @@
         config_version: versions.config_version,
         time: versions.time,
     });
-    if !versions.suspects.0.is_empty() {
-        app.control.tell(Event::SuspectsReceived {
-            suspects: versions.suspects.0.clone(),
-        });
+    let suspects = versions.all_suspects();
+    if !suspects.is_empty() {
+        app.control.tell(Event::SuspectsReceived { suspects });
     }
     if let Some(age_ms) = versions.config_age_ms {
         app.control.tell(Event::ConfigConfirmed {
@@ -137,6 +137,9 @@
         roster_version: versions.roster_version,
         time: versions.time,
         suspects: Packed(versions.suspects.clone()),
+        suspect_appendix: Some(SuspectAppendix::of(&versions.suspects))
+            .filter(|appendix| !appendix.is_empty())
+            .map(Packed),
     }
 }
 
--- a/crates/daemon/src/peers/peer_message.rs
+++ b/crates/daemon/src/peers/peer_message.rs
@@ -13,6 +13,7 @@
 use iristhread_core::InstanceId;
 use iristhread_core::RequestId;
 use iristhread_core::Revision;
+use iristhread_core::SuspectAppendix;
 use iristhread_core::TimelineRecord;
 use iristhread_core::WorkspaceId;
 use serde::Deserialize;
@@ -54,6 +55,20 @@
     pub time: HybridTime,
     /// Fingerprints of requests that the process suspects of crashing backend servers.
     pub suspects: Packed<Vec<AdvertisedSuspect>>,
+    /// What belongs to the suspects and processes of an earlier version don't know.
+    #[serde(default)]
+    pub suspect_appendix: Option<Packed<SuspectAppendix>>,
+}
+
+impl PeerVersions {
+    /// Returns the suspects with what belongs to them.
+    pub fn all_suspects(&self) -> Vec<AdvertisedSuspect> {
+        let mut suspects = self.suspects.0.clone();
+        if let Some(Packed(appendix)) = self.suspect_appendix.clone() {
+            appendix.add_to(&mut suspects);
+        }
+        suspects
+    }
 }
 
 /// A call to a plain service, forwarded to the instance that its ticket names.
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -4,7 +4,11 @@
 
 use std::collections::BTreeMap;
 
+use iristhread_core::AdvertisedCrash;
+use iristhread_core::AdvertisedQuarantine;
 use iristhread_core::AdvertisedRefusal;
+use iristhread_core::AdvertisedSuspect;
+use iristhread_core::Fingerprint;
 use iristhread_core::Keyring;
 use iristhread_core::LoadShare;
 use iristhread_core::ServerLife;
@@ -149,6 +153,35 @@
     assert_eq!(sealed.open(&keyring('a')), Ok(with_all));
 }
 
+fn suspect(quarantine: Option<AdvertisedQuarantine>) -> AdvertisedSuspect {
+    AdvertisedSuspect {
+        fingerprint: Fingerprint::default(),
+        ends: vec![AdvertisedCrash { life: 4, age_ms: 9 }],
+        proof_age_ms: None,
+        quarantine,
+    }
+}
+
+/// An instance that doesn't know quarantines must read the suspects and the rest.
+#[test]
+fn quarantines_survive_encoding_and_cost_nothing_otherwise() {
+    let calm = Heartbeat {
+        suspects: vec![suspect(None), suspect(None)],
+        ..heartbeat(7, 3)
+    };
+    let quarantine = AdvertisedQuarantine { bursts: 2, life: 4 };
+    let with_quarantine = Heartbeat {
+        suspects: vec![suspect(None), suspect(Some(quarantine))],
+        ..calm.clone()
+    };
+    let sealed = with_quarantine.seal(&keyring('a')).unwrap();
+    assert_eq!(sealed.open(&keyring('a')), Ok(with_quarantine));
+    // No service without a path, three empty maps, the flag, no refusal, and one quarantine of
+    // three numbers.
+    let size = calm.seal(&keyring('a')).unwrap().size_bytes();
+    assert_eq!(sealed.size_bytes(), size + 10);
+}
+
 #[test]
 fn a_heartbeat_of_another_fleet_is_rejected() {
     let sealed = heartbeat(7, 3).seal(&keyring('a')).unwrap();
