--- a/crates/core/src/completion/control.rs
+++ b/crates/core/src/completion/control.rs
@@ -21,9 +21,10 @@
 use crate::Incarnation;
 use crate::InstanceId;
 use crate::InstanceList;
-use crate::KnownGoodRequests;
+use crate::KnownGood;
 use crate::LengthEstimator;
 use crate::Now;
+use crate::PromptParts;
 use crate::ReaderRanking;
 use crate::Refusal;
 use crate::RequestId;
@@ -32,6 +33,7 @@
 use crate::RoutingPolicy;
 use crate::ServerLimits;
 use crate::SpendVerdict;
+use crate::SuspectedRequest;
 use crate::Suspicions;
 use crate::Ticket;
 use crate::TicketStore;
@@ -76,6 +78,7 @@
     engine: BackendId,
     class: String,
     fingerprint: Fingerprint,
+    parts: PromptParts,
     /// Time of its first progress on the engine.
     first_progress_at: Option<Now>,
 }
@@ -106,7 +109,7 @@
     timeline: Timeline,
     random: Pcg32,
     suspicions: Suspicions,
-    known_good: KnownGoodRequests,
+    known_good: KnownGood,
     /// Open requests that have run long enough to count as known-good.
     known_good_requests: HashSet<RequestId>,
     limits: ServerLimits,
@@ -144,7 +147,7 @@
             timeline: Timeline::new(instance, settings.timeline_records),
             random: Pcg32::seed_from_u64(settings.seed),
             suspicions: Suspicions::default(),
-            known_good: KnownGoodRequests::default(),
+            known_good: KnownGood::default(),
             known_good_requests: HashSet::new(),
             limits: ServerLimits::default(),
             settings,
@@ -173,9 +176,16 @@
             Event::ServerCrashed {
                 backend,
                 fingerprint,
+                parts,
                 ran_for,
-            } => self.server_crashed(now, &backend, fingerprint, ran_for, &mut commands),
-            Event::CallAnswered { fingerprint } => self.record_success(now, fingerprint),
+            } => {
+                let parts = &parts;
+                let request = SuspectedRequest { fingerprint, parts };
+                self.server_crashed(now, &backend, request, ran_for, &mut commands);
+            }
+            Event::CallAnswered { fingerprint } => {
+                self.record_success(now, SuspectedRequest::without_parts(fingerprint));
+            }
             Event::SuspectsReceived { suspects } => self.receive_suspects(now, &suspects),
             Event::Closed { request, workspace } => self.closed(&request, &workspace),
             Event::Report { backend, report } => {
@@ -255,7 +265,8 @@
         fingerprint: Fingerprint,
     ) -> Result<(), Refusal> {
         let workspace = self.workspace(workspace)?;
-        self.check_quarantine(now, &request, fingerprint)?;
+        let suspected = SuspectedRequest::without_parts(fingerprint);
+        self.check_quarantine(now, &request, suspected)?;
         self.admission.open(now, &workspace)?;
         self.open_ids.insert(request);
         Ok(())
--- a/crates/core/src/completion/control/placement.rs
+++ b/crates/core/src/completion/control/placement.rs
@@ -17,6 +17,7 @@
 use crate::RoutingContext;
 use crate::RoutingNeed;
 use crate::Submission;
+use crate::SuspectedRequest;
 use crate::TimelineEvent;
 use crate::Workspace;
 use crate::WorkspaceId;
@@ -59,7 +60,11 @@
                 attempt: submission.attempt,
             },
         );
-        self.check_quarantine(now, &submission.request, submission.fingerprint)?;
+        let suspected = SuspectedRequest {
+            fingerprint: submission.fingerprint,
+            parts: &submission.parts,
+        };
+        self.check_quarantine(now, &submission.request, suspected)?;
         self.admit(now, &workspace, &submission)?;
         let waits = self
             .queues
@@ -225,6 +230,7 @@
             engine,
             class,
             fingerprint: submission.fingerprint,
+            parts: submission.parts.clone(),
             first_progress_at: None,
         };
         self.running.insert(submission.request.clone(), running);
@@ -253,7 +259,11 @@
             return;
         };
         self.estimator.finished(&running.class, generated);
-        self.record_success(now, running.fingerprint);
+        let request = SuspectedRequest {
+            fingerprint: running.fingerprint,
+            parts: &running.parts,
+        };
+        self.record_success(now, request);
         self.drain_engine(now, &running.engine, commands);
     }
 
--- a/crates/core/src/completion/control/quarantine.rs
+++ b/crates/core/src/completion/control/quarantine.rs
@@ -6,15 +6,14 @@
 use crate::AdvertisedSuspect;
 use crate::BackendId;
 use crate::Command;
-use crate::Fingerprint;
 use crate::IncarnationId;
 use crate::KNOWN_GOOD_AFTER;
 use crate::Now;
 use crate::Refusal;
 use crate::RequestId;
 use crate::ServerCrash;
+use crate::SuspectedRequest;
 use crate::SuspicionUpdate;
-use crate::Verdict;
 use crate::membership::rendezvous::weight;
 
 /// Backend servers have no id per incarnation on this interface, so crashes of the same server
@@ -29,7 +28,7 @@
         &mut self,
         now: Now,
         backend: &BackendId,
-        fingerprint: Fingerprint,
+        request: SuspectedRequest<'_>,
         ran_for: Duration,
         commands: &mut Vec<Command>,
     ) {
@@ -40,9 +39,9 @@
             life: self.incarnation_of(backend),
             at: now,
         };
-        let known_good_at = self.known_good.known_good_at(fingerprint);
+        let known_good_at = |fingerprint| self.known_good.at(fingerprint);
         self.suspicions
-            .server_ended(now, fingerprint, known_good_at, end);
+            .server_crashed_under(now, request, known_good_at, end);
         self.exchange_with_peers(commands);
     }
 
@@ -53,15 +52,17 @@
     /// Applies the suspects that a peer advertises.
     pub(super) fn receive_suspects(&mut self, now: Now, suspects: &[AdvertisedSuspect]) {
         for suspect in suspects {
-            let known_good_at = self.known_good.known_good_at(suspect.fingerprint);
+            let known_good_at = self.known_good.at(suspect.fingerprint);
             self.suspicions.hear(now, known_good_at, suspect);
         }
     }
 
     /// Records that a request is known-good.
-    pub(super) fn record_success(&mut self, now: Now, fingerprint: Fingerprint) {
-        self.known_good.note(now, fingerprint);
-        self.suspicions.ran_well(now, fingerprint);
+    pub(super) fn record_success(&mut self, now: Now, request: SuspectedRequest<'_>) {
+        self.known_good.note(now, request);
+        for fingerprint in request.fingerprints() {
+            self.suspicions.ran_well(now, fingerprint);
+        }
     }
 
     /// Records progress of a request, which becomes known-good once it has run for
@@ -71,11 +72,12 @@
             return;
         };
         let first_progress_at = *running.first_progress_at.get_or_insert(now);
-        let fingerprint = running.fingerprint;
+        let (fingerprint, parts) = (running.fingerprint, running.parts.clone());
         let is_new = !self.known_good_requests.contains(request);
         if is_new && now.saturating_sub(first_progress_at) >= KNOWN_GOOD_AFTER {
             self.known_good_requests.insert(request.clone());
-            self.record_success(now, fingerprint);
+            let parts = &parts;
+            self.record_success(now, SuspectedRequest { fingerprint, parts });
         }
     }
 
@@ -88,15 +90,16 @@
         &self,
         now: Now,
         request: &RequestId,
-        fingerprint: Fingerprint,
+        suspected: SuspectedRequest<'_>,
     ) -> Result<(), Refusal> {
-        let Verdict::Quarantined { ends, until } = self.suspicions.verdict(fingerprint) else {
+        let causes = self.suspicions.causes(suspected);
+        let Some(last) = causes.iter().max_by_key(|cause| cause.until) else {
             return Ok(());
         };
-        if now >= until || self.known_good_requests.contains(request) {
+        if now >= last.until || self.known_good_requests.contains(request) {
             return Ok(());
         }
-        Err(Refusal::quarantined(ends, until - now))
+        Err(Refusal::quarantined(last, last.until - now))
     }
 
     /// Returns the suspects to advertise to a peer.
--- a/crates/core/src/completion/event.rs
+++ b/crates/core/src/completion/event.rs
@@ -16,6 +16,7 @@
 use crate::LoadReport;
 use crate::Now;
 use crate::ObservedNotice;
+use crate::PromptParts;
 use crate::RequestId;
 use crate::TimelineEvent;
 use crate::WorkspaceId;
@@ -29,6 +30,8 @@
     pub workspace: WorkspaceId,
     /// Fingerprint of its content.
     pub fingerprint: Fingerprint,
+    /// The beginnings of its prompt that other requests may share, shorter ones first.
+    pub parts: PromptParts,
     /// Requested model.
     pub model: String,
     /// Requested adapter.
@@ -91,6 +94,8 @@
         backend: BackendId,
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
+        /// The beginnings of its prompt that other requests may share.
+        parts: PromptParts,
         /// Time that the request had run there since its first token; zero before the first token.
         ran_for: Duration,
     },
--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -15,7 +15,7 @@
 use crate::FailureBackoff;
 use crate::GatewayParameters;
 use crate::InstanceId;
-use crate::KnownGoodRequests;
+use crate::KnownGood;
 use crate::LoadShares;
 use crate::Moving;
 use crate::Now;
@@ -131,7 +131,7 @@
     waiting: WaitingRequests,
     broken_runs: BrokenRuns,
     suspicions: Suspicions,
-    proven: KnownGoodRequests,
+    known_good: KnownGood,
     move_room: MoveRoom,
     orphaned: Vec<RequestId>,
     retries: Retries,
@@ -162,7 +162,7 @@
             waiting: WaitingRequests::default(),
             broken_runs: BrokenRuns::default(),
             suspicions: Suspicions::default(),
-            proven: KnownGoodRequests::default(),
+            known_good: KnownGood::default(),
             move_room: MoveRoom::default(),
             orphaned: Vec::new(),
             retries: Retries::default(),
@@ -226,7 +226,7 @@
     /// Ranks the replicas for a request whose arrival is counted, and counts it as sent to the
     /// first.
     fn place_arrived(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, NotPlaced> {
-        self.check_quarantine(now, ask.fingerprint)?;
+        self.check_quarantine(now, &ask)?;
         let scores = self.scores(now, &ask, None);
         if scores.is_empty() {
             return Err(self.no_replica_refusal(now, &ask).into());
@@ -320,12 +320,12 @@
         run.begun_at.get_or_insert(now);
         let is_proof = !run.is_proven && run.has_run_well(now);
         run.is_proven |= is_proof;
-        let fingerprint = run.ask.fingerprint;
+        let proven = is_proof.then(|| run.ask.clone());
         if let Some(pause) = self.pauses.get_mut(&run.replica) {
             pause.succeed();
         }
-        if is_proof {
-            self.ran_well(now, fingerprint);
+        if let Some(ask) = proven {
+            self.ran_well(now, ask.suspected());
         }
         self.time_progress(now, request, generated);
         !had_begun
@@ -356,7 +356,7 @@
                 let took = now.saturating_sub(run.sent_at);
                 self.brittle.ran(&run.ask.service, took);
                 self.pauses.remove(&run.replica);
-                self.ran_well(now, run.ask.fingerprint);
+                self.ran_well(now, run.ask.suspected());
             }
             RunEnd::Failed => self.failed(now, &run.replica),
             RunEnd::Refused | RunEnd::Withdrawn => {}
--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -11,13 +11,17 @@
 use crate::KNOWN_GOOD_AFTER;
 use crate::ListedState;
 use crate::Now;
+use crate::PlacementRequest;
+use crate::PromptPart;
+use crate::PromptParts;
+use crate::QuarantineCause;
 use crate::Refusal;
 use crate::Replica;
 use crate::RequestId;
 use crate::ServerCrash;
 use crate::ServerLife;
+use crate::SuspectedRequest;
 use crate::SuspicionUpdate;
-use crate::Verdict;
 use crate::rendezvous_rank;
 
 /// Time for which a broken run waits for the confirmation that its server has crashed: its entry is
@@ -35,11 +39,21 @@
 #[derive(Clone, Debug)]
 struct BrokenRun {
     fingerprint: Fingerprint,
+    parts: PromptParts,
     replica: BackendId,
     incarnation: IncarnationId,
     at: Now,
 }
 
+impl BrokenRun {
+    fn request(&self) -> SuspectedRequest<'_> {
+        SuspectedRequest {
+            fingerprint: self.fingerprint,
+            parts: &self.parts,
+        }
+    }
+}
+
 /// What became of a report that the connection of a run was lost or stalled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BrokenRunVerdict {
@@ -72,8 +86,8 @@
 #[derive(Debug, Default)]
 pub(super) struct BrokenRuns {
     unconfirmed: Vec<BrokenRun>,
-    /// The fingerprint that is being probed after its quarantine, and the end of the probe.
-    probe: Option<(Fingerprint, Now)>,
+    /// Until when a request is being sent as a probe after its quarantine.
+    probed_until: Option<Now>,
 }
 
 impl GatewayControl {
@@ -91,6 +105,7 @@
         };
         let broken = BrokenRun {
             fingerprint: run.ask.fingerprint,
+            parts: run.ask.parts.clone(),
             replica: replica.id.clone(),
             incarnation: replica.life(),
             at: now,
@@ -155,15 +170,15 @@
             life: broken.incarnation,
             at: broken.at,
         };
-        let known_good_at = self.proven.known_good_at(broken.fingerprint);
+        let known_good_at = |fingerprint| self.known_good.at(fingerprint);
         self.suspicions
-            .server_ended(now, broken.fingerprint, known_good_at, end);
+            .server_crashed_under(now, broken.request(), known_good_at, end);
     }
 
     /// Applies the suspicions that a peer advertises.
     pub fn apply_peer_suspects(&mut self, now: Now, advertised: &[AdvertisedSuspect]) {
         for advertised in advertised {
-            let known_good_at = self.proven.known_good_at(advertised.fingerprint);
+            let known_good_at = self.known_good.at(advertised.fingerprint);
             self.suspicions.hear(now, known_good_at, advertised);
         }
     }
@@ -178,12 +193,14 @@
         self.suspicions.take_news()
     }
 
-    /// Returns the requests of this instance with a fingerprint that have not started: they are
-    /// queued at their engines and would crash these as well.
+    /// Returns the requests of this instance with a fingerprint, of their content or of a part of
+    /// their prompt, that have not started: they are queued at their engines and would crash these
+    /// as well.
     pub fn unstarted_with(&self, fingerprint: Fingerprint) -> Vec<RequestId> {
         let runs = self.runs.iter();
         let unstarted = runs.filter(|(_, run)| {
-            run.ask.fingerprint == fingerprint && !run.has_begun && !run.is_proven
+            let mut fingerprints = run.ask.suspected().fingerprints();
+            !run.has_begun && !run.is_proven && fingerprints.any(|own| own == fingerprint)
         });
         unstarted.map(|(request, _)| request.clone()).collect()
     }
@@ -193,15 +210,22 @@
         self.suspicions.count()
     }
 
-    /// Returns the number of quarantined fingerprints.
+    /// Returns the number of quarantined contents.
     pub fn quarantined(&self) -> usize {
         self.suspicions.quarantined()
     }
 
-    /// Records that a request ran well.
-    pub(super) fn ran_well(&mut self, now: Now, fingerprint: Fingerprint) {
-        self.proven.note(now, fingerprint);
-        self.suspicions.ran_well(now, fingerprint);
+    /// Returns the number of quarantined parts of prompts.
+    pub fn quarantined_parts(&self) -> usize {
+        self.suspicions.quarantined_parts()
+    }
+
+    /// Records that a request ran well, and so its content and the parts of its prompt.
+    pub fn ran_well(&mut self, now: Now, request: SuspectedRequest<'_>) {
+        self.known_good.note(now, request);
+        for fingerprint in request.fingerprints() {
+            self.suspicions.ran_well(now, fingerprint);
+        }
     }
 
     /// Returns whether a request in progress may be sent to another replica.
@@ -209,32 +233,44 @@
         let Some(run) = self.runs.get(request) else {
             return true;
         };
-        run.is_proven || self.suspicions.verdict(run.ask.fingerprint) == Verdict::Allowed
+        run.is_proven || self.suspicions.causes(run.ask.suspected()).is_empty()
     }
 
-    /// Refuses a request whose fingerprint is quarantined. After the quarantine, one instance of
-    /// all sends one such request as a probe.
+    /// Refuses a request while its content or a part of its prompt is quarantined. After the
+    /// quarantine, one instance of all sends one such request as a probe.
     pub(super) fn check_quarantine(
         &mut self,
         now: Now,
-        fingerprint: Fingerprint,
+        ask: &PlacementRequest,
     ) -> Result<(), Refusal> {
-        let Verdict::Quarantined { ends, until } = self.suspicions.verdict(fingerprint) else {
+        let causes = self.suspicions.causes(ask.suspected());
+        let Some(last) = causes.iter().max_by_key(|cause| cause.until) else {
             return Ok(());
         };
-        let is_probed = self.broken_runs.probe.is_some_and(|(_, until)| now < until);
-        if now >= until && !is_probed && self.probes(fingerprint) {
-            self.broken_runs.probe = Some((fingerprint, now + PROBE));
+        let is_probed = self
+            .broken_runs
+            .probed_until
+            .is_some_and(|until| now < until);
+        if now >= last.until && !is_probed && self.probes(ask, &causes) {
+            self.broken_runs.probed_until = Some(now + PROBE);
             return Ok(());
         }
-        Err(Refusal::quarantined(ends, until.saturating_sub(now)))
+        Err(Refusal::quarantined(last, last.until.saturating_sub(now)))
     }
 
-    /// Returns whether this instance is the one to probe a fingerprint. All instances that receive
-    /// each other's heartbeats agree on one; an instance that receives fewer than half of the
-    /// other zones probes none.
-    fn probes(&self, fingerprint: Fingerprint) -> bool {
-        self.is_first_for(&format!("{:032x}", fingerprint.content))
+    /// Returns whether this instance is the one to probe a request after its quarantines. All
+    /// instances that receive each other's heartbeats agree on one; an instance that receives fewer
+    /// than half of the other zones probes none. A part is probed by the same instance for all
+    /// workspaces.
+    fn probes(&self, ask: &PlacementRequest, causes: &[QuarantineCause]) -> bool {
+        let is_cause = |part: &&PromptPart| {
+            let mut causes = causes.iter().map(|cause| cause.fingerprint);
+            causes.any(|cause| cause == part.in_workspace || cause == part.in_fleet)
+        };
+        let parts = ask.parts.iter().filter(is_cause);
+        let topic = parts.map(|part| part.in_fleet.content).min();
+        let topic = topic.unwrap_or(ask.fingerprint.content);
+        self.is_first_for(&format!("{topic:032x}"))
     }
 
     /// Returns whether this instance is the one of all that acts on a topic, as for `probes`.
--- a/crates/core/src/gateway/gateway_control/waiting.rs
+++ b/crates/core/src/gateway/gateway_control/waiting.rs
@@ -13,7 +13,6 @@
 use crate::RegionId;
 use crate::RequestId;
 use crate::RequestRank;
-use crate::Verdict;
 use crate::WaitingRequest;
 use crate::WorkspaceId;
 use crate::WorkspaceShares;
@@ -139,13 +138,12 @@
         decided: &mut Vec<(RequestId, Admission)>,
     ) {
         let suspicions = &self.suspicions;
-        let quarantine =
-            |waiting: &WaitingRequest| match suspicions.verdict(waiting.ask.fingerprint) {
-                Verdict::Quarantined { ends, until } if now < until => {
-                    Some(Refusal::quarantined(ends, until.saturating_sub(now)))
-                }
-                _ => None,
-            };
+        let quarantine = |waiting: &WaitingRequest| {
+            let causes = suspicions.causes(waiting.ask.suspected());
+            let last = causes.into_iter().max_by_key(|cause| cause.until)?;
+            let left = last.until.saturating_sub(now);
+            (!left.is_zero()).then(|| Refusal::quarantined(&last, left))
+        };
         let taken = self.waiting.take(|waiting| quarantine(waiting).is_some());
         for waiting in taken {
             if let Some(refusal) = quarantine(&waiting) {
--- a/crates/core/src/gateway/placement_request.rs
+++ b/crates/core/src/gateway/placement_request.rs
@@ -11,6 +11,7 @@
 use crate::RequestClass;
 use crate::RequestId;
 use crate::ServiceLevel;
+use crate::SuspectedRequest;
 
 /// A request that needs a backend server.
 #[derive(Clone, Debug)]
@@ -38,6 +39,14 @@
 }
 
 impl PlacementRequest {
+    /// Returns what the request is recognized by when servers crash under it.
+    pub fn suspected(&self) -> SuspectedRequest<'_> {
+        SuspectedRequest {
+            fingerprint: self.fingerprint,
+            parts: &self.parts,
+        }
+    }
+
     /// Returns the expected output length in tokens: the caller's estimate, which is correct at
     /// the median, or half of the maximum if the caller gave none.
     pub fn likely_tokens(&self) -> u32 {
--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 
 use crate::ExpectedRoom;
+use crate::QuarantineCause;
+use crate::SuspectKind;
 
 /// Reason of a refusal. A refused request is known to be `not_run`, because the decision is made
 /// before anything is sent to a backend server.
@@ -99,14 +101,23 @@
         )
     }
 
-    /// Creates a refusal for a quarantined request: `ends` backend servers have crashed under
-    /// requests with the same fingerprint. `left` is the remaining quarantine time.
-    pub fn quarantined(ends: usize, left: Duration) -> Self {
-        Refusal::new(
-            RefusalKind::Quarantined,
-            left.clamp(MIN_QUARANTINE_RETRY_AFTER, MAX_QUARANTINE_RETRY_AFTER),
-            format!("{ends} backend servers have ended under requests like this one"),
-        )
+    /// Creates a refusal for a request that is quarantined because backend servers have crashed under
+    /// requests with the same content or part of their prompt. `left` is the remaining quarantine
+    /// time.
+    pub fn quarantined(cause: &QuarantineCause, left: Duration) -> Self {
+        let ends = cause.ends;
+        let message = match cause.kind {
+            SuspectKind::Content => {
+                format!("{ends} backend servers have ended under requests like this one")
+            }
+            SuspectKind::Part(_) | SuspectKind::PartInFleet(_) => format!(
+                "{ends} backend servers have ended under requests with the same part {} of their \
+                 prompts",
+                cause.fingerprint
+            ),
+        };
+        let retry_after = left.clamp(MIN_QUARANTINE_RETRY_AFTER, MAX_QUARANTINE_RETRY_AFTER);
+        Refusal::new(RefusalKind::Quarantined, retry_after, message)
     }
 
     /// Creates a refusal because all backend servers of `of` are backing off, for `left` at least.
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod advertised_suspect;
 pub(crate) mod brittle_servers;
+pub(crate) mod crash_reasons;
 pub(crate) mod draining_marks;
 pub(crate) mod failure_backoff;
 pub(crate) mod fingerprint;
@@ -19,4 +20,5 @@
 pub(crate) mod server_speeds;
 pub(crate) mod speed_class;
 pub(crate) mod suspect;
+pub(crate) mod suspect_store;
 pub(crate) mod suspicions;
--- a/crates/core/src/servers/advertised_suspect.rs
+++ b/crates/core/src/servers/advertised_suspect.rs
@@ -1,10 +1,11 @@
-//! Suspected requests as instances advertise them to each other.
+//! Suspected requests and parts of prompts as instances advertise them to each other.
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::Fingerprint;
 use crate::IncarnationId;
+use crate::SuspectKind;
 
 /// A crash as instances advertise it to each other.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -25,6 +26,34 @@
     pub life: IncarnationId,
 }
 
+/// What makes a suspect a part of prompts, as instances advertise it to each other.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdvertisedPart {
+    /// Whether it is the part in all workspaces together, and not that in one of them.
+    pub is_in_fleet: bool,
+    /// Position of the part in the prompts; the first is 0.
+    pub position: u8,
+    /// Digests of the request, or of the workspace for a part in the fleet, by which the part was at
+    /// each of the crashes.
+    pub sources: Vec<u32>,
+}
+
+impl AdvertisedPart {
+    /// Returns the part of a suspect of a kind; `None` for contents.
+    pub(crate) fn of(kind: SuspectKind, sources: Vec<u32>) -> Option<Self> {
+        let (is_in_fleet, position) = match kind {
+            SuspectKind::PartInFleet(position) => (true, position),
+            SuspectKind::Part(position) => (false, position),
+            SuspectKind::Content => return None,
+        };
+        Some(AdvertisedPart {
+            is_in_fleet,
+            position,
+            sources,
+        })
+    }
+}
+
 /// A suspect as instances advertise it to each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AdvertisedSuspect {
@@ -37,37 +66,78 @@
     /// Its quarantine, if it has one. Not part of the encoding; see [`SuspectAppendix`].
     #[serde(skip)]
     pub quarantine: Option<AdvertisedQuarantine>,
+    /// What makes it a part of prompts; `None` for requests with the same content. Not part of the
+    /// encoding, as `quarantine`.
+    #[serde(skip)]
+    pub part: Option<AdvertisedPart>,
 }
 
-/// What instances advertise about suspects besides what those of an earlier version understand.
+impl AdvertisedSuspect {
+    /// What is suspected.
+    pub(crate) fn kind(&self) -> SuspectKind {
+        match &self.part {
+            Some(part) if part.is_in_fleet => SuspectKind::PartInFleet(part.position),
+            Some(part) => SuspectKind::Part(part.position),
+            None => SuspectKind::Content,
+        }
+    }
+
+    /// Returns by what a part was at its crashes; nothing for contents.
+    pub(crate) fn sources(&self) -> impl Iterator<Item = (IncarnationId, u32)> + '_ {
+        let sources = self.part.iter().flat_map(|part| part.sources.iter());
+        let lives = self.ends.iter().map(|crash| crash.life);
+        lives.zip(sources.copied())
+    }
+}
+
+/// What instances advertise about suspects besides what those of an earlier version understand: the
+/// parts of prompts, and the quarantines.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct SuspectAppendix {
-    /// The quarantines, each with the position of its suspect in the list.
+    parts: Vec<(AdvertisedSuspect, AdvertisedPart)>,
+    /// The quarantines, each with the position of its suspect in the list: first the contents, then
+    /// the parts.
     quarantines: Vec<(u8, AdvertisedQuarantine)>,
 }
 
 impl SuspectAppendix {
-    /// Returns the appendix of a list of suspects.
-    pub fn of(suspects: &[AdvertisedSuspect]) -> Self {
-        let positions = (0_u8..).zip(suspects);
+    /// Divides suspects into those that instances of an earlier version understand, and the rest.
+    pub fn divide(suspects: Vec<AdvertisedSuspect>) -> (Vec<AdvertisedSuspect>, Self) {
+        let is_content = |suspect: &AdvertisedSuspect| suspect.part.is_none();
+        let (contents, parts): (Vec<_>, Vec<_>) = suspects.into_iter().partition(is_content);
+        let positions = (0_u8..).zip(contents.iter().chain(&parts));
         let quarantines = positions.filter_map(|(position, s)| Some((position, s.quarantine?)));
-        SuspectAppendix {
-            quarantines: quarantines.collect(),
-        }
+        let quarantines = quarantines.collect();
+        let parts = parts.into_iter();
+        let parts = parts.filter_map(|suspect| Some((suspect.clone(), suspect.part?)));
+        let appendix = SuspectAppendix {
+            parts: parts.collect(),
+            quarantines,
+        };
+        (contents, appendix)
     }
 
     /// Returns whether it adds nothing.
     pub fn is_empty(&self) -> bool {
-        self.quarantines.is_empty()
+        self.quarantines.is_empty() && self.parts.is_empty()
     }
 
-    /// Adds the appendix to the list that it was made of. Positions that the list doesn't have are
-    /// ignored.
-    pub fn add_to(self, suspects: &mut [AdvertisedSuspect]) {
+    /// Returns all suspects that [`divide`](Self::divide) has divided. Positions that the list
+    /// doesn't have are ignored.
+    pub fn join(self, contents: Vec<AdvertisedSuspect>) -> Vec<AdvertisedSuspect> {
+        let parts = self
+            .parts
+            .into_iter()
+            .map(|(suspect, part)| AdvertisedSuspect {
+                part: Some(part),
+                ..suspect
+            });
+        let mut suspects: Vec<AdvertisedSuspect> = contents.into_iter().chain(parts).collect();
         for (position, quarantine) in self.quarantines {
             if let Some(suspect) = suspects.get_mut(usize::from(position)) {
                 suspect.quarantine = Some(quarantine);
             }
         }
+        suspects
     }
 }
--- /dev/null
+++ b/crates/core/src/servers/crash_reasons.rs
@@ -0,0 +1,59 @@
+//! Concludes from crashes which of several suspects caused them.
+
+use crate::Now;
+use crate::ServerCrash;
+use crate::Suspect;
+use crate::servers::quarantine::Quarantine;
+use crate::servers::suspect::CRASH_BURST_WINDOW;
+use crate::servers::suspect::crash_bursts;
+
+/// Number of crashes without another explanation that quarantine a suspect. With one, every request
+/// that ran next to the real cause would be quarantined; a stream that fails over to a backup engine
+/// is involved in two if that engine crashes, too.
+pub(super) const QUARANTINE_CRASHES: usize = 3;
+
+/// Returns the quarantine that follows from what this instance knows, or the one that others told if
+/// it is longer. `others` are the suspects that share crashes with this one. The crashes that led to
+/// a quarantine stay its reason: crashes of other suspects that come later end it only if they
+/// explain all of them.
+pub(super) fn quarantine(suspect: &Suspect, others: &[&Suspect]) -> Option<Quarantine> {
+    let crashes = suspect.crashes();
+    let is_beside = |crash: &ServerCrash| {
+        let mut others = others.iter();
+        others.any(|other| other.explains(suspect, crash, crashes.len(), Now::MAX))
+    };
+    if crashes.iter().all(is_beside) {
+        return None;
+    }
+    let concluded = concluded_quarantine(suspect, others);
+    let quarantines = concluded.into_iter().chain(suspect.told_quarantine());
+    quarantines.max_by_key(Quarantine::until)
+}
+
+/// Returns the quarantine that follows from the crashes of a suspect. It begins at the first crash by
+/// which there were enough that no other suspect explained by then: requests that only ran next to
+/// the real cause are distinguished from it by their crashes.
+fn concluded_quarantine(suspect: &Suspect, others: &[&Suspect]) -> Option<Quarantine> {
+    let crashes = suspect.crashes();
+    let counts = QUARANTINE_CRASHES..=crashes.len();
+    let (count, mut reasons) = counts
+        .map(|count| (count, unexplained(suspect, others, count)))
+        .find(|(_, reasons)| suspect.weight(reasons) >= QUARANTINE_CRASHES)?;
+    reasons.extend_from_slice(&crashes[count..]);
+    Some(Quarantine {
+        bursts: u32::try_from(crash_bursts(&reasons)).unwrap_or(u32::MAX),
+        last: *reasons.last()?,
+    })
+}
+
+/// Returns those of the first `count` crashes that no other suspect explained at the last of them.
+fn unexplained(suspect: &Suspect, others: &[&Suspect], count: usize) -> Vec<ServerCrash> {
+    let (known, _) = suspect.crashes().split_at(count);
+    let at = known.last().map_or(Now::ZERO, |crash| crash.at) + CRASH_BURST_WINDOW;
+    let is_explained = |crash: &&ServerCrash| {
+        let mut others = others.iter();
+        others.any(|other| other.explains(suspect, crash, count, at))
+    };
+    let unexplained = known.iter().filter(|crash| !is_explained(crash));
+    unexplained.copied().collect()
+}
--- a/crates/core/src/servers/suspect.rs
+++ b/crates/core/src/servers/suspect.rs
@@ -1,5 +1,6 @@
-//! A suspected request fingerprint: backend servers crashed while they ran such a request.
+//! A suspected request or part of a prompt: backend servers crashed while they ran such requests.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::AdvertisedQuarantine;
@@ -8,10 +9,10 @@
 use crate::servers::quarantine::Quarantine;
 
 /// Time after the first event at which a stream counts as known-good on its server: a poison
-/// request crashes its server soon after the server has burst_started_at to run it.
+/// request crashes its server soon after the server has begun to run it.
 pub const KNOWN_GOOD_AFTER: Duration = Duration::from_secs(1);
 
-/// Maximum number of crashes stored per fingerprint; the latest are kept.
+/// Maximum number of crashes stored per suspect; the latest are kept.
 const MAX_CRASHES: usize = 32;
 
 /// Crashes within this time are one crash burst: many servers that are killed together crash within
@@ -21,10 +22,21 @@
 /// Difference by which two instances may date the same good run: some heartbeats.
 const GOOD_RUN_TOLERANCE: Duration = Duration::from_secs(1);
 
-/// How long a fingerprint that ran well is assumed to be sent by many callers: their requests are
-/// on many servers at once, and all of these may crash for another reason.
+/// How long a suspect that ran well is assumed to be sent by many callers: their requests are on
+/// many servers at once, and all of these may crash for another reason.
 const KNOWN_GOOD_LIFETIME: Duration = Duration::from_secs(60);
 
+/// Number of crashes by which one request or workspace can be quarantined itself. More of them say
+/// nothing about a part that it shares with others.
+const ENOUGH_OF_ONE_SOURCE: usize = 3;
+
+/// Number of requests or workspaces that have to share a part for it to be the cause.
+const PART_SOURCES: usize = 2;
+
+/// Number of crashes from which on a suspect without good runs explains those of a suspect with
+/// them, also if that one has more.
+const FEW_CRASHES: usize = 2;
+
 /// The crash of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ServerCrash {
@@ -34,11 +46,26 @@
     pub at: Now,
 }
 
-/// State of one suspected request fingerprint.
+/// What is suspected, from the least special to the most special.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum SuspectKind {
+    /// A part of prompts at this position, in all workspaces together.
+    PartInFleet(u8),
+    /// A part of prompts at this position, in one workspace.
+    Part(u8),
+    /// Requests with the same content.
+    Content,
+}
+
+/// State of one suspect.
 #[derive(Clone, Debug)]
 pub struct Suspect {
+    kind: SuspectKind,
     /// Crashes that count, oldest first.
     crashes: Vec<ServerCrash>,
+    /// Digest of the request, or of the workspace for a part in the fleet, by which the part was at
+    /// a crash. Empty for contents.
+    sources: BTreeMap<IncarnationId, u32>,
     /// When a request with this fingerprint last ran well.
     known_good_at: Option<Now>,
     /// When this state last changed.
@@ -49,17 +76,24 @@
 
 impl Suspect {
     /// Creates a state without crashes; `known_good_at` is when a request last ran well.
-    pub fn new(now: Now, known_good_at: Option<Now>) -> Self {
+    pub fn new(now: Now, kind: SuspectKind, known_good_at: Option<Now>) -> Self {
         Suspect {
+            kind,
             crashes: Vec::new(),
+            sources: BTreeMap::new(),
             known_good_at,
             changed_at: now,
             told_quarantine: None,
         }
     }
 
-    /// Records a crash; returns whether it is new and counts. A fingerprint that ran well after a
-    /// crash did not cause it.
+    /// What is suspected.
+    pub fn kind(&self) -> SuspectKind {
+        self.kind
+    }
+
+    /// Records a crash; returns whether it is new and counts. A suspect that ran well after a crash
+    /// did not cause it.
     pub fn add_crash(&mut self, now: Now, crash: ServerCrash) -> bool {
         if self
             .known_good_at
@@ -85,6 +119,20 @@
         true
     }
 
+    /// Records by which request or workspace a part was at a crash. Where there were several, all
+    /// instances keep the same one.
+    pub fn add_source(&mut self, life: IncarnationId, source: u32) {
+        if self.has_crashed(life) {
+            let known = self.sources.entry(life).or_insert(source);
+            *known = source.min(*known);
+        }
+    }
+
+    /// By which request or workspace a part was at a crash; 0 for contents.
+    pub fn source(&self, life: IncarnationId) -> u32 {
+        self.sources.get(&life).copied().unwrap_or_default()
+    }
+
     /// Records that a request ran well at `at`; returns whether this cleared crashes that
     /// counted.
     pub fn record_good_run(&mut self, now: Now, at: Now) -> bool {
@@ -101,6 +149,9 @@
             .retain(|crash| Some(crash.at) > self.known_good_at);
         let is_cleared = self.crashes.len() < before;
         if is_cleared {
+            let crashes = &self.crashes;
+            self.sources
+                .retain(|life, _| crashes.iter().any(|crash| crash.life == *life));
             self.changed_at = now;
         }
         is_cleared
@@ -136,10 +187,35 @@
     }
 
     /// Whether this suspect explains a crash of another one, of which `count` crashes were known at
-    /// `until`: it was there and had more crashes by then.
-    pub(crate) fn explains(&self, crash: &ServerCrash, count: usize, until: Now) -> bool {
+    /// `until`. Of those that were there, the one that has run well least is the cause; among
+    /// equals the one with more crashes by then, and last the more special one.
+    pub(crate) fn explains(
+        &self,
+        other: &Suspect,
+        crash: &ServerCrash,
+        count: usize,
+        until: Now,
+    ) -> bool {
+        // It was there whenever its parts in the workspaces were, which are told from each other.
+        let is_sum = matches!(self.kind, SuspectKind::PartInFleet(_));
+        if is_sum || !self.has_crashed(crash.life) {
+            return false;
+        }
         let known = self.crashes.partition_point(|own| own.at <= until);
-        known > count && self.has_crashed(crash.life)
+        match self.lately_good_at().cmp(&other.lately_good_at()) {
+            std::cmp::Ordering::Less => known >= count.min(FEW_CRASHES),
+            std::cmp::Ordering::Equal => {
+                known > count || (known == count && self.kind > other.kind)
+            }
+            std::cmp::Ordering::Greater => false,
+        }
+    }
+
+    /// When a request last ran well, if that was recently before the crashes.
+    fn lately_good_at(&self) -> Option<Now> {
+        let first = self.crashes.first()?;
+        let is_recent = |good_at: &Now| first.at.saturating_sub(*good_at) < KNOWN_GOOD_LIFETIME;
+        self.known_good_at.filter(is_recent)
     }
 
     /// The crashes that count, oldest first.
@@ -163,16 +239,36 @@
     }
 
     /// Weight of some of the crashes. If a request with this fingerprint recently ran well, each
-    /// crash burst counts once, otherwise each crash.
+    /// crash burst counts once, otherwise each crash. Those of a part count only if several requests
+    /// have it, and once for a request that can be quarantined by its own crashes.
     pub fn weight(&self, crashes: &[ServerCrash]) -> usize {
         let Some(first) = crashes.first() else {
             return 0;
         };
+        let by_source = self.crashes_by_source(crashes);
+        if self.kind != SuspectKind::Content && by_source.len() < PART_SOURCES {
+            return 0;
+        }
         let ran_recently = |good_at: Now| first.at.saturating_sub(good_at) < KNOWN_GOOD_LIFETIME;
-        match self.known_good_at.is_some_and(ran_recently) {
-            true => crash_bursts(crashes),
-            false => crashes.len(),
+        if self.known_good_at.is_some_and(ran_recently) {
+            return crash_bursts(crashes);
+        }
+        if self.kind == SuspectKind::Content {
+            return crashes.len();
+        }
+        let counted = by_source.values().map(|count| match *count {
+            0..ENOUGH_OF_ONE_SOURCE => *count,
+            _ => 1,
+        });
+        counted.sum()
+    }
+
+    fn crashes_by_source(&self, crashes: &[ServerCrash]) -> BTreeMap<u32, usize> {
+        let mut by_source = BTreeMap::new();
+        for crash in crashes {
+            *by_source.entry(self.source(crash.life)).or_default() += 1;
         }
+        by_source
     }
 }
 
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -1,38 +1,24 @@
-//! Requests that are suspected to crash the backend servers that run them (poison requests), from
-//! the observations of this instance and those that other instances advertise.
+//! Requests and parts of prompts that are suspected to crash the backend servers that run them
+//! (poison requests), from the observations of this instance and those that other instances
+//! advertise.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::AdvertisedCrash;
+use crate::AdvertisedPart;
 use crate::AdvertisedQuarantine;
 use crate::AdvertisedSuspect;
 use crate::Fingerprint;
 use crate::Now;
+use crate::PromptPart;
 use crate::ServerCrash;
 use crate::Suspect;
+use crate::SuspectKind;
+use crate::servers::crash_reasons;
+use crate::servers::crash_reasons::QUARANTINE_CRASHES;
 use crate::servers::quarantine::Quarantine;
-use crate::servers::suspect::CRASH_BURST_WINDOW;
-use crate::servers::suspect::crash_bursts;
-
-/// Number of crashes without another explanation that quarantine a fingerprint. With one, every
-/// request that ran next to the real cause would be quarantined; a stream that fails over to a
-/// backup engine is involved in two if that engine crashes, too.
-const QUARANTINE_CRASHES: usize = 3;
-
-/// Maximum number of suspects stored per workspace, so that no workspace can evict those of the
-/// others. About 200 bytes each.
-const MAX_PER_WORKSPACE: usize = 64;
-
-/// Maximum number of suspects stored in total: one megabyte.
-const MAX_SUSPECTS: usize = 4_096;
-
-/// How long a suspect with less than two crashes is kept: callers retry within their timeouts, of
-/// which the longest is 39 s.
-const WEAK_SUSPECT_LIFETIME: Duration = Duration::from_secs(120);
-
-/// How long other suspects are kept: longer than the maximum quarantine.
-const SUSPECT_LIFETIME: Duration = Duration::from_secs(7_200);
+use crate::servers::suspect_store;
+use crate::servers::suspect_store::SuspectStore;
 
 /// How long a change is advertised with each heartbeat: for three intervals of the slowest
 /// heartbeats, of which two may be lost.
@@ -73,6 +59,8 @@
     Ended {
         /// The fingerprint.
         fingerprint: Fingerprint,
+        /// What is suspected.
+        kind: SuspectKind,
         /// Number of known crashes that count.
         ends: usize,
     },
@@ -80,24 +68,84 @@
     Quarantined {
         /// The fingerprint.
         fingerprint: Fingerprint,
+        /// What is quarantined.
+        kind: SuspectKind,
         /// Number of crashes that count.
         ends: usize,
         /// When the quarantine ends.
         until: Now,
+        /// When a request with it last ran well.
+        known_good_at: Option<Now>,
+        /// Number of other suspects that were at some of the crashes and explain none of them.
+        beside: usize,
     },
     /// A request with a suspected fingerprint ran well.
     Cleared {
         /// The fingerprint.
         fingerprint: Fingerprint,
+        /// What was suspected.
+        kind: SuspectKind,
     },
 }
 
-type WorkspaceSuspects = BTreeMap<u128, Suspect>;
+/// What a request is recognized by when servers crash under it.
+#[derive(Clone, Copy, Debug)]
+pub struct SuspectedRequest<'a> {
+    /// Digest of its content.
+    pub fingerprint: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub parts: &'a [PromptPart],
+}
+
+/// Why requests are quarantined.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QuarantineCause {
+    /// The quarantined fingerprint: of the content of the requests, or of a part of their prompts.
+    pub fingerprint: Fingerprint,
+    /// What is quarantined.
+    pub kind: SuspectKind,
+    /// Number of crashes that count.
+    pub ends: usize,
+    /// When the quarantine ends.
+    pub until: Now,
+}
+
+impl<'a> SuspectedRequest<'a> {
+    /// Returns a request without a prompt.
+    pub fn without_parts(fingerprint: Fingerprint) -> Self {
+        let parts = &[];
+        SuspectedRequest { fingerprint, parts }
+    }
+
+    /// Returns the fingerprints of its content and of the parts, each in its workspace and in the
+    /// fleet.
+    pub fn fingerprints(self) -> impl Iterator<Item = Fingerprint> + 'a {
+        let parts = self.parts.iter();
+        let parts = parts.flat_map(|part| [part.in_workspace, part.in_fleet]);
+        std::iter::once(self.fingerprint).chain(parts)
+    }
+
+    /// Returns what may be suspected after a crash: each fingerprint with its kind, and the digest
+    /// of what it has to occur in several of.
+    fn suspects(self) -> impl Iterator<Item = (Fingerprint, SuspectKind, u32)> + 'a {
+        let content = (self.fingerprint, SuspectKind::Content, 0);
+        let request = self.fingerprint.content as u32;
+        let workspace = self.fingerprint.workspace as u32;
+        let parts = (0_u8..).zip(self.parts);
+        let parts = parts.flat_map(move |(position, part)| {
+            [
+                (part.in_workspace, SuspectKind::Part(position), request),
+                (part.in_fleet, SuspectKind::PartInFleet(position), workspace),
+            ]
+        });
+        std::iter::once(content).chain(parts)
+    }
+}
 
-/// The suspected fingerprints by workspace.
+/// The suspects and their state.
 #[derive(Debug, Default)]
 pub struct Suspicions {
-    workspaces: BTreeMap<u64, WorkspaceSuspects>,
+    suspects: SuspectStore,
     readvertised_at: Option<Now>,
     updates: Vec<SuspicionUpdate>,
 }
@@ -112,23 +160,48 @@
         known_good_at: Option<Now>,
         crash: ServerCrash,
     ) {
-        let before = self.verdict(fingerprint);
-        let suspect = self.entry(now, fingerprint, known_good_at);
-        if !suspect.add_crash(now, crash) {
-            return;
+        let request = SuspectedRequest::without_parts(fingerprint);
+        self.server_crashed_under(now, request, |_| known_good_at, crash);
+    }
+
+    /// Records that a server crashed while it ran a request of this instance. `known_good_at` returns
+    /// when a request with a fingerprint last ran well.
+    pub fn server_crashed_under(
+        &mut self,
+        now: Now,
+        request: SuspectedRequest<'_>,
+        known_good_at: impl Fn(Fingerprint) -> Option<Now>,
+        crash: ServerCrash,
+    ) {
+        let before = self.verdicts(request.fingerprints());
+        for (fingerprint, kind, source) in request.suspects() {
+            let known_good_at = known_good_at(fingerprint);
+            let suspect = self.suspects.entry(now, fingerprint, kind, known_good_at);
+            let is_new = suspect.add_crash(now, crash);
+            if kind != SuspectKind::Content {
+                suspect.add_source(crash.life, source);
+            }
+            if is_new {
+                let ends = suspect.crashes().len();
+                self.updates.push(SuspicionUpdate::Ended {
+                    fingerprint,
+                    kind,
+                    ends,
+                });
+            }
         }
-        let ends = suspect.crashes().len();
-        self.updates
-            .push(SuspicionUpdate::Ended { fingerprint, ends });
-        self.note_quarantine(fingerprint, before);
+        self.note_quarantines(before);
     }
 
     /// Records that a request ran well: it was answered, or its stream continued for long enough.
     pub fn ran_well(&mut self, now: Now, fingerprint: Fingerprint) {
-        let suspects = self.workspaces.get_mut(&fingerprint.workspace);
-        let suspect = suspects.and_then(|suspects| suspects.get_mut(&fingerprint.content));
-        if suspect.is_some_and(|suspect| suspect.record_good_run(now, now)) {
-            self.updates.push(SuspicionUpdate::Cleared { fingerprint });
+        let Some(suspect) = self.suspects.get_mut(fingerprint) else {
+            return;
+        };
+        if suspect.record_good_run(now, now) {
+            let kind = suspect.kind();
+            self.updates
+                .push(SuspicionUpdate::Cleared { fingerprint, kind });
         }
     }
 
@@ -137,8 +210,9 @@
     pub fn hear(&mut self, now: Now, known_good_at: Option<Now>, advertised: &AdvertisedSuspect) {
         let at = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
         let fingerprint = advertised.fingerprint;
-        let before = self.verdict(fingerprint);
-        let suspect = self.entry(now, fingerprint, known_good_at);
+        let kind = advertised.kind();
+        let before = self.verdicts(std::iter::once(fingerprint));
+        let suspect = self.suspects.entry(now, fingerprint, kind, known_good_at);
         let received = advertised.proof_age_ms.map(at);
         let received = received.map(|good_at| good_at.saturating_sub(HEARTBEAT_TRANSIT));
         let known_good_at = received.max(known_good_at);
@@ -147,30 +221,51 @@
             let (life, at) = (crash.life, at(crash.age_ms));
             suspect.add_crash(now, ServerCrash { life, at });
         }
+        for (life, source) in advertised.sources() {
+            suspect.add_source(life, source);
+        }
         if let Some(told) = advertised.quarantine {
             suspect.hear_quarantine(told, received);
         }
         if is_cleared {
-            self.updates.push(SuspicionUpdate::Cleared { fingerprint });
+            self.updates
+                .push(SuspicionUpdate::Cleared { fingerprint, kind });
         }
-        self.note_quarantine(fingerprint, before);
+        self.note_quarantines(before);
     }
 
-    fn note_quarantine(&mut self, fingerprint: Fingerprint, before: Verdict) {
-        if let (Verdict::Allowed, Verdict::Quarantined { ends, until }) =
-            (before, self.verdict(fingerprint))
-        {
-            self.updates.push(SuspicionUpdate::Quarantined {
-                fingerprint,
-                ends,
-                until,
-            });
-        }
+    fn verdicts(
+        &self,
+        fingerprints: impl Iterator<Item = Fingerprint>,
+    ) -> Vec<(Fingerprint, Verdict)> {
+        let verdicts = fingerprints.map(|fingerprint| (fingerprint, self.verdict(fingerprint)));
+        verdicts.collect()
+    }
+
+    fn note_quarantines(&mut self, before: Vec<(Fingerprint, Verdict)>) {
+        let allowed = before.into_iter();
+        let allowed = allowed.filter(|(_, verdict)| *verdict == Verdict::Allowed);
+        let begun = allowed.filter_map(|(fingerprint, _)| self.begun_quarantine(fingerprint));
+        let begun: Vec<SuspicionUpdate> = begun.collect();
+        self.updates.extend(begun);
+    }
+
+    fn begun_quarantine(&self, fingerprint: Fingerprint) -> Option<SuspicionUpdate> {
+        let suspect = self.suspects.get(fingerprint)?;
+        let quarantine = self.quarantine(suspect)?;
+        Some(SuspicionUpdate::Quarantined {
+            fingerprint,
+            kind: suspect.kind(),
+            ends: suspect.crashes().len(),
+            until: quarantine.until(),
+            known_good_at: suspect.known_good_at(),
+            beside: self.sharing_crashes(suspect).len(),
+        })
     }
 
     /// Whether requests with this fingerprint may be sent.
     pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
-        let suspect = self.suspect(fingerprint);
+        let suspect = self.suspects.get(fingerprint);
         let quarantine = suspect.and_then(|suspect| self.quarantine(suspect));
         match (suspect, quarantine) {
             (Some(suspect), Some(quarantine)) => Verdict::Quarantined {
@@ -181,31 +276,30 @@
         }
     }
 
-    /// Returns the quarantine that follows from what this instance knows, or the one that others
-    /// told if it is longer. The crashes that led to it stay its reason: crashes of other suspects
-    /// that come later end it only if they explain all of them.
+    /// Returns all quarantines that a request falls under: of its content and of parts of its prompt.
+    pub fn causes(&self, request: SuspectedRequest<'_>) -> Vec<QuarantineCause> {
+        let causes = request.fingerprints().filter_map(|fingerprint| {
+            let suspect = self.suspects.get(fingerprint)?;
+            Some(QuarantineCause {
+                fingerprint,
+                kind: suspect.kind(),
+                ends: suspect.crashes().len(),
+                until: self.quarantine(suspect)?.until(),
+            })
+        });
+        causes.collect()
+    }
+
     fn quarantine(&self, suspect: &Suspect) -> Option<Quarantine> {
         if suspect.crashes().len() < QUARANTINE_CRASHES {
             return None;
         }
-        let others = self.sharing_crashes(suspect);
-        let is_beside = |crash: &ServerCrash| {
-            let count = suspect.crashes().len();
-            others
-                .iter()
-                .any(|other| other.explains(crash, count, Now::MAX))
-        };
-        if suspect.crashes().iter().all(is_beside) {
-            return None;
-        }
-        let concluded = concluded_quarantine(suspect, &others);
-        let quarantines = concluded.into_iter().chain(suspect.told_quarantine());
-        quarantines.max_by_key(Quarantine::until)
+        crash_reasons::quarantine(suspect, &self.sharing_crashes(suspect))
     }
 
     /// Returns the other suspects that were at one of the crashes of a suspect.
     fn sharing_crashes(&self, suspect: &Suspect) -> Vec<&Suspect> {
-        let all = self.workspaces.values().flat_map(BTreeMap::values);
+        let all = self.suspects.iter().map(|(_, other)| other);
         let others = all.filter(|other| !std::ptr::eq(*other, suspect));
         let is_shared = |other: &&Suspect| {
             let mut crashes = suspect.crashes().iter();
@@ -214,10 +308,10 @@
         others.filter(is_shared).collect()
     }
 
-    /// Returns the known suspects for an instance that requests them, those with enough crashes for
-    /// a quarantine first, then the latest, and at most as many as one heartbeat carries.
+    /// Returns the known suspects for an instance that requests them, those with most crashes
+    /// first, and at most as many as one heartbeat carries.
     pub fn known(&self, now: Now) -> Vec<AdvertisedSuspect> {
-        self.prioritized(now, self.suspects().collect())
+        self.prioritized(now, self.suspects.iter().collect())
     }
 
     /// Returns the suspects to advertise to the other instances now.
@@ -227,7 +321,7 @@
         if readvertises {
             self.readvertised_at = Some(now);
         }
-        let due = self.suspects().filter(|(_, suspect)| {
+        let due = self.suspects.iter().filter(|(_, suspect)| {
             let is_recent = now.saturating_sub(suspect.changed_at()) < UPDATE_ADVERTISED_FOR;
             is_recent || (readvertises && suspect.crashes().len() > 1)
         });
@@ -241,100 +335,38 @@
 
     /// Number of fingerprints with crashes that count.
     pub fn count(&self) -> usize {
-        let suspects = self.suspects();
+        let suspects = self.suspects.iter();
         suspects.filter(|(_, s)| !s.crashes().is_empty()).count()
     }
 
-    /// Number of quarantined fingerprints.
+    /// Number of quarantined contents.
     pub fn quarantined(&self) -> usize {
-        let fingerprints = self.suspects().map(|(fingerprint, _)| fingerprint);
-        fingerprints
-            .filter(|fingerprint| self.verdict(*fingerprint) != Verdict::Allowed)
-            .count()
+        self.count_quarantined(|kind| kind == SuspectKind::Content)
     }
 
-    /// Removes suspects whose lifetime has passed.
-    pub fn expire(&mut self, now: Now) {
-        for suspects in self.workspaces.values_mut() {
-            suspects.retain(|_, suspect| {
-                let lifetime = match suspect.crashes().len() {
-                    0 | 1 => WEAK_SUSPECT_LIFETIME,
-                    _ => SUSPECT_LIFETIME,
-                };
-                now.saturating_sub(suspect.changed_at()) < lifetime
-            });
-        }
-        self.workspaces.retain(|_, suspects| !suspects.is_empty());
-    }
-
-    fn suspects(&self) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
-        self.workspaces.iter().flat_map(|(workspace, suspects)| {
-            suspects.iter().map(|(content, suspect)| {
-                let fingerprint = Fingerprint {
-                    workspace: *workspace,
-                    content: *content,
-                };
-                (fingerprint, suspect)
-            })
-        })
+    /// Number of quarantined parts of prompts; a part in one workspace and the same part in the
+    /// fleet count separately.
+    pub fn quarantined_parts(&self) -> usize {
+        self.count_quarantined(|kind| kind != SuspectKind::Content)
     }
 
-    fn suspect(&self, fingerprint: Fingerprint) -> Option<&Suspect> {
-        let suspects = self.workspaces.get(&fingerprint.workspace)?;
-        suspects.get(&fingerprint.content)
+    fn count_quarantined(&self, is_counted: impl Fn(SuspectKind) -> bool) -> usize {
+        let suspects = self.suspects.iter().map(|(_, suspect)| suspect);
+        let suspects = suspects.filter(|suspect| is_counted(suspect.kind()));
+        suspects.filter(|s| self.quarantine(s).is_some()).count()
     }
 
-    fn entry(
-        &mut self,
-        now: Now,
-        fingerprint: Fingerprint,
-        known_good_at: Option<Now>,
-    ) -> &mut Suspect {
-        if self.suspect(fingerprint).is_none() {
-            self.make_room(fingerprint.workspace);
-        }
-        let suspects = self.workspaces.entry(fingerprint.workspace).or_default();
-        let suspect = suspects.entry(fingerprint.content);
-        suspect.or_insert_with(|| Suspect::new(now, known_good_at))
-    }
-
-    /// Removes the weakest suspect of `workspace` if it has reached its maximum, or of the
-    /// workspace with the most suspects if the total is reached.
-    fn make_room(&mut self, workspace: u64) {
-        let own = self.workspaces.get(&workspace).map_or(0, BTreeMap::len);
-        let all: usize = self.workspaces.values().map(BTreeMap::len).sum();
-        let largest = || {
-            let by_size = self.workspaces.iter();
-            by_size.max_by_key(|(_, c)| c.len()).map(|(w, _)| *w)
-        };
-        let full = match (own >= MAX_PER_WORKSPACE, all >= MAX_SUSPECTS) {
-            (true, _) => Some(workspace),
-            (false, true) => largest(),
-            (false, false) => None,
-        };
-        let Some(suspects) = full.and_then(|full| self.workspaces.get_mut(&full)) else {
-            return;
-        };
-        let weakest = suspects
-            .iter()
-            .min_by_key(|(_, s)| (s.crashes().len(), s.changed_at()))
-            .map(|(content, _)| *content);
-        if let Some(weakest) = weakest {
-            suspects.remove(&weakest);
-        }
+    /// Removes suspects whose lifetime has passed.
+    pub fn expire(&mut self, now: Now) {
+        self.suspects.expire(now);
     }
 
-    /// Returns suspects as advertised, those with enough crashes for a quarantine first, then the
-    /// latest.
     fn prioritized(
         &self,
         now: Now,
         mut suspects: Vec<(Fingerprint, &Suspect)>,
     ) -> Vec<AdvertisedSuspect> {
-        suspects.sort_by_key(|(_, suspect)| {
-            let is_quarantined = suspect.crashes().len() >= QUARANTINE_CRASHES;
-            std::cmp::Reverse((is_quarantined, suspect.changed_at()))
-        });
+        suspects.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect_store::rank(suspect)));
         suspects.truncate(MAX_ADVERTISED_PER_HEARTBEAT);
         let suspects = suspects.into_iter();
         suspects.map(|(f, s)| self.advertised(now, f, s)).collect()
@@ -348,10 +380,11 @@
     ) -> AdvertisedSuspect {
         let age_ms = |at: Now| now.saturating_sub(at).as_millis() as u64;
         let latest = suspect.crashes().iter().rev().take(MAX_ADVERTISED_CRASHES);
-        let ends = latest.map(|crash| AdvertisedCrash {
+        let ends = latest.clone().map(|crash| AdvertisedCrash {
             life: crash.life,
             age_ms: age_ms(crash.at),
         });
+        let sources = latest.map(|crash| suspect.source(crash.life));
         let quarantine = self.quarantine(suspect);
         AdvertisedSuspect {
             fingerprint,
@@ -361,30 +394,7 @@
                 bursts: quarantine.bursts,
                 life: quarantine.last.life,
             }),
+            part: AdvertisedPart::of(suspect.kind(), sources.collect()),
         }
     }
 }
-
-/// Returns the quarantine that follows from the crashes of a suspect. It begins at the first crash by
-/// which there were enough that no other suspect explained by then: requests that only ran next to
-/// the real cause are distinguished from it by their crashes.
-fn concluded_quarantine(suspect: &Suspect, others: &[&Suspect]) -> Option<Quarantine> {
-    let crashes = suspect.crashes();
-    let unexplained_at = |count: usize| -> Vec<ServerCrash> {
-        let (known, _) = crashes.split_at(count);
-        let at = known.last().map_or(Now::ZERO, |crash| crash.at) + CRASH_BURST_WINDOW;
-        let is_explained =
-            |crash: &&ServerCrash| others.iter().any(|other| other.explains(crash, count, at));
-        let unexplained = known.iter().filter(|crash| !is_explained(crash));
-        unexplained.copied().collect()
-    };
-    let counts = QUARANTINE_CRASHES..=crashes.len();
-    let (count, mut reasons) = counts
-        .map(|count| (count, unexplained_at(count)))
-        .find(|(_, reasons)| suspect.weight(reasons) >= QUARANTINE_CRASHES)?;
-    reasons.extend_from_slice(&crashes[count..]);
-    Some(Quarantine {
-        bursts: u32::try_from(crash_bursts(&reasons)).unwrap_or(u32::MAX),
-        last: *reasons.last()?,
-    })
-}
--- a/crates/core/tests/gateway_waiting.rs
+++ b/crates/core/tests/gateway_waiting.rs
@@ -206,6 +206,7 @@
         ends: ends.to_vec(),
         proof_age_ms: None,
         quarantine: None,
+        part: None,
     };
     assert!(waits(&mut control, ask));
     control.apply_peer_suspects(ms(START_MS), &[suspect]);
--- /dev/null
+++ b/crates/core/tests/poison_scene/mod.rs
@@ -0,0 +1,440 @@
+//! Simulation of a fleet to which callers send requests with parts that crash engines, in virtual
+//! time. The instances decide by the real code; what they tell each other is delayed and lost.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use iristhread_core::AdvertisedLoads;
+use iristhread_core::AdvertisedSuspect;
+use iristhread_core::Fingerprint;
+use iristhread_core::FingerprintInput;
+use iristhread_core::GatewayControl;
+use iristhread_core::GatewayParameters;
+use iristhread_core::Now;
+use iristhread_core::PlacementRequest;
+use iristhread_core::PromptPart;
+use iristhread_core::RefusalKind;
+use iristhread_core::Replica;
+use iristhread_core::ReplicaChange;
+use iristhread_core::RunEnd;
+use iristhread_core::SuspicionUpdate;
+use rand_core::Rng;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg32;
+
+use crate::gateway_scene::ask;
+use crate::gateway_scene::config;
+use crate::gateway_scene::engine;
+use crate::gateway_scene::ms;
+use crate::gateway_scene::terms;
+use crate::gateway_scene::told;
+
+/// Time step of the simulation.
+const STEP: Duration = ms(10);
+
+const ENGINES: usize = 14;
+const ZONES: usize = 3;
+
+/// Instances above which heartbeats go by way of relays, and relays of a zone.
+const MAX_WITHOUT_RELAYS: usize = 32;
+const RELAYS_PER_ZONE: usize = 2;
+
+/// Time between two heartbeats of an instance.
+const HEARTBEAT_INTERVAL: Duration = ms(200);
+
+/// Time for which a request waits at its engine, and for which a sound one runs there.
+const QUEUED: Duration = ms(150);
+const RUNS: Duration = ms(250);
+
+/// Time until an engine that crashed is back.
+const RESTART: Duration = ms(3_000);
+
+/// What a caller sends: its workspace, the shared parts of its prompt, and how often.
+#[derive(Clone)]
+pub struct Caller {
+    pub workspace: &'static str,
+    pub parts: &'static [&'static str],
+    pub per_s: f64,
+}
+
+/// A request at an engine.
+struct Run {
+    instance: usize,
+    ask: PlacementRequest,
+    replica: Replica,
+    begins_at: Now,
+    parts: &'static [&'static str],
+}
+
+/// A heartbeat in transit.
+struct Message {
+    to: usize,
+    arrives_at: Now,
+    suspects: Vec<AdvertisedSuspect>,
+}
+
+/// What happened to the requests of callers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    pub sent: usize,
+    pub placed: usize,
+    pub quarantined: usize,
+}
+
+/// One instance, and until when it doesn't run or hears nobody.
+pub struct Instance {
+    pub control: GatewayControl,
+    pub frozen_until: Now,
+    pub cut_off_until: Now,
+    next_heartbeat_at: Now,
+}
+
+/// The simulated fleet.
+pub struct PoisonedFleet {
+    pub now: Now,
+    pub instances: Vec<Instance>,
+    /// Parts on which engines crash.
+    pub bad_parts: Vec<&'static str>,
+    /// Times at which engines crashed under a bad part, with the instance that sent the request.
+    pub crashes: Vec<(Now, usize)>,
+    /// Times at which requests with a bad part were sent, with the instance.
+    pub bad_sends: Vec<(Now, usize)>,
+    /// Requests without a bad part since the last reset.
+    pub sound: Counts,
+    /// One in this many heartbeats is lost; 0 for none.
+    pub loses_one_in: u32,
+    random: Pcg32,
+    engines: Vec<(u64, Now)>,
+    runs: Vec<Run>,
+    messages: Vec<Message>,
+    sent: usize,
+    revision: u64,
+}
+
+fn replica(number: usize, life: u64) -> Replica {
+    Replica {
+        born_ms: Some(1_000 + life),
+        ..engine(&format!("e{number}"), "z0")
+    }
+}
+
+fn zone_of(instance: usize) -> String {
+    format!("z{}", instance % ZONES)
+}
+
+fn control_of(instance: usize, count: usize, now: Now, engines: &[(u64, Now)]) -> GatewayControl {
+    let regions = (0..ZONES).map(|zone| (format!("z{zone}"), "north".to_owned()));
+    let mut control = GatewayControl::new(GatewayParameters {
+        instance: format!("i{instance}"),
+        zone: zone_of(instance),
+        regions: regions.collect(),
+        seed: instance as u64,
+        ..terms()
+    });
+    control.offer_config(std::sync::Arc::new(config(1)));
+    let replicas = engines.iter().enumerate();
+    let replicas = replicas.map(|(number, (life, _))| replica(number, *life));
+    control.offer_replicas(now, 1_000, replicas.collect());
+    // Of the other zones, one instance stands for all.
+    let is_known = |other: &usize| {
+        *other != instance && (zone_of(*other) == zone_of(instance) || *other < ZONES)
+    };
+    for other in (0..count).filter(is_known) {
+        let loads = AdvertisedLoads {
+            zone: zone_of(other),
+            ..told(&format!("i{other}"), 1, BTreeMap::new())
+        };
+        control.apply_peer_load(now, loads);
+    }
+    control
+}
+
+impl PoisonedFleet {
+    pub fn start(count: usize, seed: u64) -> PoisonedFleet {
+        let now = ms(100_000);
+        let engines = vec![(0, Now::ZERO); ENGINES];
+        let instances = (0..count).map(|instance| Instance {
+            control: control_of(instance, count, now, &engines),
+            frozen_until: Now::ZERO,
+            cut_off_until: Now::ZERO,
+            next_heartbeat_at: now + HEARTBEAT_INTERVAL.mul_f64(instance as f64 / count as f64),
+        });
+        PoisonedFleet {
+            now,
+            instances: instances.collect(),
+            bad_parts: Vec::new(),
+            crashes: Vec::new(),
+            bad_sends: Vec::new(),
+            sound: Counts::default(),
+            loses_one_in: 0,
+            random: Pcg32::seed_from_u64(seed),
+            engines,
+            runs: Vec::new(),
+            messages: Vec::new(),
+            sent: 0,
+            revision: 1_000,
+        }
+    }
+
+    /// Starts an instance anew: it has forgotten everything.
+    pub fn restart(&mut self, instance: usize) {
+        let count = self.instances.len();
+        self.runs.retain(|run| run.instance != instance);
+        self.instances[instance].control = control_of(instance, count, self.now, &self.engines);
+    }
+
+    /// Lets the callers send for a time.
+    pub fn run(&mut self, time: Duration, callers: &[Caller]) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += STEP;
+            for caller in callers {
+                if self.chance() < caller.per_s * STEP.as_secs_f64() {
+                    self.send(caller);
+                }
+            }
+            self.begin_runs();
+            self.restart_engines();
+            self.tell();
+            self.hear();
+        }
+    }
+
+    /// Number of requests with a bad part that instances in touch sent later than `contact` after
+    /// the crash with this number; all sends after it if there were fewer crashes.
+    pub fn late_sends(&self, crash: usize, contact: Duration, out_of_touch: &[usize]) -> usize {
+        let bound = self.crashes.get(crash - 1).or(self.crashes.last());
+        let Some((bound, _)) = bound else {
+            return 0;
+        };
+        let sends = self.bad_sends.iter();
+        let late = sends.filter(|(at, _)| *at > *bound + contact);
+        late.filter(|(_, i)| !out_of_touch.contains(i)).count()
+    }
+
+    /// Number of parts that instances hold in quarantine, the most at any of them.
+    pub fn quarantined_parts(&self) -> usize {
+        let instances = self.instances.iter();
+        let parts = instances.map(|instance| instance.control.quarantined_parts());
+        parts.max().unwrap_or_default()
+    }
+
+    /// Crashes under requests of instances that were in touch.
+    pub fn crashes_in_touch(&self, out_of_touch: &[usize]) -> usize {
+        let crashes = self.crashes.iter();
+        crashes.filter(|(_, i)| !out_of_touch.contains(i)).count()
+    }
+
+    /// Crashes all engines of a share at once, for a reason of their own.
+    pub fn lose_engines(&mut self, count: usize) {
+        for number in 0..count {
+            self.crash(number);
+        }
+    }
+
+    fn chance(&mut self) -> f64 {
+        f64::from(self.random.next_u32()) / f64::from(u32::MAX)
+    }
+
+    fn is_frozen(&self, instance: usize) -> bool {
+        self.now < self.instances[instance].frozen_until
+    }
+
+    fn is_bad(&self, parts: &[&'static str]) -> bool {
+        parts.iter().any(|part| self.bad_parts.contains(part))
+    }
+
+    fn send(&mut self, caller: &Caller) {
+        let instance = self.random.next_u32() as usize % self.instances.len();
+        if self.is_frozen(instance) {
+            return;
+        }
+        self.sent += 1;
+        let id = format!("r{}", self.sent);
+        let request = PlacementRequest {
+            fingerprint: Fingerprint::of(&FingerprintInput {
+                workspace: Some(caller.workspace),
+                method: "POST",
+                host: "shop.example",
+                path: "/chat/x",
+                body: id.as_bytes(),
+            }),
+            parts: PromptPart::all_of(Some(caller.workspace), caller.parts.iter().copied()),
+            ..ask(&id)
+        };
+        let placed = self.instances[instance]
+            .control
+            .place(self.now, request.clone());
+        let is_bad = self.is_bad(caller.parts);
+        if !is_bad {
+            self.sound.sent += 1;
+            self.sound.placed += usize::from(placed.is_ok());
+        }
+        match placed {
+            Ok(ranking) => {
+                if is_bad {
+                    self.bad_sends.push((self.now, instance));
+                }
+                self.runs.push(Run {
+                    instance,
+                    ask: request,
+                    replica: ranking.replicas[0].clone(),
+                    begins_at: self.now + QUEUED,
+                    parts: caller.parts,
+                });
+            }
+            Err(refusal) if !is_bad && refusal.kind == RefusalKind::Quarantined => {
+                self.sound.quarantined += 1;
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Begins runs that have waited, crashes the engines of bad ones, and ends sound ones.
+    fn begin_runs(&mut self) {
+        let now = self.now;
+        let begun = self.runs.iter().filter(|run| run.begins_at <= now);
+        let bad = begun.filter(|run| self.is_bad(run.parts));
+        let bad: Vec<(usize, String)> = bad
+            .map(|run| (run.instance, run.replica.id.clone()))
+            .collect();
+        for (instance, id) in bad {
+            let number: usize = id[1..].parse().unwrap();
+            if self
+                .runs
+                .iter()
+                .any(|run| run.replica.id == id && run.begins_at <= now)
+            {
+                self.crashes.push((now, instance));
+                self.crash(number);
+            }
+        }
+        let is_over = |run: &Run| run.begins_at + RUNS <= now;
+        let (over, rest): (Vec<Run>, Vec<Run>) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(is_over);
+        self.runs = rest;
+        for run in over {
+            let control = &mut self.instances[run.instance].control;
+            control.ended(now, &run.ask.request, RunEnd::Answered);
+        }
+    }
+
+    fn crash(&mut self, number: usize) {
+        let id = format!("e{number}");
+        self.engines[number].1 = self.now + RESTART;
+        let (there, rest): (Vec<Run>, Vec<Run>) = std::mem::take(&mut self.runs)
+            .into_iter()
+            .partition(|run| run.replica.id == id);
+        self.runs = rest;
+        for run in &there {
+            let control = &mut self.instances[run.instance].control;
+            control.note_broken_run(self.now, &run.ask.request, &run.replica);
+            control.server_ended(self.now, &run.replica.server_life());
+            control.ended(self.now, &run.ask.request, RunEnd::Failed);
+        }
+        for instance in &mut self.instances {
+            instance.control.unreachable(self.now, &id);
+        }
+    }
+
+    fn restart_engines(&mut self) {
+        for number in 0..self.engines.len() {
+            let (life, back_at) = self.engines[number];
+            if back_at == Now::ZERO || self.now < back_at {
+                continue;
+            }
+            self.engines[number] = (life + 1, Now::ZERO);
+            self.revision += 1;
+            let change = ReplicaChange::Listed(replica(number, life + 1));
+            for instance in &mut self.instances {
+                let changes = vec![change.clone()];
+                instance
+                    .control
+                    .change_replicas(self.now, self.revision, changes);
+            }
+        }
+    }
+
+    /// Lets instances whose suspicions changed, or whose heartbeat is due, tell the others.
+    fn tell(&mut self) {
+        for number in 0..self.instances.len() {
+            if self.is_frozen(number) {
+                continue;
+            }
+            let updates = self.instances[number].control.suspicion_updates();
+            self.withdraw(number, &updates);
+            let instance = &mut self.instances[number];
+            let is_due = self.now >= instance.next_heartbeat_at;
+            if !is_due && updates.is_empty() {
+                continue;
+            }
+            if is_due {
+                instance.next_heartbeat_at += HEARTBEAT_INTERVAL;
+            }
+            let suspects = instance.control.advertised_suspects(self.now);
+            if suspects.is_empty() || self.now < instance.cut_off_until {
+                continue;
+            }
+            for to in self.targets(number) {
+                if self.loses_one_in > 0 && self.random.next_u32().is_multiple_of(self.loses_one_in)
+                {
+                    continue;
+                }
+                let delay = ms(2 + u64::from(self.random.next_u32() % 20));
+                self.messages.push(Message {
+                    to,
+                    arrives_at: self.now + delay,
+                    suspects: suspects.clone(),
+                });
+            }
+        }
+    }
+
+    fn withdraw(&mut self, number: usize, updates: &[SuspicionUpdate]) {
+        for update in updates {
+            let SuspicionUpdate::Quarantined { fingerprint, .. } = update else {
+                continue;
+            };
+            let control = &mut self.instances[number].control;
+            for request in control.unstarted_with(*fingerprint) {
+                control.ended(self.now, &request, RunEnd::Withdrawn);
+                self.runs.retain(|run| run.ask.request != request);
+            }
+        }
+    }
+
+    /// Instances that get the heartbeats of one: all, or by way of the relays of the zones.
+    fn targets(&self, number: usize) -> Vec<usize> {
+        let count = self.instances.len();
+        let is_relay = |instance: usize| instance / ZONES < RELAYS_PER_ZONE;
+        let is_target = |other: &usize| {
+            let is_near = other % ZONES == number % ZONES;
+            let is_reached = match (is_relay(number), is_relay(*other)) {
+                (true, true) => true,
+                (true, false) | (false, true) => is_near,
+                (false, false) => false,
+            };
+            *other != number && (count <= MAX_WITHOUT_RELAYS || is_reached)
+        };
+        (0..count).filter(is_target).collect()
+    }
+
+    fn hear(&mut self) {
+        let now = self.now;
+        let is_due = |message: &Message| message.arrives_at <= now;
+        let (due, rest): (Vec<Message>, Vec<Message>) = std::mem::take(&mut self.messages)
+            .into_iter()
+            .partition(is_due);
+        self.messages = rest;
+        for message in due {
+            let instance = &mut self.instances[message.to];
+            if now < instance.frozen_until {
+                // It reads what arrived when it runs again.
+                self.messages.push(message);
+            } else if now >= instance.cut_off_until {
+                instance.control.apply_peer_suspects(now, &message.suspects);
+            }
+        }
+    }
+}
--- a/crates/daemon/src/completion/control_thread.rs
+++ b/crates/daemon/src/completion/control_thread.rs
@@ -12,6 +12,7 @@
 use iristhread_core::InstanceId;
 use iristhread_core::Now;
 use iristhread_core::RequestId;
+use iristhread_core::SuspectedRequest;
 use iristhread_core::TimelineEvent;
 use slog::Logger;
 use slog::info;
@@ -179,7 +180,9 @@
                 fingerprint,
                 reply,
             } => {
-                let may = self.control.check_quarantine(now, &request, fingerprint);
+                // Only calls ask for it, which have no prompt.
+                let suspected = SuspectedRequest::without_parts(fingerprint);
+                let may = self.control.check_quarantine(now, &request, suspected);
                 let _ = reply.send(may);
             }
             ControlMessage::MayCall {
--- a/crates/daemon/src/completion/generation/attempts.rs
+++ b/crates/daemon/src/completion/generation/attempts.rs
@@ -197,6 +197,7 @@
             self.app.control.tell(Event::ServerCrashed {
                 backend: self.placement.engine.clone(),
                 fingerprint: self.completion.fingerprint(),
+                parts: self.completion.parts(),
                 ran_for: ran_for.unwrap_or_default(),
             });
         }
@@ -251,6 +252,7 @@
             request: self.completion.request.clone(),
             workspace: self.completion.workspace.clone(),
             fingerprint: self.completion.fingerprint(),
+            parts: self.completion.parts(),
             model: self.completion.model.clone(),
             adapter: self.completion.adapter.clone(),
             prompt_tokens: self.completion.prompt_tokens,
--- a/crates/daemon/src/completion/service_call.rs
+++ b/crates/daemon/src/completion/service_call.rs
@@ -23,6 +23,7 @@
 use iristhread_core::Now;
 use iristhread_core::ObservedNotice;
 use iristhread_core::Outcome;
+use iristhread_core::PromptParts;
 use iristhread_core::SendResult;
 use iristhread_core::SpendVerdict;
 use iristhread_core::Ticket;
@@ -210,6 +211,7 @@
             app.control.tell(Event::ServerCrashed {
                 backend: runner.name.clone(),
                 fingerprint,
+                parts: PromptParts::default(),
                 ran_for: Duration::ZERO,
             });
         }
--- a/crates/daemon/src/completion/validated_completion.rs
+++ b/crates/daemon/src/completion/validated_completion.rs
@@ -8,6 +8,8 @@
 use iristhread_core::Keyring;
 use iristhread_core::Model;
 use iristhread_core::Now;
+use iristhread_core::PromptPart;
+use iristhread_core::PromptParts;
 use iristhread_core::RequestId;
 use iristhread_core::Workspace;
 use iristhread_core::WorkspaceId;
@@ -17,6 +19,9 @@
 /// Number of leading words of a prompt that identify its shared prefix.
 const PREFIX_WORDS: usize = 16;
 
+/// Number of words of the shortest beginning of a prompt that may be suspected to crash engines.
+const MIN_PART_WORDS: usize = 8;
+
 /// A completion request after validation.
 #[derive(Clone, Debug)]
 pub struct ValidatedCompletion {
@@ -128,6 +133,24 @@
         })
     }
 
+    /// Returns the beginnings of the prompt that other requests may share, shorter ones first: each
+    /// twice as long as the one before.
+    pub fn parts(&self) -> PromptParts {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(self.model.as_bytes());
+        let mut ids = Vec::new();
+        let mut length = MIN_PART_WORDS;
+        for (count, word) in (0_usize..).zip(self.prompt.split_whitespace()) {
+            if count == length {
+                ids.push(hasher.finalize().to_hex().to_string());
+                length *= 2;
+            }
+            hasher.update(word.as_bytes());
+            hasher.update(b" ");
+        }
+        PromptPart::all_of(Some(&self.workspace), ids.iter().map(String::as_str))
+    }
+
     /// Returns a hash of the model and the first words of the prompt, the same for prompts that
     /// share a prefix.
     pub fn prefix(&self) -> u64 {
--- a/crates/daemon/src/engines/suspicion_log.rs
+++ b/crates/daemon/src/engines/suspicion_log.rs
@@ -1,31 +1,74 @@
 //! Log lines of suspicions that requests crash the backend servers that run them.
 
 use iristhread_core::Now;
+use iristhread_core::SuspectKind;
 use iristhread_core::SuspicionUpdate;
 use slog::Logger;
+use slog::debug;
 use slog::info;
 use slog::warn;
 
-/// Logs one change of a suspicion.
+/// Logs one change of a suspicion. Lines about contents name them as `content`, those about parts of
+/// prompts as `part`.
 pub fn log_suspicion(log: &Logger, now: Now, update: &SuspicionUpdate) {
     match update {
-        SuspicionUpdate::Ended { fingerprint, ends } => {
-            info!(log, "backend server crashed while running a request";
-                "content" => fingerprint.to_string(), "ends" => ends);
-        }
+        SuspicionUpdate::Ended {
+            fingerprint,
+            kind,
+            ends,
+        } => log_crash(log, &fingerprint.to_string(), *kind, *ends),
         SuspicionUpdate::Quarantined {
             fingerprint,
+            kind,
             ends,
             until,
+            known_good_at,
+            beside,
         } => {
+            let message = match kind {
+                SuspectKind::Content => {
+                    "requests with this fingerprint are quarantined: they crash backend servers"
+                }
+                SuspectKind::Part(_) | SuspectKind::PartInFleet(_) => {
+                    "requests with this part of a prompt are quarantined: they crash backend servers"
+                }
+            };
             let left = until.saturating_sub(now);
-            warn!(log, "requests with this fingerprint are quarantined: they crash backend servers";
-                "content" => fingerprint.to_string(), "ends" => ends,
-                "quarantine_ms" => left.as_millis() as u64);
+            let good_ago = known_good_at.map(|at| now.saturating_sub(at).as_millis() as u64);
+            warn!(log, "{}", message;
+                key_of(*kind) => fingerprint.to_string(), "scope" => scope_of(*kind),
+                "ends" => ends, "quarantine_ms" => left.as_millis() as u64,
+                "last_good_ms_ago" => good_ago, "others_there" => beside);
         }
-        SuspicionUpdate::Cleared { fingerprint } => {
+        SuspicionUpdate::Cleared { fingerprint, kind } => {
             info!(log, "request with a suspected fingerprint ran well; suspicion cleared";
-                "content" => fingerprint.to_string());
+                key_of(*kind) => fingerprint.to_string(), "scope" => scope_of(*kind));
         }
     }
 }
+
+/// A crash concerns one content, and each part of its prompt in the workspace and in the fleet: the
+/// latter two say the same.
+fn log_crash(log: &Logger, fingerprint: &str, kind: SuspectKind, ends: usize) {
+    let message = "backend server crashed while running a request";
+    match kind {
+        SuspectKind::PartInFleet(_) => debug!(log, "{}", message;
+            "part" => fingerprint, "scope" => scope_of(kind), "ends" => ends),
+        SuspectKind::Part(_) | SuspectKind::Content => info!(log, "{}", message;
+            key_of(kind) => fingerprint, "scope" => scope_of(kind), "ends" => ends),
+    }
+}
+
+fn key_of(kind: SuspectKind) -> &'static str {
+    match kind {
+        SuspectKind::Content => "content",
+        SuspectKind::Part(_) | SuspectKind::PartInFleet(_) => "part",
+    }
+}
+
+fn scope_of(kind: SuspectKind) -> &'static str {
+    match kind {
+        SuspectKind::PartInFleet(_) => "all_workspaces",
+        SuspectKind::Part(_) | SuspectKind::Content => "workspace",
+    }
+}
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -83,6 +83,7 @@
     suspects: Gauge,
     unconfirmed_crashes: Gauge,
     quarantined: Gauge,
+    quarantined_parts: Gauge,
     skipped_entries: Counter,
     backing_off: Gauge,
     directory_era: Gauge,
@@ -128,6 +129,7 @@
             suspects: Gauge::default(),
             unconfirmed_crashes: Gauge::default(),
             quarantined: Gauge::default(),
+            quarantined_parts: Gauge::default(),
             skipped_entries: Counter::default(),
             backing_off: Gauge::default(),
             directory_era: Gauge::default(),
@@ -208,6 +210,8 @@
         r.register("server_ends", "Servers that ended under a request", ends);
         let suspects = self.suspects.clone();
         r.register("suspects", "Contents under which servers ended", suspects);
+        let parts = self.quarantined_parts.clone();
+        r.register("quarantined_parts", "Refused parts of prompts", parts);
         let unconfirmed = self.unconfirmed_crashes.clone();
         let help = "Broken runs whose servers may have ended";
         r.register("unconfirmed_crashes", help, unconfirmed);
--- a/crates/daemon/src/gateway/gateway_metrics/server_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics/server_metrics.rs
@@ -59,6 +59,12 @@
         self.quarantined.set(signed(quarantined));
     }
 
+    /// Sets the number of parts of prompts that are quarantined.
+    pub fn quarantined_parts(&self, count: usize) {
+        self.quarantined_parts
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of broken runs for which it is not known whether their servers crashed.
     pub fn unconfirmed_crashes(&self, count: usize) {
         self.unconfirmed_crashes
--- a/crates/daemon/src/gateway/gateway_thread/server_events.rs
+++ b/crates/daemon/src/gateway/gateway_thread/server_events.rs
@@ -15,6 +15,7 @@
 use iristhread_core::Revision;
 use iristhread_core::ServerLife;
 use iristhread_core::SessionSignal;
+use iristhread_core::SuspectKind;
 use iristhread_core::SuspicionUpdate;
 use slog::debug;
 use slog::info;
@@ -283,7 +284,9 @@
             self.immediate_heartbeat.notify_one();
         }
         for update in updates {
-            if matches!(update, SuspicionUpdate::Ended { .. }) {
+            if let SuspicionUpdate::Ended { kind, .. } = update
+                && kind == SuspectKind::Content
+            {
                 self.metrics.server_crashed();
             }
             log_suspicion(&self.log, self.clock.now(), &update);
--- a/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
+++ b/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
@@ -61,6 +61,7 @@
             .state(version, revision, control.peers(), control.running());
         self.metrics
             .suspects(control.suspected(), control.quarantined());
+        self.metrics.quarantined_parts(control.quarantined_parts());
         self.metrics
             .unconfirmed_crashes(control.unconfirmed_crashes());
         self.metrics.backing_off(control.resting(self.clock.now()));
--- a/crates/daemon/src/peers/fleet_link.rs
+++ b/crates/daemon/src/peers/fleet_link.rs
@@ -14,6 +14,7 @@
 use iristhread_core::FleetMembers;
 use iristhread_core::Now;
 use iristhread_core::Revision;
+use iristhread_core::SuspectAppendix;
 use slog::Logger;
 use slog::warn;
 use tokio::net::UdpSocket;
@@ -292,6 +293,7 @@
         if let Some(at) = config_confirmed_at {
             self.metrics.config_age(now.saturating_sub(at));
         }
+        let (suspects, suspect_appendix) = SuspectAppendix::divide(own.suspects);
         Heartbeat {
             instance: self.identity.instance.clone(),
             incarnation: self.identity.incarnation.clone(),
@@ -313,7 +315,8 @@
             limits: own.limits,
             unreachable: own.unreachable,
             evacuations: own.evacuations,
-            suspects: own.suspects,
+            suspects,
+            suspect_appendix,
             news: Vec::new(),
             cut_off: self.dialer.cut_off_services(),
             totals: own.totals,
--- a/crates/daemon/src/peers/fleet_link/receiving.rs
+++ b/crates/daemon/src/peers/fleet_link/receiving.rs
@@ -148,10 +148,10 @@
         for update in heartbeat.news {
             self.apply_list_update(update.aged(delay), &heartbeat.instance, is_relay);
         }
-        if !heartbeat.suspects.is_empty() {
-            self.control.tell(GatewayMessage::SuspectsReceived {
-                suspects: heartbeat.suspects,
-            });
+        let suspects = heartbeat.suspect_appendix.join(heartbeat.suspects);
+        if !suspects.is_empty() {
+            self.control
+                .tell(GatewayMessage::SuspectsReceived { suspects });
         }
         if !heartbeat.limits.is_empty() {
             self.control.tell(GatewayMessage::LimitsReceived {
--- a/crates/daemon/src/peers/heartbeat.rs
+++ b/crates/daemon/src/peers/heartbeat.rs
@@ -121,6 +121,9 @@
     /// for lack of room. Appended to the encoding after `totals`, with the same effect.
     #[serde(skip)]
     pub refused: Vec<AdvertisedRefusal>,
+    /// What belongs to the suspects. Appended to the encoding after `refused`, with the same effect.
+    #[serde(skip)]
+    pub suspect_appendix: SuspectAppendix,
 }
 
 /// What follows the totals in the encoding. The totals have to precede it even if the heartbeat
@@ -210,8 +213,7 @@
     /// Appends the fields that instances of earlier versions don't know, up to the last one that is
     /// not empty.
     fn append(&self, body: &mut Vec<u8>) -> postcard::Result<()> {
-        let suspects = SuspectAppendix::of(&self.suspects);
-        let has_suspects = !suspects.is_empty();
+        let has_suspects = !self.suspect_appendix.is_empty();
         let has_refused = !self.refused.is_empty() || has_suspects;
         let has_totals = self.totals.is_some();
         if !self.cut_off.is_empty() || has_totals || has_refused {
@@ -229,7 +231,7 @@
             body.extend(postcard::to_allocvec(&after)?);
         }
         if has_suspects {
-            body.extend(postcard::to_allocvec(&suspects)?);
+            body.extend(postcard::to_allocvec(&self.suspect_appendix)?);
         }
         Ok(())
     }
@@ -255,8 +257,7 @@
         if appended.is_empty() {
             return Ok(());
         }
-        let suspects: SuspectAppendix = postcard::from_bytes(appended)?;
-        suspects.add_to(&mut self.suspects);
+        self.suspect_appendix = postcard::from_bytes(appended)?;
         Ok(())
     }
 }
--- a/crates/daemon/src/peers/peer_answers.rs
+++ b/crates/daemon/src/peers/peer_answers.rs
@@ -130,16 +130,15 @@
 
 /// Returns the versions of this process in the form sent to peers.
 pub fn versions_of(identity: &Identity, versions: &Versions) -> PeerVersions {
+    let (suspects, appendix) = SuspectAppendix::divide(versions.suspects.clone());
     PeerVersions {
         incarnation: identity.incarnation.clone(),
         config_version: versions.config_version,
         config_age_ms: versions.config_age_ms,
         roster_version: versions.roster_version,
         time: versions.time,
-        suspects: Packed(versions.suspects.clone()),
-        suspect_appendix: Some(SuspectAppendix::of(&versions.suspects))
-            .filter(|appendix| !appendix.is_empty())
-            .map(Packed),
+        suspects: Packed(suspects),
+        suspect_appendix: (!appendix.is_empty()).then_some(Packed(appendix)),
     }
 }
 
--- a/crates/daemon/src/peers/peer_message.rs
+++ b/crates/daemon/src/peers/peer_message.rs
@@ -63,11 +63,10 @@
 impl PeerVersions {
     /// Returns the suspects with what belongs to them.
     pub fn all_suspects(&self) -> Vec<AdvertisedSuspect> {
-        let mut suspects = self.suspects.0.clone();
-        if let Some(Packed(appendix)) = self.suspect_appendix.clone() {
-            appendix.add_to(&mut suspects);
-        }
-        suspects
+        let contents = self.suspects.0.clone();
+        let appendix = self.suspect_appendix.clone();
+        let appendix = appendix.map_or_else(SuspectAppendix::default, |Packed(appendix)| appendix);
+        appendix.join(contents)
     }
 }
 
--- a/crates/daemon/tests/heartbeat.rs
+++ b/crates/daemon/tests/heartbeat.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use iristhread_core::AdvertisedCrash;
+use iristhread_core::AdvertisedPart;
 use iristhread_core::AdvertisedQuarantine;
 use iristhread_core::AdvertisedRefusal;
 use iristhread_core::AdvertisedSuspect;
@@ -12,6 +13,7 @@
 use iristhread_core::Keyring;
 use iristhread_core::LoadShare;
 use iristhread_core::ServerLife;
+use iristhread_core::SuspectAppendix;
 use iristhread_core::Totals;
 use iristhread_core::ZoneDigest;
 use iristhread_daemon::Datagram;
@@ -72,6 +74,7 @@
         cut_off: Vec::new(),
         totals: None,
         refused: Vec::new(),
+        suspect_appendix: SuspectAppendix::default(),
     }
 }
 
@@ -153,33 +156,53 @@
     assert_eq!(sealed.open(&keyring('a')), Ok(with_all));
 }
 
-fn suspect(quarantine: Option<AdvertisedQuarantine>) -> AdvertisedSuspect {
+fn suspect(
+    quarantine: Option<AdvertisedQuarantine>,
+    part: Option<AdvertisedPart>,
+) -> AdvertisedSuspect {
     AdvertisedSuspect {
         fingerprint: Fingerprint::default(),
         ends: vec![AdvertisedCrash { life: 4, age_ms: 9 }],
         proof_age_ms: None,
         quarantine,
+        part,
     }
 }
 
-/// An instance that doesn't know quarantines must read the suspects and the rest.
-#[test]
-fn quarantines_survive_encoding_and_cost_nothing_otherwise() {
-    let calm = Heartbeat {
-        suspects: vec![suspect(None), suspect(None)],
+fn with_suspects(suspects: Vec<AdvertisedSuspect>) -> Heartbeat {
+    let (suspects, suspect_appendix) = SuspectAppendix::divide(suspects);
+    Heartbeat {
+        suspects,
+        suspect_appendix,
         ..heartbeat(7, 3)
-    };
+    }
+}
+
+/// An instance that knows neither quarantines nor parts of prompts must read the contents and the
+/// rest.
+#[test]
+fn parts_and_quarantines_survive_encoding_and_cost_nothing_otherwise() {
+    let calm = with_suspects(vec![suspect(None, None), suspect(None, None)]);
+    assert!(calm.suspect_appendix.is_empty());
+    let size = calm.seal(&keyring('a')).unwrap().size_bytes();
     let quarantine = AdvertisedQuarantine { bursts: 2, life: 4 };
-    let with_quarantine = Heartbeat {
-        suspects: vec![suspect(None), suspect(Some(quarantine))],
-        ..calm.clone()
+    let part = AdvertisedPart {
+        is_in_fleet: false,
+        position: 1,
+        sources: vec![7],
     };
-    let sealed = with_quarantine.seal(&keyring('a')).unwrap();
-    assert_eq!(sealed.open(&keyring('a')), Ok(with_quarantine));
-    // No service without a path, three empty maps, the flag, no refusal, and one quarantine of
-    // three numbers.
-    let size = calm.seal(&keyring('a')).unwrap().size_bytes();
-    assert_eq!(sealed.size_bytes(), size + 10);
+    let all = vec![
+        suspect(None, None),
+        suspect(Some(quarantine), None),
+        suspect(Some(quarantine), Some(part)),
+    ];
+    let told = with_suspects(all.clone());
+    let sealed = told.seal(&keyring('a')).unwrap();
+    let heard = sealed.open(&keyring('a')).unwrap();
+    assert_eq!(heard.suspect_appendix.join(heard.suspects), all);
+    // No service without a path, three empty maps, the flag and no refusal; one part of ten
+    // bytes and two quarantines of three.
+    assert_eq!(sealed.size_bytes(), size + 6 + 1 + 10 + 1 + 2 * 3);
 }
 
 #[test]
