Take an answer that ends with its connection for whole only if its server lives

Callers got streams and answers as whole that their servers had cut by ending; and each counted as a good run, which clears all crashes of its content and parts.

Cause: an answer with neither a length nor chunks ends by the close of its connection, so a cut at the end of an event, or before the first one, looks like its end. Besides, an error of the server's own (500) counted as a good run.

A server that refuses has ended: the run has broken off. A stream without an event is none. Answers that are framed cost nothing new. Runs that were answered without being proofs have an end of their own (RunEnd::Unproven).

--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -341,7 +341,7 @@
         let Some(run) = self.runs.remove(request) else {
             return;
         };
-        if end == RunEnd::Answered {
+        if end.is_answer() {
             self.backoffs.served(request);
         }
         self.backoffs.gone(request);
@@ -351,12 +351,14 @@
         self.waiting.room_appeared();
         self.note_freed(now, &run, end);
         match end {
-            RunEnd::Answered => {
+            RunEnd::Answered | RunEnd::Unproven => {
                 self.watch.answered(now, &run.replica);
                 let took = now.saturating_sub(run.sent_at);
                 self.brittle.ran(&run.ask.service, took);
                 self.pauses.remove(&run.replica);
-                self.ran_well(now, run.ask.suspected());
+                if end == RunEnd::Answered {
+                    self.ran_well(now, run.ask.suspected());
+                }
             }
             RunEnd::Failed => self.failed(now, &run.replica),
             RunEnd::Refused | RunEnd::Withdrawn => {}
--- a/crates/core/src/gateway/gateway_control/rank_headroom.rs
+++ b/crates/core/src/gateway/gateway_control/rank_headroom.rs
@@ -37,7 +37,7 @@
             RunEnd::Refused => self.rank_demand.refused(now, &run.ask),
             RunEnd::Failed => self.rank_demand.ended(now, &run.ask, None),
             RunEnd::Withdrawn if !run.has_begun => self.rank_demand.ended(now, &run.ask, None),
-            RunEnd::Answered | RunEnd::Withdrawn => {
+            RunEnd::Answered | RunEnd::Unproven | RunEnd::Withdrawn => {
                 self.rank_demand.ended(now, &run.ask, Some(held));
             }
         }
--- a/crates/core/src/gateway/gateway_control/speeds.rs
+++ b/crates/core/src/gateway/gateway_control/speeds.rs
@@ -117,7 +117,7 @@
     /// Times the answer of a server that is not an engine, and ends the timing of the request.
     pub(super) fn time_end(&mut self, now: Now, request: &str, run: &OwnRun, end: RunEnd) {
         let is_call = run.ask.class != RequestClass::Stream && !self.is_engine(&run.ask.service);
-        if let Some(server) = run.life.filter(|_| is_call && end == RunEnd::Answered) {
+        if let Some(server) = run.life.filter(|_| is_call && end.is_answer()) {
             let load = self.speeds.servers.load(server);
             if let Some(timed) = self.speeds.runs.answered(now, request, load) {
                 self.speeds.servers.record(&run.ask.service, server, &timed);
--- a/crates/core/src/gateway/placement_request.rs
+++ b/crates/core/src/gateway/placement_request.rs
@@ -108,9 +108,11 @@
 /// How the run of a request on a backend server ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunEnd {
-    /// It was answered; an answer that reports an error of the service's own
-    /// counts as well.
+    /// It was answered with success.
     Answered,
+    /// It was answered, which shows nothing of its content: with an error of the service's own, or
+    /// by an answer with which its server ended.
+    Unproven,
     /// The server closed the connection, stalled or sent an invalid answer.
     Failed,
     /// The backend server refused for lack of room.
@@ -119,6 +121,13 @@
     Withdrawn,
 }
 
+impl RunEnd {
+    /// Whether there was an answer.
+    pub fn is_answer(self) -> bool {
+        matches!(self, RunEnd::Answered | RunEnd::Unproven)
+    }
+}
+
 /// Target of the failover, restart or move of a session.
 #[derive(Clone, Debug)]
 pub struct FailoverTarget {
--- a/crates/core/tests/gateway_ending.rs
+++ b/crates/core/tests/gateway_ending.rs
@@ -77,6 +77,19 @@
     assert!(control.place(NOW + ms(2_000), ask("another")).is_ok());
 }
 
+/// An error of the server's own counted as a good run, and cleared the crashes.
+#[test_case(RunEnd::Unproven, Some(RefusalKind::Quarantined))]
+#[test_case(RunEnd::Answered, None)]
+fn only_a_successful_answer_is_a_good_run(end: RunEnd, refused: Option<RefusalKind>) {
+    let mut control = control_with(&ENGINES);
+    crash_engine(&mut control, NOW, "first");
+    crash_engine(&mut control, NOW + ms(500), "second");
+    control.place(NOW + ms(1_000), poison("answered")).unwrap();
+    control.ended(NOW + ms(1_100), "answered", end);
+    crash_engine(&mut control, NOW + ms(1_500), "third");
+    assert_eq!(refusal(&mut control, NOW + ms(2_000)), refused);
+}
+
 #[test]
 fn a_running_poison_request_is_not_sent_elsewhere() {
     let mut control = control_with(&ENGINES);
--- a/crates/daemon/src/completion/service_call.rs
+++ b/crates/daemon/src/completion/service_call.rs
@@ -204,9 +204,7 @@
 ) {
     let fingerprint = call.fingerprint();
     match result {
-        SendResult::Answered | SendResult::Failed => {
-            app.control.tell(Event::CallAnswered { fingerprint });
-        }
+        SendResult::Answered => app.control.tell(Event::CallAnswered { fingerprint }),
         SendResult::Lost if has_stopped_listening(runner.address, true).await => {
             app.control.tell(Event::ServerCrashed {
                 backend: runner.name.clone(),
@@ -215,7 +213,11 @@
                 ran_for: Duration::ZERO,
             });
         }
-        SendResult::Lost | SendResult::NotConnected | SendResult::SaidNotRun => {}
+        // An error of the runner's own shows nothing of the call.
+        SendResult::Failed
+        | SendResult::Lost
+        | SendResult::NotConnected
+        | SendResult::SaidNotRun => {}
     }
 }
 
--- a/crates/daemon/src/engines/engine_watch.rs
+++ b/crates/daemon/src/engines/engine_watch.rs
@@ -102,6 +102,21 @@
     }
 }
 
+/// Whether a backend server has ended with an answer that ended with its connection.
+pub async fn has_ended_with_answer(app: &GatewayApp, server: &Replica) -> bool {
+    let reach = app.dialer.reach(server.address).await;
+    matches!(reach, Reach::Refuses | Reach::RefusesHere)
+}
+
+/// Same as [`has_ended_with_answer`], with a second look at a server that still accepts connections.
+pub async fn has_ended_soon_after_answer(app: &GatewayApp, server: &Replica) -> bool {
+    if has_ended_with_answer(app, server).await {
+        return true;
+    }
+    tokio::time::sleep(SECOND_PROBE_DELAY).await;
+    has_ended_with_answer(app, server).await
+}
+
 /// Whether nothing listens at the address of a backend server any more. A crashing server may
 /// close its connections before its listener: with `probes_twice`, a second probe follows.
 pub async fn has_stopped_listening(address: SocketAddr, probes_twice: bool) -> bool {
--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -1,6 +1,7 @@
 //! Requests with buffered answers: an answer is forwarded once all of it has arrived, so that a
 //! truncated answer never looks complete.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,7 +23,10 @@
 use slog::info;
 use tokio::sync::mpsc;
 
+use crate::engines::engine_watch::has_ended_soon_after_answer;
+use crate::engines::engine_watch::has_ended_with_answer;
 use crate::engines::engine_watch::probe_broken_server;
+use crate::gateway::GatewayApp;
 use crate::gateway::gateway_message::GatewayMessage;
 use crate::relaying::answer_timeout;
 use crate::relaying::caller_answer;
@@ -43,6 +47,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// Whether it had neither a length nor chunks.
+    ended_with_connection: bool,
 }
 
 /// The result of one attempt.
@@ -82,6 +88,9 @@
         "status" => call.answer.as_ref().map(|answer| answer.status.as_u16()),
         "took_ms" => (app.clock.now() - exchange.arrived).as_millis() as u64);
     let took = app.clock.now() - exchange.arrived;
+    if let Some(server) = unproven_server(&call, &ranking) {
+        tokio::spawn(confirm_good_run(app.clone(), server, guard));
+    }
     app.metrics.call_ended(call.outcome.as_str(), took);
     let retry_after = match call.outcome {
         Outcome::NotRun => exchange.caller_retry_after(REFUSED_RETRY_AFTER).await,
@@ -90,6 +99,25 @@
     into_caller_answer(call, retry_after)
 }
 
+/// Returns the server of a successful answer that ended with its connection.
+fn unproven_server(call: &FinishedCall, ranking: &Ranking) -> Option<Replica> {
+    let answer = call.answer.as_ref()?;
+    if call.end != CallEnd::Answer || !answer.ended_with_connection {
+        return None;
+    }
+    let mut replicas = ranking.replicas.iter();
+    let server = replicas.find(|r| Some(&r.id) == call.last_server.as_ref());
+    server.cloned()
+}
+
+/// Keeps a run open until it is known that its server has not ended with the answer.
+async fn confirm_good_run(app: Arc<GatewayApp>, server: Replica, mut guard: RunGuard) {
+    if has_ended_soon_after_answer(&app, &server).await {
+        guard.set_end(RunEnd::Unproven);
+        probe_broken_server(&app, guard.request(), &server).await;
+    }
+}
+
 /// Executes the steps that a [`CallRun`] decides on.
 async fn drive(exchange: &Exchange, ranking: &Ranking, guard: &mut RunGuard) -> FinishedCall {
     let app = &exchange.app;
@@ -205,7 +233,7 @@
         }
         SendOutcome::TimedOut => (SendResult::Lost, None),
         SendOutcome::Answer(answer) => {
-            let collected = collect_answer(exchange, *answer, by).await;
+            let collected = collect_answer(exchange, replica, *answer, by).await;
             if collected.0 == SendResult::Lost {
                 probe_broken_server(&exchange.app, &exchange.head.request, replica).await;
             }
@@ -216,6 +244,7 @@
 
 async fn collect_answer(
     exchange: &Exchange,
+    replica: &Replica,
     answer: BackendAnswer,
     by: Now,
 ) -> (SendResult, Option<BufferedAnswer>) {
@@ -229,6 +258,9 @@
         Some(buffered) => buffered,
         None => return (SendResult::Lost, None),
     };
+    if buffered.ended_with_connection && has_ended_with_answer(&exchange.app, replica).await {
+        return (SendResult::Lost, None);
+    }
     let result = match buffered.status.is_server_error() {
         true => SendResult::Failed,
         false => SendResult::Answered,
@@ -242,18 +274,21 @@
     by: Now,
 ) -> Option<BufferedAnswer> {
     let by = exchange.app.clock.instant(by);
+    let ended_with_connection = answer.ends_with_connection();
     let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect();
     let body = answer_timeout::until(by, body).await?.ok()?;
     Some(BufferedAnswer {
         status: answer.status,
         headers: answer.headers,
         body: body.to_bytes(),
+        ended_with_connection,
     })
 }
 
 fn run_end_of(result: SendResult) -> RunEnd {
     match result {
-        SendResult::Answered | SendResult::Failed => RunEnd::Answered,
+        SendResult::Answered => RunEnd::Answered,
+        SendResult::Failed => RunEnd::Unproven,
         SendResult::SaidNotRun => RunEnd::Refused,
         SendResult::NotConnected | SendResult::Lost => RunEnd::Failed,
     }
@@ -279,8 +314,13 @@
 }
 
 /// Buffers and forwards an answer that is not a stream to a request for a stream.
-pub async fn forward_buffered(exchange: &Exchange, answer: BackendAnswer) -> CallerAnswer {
-    let (result, answer) = collect_answer(exchange, answer, exchange.answer_deadline).await;
+pub async fn forward_buffered(
+    exchange: &Exchange,
+    replica: &Replica,
+    answer: BackendAnswer,
+) -> CallerAnswer {
+    let deadline = exchange.answer_deadline;
+    let (result, answer) = collect_answer(exchange, replica, answer, deadline).await;
     let outcome = match result {
         SendResult::SaidNotRun => Outcome::NotRun,
         _ => Outcome::Unknown,
--- a/crates/daemon/src/relaying/run_guard.rs
+++ b/crates/daemon/src/relaying/run_guard.rs
@@ -33,6 +33,11 @@
         self.is_armed = false;
     }
 
+    /// The guarded request.
+    pub fn request(&self) -> &str {
+        &self.request
+    }
+
     /// Sets the end to report.
     pub fn set_end(&mut self, end: RunEnd) {
         self.end = end;
--- a/crates/daemon/src/relaying/send_outcome.rs
+++ b/crates/daemon/src/relaying/send_outcome.rs
@@ -2,6 +2,8 @@
 
 use http::HeaderMap;
 use http::StatusCode;
+use http::header;
+use hyper::body::Body;
 use hyper::body::Incoming;
 
 use crate::engines::notices::SendRestriction;
@@ -57,6 +59,14 @@
 }
 
 impl BackendAnswer {
+    /// Whether the answer has neither a length nor chunks, so that it ends with its connection: an
+    /// answer that was cut looks like a whole one.
+    pub fn ends_with_connection(&self) -> bool {
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let is_framed = framing.iter().any(|name| self.headers.contains_key(name));
+        !is_framed && !self.body.is_end_stream()
+    }
+
     /// Whether the status implies that the request was not run although the backend server did
     /// not state so. Such an answer must not be forwarded.
     pub fn is_ambiguous_refusal(&self) -> bool {
--- a/crates/daemon/src/relaying/stream_call.rs
+++ b/crates/daemon/src/relaying/stream_call.rs
@@ -48,10 +48,10 @@
         StartResult::Answered(replica, answer) if answer.status.is_success() => {
             spawn_relay(exchange, guard, replica, *answer, signals_out)
         }
-        StartResult::Answered(_, answer) => {
+        StartResult::Answered(replica, answer) => {
             guard.set_end(RunEnd::Refused);
             log_failed_start(&exchange, "refused by the engine", Some(answer.status));
-            buffered_call::forward_buffered(&exchange, *answer).await
+            buffered_call::forward_buffered(&exchange, &replica, *answer).await
         }
         StartResult::NotRun => {
             guard.set_end(RunEnd::Refused);
@@ -148,7 +148,7 @@
     signals: mpsc::UnboundedReceiver<SessionSignal>,
 ) -> CallerAnswer {
     let (status, headers) = (answer.status, answer.headers.clone());
-    let (relay, pieces) = StreamRelay::new(exchange, guard, replica, answer.body, signals);
+    let (relay, pieces) = StreamRelay::new(exchange, guard, replica, answer, signals);
     tokio::spawn(relay.run());
     caller_answer::forwarded(status, &headers, caller_answer::stream_body(pieces))
 }
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -22,6 +22,7 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::detour::server_dialer::Reach;
+use crate::engines::engine_watch::has_ended_soon_after_answer;
 use crate::engines::session_move::SessionMove;
 use crate::engines::session_mover::MoveError;
 use crate::engines::session_mover::MoveOrder;
@@ -30,6 +31,7 @@
 use crate::relaying::event_splitter::EventSplitter;
 use crate::relaying::exchange::Exchange;
 use crate::relaying::run_guard::RunGuard;
+use crate::relaying::send_outcome::BackendAnswer;
 
 mod failover;
 mod resume;
@@ -90,6 +92,8 @@
     replica: Replica,
     /// `None` while the previous engine is abandoned and no other has been found.
     body: Option<Incoming>,
+    /// Whether the answer of the engine has neither a length nor chunks.
+    ends_with_connection: bool,
     signals: mpsc::UnboundedReceiver<SessionSignal>,
     to_caller: mpsc::Sender<Piece>,
     splitter: EventSplitter,
@@ -127,7 +131,7 @@
         exchange: Exchange,
         guard: RunGuard,
         replica: Replica,
-        body: Incoming,
+        answer: BackendAnswer,
         signals: mpsc::UnboundedReceiver<SessionSignal>,
     ) -> (Self, impl Stream<Item = Piece> + Send + 'static) {
         let (to_caller, pieces) = mpsc::channel(CALLER_QUEUE_LEN);
@@ -138,7 +142,8 @@
             exchange,
             guard,
             replica,
-            body: Some(body),
+            ends_with_connection: answer.ends_with_connection(),
+            body: Some(answer.body),
             signals,
             to_caller,
             splitter: EventSplitter::default(),
@@ -195,10 +200,23 @@
             Some(Ok(frame)) => self.take(frame).await,
             Some(Err(_)) => Step::Broken("the connection was lost"),
             None if self.splitter.pending() > 0 => Step::Broken("the last event is incomplete"),
+            None if self.ends_with_connection => self.check_unframed_end().await,
             None => Step::Completed,
         }
     }
 
+    /// Checks whether a stream that ended with its connection is complete: it is not if its engine
+    /// has ended as well, or has sent nothing.
+    async fn check_unframed_end(&self) -> Step {
+        if self.events == 0 {
+            return Step::Broken("the connection ended before the first event");
+        }
+        match has_ended_soon_after_answer(&self.exchange.app, &self.replica).await {
+            true => Step::Broken("the engine ended with the connection"),
+            false => Step::Completed,
+        }
+    }
+
     async fn take(&mut self, frame: Frame<Bytes>) -> Step {
         let Ok(data) = frame.into_data() else {
             return Step::Continue;
--- a/crates/daemon/src/relaying/stream_relay/resume.rs
+++ b/crates/daemon/src/relaying/stream_relay/resume.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use iristhread_core::FailoverTarget;
 use iristhread_core::Now;
 use slog::info;
@@ -14,6 +13,7 @@
 use crate::engines::notices::SendRestriction;
 use crate::gateway::gateway_message::GatewayMessage;
 use crate::relaying::event_splitter::EventSplitter;
+use crate::relaying::send_outcome::BackendAnswer;
 use crate::relaying::send_outcome::SendOutcome;
 use crate::relaying::wire_protocol::ResumePoint;
 use crate::relaying::wire_protocol::SessionCopy;
@@ -47,7 +47,7 @@
         let (cause, resumed) = match sent {
             SendOutcome::Answer(answer) if answer.status.is_success() => {
                 app.metrics.failover_ended(kind, "went_on", pause);
-                self.continue_from(target, answer.body, pause);
+                self.continue_from(target, *answer, pause);
                 return ResumeOutcome::Continues;
             }
             SendOutcome::Answer(answer) if answer.head.is_not_run => {
@@ -115,7 +115,7 @@
         }
     }
 
-    fn continue_from(&mut self, target: FailoverTarget, body: Incoming, pause: Duration) {
+    fn continue_from(&mut self, target: FailoverTarget, answer: BackendAnswer, pause: Duration) {
         let app = self.exchange.app.clone();
         info!(app.log, "stream resumed at an engine";
             "request" => &self.exchange.head.request,
@@ -126,7 +126,8 @@
             "paused_ms" => pause.as_millis() as u64);
         let target_is_new = self.replica.id != target.replica.id;
         self.replica = target.replica;
-        self.body = Some(body);
+        self.ends_with_connection = answer.ends_with_connection();
+        self.body = Some(answer.body);
         self.splitter = EventSplitter::default();
         self.order.resume();
         self.silent_since = app.clock.now();
