Take a quarantined request out of its engine's queue before the engine answers

Callers of other sessions lost engines to requests that had been sent before their content or part was quarantined, and still waited for an engine.

Cause: a request is withdrawn by a signal to its stream, and the task of a stream listened to signals only once the engine had sent its headers. The users' engines send them when they begin: until then a request waits in their queue for some tenths of a second, which is when it can be saved. The stand-in sends headers at once, so the test that was there passed.

Change: the start of a stream ends when the request is to be withdrawn; the attempt's connection closes with it. The caller gets 502: whether it began is not known. Other signals that come before the headers are kept for later.

--- a/crates/daemon/src/relaying.rs
+++ b/crates/daemon/src/relaying.rs
@@ -8,6 +8,7 @@
 pub(crate) mod http_front_end;
 pub(crate) mod run_guard;
 pub(crate) mod send_outcome;
+pub(crate) mod session_signals;
 pub(crate) mod stream_call;
 pub(crate) mod stream_relay;
 pub(crate) mod wire_protocol;
--- a/crates/daemon/src/relaying/stream_call.rs
+++ b/crates/daemon/src/relaying/stream_call.rs
@@ -11,7 +11,6 @@
 use iristhread_core::Replica;
 use iristhread_core::RunEnd;
 use iristhread_core::SendResult;
-use iristhread_core::SessionSignal;
 use slog::info;
 use tokio::sync::mpsc;
 
@@ -24,6 +23,7 @@
 use crate::relaying::run_guard::RunGuard;
 use crate::relaying::send_outcome::BackendAnswer;
 use crate::relaying::send_outcome::SendOutcome;
+use crate::relaying::session_signals::SessionSignals;
 use crate::relaying::stream_relay::StreamRelay;
 
 /// Retry-After when an engine refused: approximately the time until a session ends.
@@ -34,16 +34,24 @@
     Answered(Replica, Box<BackendAnswer>),
     NotRun,
     MayHaveRun(&'static str),
+    /// Requests like it were quarantined before the engine answered.
+    Withdrawn,
 }
 
 /// Starts a stream and returns the answer for its caller.
 pub async fn run(exchange: Exchange) -> CallerAnswer {
     let (signals, signals_out) = mpsc::unbounded_channel();
+    let mut signals_out = SessionSignals::new(signals_out);
     let (ranking, mut guard) = match exchange.place(signals).await {
         Ok(placed) => placed,
         Err(answer) => return *answer,
     };
-    let start = start(&exchange, &ranking).await;
+    let start = tokio::select! {
+        biased;
+        start = start(&exchange, &ranking) => start,
+        // Dropping the attempt closes its connection, which takes it out of the engine's queue.
+        () = signals_out.withdrawn() => StartResult::Withdrawn,
+    };
     match start {
         StartResult::Answered(replica, answer) if answer.status.is_success() => {
             spawn_relay(exchange, guard, replica, *answer, signals_out)
@@ -62,12 +70,25 @@
         StartResult::MayHaveRun(cause) => {
             guard.set_end(RunEnd::Failed);
             log_failed_start(&exchange, cause, None);
-            let message = "the engine gave no answer; the request may have run";
-            caller_answer::from_gateway(StatusCode::BAD_GATEWAY, message)
+            may_have_run()
+        }
+        StartResult::Withdrawn => {
+            guard.set_end(RunEnd::Withdrawn);
+            log_failed_start(
+                &exchange,
+                "withdrawn: requests like it are quarantined",
+                None,
+            );
+            may_have_run()
         }
     }
 }
 
+fn may_have_run() -> CallerAnswer {
+    let message = "the engine gave no answer; the request may have run";
+    caller_answer::from_gateway(StatusCode::BAD_GATEWAY, message)
+}
+
 async fn start(exchange: &Exchange, ranking: &Ranking) -> StartResult {
     let app = &exchange.app;
     let names = ranking.replicas.iter().map(|r| r.id.clone()).collect();
@@ -145,7 +166,7 @@
     guard: RunGuard,
     replica: Replica,
     answer: BackendAnswer,
-    signals: mpsc::UnboundedReceiver<SessionSignal>,
+    signals: SessionSignals,
 ) -> CallerAnswer {
     let (status, headers) = (answer.status, answer.headers.clone());
     let (relay, pieces) = StreamRelay::new(exchange, guard, replica, answer, signals);
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -32,6 +32,7 @@
 use crate::relaying::exchange::Exchange;
 use crate::relaying::run_guard::RunGuard;
 use crate::relaying::send_outcome::BackendAnswer;
+use crate::relaying::session_signals::SessionSignals;
 
 mod failover;
 mod resume;
@@ -94,7 +95,7 @@
     body: Option<Incoming>,
     /// Whether the answer of the engine has neither a length nor chunks.
     ends_with_connection: bool,
-    signals: mpsc::UnboundedReceiver<SessionSignal>,
+    signals: SessionSignals,
     to_caller: mpsc::Sender<Piece>,
     splitter: EventSplitter,
     order: EventOrder,
@@ -132,7 +133,7 @@
         guard: RunGuard,
         replica: Replica,
         answer: BackendAnswer,
-        signals: mpsc::UnboundedReceiver<SessionSignal>,
+        signals: SessionSignals,
     ) -> (Self, impl Stream<Item = Piece> + Send + 'static) {
         let (to_caller, pieces) = mpsc::channel(CALLER_QUEUE_LEN);
         let relay = StreamRelay {
@@ -192,7 +193,7 @@
             () = self.to_caller.closed() => return Step::CallerDisconnected,
             () = sleep_until(deadline) => return Step::DeadlineExceeded,
             moved = move_finished(&mut self.moving) => return Step::Moved(moved),
-            Some(signal) = self.signals.recv() => return self.handle_signal(signal),
+            Some(signal) = self.signals.next() => return self.handle_signal(signal),
             frame = next_frame(&mut self.body) => frame,
             () = sleep_until(silent_at) => return self.check_engine().await,
         };
