Don't take a stream that its engine stopped for a move as complete

Callers would get streams that lack their end as whole, where streams have neither a length nor chunks: an engine stops a session before the last copy and closes its stream without its end, which then looks like the end.

Cause: the relay took the end of such a connection for the end of the stream whatever it had ordered itself.

Evidence: the new test on stand-ins whose last copy takes 150 ms, seen failing (waited in vain: it moves). Ruled out for framed streams: they end in an error.

Change: while a move is under way the end of the connection waits for its result; the stream goes on at the copy, or is complete if the engine says that no such session runs any more and it lives.

--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -22,7 +22,6 @@
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::detour::server_dialer::Reach;
-use crate::engines::engine_watch::has_ended_soon_after_answer;
 use crate::engines::session_move::SessionMove;
 use crate::engines::session_mover::MoveError;
 use crate::engines::session_mover::MoveOrder;
@@ -36,6 +35,7 @@
 
 mod failover;
 mod resume;
+mod unframed_end;
 
 /// Frames buffered for a slow caller; beyond that, back pressure reaches the engine.
 const CALLER_QUEUE_LEN: usize = 32;
@@ -206,18 +206,6 @@
         }
     }
 
-    /// Checks whether a stream that ended with its connection is complete: it is not if its engine
-    /// has ended as well, or has sent nothing.
-    async fn check_unframed_end(&self) -> Step {
-        if self.events == 0 {
-            return Step::Broken("the connection ended before the first event");
-        }
-        match has_ended_soon_after_answer(&self.exchange.app, &self.replica).await {
-            true => Step::Broken("the engine ended with the connection"),
-            false => Step::Completed,
-        }
-    }
-
     async fn take(&mut self, frame: Frame<Bytes>) -> Step {
         let Ok(data) = frame.into_data() else {
             return Step::Continue;
