Tell requests with one body by their prompts when a part is suspected

Cause: a part needs crashes under several requests, and requests were told apart by the digest of their content, which covers the body but no header. All of them counted as one.

The new test, seen failing with the digest of the content only.

Change: the digest by which a part's crashes are told apart covers the part of the prompt that belongs to the request itself, too. A request that comes again is still suspected before its parts, also where that part differs each time. What content is stays as it is.

--- a/crates/bench/src/bin/poison_parts.rs
+++ b/crates/bench/src/bin/poison_parts.rs
@@ -10,7 +10,6 @@
 use iristhread_core::FingerprintInput;
 use iristhread_core::KnownGood;
 use iristhread_core::Now;
-use iristhread_core::PromptPart;
 use iristhread_core::PromptParts;
 use iristhread_core::ServerCrash;
 use iristhread_core::SuspectedRequest;
@@ -137,7 +136,7 @@
 }
 
 fn parts_of(ids: &[String]) -> PromptParts {
-    PromptPart::all_of(Some("w"), ids.iter().map(String::as_str))
+    PromptParts::of(Some("w"), ids.iter().map(String::as_str), None)
 }
 
 fn content_of(number: u64) -> Fingerprint {
@@ -180,7 +179,7 @@
             Way::MostCrashes => ids.iter().any(|id| self.unexplained(id) >= ENOUGH),
             Way::LeastGood => {
                 let parts = parts_of(ids);
-                let (fingerprint, parts) = (content_of(number), &parts[..]);
+                let (fingerprint, parts) = (content_of(number), &parts);
                 let causes = self.book.causes(SuspectedRequest { fingerprint, parts });
                 !causes.is_empty()
             }
@@ -237,7 +236,7 @@
                 self.counted.entry(id.clone()).or_default().insert(life);
             }
             let parts = parts_of(&run.ids);
-            let (fingerprint, parts) = (content_of(run.number), &parts[..]);
+            let (fingerprint, parts) = (content_of(run.number), &parts);
             let request = SuspectedRequest { fingerprint, parts };
             let good = |fingerprint| self.good.at(fingerprint);
             self.book
@@ -250,7 +249,7 @@
             self.counted.remove(id);
         }
         let parts = parts_of(&run.ids);
-        let (fingerprint, parts) = (content_of(run.number), &parts[..]);
+        let (fingerprint, parts) = (content_of(run.number), &parts);
         let request = SuspectedRequest { fingerprint, parts };
         self.good.note(self.now, request);
         for fingerprint in request.fingerprints() {
--- a/crates/core/src/servers/known_good_requests.rs
+++ b/crates/core/src/servers/known_good_requests.rs
@@ -38,7 +38,7 @@
     /// Records that a request ran well.
     pub fn note(&mut self, now: Now, request: SuspectedRequest<'_>) {
         self.contents.note(now, request.fingerprint);
-        for part in request.parts {
+        for part in request.parts.iter() {
             self.parts.note(now, part.in_workspace);
             self.parts.note(now, part.in_fleet);
         }
--- a/crates/core/src/servers/prompt_part.rs
+++ b/crates/core/src/servers/prompt_part.rs
@@ -1,5 +1,6 @@
 //! The parts of a prompt that other requests may share, such as instructions and documents.
 
+use std::ops::Deref;
 use std::sync::Arc;
 
 use crate::Fingerprint;
@@ -17,9 +18,6 @@
     pub in_fleet: Fingerprint,
 }
 
-/// The shared parts of one prompt, in the order of the prompt.
-pub type PromptParts = Arc<[PromptPart]>;
-
 impl PromptPart {
     /// Computes the digests of the part with an id; the results are the same in every process.
     /// `workspace` is `None` where callers have no keys.
@@ -29,13 +27,42 @@
             in_fleet: Fingerprint::of_part_in_fleet(id),
         }
     }
+}
 
-    /// Computes the digests of the parts with these ids.
-    pub fn all_of<'a>(
+/// The shared parts of one prompt, in the order of the prompt.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PromptParts {
+    shared: Arc<[PromptPart]>,
+    /// Digest of the part that belongs to the request itself; 0 if it has none.
+    own: u32,
+}
+
+impl PromptParts {
+    /// Computes the digests of the shared parts with these ids, and of the request's own part.
+    /// `workspace` is `None` where callers have no keys.
+    pub fn of<'a>(
         workspace: Option<&str>,
-        ids: impl IntoIterator<Item = &'a str>,
-    ) -> PromptParts {
-        let ids = ids.into_iter().take(MAX_PARTS);
-        ids.map(|id| PromptPart::of(workspace, id)).collect()
+        shared: impl IntoIterator<Item = &'a str>,
+        own: Option<&str>,
+    ) -> Self {
+        let shared = shared.into_iter().take(MAX_PARTS);
+        let own = own.map(|id| Fingerprint::of_part_in_fleet(id).content as u32);
+        PromptParts {
+            shared: shared.map(|id| PromptPart::of(workspace, id)).collect(),
+            own: own.unwrap_or_default(),
+        }
+    }
+
+    /// Digest of the part that belongs to the request itself; 0 if it has none.
+    pub(super) fn own(&self) -> u32 {
+        self.own
+    }
+}
+
+impl Deref for PromptParts {
+    type Target = [PromptPart];
+
+    fn deref(&self) -> &[PromptPart] {
+        &self.shared
     }
 }
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -2,6 +2,7 @@
 //! (poison requests), from the observations of this instance and those that other instances
 //! advertise.
 
+use std::sync::LazyLock;
 use std::time::Duration;
 
 use crate::AdvertisedCrash;
@@ -10,7 +11,7 @@
 use crate::AdvertisedSuspect;
 use crate::Fingerprint;
 use crate::Now;
-use crate::PromptPart;
+use crate::PromptParts;
 use crate::ServerCrash;
 use crate::Suspect;
 use crate::SuspectKind;
@@ -94,9 +95,11 @@
     /// Digest of its content.
     pub fingerprint: Fingerprint,
     /// The parts of its prompt that other requests may share.
-    pub parts: &'a [PromptPart],
+    pub parts: &'a PromptParts,
 }
 
+static NO_PARTS: LazyLock<PromptParts> = LazyLock::new(PromptParts::default);
+
 /// Why requests are quarantined.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QuarantineCause {
@@ -113,7 +116,7 @@
 impl<'a> SuspectedRequest<'a> {
     /// Returns a request without a prompt.
     pub fn without_parts(fingerprint: Fingerprint) -> Self {
-        let parts = &[];
+        let parts = &NO_PARTS;
         SuspectedRequest { fingerprint, parts }
     }
 
@@ -129,9 +132,10 @@
     /// of what it has to occur in several of.
     fn suspects(self) -> impl Iterator<Item = (Fingerprint, SuspectKind, u32)> + 'a {
         let content = (self.fingerprint, SuspectKind::Content, 0);
-        let request = self.fingerprint.content as u32;
+        // Requests with one content differ if their prompts do.
+        let request = self.fingerprint.content as u32 ^ self.parts.own();
         let workspace = self.fingerprint.workspace as u32;
-        let parts = (0_u8..).zip(self.parts);
+        let parts = (0_u8..).zip(self.parts.iter());
         let parts = parts.flat_map(move |(position, part)| {
             [
                 (part.in_workspace, SuspectKind::Part(position), request),
--- a/crates/core/tests/poison_scene/mod.rs
+++ b/crates/core/tests/poison_scene/mod.rs
@@ -12,7 +12,7 @@
 use iristhread_core::GatewayParameters;
 use iristhread_core::Now;
 use iristhread_core::PlacementRequest;
-use iristhread_core::PromptPart;
+use iristhread_core::PromptParts;
 use iristhread_core::RefusalKind;
 use iristhread_core::Replica;
 use iristhread_core::ReplicaChange;
@@ -259,7 +259,11 @@
                 path: "/chat/x",
                 body: id.as_bytes(),
             }),
-            parts: PromptPart::all_of(Some(caller.workspace), caller.parts.iter().copied()),
+            parts: PromptParts::of(
+                Some(caller.workspace),
+                caller.parts.iter().copied(),
+                Some(&id),
+            ),
             ..ask(&id)
         };
         let placed = self.instances[instance]
--- a/crates/core/tests/quarantines.rs
+++ b/crates/core/tests/quarantines.rs
@@ -6,7 +6,10 @@
 use iristhread_core::Fingerprint;
 use iristhread_core::IncarnationId;
 use iristhread_core::Now;
+use iristhread_core::PromptPart;
+use iristhread_core::PromptParts;
 use iristhread_core::ServerCrash;
+use iristhread_core::SuspectedRequest;
 use iristhread_core::Suspicions;
 use iristhread_core::Verdict;
 use test_case::test_case;
@@ -123,3 +126,47 @@
     assert_eq!(end_of(&here, 1), None);
     assert_eq!(end_of(&there, 1), None);
 }
+
+/// Servers crash one after the other under requests with a content, a shared part and a part of
+/// their own. `good_at` is when a request with the content last ran well.
+fn crash_prompts(
+    suspicions: &mut Suspicions,
+    good_at: Option<Now>,
+    prompts: &[(u128, &str)],
+) -> PromptPart {
+    for (life, (number, own)) in (0..).zip(prompts) {
+        let at = START + ms(300 * life);
+        let parts = PromptParts::of(Some("one"), ["shared"], Some(own));
+        let request = SuspectedRequest {
+            fingerprint: content(*number),
+            parts: &parts,
+        };
+        let good_at = |fingerprint| good_at.filter(|_| fingerprint == content(*number));
+        suspicions.server_crashed_under(at, request, good_at, ServerCrash { life, at });
+    }
+    PromptPart::of(Some("one"), "shared")
+}
+
+/// Guards against a bad part that was not found, since the requests with it differed only in their
+/// prompts, which no body holds.
+#[test]
+fn requests_with_one_body_and_other_prompts_share_a_bad_part() {
+    let mut suspicions = Suspicions::default();
+    let good_at = Some(START - ms(500));
+    let prompts = [(1, "a"), (1, "b"), (1, "c")];
+    let part = crash_prompts(&mut suspicions, good_at, &prompts);
+    assert_ne!(suspicions.verdict(part.in_workspace), Verdict::Allowed);
+    assert_eq!(end_of(&suspicions, 1), None);
+}
+
+/// A request that comes again is suspected itself, and not a part that others share with it.
+#[test_case(&[(1, "a"), (1, "a"), (1, "a")])]
+#[test_case(&[(1, "a"), (1, "a"), (1, "a"), (1, "a"), (1, "a")])]
+#[test_case(&[(1, "a"), (1, "b"), (1, "c")]; "with another part of its own each time")]
+fn the_parts_of_a_request_that_comes_again_are_not_suspected(prompts: &[(u128, &str)]) {
+    let mut suspicions = Suspicions::default();
+    let part = crash_prompts(&mut suspicions, None, prompts);
+    assert!(end_of(&suspicions, 1).is_some());
+    assert_eq!(suspicions.verdict(part.in_workspace), Verdict::Allowed);
+    assert_eq!(suspicions.verdict(part.in_fleet), Verdict::Allowed);
+}
--- a/crates/daemon/src/completion/validated_completion.rs
+++ b/crates/daemon/src/completion/validated_completion.rs
@@ -8,7 +8,6 @@
 use iristhread_core::Keyring;
 use iristhread_core::Model;
 use iristhread_core::Now;
-use iristhread_core::PromptPart;
 use iristhread_core::PromptParts;
 use iristhread_core::RequestId;
 use iristhread_core::Workspace;
@@ -148,7 +147,8 @@
             hasher.update(word.as_bytes());
             hasher.update(b" ");
         }
-        PromptPart::all_of(Some(&self.workspace), ids.iter().map(String::as_str))
+        // What follows is covered by the fingerprint.
+        PromptParts::of(Some(&self.workspace), ids.iter().map(String::as_str), None)
     }
 
     /// Returns a hash of the model and the first words of the prompt, the same for prompts that
--- a/crates/daemon/src/relaying/http_front_end.rs
+++ b/crates/daemon/src/relaying/http_front_end.rs
@@ -17,7 +17,7 @@
 use iristhread_core::Fingerprint;
 use iristhread_core::FingerprintInput;
 use iristhread_core::GatewayWorkspace;
-use iristhread_core::PromptPart;
+use iristhread_core::PromptParts;
 use iristhread_core::RegionId;
 use iristhread_core::RequestClass;
 use iristhread_core::Route;
@@ -107,10 +107,11 @@
         body: &body,
     });
     let shared_parts = head.shared_parts.iter().map(String::as_str);
+    let own_part = head.own_part.as_deref();
     Ok(Exchange {
         app: app.clone(),
         fingerprint,
-        parts: PromptPart::all_of(workspace_name.as_deref(), shared_parts),
+        parts: PromptParts::of(workspace_name.as_deref(), shared_parts, own_part),
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
--- a/crates/daemon/src/relaying/wire_protocol.rs
+++ b/crates/daemon/src/relaying/wire_protocol.rs
@@ -27,6 +27,8 @@
     pub expected_tokens: Option<u32>,
     /// Ids of the parts of the prompt that other requests may share, in the order of the prompt.
     pub shared_parts: Vec<String>,
+    /// Id of the last part of the prompt, which belongs to the request itself or to its session.
+    pub own_part: Option<String>,
     /// The last event of the stream that the caller has received, `None` when it requests the
     /// whole stream. Only used on routes whose streams may be resumed.
     pub last_event: Option<LastEvent>,
