Send a content one at a time when one more crash would quarantine it

Cause: a content with two crashes is allowed everywhere. When all servers of its service were gone, callers' repeats pile up; at the moment at which the servers are back several instances each send one, before any of them hears of the third crash.

Ruled out: a crash that wasn't put down, a lifted quarantine.

Change: for five seconds after the second crash that nothing else explains one instance of all, the one that would probe, sends such requests, one at a time; the others refuse them with the time that is left. That holds for contents, not for parts, and for new requests; streams under way go on as before. The cost: a sound request that was at two crashes, was never seen to run well and that nothing explains is refused by the other instances for that time.

--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -1,6 +1,7 @@
 //! Attributes crashes of backend servers to the requests that ran there, and stops sending requests
 //! that are suspected to cause them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::GatewayControl;
@@ -88,6 +89,8 @@
     unconfirmed: Vec<BrokenRun>,
     /// Until when a request is being sent as a probe after its quarantine.
     probed_until: Option<Now>,
+    /// Contents that are sent one at a time, each with the request that is under way.
+    last_chances: BTreeMap<Fingerprint, RequestId>,
 }
 
 impl GatewayControl {
@@ -245,7 +248,7 @@
     ) -> Result<(), Refusal> {
         let causes = self.suspicions.causes(ask.suspected());
         let Some(last) = causes.iter().max_by_key(|cause| cause.until) else {
-            return Ok(());
+            return self.check_last_chance(now, ask);
         };
         let is_probed = self
             .broken_runs
@@ -258,6 +261,25 @@
         Err(Refusal::quarantined(last, last.until.saturating_sub(now)))
     }
 
+    /// Refuses a request whose content would be quarantined after one more crash, unless this instance
+    /// is the one to send such requests and sends none now.
+    fn check_last_chance(&mut self, now: Now, ask: &PlacementRequest) -> Result<(), Refusal> {
+        let cause = self.suspicions.last_chance(ask.fingerprint);
+        let Some(cause) = cause.filter(|cause| now < cause.until) else {
+            return Ok(());
+        };
+        let sent = self.broken_runs.last_chances.get(&ask.fingerprint);
+        let is_under_way = sent.is_some_and(|request| self.runs.contains_key(request));
+        if is_under_way || !self.probes(ask, &[]) {
+            return Err(Refusal::quarantined(&cause, cause.until - now));
+        }
+        let runs = &self.runs;
+        let last_chances = &mut self.broken_runs.last_chances;
+        last_chances.retain(|_, request| runs.contains_key(request));
+        last_chances.insert(ask.fingerprint, ask.request.clone());
+        Ok(())
+    }
+
     /// Returns whether this instance is the one to probe a request after its quarantines. All
     /// instances that receive each other's heartbeats agree on one; an instance that receives fewer
     /// than half of the other zones probes none. A part is probed by the same instance for all
--- a/crates/core/src/servers/crash_reasons.rs
+++ b/crates/core/src/servers/crash_reasons.rs
@@ -3,6 +3,7 @@
 use crate::Now;
 use crate::ServerCrash;
 use crate::Suspect;
+use crate::servers::quarantine::INITIAL_QUARANTINE;
 use crate::servers::quarantine::Quarantine;
 use crate::servers::suspect::CRASH_BURST_WINDOW;
 use crate::servers::suspect::crash_bursts;
@@ -30,6 +31,16 @@
     quarantines.max_by_key(Quarantine::until)
 }
 
+/// Returns until when requests are sent one at a time, because one more crash would quarantine them:
+/// instances that send at one moment would crash a server each before they hear of each other.
+pub(super) fn last_chance_until(suspect: &Suspect, others: &[&Suspect]) -> Option<Now> {
+    let crashes = suspect.crashes();
+    let reasons = unexplained(suspect, others, crashes.len());
+    let last = reasons.last()?;
+    let is_close = suspect.weight(&reasons) + 1 == QUARANTINE_CRASHES;
+    is_close.then(|| last.at + INITIAL_QUARANTINE)
+}
+
 /// Returns the quarantine that follows from the crashes of a suspect. It begins at the first crash by
 /// which there were enough that no other suspect explained by then: requests that only ran next to
 /// the real cause are distinguished from it by their crashes.
--- a/crates/core/src/servers/quarantine.rs
+++ b/crates/core/src/servers/quarantine.rs
@@ -7,7 +7,7 @@
 
 /// Quarantine after a single crash burst, which may have had another cause: as long as callers and
 /// load balancers take to settle after one.
-const INITIAL_QUARANTINE: Duration = Duration::from_secs(5);
+pub(super) const INITIAL_QUARANTINE: Duration = Duration::from_secs(5);
 
 /// Factor by which each further crash burst extends the quarantine: after the third it is 180 s,
 /// in which callers that wait up to 39 s give up.
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -294,6 +294,19 @@
         causes.collect()
     }
 
+    /// Returns why requests with this content are sent one at a time, if they are: one more crash
+    /// would quarantine them.
+    pub fn last_chance(&self, fingerprint: Fingerprint) -> Option<QuarantineCause> {
+        let suspect = self.suspects.get(fingerprint)?;
+        let until = crash_reasons::last_chance_until(suspect, &self.sharing_crashes(suspect))?;
+        Some(QuarantineCause {
+            fingerprint,
+            kind: suspect.kind(),
+            ends: suspect.crashes().len(),
+            until,
+        })
+    }
+
     fn quarantine(&self, suspect: &Suspect) -> Option<Quarantine> {
         if suspect.crashes().len() < QUARANTINE_CRASHES {
             return None;
--- a/crates/core/tests/gateway_ending.rs
+++ b/crates/core/tests/gateway_ending.rs
@@ -341,3 +341,33 @@
         assert_eq!(refused, Some(RefusalKind::Quarantined));
     }
 }
+
+/// Guards against a request with two crashes that all instances sent at one moment, when the servers
+/// of its service were back.
+#[test]
+fn one_instance_at_a_time_sends_what_one_more_crash_would_quarantine() {
+    let mut fleet = fleet();
+    for number in 0..2 {
+        let request = format!("end-{number}");
+        crash_engine(&mut fleet[0], NOW + ms(number * 300), &request);
+    }
+    let suspects = fleet[0].advertised_suspects(NOW + ms(500));
+    for control in &mut fleet[1..] {
+        control.apply_peer_suspects(NOW + ms(500), &suspects);
+    }
+    let back = NOW + ms(3_000);
+    let refused = fleet.iter_mut().map(|control| refusal(control, back));
+    assert_eq!(refused.flatten().count(), 3, "one instance sends");
+    let again = fleet
+        .iter_mut()
+        .map(|control| refusal(control, back + ms(10)));
+    assert_eq!(again.flatten().count(), 4, "one request at a time");
+    let sender = fleet.iter().position(|c| c.running() > 0).unwrap();
+    fleet[sender].ended(back + ms(50), "one more", RunEnd::Refused);
+    assert_eq!(refusal(&mut fleet[sender], back + ms(60)), None);
+    // Soon all may send it again, whether or not they hear of that one.
+    let later = fleet
+        .iter_mut()
+        .map(|control| refusal(control, NOW + ms(5_500)));
+    assert_eq!(later.flatten().count(), 0);
+}
