End the wait for a move that a stream without framing waits for

Found on reading the diff: the wait for the result of a move at the end of such a stream had no bound, and a result was asked for twice, which panics in the stream's task. Now it ends after the time that a broken stream waits, too; an order without an answer leaves open whether the engine stopped the session, so the stream counts as broken off; after any other failure the engine has not stopped it. The tests of unframed_answers stay green; the case of an order without an answer has no test of its own.

--- a/crates/daemon/src/relaying/stream_relay/failover.rs
+++ b/crates/daemon/src/relaying/stream_relay/failover.rs
@@ -19,7 +19,7 @@
 use crate::relaying::wire_protocol::SessionCopy;
 
 /// Maximum wait for the result of a move once the stream has stopped.
-const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
+pub(super) const MOVE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Maximum wait for the remaining bytes of a stream that its engine has stopped.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/daemon/src/relaying/stream_relay/unframed_end.rs
+++ b/crates/daemon/src/relaying/stream_relay/unframed_end.rs
@@ -3,11 +3,13 @@
 
 use super::Step;
 use super::StreamRelay;
+use super::failover::MOVE_TIMEOUT;
 use crate::engines::engine_watch::has_ended_soon_after_answer;
 use crate::engines::session_mover::MoveError;
 
 /// Why a stream that ended with its connection is not complete.
 const ENGINE_ENDED: &str = "the engine ended with the connection";
+const MOVE_PENDING: &str = "the connection ended and its move has no result";
 
 impl StreamRelay {
     /// Decides whether a stream that ended with its connection is complete: it is not if its engine
@@ -16,13 +18,27 @@
         if self.events == 0 {
             return Step::Broken("the connection ended before the first event");
         }
-        if let Some(moving) = &mut self.moving {
-            return match moving.finished().await {
-                Err(MoveError::NoSession) => self.check_engine_after_end().await,
-                moved => Step::Moved(moved),
-            };
+        let Some(moving) = &mut self.moving else {
+            return self.check_engine_after_end().await;
+        };
+        let Ok(moved) = tokio::time::timeout(MOVE_TIMEOUT, moving.finished()).await else {
+            return Step::Broken(MOVE_PENDING);
+        };
+        match moved {
+            Ok(_)
+            | Err(MoveError::NoRoom {
+                handle: Some(_), ..
+            }) => Step::Moved(moved),
+            Err(MoveError::NoAnswer(_)) => {
+                self.moving = None;
+                Step::Broken(MOVE_PENDING)
+            }
+            // The engine has not stopped the session.
+            Err(_) => {
+                self.moving = None;
+                self.check_engine_after_end().await
+            }
         }
-        self.check_engine_after_end().await
     }
 
     async fn check_engine_after_end(&self) -> Step {
