Let zones that don't hear each other send a content after two crashes, too

For a last chance such a zone now has one instance that sends, and an instance that hears nobody is it itself, which is the one more end for each that is cut off. And a content that ran well lately, which many callers send, has no last chance at all: it soon runs well again, and refusing it would hit sound callers.

--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -262,7 +262,8 @@
     }
 
     /// Refuses a request whose content would be quarantined after one more crash, unless this instance
-    /// is the one to send such requests and sends none now.
+    /// is the one to send such requests and sends none now. Zones that don't hear each other have one
+    /// each.
     fn check_last_chance(&mut self, now: Now, ask: &PlacementRequest) -> Result<(), Refusal> {
         let cause = self.suspicions.last_chance(ask.fingerprint);
         let Some(cause) = cause.filter(|cause| now < cause.until) else {
@@ -270,7 +271,12 @@
         };
         let sent = self.broken_runs.last_chances.get(&ask.fingerprint);
         let is_under_way = sent.is_some_and(|request| self.runs.contains_key(request));
-        if is_under_way || !self.probes(ask, &[]) {
+        let topic = format!("{:032x}", ask.fingerprint.content);
+        let may_send = match self.hears_other_zones() {
+            true => self.is_first_for(&topic),
+            false => self.is_first_in_zone_for(&topic),
+        };
+        if is_under_way || !may_send {
             return Err(Refusal::quarantined(&cause, cause.until - now));
         }
         let runs = &self.runs;
@@ -299,15 +305,23 @@
     pub(super) fn is_first_for(&self, topic: &str) -> bool {
         let own = &self.parameters.zone;
         let zones = self.parameters.regions.keys().map(String::as_str);
-        let others = zones.clone().filter(|zone| *zone != own);
-        let live = others.clone().filter(|zone| self.peers.knows_zone(zone));
-        if live.count() * 2 < others.count() {
-            return false;
-        }
         let first = rendezvous_rank(topic, zones).first().copied();
-        if first.is_some_and(|zone| zone != own) {
-            return false;
-        }
+        self.hears_other_zones()
+            && first.is_none_or(|zone| zone == own)
+            && self.is_first_in_zone_for(topic)
+    }
+
+    /// Returns whether this instance receives heartbeats of at least half of the other zones.
+    fn hears_other_zones(&self) -> bool {
+        let own = &self.parameters.zone;
+        let zones = self.parameters.regions.keys();
+        let others = zones.filter(|zone| *zone != own);
+        let live = others.clone().filter(|zone| self.peers.knows_zone(zone));
+        live.count() * 2 >= others.count()
+    }
+
+    /// Returns whether this instance is the one of its zone that acts on a topic.
+    fn is_first_in_zone_for(&self, topic: &str) -> bool {
         let instance = self.parameters.instance.as_str();
         let names = self.peers.neighbours().map(String::as_str);
         let rank = rendezvous_rank(topic, names.chain([instance]));
--- a/crates/core/src/servers/crash_reasons.rs
+++ b/crates/core/src/servers/crash_reasons.rs
@@ -32,8 +32,12 @@
 }
 
 /// Returns until when requests are sent one at a time, because one more crash would quarantine them:
-/// instances that send at one moment would crash a server each before they hear of each other.
+/// instances that send at one moment would crash a server each before they hear of each other. What
+/// ran well lately is sent by many callers and soon runs well again; it is sent as ever.
 pub(super) fn last_chance_until(suspect: &Suspect, others: &[&Suspect]) -> Option<Now> {
+    if suspect.lately_good_at().is_some() {
+        return None;
+    }
     let crashes = suspect.crashes();
     let reasons = unexplained(suspect, others, crashes.len());
     let last = reasons.last()?;
--- a/crates/core/src/servers/suspect.rs
+++ b/crates/core/src/servers/suspect.rs
@@ -212,7 +212,7 @@
     }
 
     /// When a request last ran well, if that was recently before the crashes.
-    fn lately_good_at(&self) -> Option<Now> {
+    pub(crate) fn lately_good_at(&self) -> Option<Now> {
         let first = self.crashes.first()?;
         let is_recent = |good_at: &Now| first.at.saturating_sub(*good_at) < KNOWN_GOOD_LIFETIME;
         self.known_good_at.filter(is_recent)
