--- a/crates/core/tests/gateway_ending.rs
+++ b/crates/core/tests/gateway_ending.rs
@@ -2,15 +2,10 @@
 //! the quarantine before a request is sent on in any way.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod ending_scene;
 mod gateway_scene;
 
-use std::collections::BTreeMap;
-use std::time::Duration;
-
-use iristhread_core::AdvertisedLoads;
 use iristhread_core::GatewayControl;
-use iristhread_core::GatewayParameters;
-use iristhread_core::Now;
 use iristhread_core::PlacementRequest;
 use iristhread_core::RefusalKind;
 use iristhread_core::Replica;
@@ -19,36 +14,17 @@
 use iristhread_core::RunEnd;
 use test_case::test_case;
 
+use ending_scene::ENGINES;
+use ending_scene::NOW;
+use ending_scene::crash_engine;
+use ending_scene::fleet;
+use ending_scene::poison;
+use ending_scene::refusal;
 use gateway_scene::ask;
 use gateway_scene::control_with;
 use gateway_scene::engine;
-use gateway_scene::fingerprint;
 use gateway_scene::leaving;
 use gateway_scene::ms;
-use gateway_scene::terms;
-use gateway_scene::told;
-
-const NOW: Now = Duration::from_secs(10);
-
-const ENGINES: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
-
-/// A request with the fingerprint that crashes engines.
-fn poison(request: &str) -> PlacementRequest {
-    PlacementRequest {
-        fingerprint: fingerprint("the content at fault"),
-        ..ask(request)
-    }
-}
-
-/// Sends a poison request that crashes its engine; returns the ID of the engine.
-fn crash_engine(control: &mut GatewayControl, now: Now, request: &str) -> String {
-    let ranking = control.place(now, poison(request)).unwrap();
-    let replica = &ranking.replicas[0];
-    control.note_broken_run(now + ms(100), request, replica);
-    control.server_ended(now + ms(102), &replica.server_life());
-    control.ended(now + ms(102), request, RunEnd::Failed);
-    replica.id.clone()
-}
 
 fn crash_three_engines(control: &mut GatewayControl) {
     for number in 0..3 {
@@ -56,11 +32,6 @@
     }
 }
 
-fn refusal(control: &mut GatewayControl, now: Now) -> Option<RefusalKind> {
-    let placed = control.place(now, poison("one more"));
-    placed.err().map(|refusal| refusal.kind)
-}
-
 #[test_case(RequestClass::Stream)]
 #[test_case(RequestClass::Repeatable)]
 #[test_case(RequestClass::Once)]
@@ -265,43 +236,6 @@
     other.advertised_suspects(NOW + ms(4_500))
 }
 
-/// Instances of two zones that receive each other's heartbeats.
-fn fleet() -> Vec<GatewayControl> {
-    let names = ["i1", "i2", "i3", "i4"];
-    let zone = |place: usize| if place < 2 { "z1" } else { "z2" };
-    let regions = || BTreeMap::from(["z1", "z2"].map(|zone| (zone.to_owned(), "north".to_owned())));
-    let mut fleet = Vec::new();
-    for (place, name) in names.iter().enumerate() {
-        let mut control = GatewayControl::new(GatewayParameters {
-            instance: (*name).to_owned(),
-            zone: zone(place).to_owned(),
-            regions: regions(),
-            ..terms()
-        });
-        control.offer_config(std::sync::Arc::new(gateway_scene::config(1)));
-        let engines = ENGINES.iter().map(|id| engine(id, "z1"));
-        control.offer_replicas(Duration::ZERO, 1, engines.collect());
-        receive_all(&mut control, name, NOW + ms(40_000));
-        fleet.push(control);
-    }
-    fleet
-}
-
-fn receive_all(control: &mut GatewayControl, own: &str, now: Now) {
-    for (place, name) in ["i1", "i2", "i3", "i4"].iter().enumerate() {
-        if *name != own {
-            let zone = if place < 2 { "z1" } else { "z2" };
-            control.apply_peer_load(
-                now,
-                AdvertisedLoads {
-                    zone: zone.to_owned(),
-                    ..told(name, 1, BTreeMap::new())
-                },
-            );
-        }
-    }
-}
-
 #[test]
 fn one_instance_probes_after_the_quarantine() {
     let mut fleet = fleet();
@@ -341,67 +275,3 @@
         assert_eq!(refused, Some(RefusalKind::Quarantined));
     }
 }
-
-/// Guards against a request with two crashes that all instances sent at one moment, when the servers
-/// of its service were back.
-#[test]
-fn one_instance_at_a_time_sends_what_one_more_crash_would_quarantine() {
-    let mut fleet = fleet();
-    for number in 0..2 {
-        let request = format!("end-{number}");
-        crash_engine(&mut fleet[0], NOW + ms(number * 300), &request);
-    }
-    let suspects = fleet[0].advertised_suspects(NOW + ms(500));
-    for control in &mut fleet[1..] {
-        control.apply_peer_suspects(NOW + ms(500), &suspects);
-    }
-    let back = NOW + ms(3_000);
-    let refused = fleet.iter_mut().map(|control| refusal(control, back));
-    assert_eq!(refused.flatten().count(), 3, "one instance sends");
-    let again = fleet
-        .iter_mut()
-        .map(|control| refusal(control, back + ms(10)));
-    assert_eq!(again.flatten().count(), 4, "one request at a time");
-    let sender = fleet.iter().position(|c| c.running() > 0).unwrap();
-    fleet[sender].ended(back + ms(50), "one more", RunEnd::Refused);
-    assert_eq!(refusal(&mut fleet[sender], back + ms(60)), None);
-    // Soon all may send it again, whether or not they hear of that one.
-    let later = fleet
-        .iter_mut()
-        .map(|control| refusal(control, NOW + ms(5_500)));
-    assert_eq!(later.flatten().count(), 0);
-}
-
-/// What many callers send is served by all instances between two bursts of crashes.
-#[test]
-fn what_ran_well_lately_is_sent_as_ever_after_two_crashes() {
-    let mut fleet = fleet();
-    for control in &mut fleet {
-        control.place(NOW, poison("good")).unwrap();
-        control.ended(NOW + ms(50), "good", RunEnd::Answered);
-    }
-    for number in 1..3 {
-        let request = format!("end-{number}");
-        crash_engine(&mut fleet[0], NOW + ms(number * 400), &request);
-    }
-    let suspects = fleet[0].advertised_suspects(NOW + ms(1_000));
-    for control in &mut fleet {
-        control.apply_peer_suspects(NOW + ms(1_000), &suspects);
-        assert_eq!(refusal(control, NOW + ms(1_100)), None);
-    }
-}
-
-/// An instance that hears nobody sends one at a time, too: nobody would send it otherwise.
-#[test]
-fn an_isolated_instance_sends_one_at_a_time_after_two_crashes() {
-    let mut fleet = fleet();
-    let isolated = &mut fleet[0];
-    isolated.tick(NOW + ms(200_000));
-    for number in 0..2 {
-        let now = NOW + ms(200_000 + number * 300);
-        crash_engine(isolated, now, &format!("end-{number}"));
-    }
-    assert_eq!(refusal(isolated, NOW + ms(201_000)), None);
-    let second = refusal(isolated, NOW + ms(201_010));
-    assert_eq!(second, Some(RefusalKind::Quarantined));
-}
