Word quarantines that instances advertise in the terms of the field

Change: names and comments in the core and its tests only (received_quarantine, receive_quarantine, connected and disconnected instances). No logic, check or bound has changed; messages between processes stay as they are.

--- a/crates/core/src/servers/crash_reasons.rs
+++ b/crates/core/src/servers/crash_reasons.rs
@@ -13,8 +13,8 @@
 /// is involved in two if that engine crashes, too.
 pub(super) const QUARANTINE_CRASHES: usize = 3;
 
-/// Returns the quarantine that follows from what this instance knows, or the one that others told if
-/// it is longer. `others` are the suspects that share crashes with this one. The crashes that led to
+/// Returns the quarantine that follows from what this instance knows, or the longer one that
+/// others advertised. `others` are the suspects that share crashes with this one. The crashes that led to
 /// a quarantine stay its reason: crashes of other suspects that come later end it only if they
 /// explain all of them.
 pub(super) fn quarantine(suspect: &Suspect, others: &[&Suspect]) -> Option<Quarantine> {
@@ -27,7 +27,7 @@
         return None;
     }
     let concluded = concluded_quarantine(suspect, others);
-    let quarantines = concluded.into_iter().chain(suspect.told_quarantine());
+    let quarantines = concluded.into_iter().chain(suspect.received_quarantine());
     quarantines.max_by_key(Quarantine::until)
 }
 
--- a/crates/core/src/servers/suspect.rs
+++ b/crates/core/src/servers/suspect.rs
@@ -70,8 +70,8 @@
     known_good_at: Option<Now>,
     /// When this state last changed.
     changed_at: Now,
-    /// The longest quarantine that other instances told.
-    told_quarantine: Option<AdvertisedQuarantine>,
+    /// The longest quarantine that other instances advertised.
+    received_quarantine: Option<AdvertisedQuarantine>,
 }
 
 impl Suspect {
@@ -83,7 +83,7 @@
             sources: BTreeMap::new(),
             known_good_at,
             changed_at: now,
-            told_quarantine: None,
+            received_quarantine: None,
         }
     }
 
@@ -140,8 +140,8 @@
             .known_good_at
             .is_none_or(|known| at > known + GOOD_RUN_TOLERANCE)
         {
-            // Those who told it may not have known of this run.
-            self.told_quarantine = None;
+            // Those who advertised it may not have known of this run.
+            self.received_quarantine = None;
         }
         self.known_good_at = self.known_good_at.max(Some(at));
         let before = self.crashes.len();
@@ -157,31 +157,35 @@
         is_cleared
     }
 
-    /// Applies a quarantine that another instance told, which knew of a good run at `good_at`. One
+    /// Applies a quarantine that another instance advertises, which knew of a good run at `good_at`. One
     /// that knew of no good run as late as this instance may not have known that the crashes were
     /// those of a request that many callers send.
-    pub(crate) fn hear_quarantine(&mut self, told: AdvertisedQuarantine, good_at: Option<Now>) {
+    pub(crate) fn receive_quarantine(
+        &mut self,
+        advertised: AdvertisedQuarantine,
+        good_at: Option<Now>,
+    ) {
         let is_informed = |own: Now| good_at.is_some_and(|at| at + GOOD_RUN_TOLERANCE >= own);
         if !self.known_good_at.is_none_or(is_informed) {
             return;
         }
-        let known = self.told_quarantine();
-        self.told_quarantine = Some(told);
-        if known.map(|known| known.until()) > self.told_quarantine().map(|new| new.until()) {
-            self.told_quarantine = known.map(|known| AdvertisedQuarantine {
+        let known = self.received_quarantine();
+        self.received_quarantine = Some(advertised);
+        if known.map(|known| known.until()) > self.received_quarantine().map(|new| new.until()) {
+            self.received_quarantine = known.map(|known| AdvertisedQuarantine {
                 bursts: known.bursts,
                 life: known.last.life,
             });
         }
     }
 
-    /// The longest quarantine that other instances told, unless its crash no longer counts.
-    pub(crate) fn told_quarantine(&self) -> Option<Quarantine> {
-        let told = self.told_quarantine?;
+    /// The longest quarantine that other instances advertised, unless its crash no longer counts.
+    pub(crate) fn received_quarantine(&self) -> Option<Quarantine> {
+        let received = self.received_quarantine?;
         let mut crashes = self.crashes.iter();
-        let last = crashes.find(|crash| crash.life == told.life)?;
+        let last = crashes.find(|crash| crash.life == received.life)?;
         Some(Quarantine {
-            bursts: told.bursts,
+            bursts: received.bursts,
             last: *last,
         })
     }
@@ -196,7 +200,7 @@
         count: usize,
         until: Now,
     ) -> bool {
-        // It was there whenever its parts in the workspaces were, which are told from each other.
+        // It was there whenever its parts in the workspaces were, which are distinguished.
         let is_sum = matches!(self.kind, SuspectKind::PartInFleet(_));
         if is_sum || !self.has_crashed(crash.life) {
             return false;
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -183,8 +183,8 @@
         for (life, source) in advertised.sources() {
             suspect.add_source(life, source);
         }
-        if let Some(told) = advertised.quarantine {
-            suspect.hear_quarantine(told, received);
+        if let Some(quarantine) = advertised.quarantine {
+            suspect.receive_quarantine(quarantine, received);
         }
         if is_cleared {
             self.updates
--- a/crates/core/tests/gateway_poison_parts.rs
+++ b/crates/core/tests/gateway_poison_parts.rs
@@ -95,19 +95,19 @@
 fn few_engines_crash_under_a_bad_part(instances: usize, trouble: Trouble, bad: &Caller) {
     for seed in 0..3 {
         let fleet = poisoned(instances, trouble, bad, seed);
-        let out_of_touch: &[usize] = match trouble {
+        let disconnected: &[usize] = match trouble {
             Trouble::CutOff => &[4],
             _ => &[],
         };
-        assert_bounded(&fleet, out_of_touch, &format!("seed {seed}"));
+        assert_bounded(&fleet, disconnected, &format!("seed {seed}"));
     }
 }
 /// Checks the users' bounds: five crashes, three further sends later than the contact time after the
 /// fifth, and sound requests served as before.
-fn assert_bounded(fleet: &PoisonedFleet, out_of_touch: &[usize], what: &str) {
-    let after = fleet.late_sends(MOST_CRASHES, CONTACT, out_of_touch);
+fn assert_bounded(fleet: &PoisonedFleet, disconnected: &[usize], what: &str) {
+    let after = fleet.late_sends(MOST_CRASHES, CONTACT, disconnected);
     assert!(after <= MOST_SENDS_AFTER, "{what}: {after} sends after");
-    let crashes = fleet.crashes_in_touch(out_of_touch) - after;
+    let crashes = fleet.connected_crashes(disconnected) - after;
     assert!(crashes <= MOST_CRASHES, "{what}: {crashes} crashes");
     let sound = fleet.sound;
     assert_eq!(sound.quarantined, 0, "{what}");
--- a/crates/core/tests/poison_scene/mod.rs
+++ b/crates/core/tests/poison_scene/mod.rs
@@ -72,7 +72,7 @@
     pub quarantined: usize,
 }
 
-/// One instance, and until when it doesn't run or hears nobody.
+/// One instance, and until when it doesn't run or receives nothing.
 pub struct Instance {
     pub control: GatewayControl,
     pub frozen_until: Now,
@@ -191,16 +191,16 @@
         }
     }
 
-    /// Number of requests with a bad part that instances in touch sent later than `contact` after
-    /// the crash with this number; all sends after it if there were fewer crashes.
-    pub fn late_sends(&self, crash: usize, contact: Duration, out_of_touch: &[usize]) -> usize {
+    /// Number of requests with a bad part that connected instances sent later than `contact` after the
+    /// crash with this number; all sends after it if there were fewer crashes.
+    pub fn late_sends(&self, crash: usize, contact: Duration, disconnected: &[usize]) -> usize {
         let bound = self.crashes.get(crash - 1).or(self.crashes.last());
         let Some((bound, _)) = bound else {
             return 0;
         };
         let sends = self.bad_sends.iter();
         let late = sends.filter(|(at, _)| *at > *bound + contact);
-        late.filter(|(_, i)| !out_of_touch.contains(i)).count()
+        late.filter(|(_, i)| !disconnected.contains(i)).count()
     }
 
     /// Number of parts that instances hold in quarantine, the most at any of them.
@@ -210,10 +210,10 @@
         parts.max().unwrap_or_default()
     }
 
-    /// Crashes under requests of instances that were in touch.
-    pub fn crashes_in_touch(&self, out_of_touch: &[usize]) -> usize {
+    /// Crashes under requests of instances that were connected to the others.
+    pub fn connected_crashes(&self, disconnected: &[usize]) -> usize {
         let crashes = self.crashes.iter();
-        crashes.filter(|(_, i)| !out_of_touch.contains(i)).count()
+        crashes.filter(|(_, i)| !disconnected.contains(i)).count()
     }
 
     /// Crashes all engines of a share at once, for a reason of their own.
