--- a/review/common/stage.rs
+++ b/review/common/stage.rs
@@ -536,6 +536,8 @@
     to: SocketAddr,
     state: Arc<Mutex<PathState>>,
     listening: Arc<AtomicBool>,
+    /// While it holds, nothing is forwarded, and nobody is told.
+    holding: Arc<AtomicBool>,
 }
 
 impl Path {
@@ -547,6 +549,7 @@
                 open: Vec::new(),
             })),
             listening: Arc::new(AtomicBool::new(false)),
+            holding: Arc::new(AtomicBool::new(false)),
         };
         path.listen()?;
         Ok(path)
@@ -583,8 +586,42 @@
             return;
         };
         self.state.lock().unwrap().open.push((near, far));
-        std::thread::spawn(move || forward(near_in, far_out));
-        std::thread::spawn(move || forward(far_in, near_out));
+        let (to_far, to_near) = (self.holding.clone(), self.holding.clone());
+        std::thread::spawn(move || forward(near_in, far_out, &to_far));
+        std::thread::spawn(move || forward(far_in, near_out, &to_near));
+    }
+
+    /// Number of connections through this path that are open at both ends.
+    pub fn open_now(&self) -> usize {
+        let state = self.state.lock().unwrap();
+        let is_open = |stream: &TcpStream| {
+            let mut byte = [0_u8; 1];
+            let _ = stream.set_nonblocking(true);
+            let peeked = stream.peek(&mut byte);
+            let _ = stream.set_nonblocking(false);
+            !matches!(peeked, Ok(0)) && stream.peer_addr().is_ok()
+        };
+        state.open.iter().filter(|(near, far)| is_open(near) && is_open(far)).count()
+    }
+
+    /// Cuts the path in silence: open connections and new ones hang.
+    pub fn hold(&self) {
+        self.holding.store(true, Ordering::SeqCst);
+    }
+
+    /// Ends the cut; what was held is reset, since its far end has given it up.
+    pub fn release(&self) {
+        if self.holding.load(Ordering::SeqCst) {
+            self.reset_open();
+            self.holding.store(false, Ordering::SeqCst);
+        }
+    }
+
+    /// Gives up the far ends of the held connections, as their keep-alive probes would.
+    pub fn give_up_far(&self) {
+        for (_, far) in &self.state.lock().unwrap().open {
+            abort(far);
+        }
     }
 
     /// Resets the open connections towards both ends; returns how many there were.
@@ -639,10 +676,14 @@
 }
 
 /// Forwards until the end; passes an end on as an end, and a reset as a reset.
-fn forward(mut from: TcpStream, mut to: TcpStream) {
+fn forward(mut from: TcpStream, mut to: TcpStream, holding: &AtomicBool) {
     let mut buffer = [0_u8; 16384];
     loop {
-        match from.read(&mut buffer) {
+        let read = from.read(&mut buffer);
+        while holding.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        match read {
             Ok(0) => {
                 let _ = to.shutdown(Shutdown::Write);
                 return;
@@ -669,6 +710,9 @@
     pub zone: String,
     pub host: u8,
     pub store: SocketAddr,
+    /// Port of the connections that peers carry: the same on all machines, unless paths between
+    /// machines lie behind it.
+    pub detours: u16,
 }
 
 pub const FRONT: u16 = 8740;
@@ -700,7 +744,7 @@
              zone_regions = [\"caxias-norte=serra-gaucha\",\"bento-sala=serra-gaucha\",\"farroupilha-galpao=serra-gaucha\"]\n\
              peer_keys = [\"6972697374687265616420706c6174666f726d20706565722073656372657421\"]\n\
              stop_grace_ms = 8000\nretry_ratio = 0.2\nretry_extra = 58\nlearn_speeds = true\nrank_reserve = true\n",
-            machine.name, machine.zone, at(FRONT), at(READY), at(CONTROL), at(DETOUR), at(METRICS), machine.store,
+            machine.name, machine.zone, at(FRONT), at(READY), at(CONTROL), at(machine.detours), at(METRICS), machine.store,
             seeds.join(",")
         );
         let settings = folder.join(format!("{}.toml", machine.name));
