--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -254,6 +254,7 @@
             zone: ZONES[number as usize % 3].to_owned(),
             host: number + 1,
             store: at,
+            detours: DETOUR,
         };
         // The first three start alone, so that each reads the addresses of its own paths; the fourth
         // machine makes them known to each other.
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -171,6 +171,7 @@
             zone: ZONES[number as usize].to_owned(),
             host: number + 1,
             store: store_at,
+            detours: DETOUR,
         };
         match Gateway::start(&net, &folder.0, &machine, &[1, 2, 3]) {
             Ok(gateway) => gateways.push(gateway),
