Measure how late the threads and the path to the servers are

Change: `iristhread_thread_lag_seconds` for the traffic and the control thread and one line a second at most about a late one; `iristhread_connect_seconds`; `path_delay_ms` (the time of the fastest of the latest connection attempts to several servers) in the line of the verdict that no server can be reached. No decision reads any of it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -200,6 +200,7 @@
 pub use servers::known_good_requests::KnownGood;
 pub use servers::known_good_requests::KnownGoodRequests;
 pub use servers::load_report::LoadReport;
+pub use servers::path_delay::PathDelay;
 pub use servers::prompt_part::PromptPart;
 pub use servers::prompt_part::PromptParts;
 pub use servers::server_backoff::ServerBackoff;
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -10,6 +10,7 @@
 pub(crate) mod known_good_requests;
 pub(crate) mod load_curve;
 pub(crate) mod load_report;
+pub(crate) mod path_delay;
 pub(crate) mod prompt_part;
 pub(crate) mod quarantine;
 pub(crate) mod run_timings;
--- a/crates/daemon/src/completion/app.rs
+++ b/crates/daemon/src/completion/app.rs
@@ -49,7 +49,7 @@
     /// One permit per stream or call; the number is `max_streams`.
     pub stream_permits: Arc<Semaphore>,
     /// Metrics of this process.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// Logger of this process.
     pub log: Logger,
     /// Whether a planned stop has begun; the instance is then not ready.
--- a/crates/daemon/src/completion/control_thread.rs
+++ b/crates/daemon/src/completion/control_thread.rs
@@ -30,7 +30,10 @@
 use crate::completion::control_message::Versions;
 use crate::engines::suspicion_log::log_suspicion;
 use crate::process::clock::Clock;
+use crate::process::control_sender::ControlInbox;
 use crate::process::control_sender::ControlSender;
+use crate::process::thread_lag::LatenessObserver;
+use crate::process::thread_lag::ThreadLag;
 
 /// Time between two [`Event::Tick`]s.
 const TICK: Duration = Duration::from_millis(50);
@@ -63,9 +66,11 @@
     pub fn start(
         settings: ControlSettings,
         clock: Clock,
+        observer: LatenessObserver,
         log: Logger,
     ) -> std::io::Result<(ControlHandle, ControlOutputs)> {
-        let (sender, inbox) = ControlSender::new();
+        let lag = ThreadLag::new("control", clock, observer, log.clone());
+        let (sender, inbox) = ControlSender::new(clock, lag);
         let (view, view_out) = watch::channel(Arc::new(ConfigView::default()));
         let (reads, reads_out) = watch::channel(false);
         let (exchanges, exchanges_out) = mpsc::unbounded_channel();
@@ -125,7 +130,7 @@
 }
 
 impl ControlThread {
-    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<ControlMessage>) {
+    async fn run(mut self, mut inbox: ControlInbox<ControlMessage>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
--- a/crates/daemon/src/completion/daemon.rs
+++ b/crates/daemon/src/completion/daemon.rs
@@ -105,12 +105,16 @@
         let caller_listener = listen("caller_address", settings.caller_address)?;
         let operator_listener = listen("operator_address", settings.operator_address)?;
         let control_settings = control_settings(&settings, &identity);
-        let (control, outputs) = ControlHandle::start(control_settings, clock, log.clone())?;
+        let zone = &settings.zone;
+        let metrics = Metrics::new(settings.metrics_address, &settings.instance, zone)?;
+        let metrics = Arc::new(metrics);
+        let observer = metrics.lag_observer();
+        let (control, outputs) =
+            ControlHandle::start(control_settings, clock, observer, log.clone())?;
         let platform = Arc::new(HttpPlatform::new(settings.platform_address));
         let keyring = settings.keyring.clone();
-        let (metrics_address, zone) = (settings.metrics_address, &settings.zone);
         let app = Arc::new(App {
-            metrics: Metrics::new(metrics_address, &settings.instance, zone)?,
+            metrics,
             peers: Arc::new(JsonRpcPeers::new(identity.clone(), keyring)),
             engines: Arc::new(HttpEngines::default()),
             services: HttpClient::unpooled(MAX_SERVICE_ANSWER_BYTES),
--- a/crates/daemon/src/detour.rs
+++ b/crates/daemon/src/detour.rs
@@ -7,4 +7,5 @@
 pub(crate) mod keep_alive;
 pub(crate) mod known_servers;
 pub(crate) mod link_prober;
+pub(crate) mod reach;
 pub(crate) mod server_dialer;
--- a/crates/daemon/src/detour/server_dialer.rs
+++ b/crates/daemon/src/detour/server_dialer.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use futures::future::BoxFuture;
 use iristhread_api::Dial;
@@ -13,6 +14,8 @@
 use iristhread_core::DetourPeer;
 use iristhread_core::DetourPeers;
 use iristhread_core::LinkChange;
+use iristhread_core::Now;
+use iristhread_core::PathDelay;
 use iristhread_core::Replica;
 use iristhread_core::ServerLinks;
 use iristhread_core::ZoneId;
@@ -27,6 +30,7 @@
 use crate::detour::detour_client::DetourTarget;
 use crate::detour::detour_message::DetourReply;
 use crate::detour::known_servers::KnownServers;
+use crate::detour::reach::Reach;
 use crate::gateway::gateway_message::GatewayMessage;
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::gateway::gateway_thread::GatewayHandle;
@@ -35,39 +39,6 @@
 /// Maximum number of peers that are asked for one connection.
 const MAX_PEERS_ASKED: usize = 3;
 
-/// What the attempt to connect to a server shows.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reach {
-    /// The server accepts the connection.
-    Accepts,
-    /// Only a peer reaches the server: the server lives, and this instance is cut off from it.
-    OnlyByPeer,
-    /// The server refuses the connection, also to a peer: it has ended.
-    Refuses,
-    /// The server refuses the connection, and no instance is known to reach another server of the
-    /// service: the server has ended, or this instance is cut off from all of them.
-    RefusesHere,
-    /// The server does not answer.
-    Silent,
-    /// No instance that reaches other servers of the service was found, so that nothing is known
-    /// about the server.
-    Unknown,
-}
-
-impl Reach {
-    /// Text for log lines.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Reach::Accepts => "accepts",
-            Reach::OnlyByPeer => "only_by_peer",
-            Reach::Refuses => "refuses",
-            Reach::RefusesHere => "refuses_here",
-            Reach::Silent => "silent",
-            Reach::Unknown => "unknown",
-        }
-    }
-}
-
 /// Parts of the process that a [`ServerDialer`] uses.
 pub struct DialerPorts {
     /// Opens direct connections.
@@ -95,6 +66,7 @@
     /// Port at which all instances accept detours; `None` if detours are disabled.
     detour_port: Option<u16>,
     links: Mutex<ServerLinks>,
+    path_delay: Mutex<PathDelay>,
     peers: Mutex<DetourPeers>,
 }
 
@@ -105,6 +77,7 @@
             ports,
             detour_port,
             links: Mutex::default(),
+            path_delay: Mutex::default(),
             peers: Mutex::new(DetourPeers::new(zone)),
         }
     }
@@ -124,7 +97,7 @@
     /// finds the same, since such a conclusion is advertised.
     pub async fn reach(&self, address: SocketAddr) -> Reach {
         let Some(server) = self.server_at(address) else {
-            return reach_of(self.ports.direct.dial(address).await);
+            return Reach::of(&self.ports.direct.dial(address).await);
         };
         if !self.is_cut_off(&server.service) {
             match self.connect(&server).await {
@@ -214,8 +187,11 @@
 
     /// Connects directly and records what the result shows about the link.
     async fn connect(&self, server: &Replica) -> Result<TcpStream, DialError> {
+        let began = self.ports.clock.now();
+        self.path_delay().began(began);
         let connected = self.ports.direct.dial(server.address).await;
         let now = self.ports.clock.now();
+        self.record_attempt(server, began, now, &connected);
         let listed = self
             .ports
             .servers
@@ -234,13 +210,33 @@
         connected
     }
 
+    fn record_attempt(
+        &self,
+        server: &Replica,
+        began: Now,
+        now: Now,
+        connected: &Result<TcpStream, DialError>,
+    ) {
+        let end = match connected {
+            Ok(_) => "accepted",
+            Err(DialError::Refused) => "refused",
+            Err(_) => "silent",
+        };
+        match end {
+            "silent" => self.path_delay().closed(began),
+            _ => self.path_delay().answered(now, began, &server.id),
+        }
+        self.ports.metrics.dialed(end, now.saturating_sub(began));
+    }
+
     fn link_changed(&self, server: &Replica, change: LinkChange, cause: Option<&DialError>) {
         let DialerPorts { log, metrics, .. } = &self.ports;
         match change {
             LinkChange::CutOff => {
                 warn!(log, "no server of a service can be reached from here";
                     "service" => &server.service, "backend_server" => &server.id,
-                    "cause" => cause.map(ToString::to_string));
+                    "cause" => cause.map(ToString::to_string),
+                    "path_delay_ms" => self.current_path_delay().as_millis() as u64);
                 let service = server.service.clone();
                 self.ports
                     .control
@@ -331,6 +327,16 @@
         self.links().is_cut_off(service)
     }
 
+    fn current_path_delay(&self) -> Duration {
+        let now = self.ports.clock.now();
+        self.path_delay().current(now)
+    }
+
+    fn path_delay(&self) -> MutexGuard<'_, PathDelay> {
+        let locked = self.path_delay.lock();
+        locked.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn links(&self) -> MutexGuard<'_, ServerLinks> {
         let locked = self.links.lock();
         locked.unwrap_or_else(PoisonError::into_inner)
@@ -361,11 +367,3 @@
         Box::pin(self.open(address))
     }
 }
-
-fn reach_of(dialed: Result<TcpStream, DialError>) -> Reach {
-    match dialed {
-        Ok(_) => Reach::Accepts,
-        Err(DialError::Refused) => Reach::Refuses,
-        Err(_) => Reach::Silent,
-    }
-}
--- a/crates/daemon/src/engines/engine_watch.rs
+++ b/crates/daemon/src/engines/engine_watch.rs
@@ -14,7 +14,7 @@
 use slog::debug;
 use slog::info;
 
-use crate::detour::server_dialer::Reach;
+use crate::detour::reach::Reach;
 use crate::gateway::GatewayApp;
 use crate::gateway::gateway_message::GatewayMessage;
 
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -48,6 +48,7 @@
 use crate::process::clock::Clock;
 use crate::process::http_server;
 use crate::process::http_server::ConnectionLimits;
+use crate::process::thread_lag::ThreadLag;
 use crate::relaying::http_front_end;
 use crate::relaying::wire_protocol::WireProtocol;
 
@@ -179,6 +180,13 @@
             metrics.clone(),
             immediate_heartbeat.clone(),
         )?;
+        let lag = ThreadLag::new(
+            "traffic",
+            clock,
+            metrics.lag_observer("traffic"),
+            log.clone(),
+        );
+        tokio::spawn(lag.run());
         let notices = Notices {
             control: control.clone(),
             restrictions: views.restrictions.clone(),
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of a gateway, served as text to metrics collectors.
 //! `docs/operators/metrics.md` lists them; a test compares the list with the served text.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
@@ -15,6 +16,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::process::thread_lag::LatenessObserver;
+
 mod admission_metrics;
 mod move_metrics;
 mod retry_metrics;
@@ -89,6 +92,8 @@
     directory_era: Gauge,
     config_age: Histogram,
     config_behind: Histogram,
+    connect_time: Family<Kind, Histogram, fn() -> Histogram>,
+    thread_lag: Family<Kind, Histogram, fn() -> Histogram>,
     /// Gauges of the speed of backend servers.
     pub speeds: SpeedMetrics,
     moves_room: MoveMetrics,
@@ -135,6 +140,8 @@
             directory_era: Gauge::default(),
             config_age: histogram(),
             config_behind: histogram(),
+            connect_time: Family::new_with_constructor(|| Histogram::new(BOUNDS_S)),
+            thread_lag: Family::new_with_constructor(|| Histogram::new(BOUNDS_S)),
             speeds: SpeedMetrics::default(),
             moves_room: MoveMetrics::default(),
         };
@@ -231,6 +238,10 @@
             "Time behind peers with the configuration",
             behind,
         );
+        let connect = self.connect_time.clone();
+        r.register("connect_seconds", "Direct connection attempts", connect);
+        let lag = self.thread_lag.clone();
+        r.register("thread_lag_seconds", "How late threads are", lag);
         self.speeds.register(r);
         self.moves_room.register(r);
     }
@@ -316,6 +327,18 @@
         self.config_behind.observe(time.as_secs_f64());
     }
 
+    /// Observes a direct connection attempt to a backend server; `kind` is its outcome.
+    pub fn dialed(&self, kind: &'static str, took: Duration) {
+        let histogram = self.connect_time.get_or_create(&Kind { kind });
+        histogram.observe(took.as_secs_f64());
+    }
+
+    /// Returns what observes how late a thread of this process is; `kind` names the thread.
+    pub fn lag_observer(&self, kind: &'static str) -> LatenessObserver {
+        let histogram = self.thread_lag.get_or_create(&Kind { kind }).clone();
+        Arc::new(move |lateness: Duration| histogram.observe(lateness.as_secs_f64()))
+    }
+
     /// Counts a heartbeat; `kind` says whether it was sent, applied, forwarded or changed nothing.
     pub fn heartbeat(&self, kind: &'static str) {
         self.heartbeats.get_or_create(&Kind { kind }).inc();
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -24,6 +24,7 @@
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::process::clock::Clock;
 use crate::process::clock::SuspensionDetector;
+use crate::process::control_sender::ControlInbox;
 
 mod admission;
 mod decision_log;
@@ -75,7 +76,7 @@
 }
 
 impl GatewayThread {
-    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<GatewayMessage>) {
+    async fn run(mut self, mut inbox: ControlInbox<GatewayMessage>) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut waiting_checks = tokio::time::interval(WAITING_CHECK);
--- a/crates/daemon/src/gateway/gateway_thread/start.rs
+++ b/crates/daemon/src/gateway/gateway_thread/start.rs
@@ -21,6 +21,7 @@
 use crate::process::clock::Clock;
 use crate::process::clock::SuspensionDetector;
 use crate::process::control_sender::ControlSender;
+use crate::process::thread_lag::ThreadLag;
 
 /// Sends messages to the gateway's control thread.
 pub type GatewayHandle = ControlSender<GatewayMessage>;
@@ -55,7 +56,13 @@
     metrics: Arc<GatewayMetrics>,
     immediate_heartbeat: Arc<Notify>,
 ) -> std::io::Result<(GatewayHandle, GatewayViews)> {
-    let (sender, inbox) = ControlSender::new();
+    let lag = ThreadLag::new(
+        "control",
+        clock,
+        metrics.lag_observer("control"),
+        log.clone(),
+    );
+    let (sender, inbox) = ControlSender::new(clock, lag);
     let (table, tables) = watch::channel(None);
     let (list_known, knows_list) = watch::channel(false);
     let (evacuations, evacuations_view) = watch::channel(ZoneEvacuations::default());
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -9,4 +9,5 @@
 pub(crate) mod metrics;
 pub(crate) mod settings_file;
 pub(crate) mod settings_reader;
+pub(crate) mod thread_lag;
 pub(crate) mod whole_line_writer;
--- a/crates/daemon/src/process/metrics.rs
+++ b/crates/daemon/src/process/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::net::UdpSocket;
+use std::sync::Arc;
 use std::time::Duration;
 
 use cadence::BufferedUdpMetricSink;
@@ -13,6 +14,9 @@
 use cadence::Timed;
 use iristhread_core::Outcome;
 
+use crate::process::thread_lag::LatenessObserver;
+use crate::process::thread_lag::MIN_LATENESS;
+
 /// Prefix of the names of all metrics.
 const PREFIX: &str = "iristhread";
 
@@ -85,4 +89,16 @@
         self.client.gauge_with_tags("queued", queued).send();
         self.client.gauge_with_tags("running", running).send();
     }
+
+    /// Returns what reports how late the control thread is, if it is.
+    pub fn lag_observer(self: &Arc<Self>) -> LatenessObserver {
+        let metrics = self.clone();
+        Arc::new(move |lateness: Duration| {
+            if lateness < MIN_LATENESS {
+                return;
+            }
+            let metric = metrics.client.time_with_tags("control_lag_ms", lateness);
+            metric.send();
+        })
+    }
 }
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -21,7 +21,7 @@
 use tokio::time::sleep_until;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::detour::server_dialer::Reach;
+use crate::detour::reach::Reach;
 use crate::engines::session_move::SessionMove;
 use crate::engines::session_mover::MoveError;
 use crate::engines::session_mover::MoveOrder;
