Don't take an instance's own slow path for a cut from all servers

Cause: a connection attempt that got no answer within 200 ms by the wall counted as a server that can't be reached, two in a row as a cut from the service. What this instance needs itself, on its link or its thread, counted as silence of the other side. Class: one's own lateness read as evidence about others.

Change: the delay of the own path (the fastest of the latest attempts at several servers, beyond the least that their zones take) decides. While it explains a silence, the attempt shows nothing: no verdict on the link, the server, or for peers, and no backoff. Attempts on a slow path get four times its delay, 800 ms at most. Probes of a cut get 1 s, one each 0.25 s as before, so that a wrong verdict ends with the first late answer. A timeout of an attempt counts only what this thread had looked (observed_timeout). A process without file descriptors or buffers blames no server.

Tests: a_path_that_becomes_slow_is_no_cut fails with the rule off (all four calls refused at 300 ms); observed_timeout fails with a plain timeout; path_delay. instances_without_servers, detours and silent_servers stay green, so that a true cut is found as before.

--- a/crates/api/src/dial.rs
+++ b/crates/api/src/dial.rs
@@ -2,6 +2,7 @@
 //! path.
 
 use std::fmt;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::task::Context;
@@ -11,6 +12,7 @@
 use futures::future::BoxFuture;
 use http::Uri;
 use hyper_util::rt::TokioIo;
+use nix::errno::Errno;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tower_service::Service;
@@ -32,6 +34,29 @@
     Failed(String),
 }
 
+impl DialError {
+    /// Classifies an error of the operating system.
+    fn of(error: &std::io::Error) -> Self {
+        match error.kind() {
+            ErrorKind::ConnectionRefused => DialError::Refused,
+            ErrorKind::AddrNotAvailable | ErrorKind::OutOfMemory => {
+                DialError::NoPath(error.to_string())
+            }
+            _ if lacks_resources(error) => DialError::NoPath(error.to_string()),
+            _ => DialError::Failed(error.to_string()),
+        }
+    }
+}
+
+/// Whether this process or its machine has no file descriptor or buffer left.
+fn lacks_resources(error: &std::io::Error) -> bool {
+    let code = error.raw_os_error().map(Errno::from_raw);
+    matches!(
+        code,
+        Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM)
+    )
+}
+
 /// Opens connections to backend servers.
 pub trait Dial: Send + Sync {
     /// Opens a connection to the server at `address`.
@@ -51,10 +76,7 @@
             let connected = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address));
             let stream = match connected.await {
                 Ok(Ok(stream)) => stream,
-                Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-                    return Err(DialError::Refused);
-                }
-                Ok(Err(error)) => return Err(DialError::Failed(error.to_string())),
+                Ok(Err(error)) => return Err(DialError::of(&error)),
                 Err(_) => return Err(DialError::Silent(self.connect_timeout)),
             };
             // Fails only if the connection is already closed, which its first use shows.
--- /dev/null
+++ b/crates/api/src/observed_timeout.rs
@@ -0,0 +1,55 @@
+//! Timeouts that count only the time in which this thread looked for the result.
+//!
+//! A thread that gets too little processor time finds its timers expired when it looks at its
+//! sockets. An answer that has arrived meanwhile, or that the other side had no time to give, would
+//! count as silence of the other side.
+
+use std::future::Future;
+use std::pin::pin;
+use std::time::Duration;
+
+use thiserror::Error;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+/// Time between two looks. No span between two looks counts for more, however late the second is.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Multiple of the timeout after which waiting ends even if this thread rarely looked.
+const MAX_FACTOR: u32 = 4;
+
+/// Why there is no result.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum NoResult {
+    /// There was none within the timeout.
+    #[error("no answer in time")]
+    InTime,
+    /// This thread looked too rarely to tell.
+    #[error("no answer, but this thread rarely looked for one")]
+    Observed,
+}
+
+/// Waits for a result for `limit`, of which no more than 50 ms count between two looks.
+///
+/// # Errors
+///
+/// [`NoResult`].
+pub async fn observed_timeout<T>(
+    limit: Duration,
+    result: impl Future<Output = T>,
+) -> Result<T, NoResult> {
+    let mut result = pin!(result);
+    let began = Instant::now();
+    let mut observed = Duration::ZERO;
+    while observed < limit {
+        if began.elapsed() >= limit * MAX_FACTOR {
+            return Err(NoResult::Observed);
+        }
+        let look = LOOK_INTERVAL.min(limit - observed);
+        if let Ok(result) = timeout(look, &mut result).await {
+            return Ok(result);
+        }
+        observed += look;
+    }
+    Err(NoResult::InTime)
+}
--- a/crates/daemon/src/detour/link_prober.rs
+++ b/crates/daemon/src/detour/link_prober.rs
@@ -12,6 +12,10 @@
 pub async fn run(dialer: Arc<ServerDialer>) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
-        dialer.probe_cut_off().await;
+        for server in dialer.due_probes() {
+            let dialer = dialer.clone();
+            // The next probe must not wait for a slow one.
+            tokio::spawn(async move { dialer.probe(&server).await });
+        }
     }
 }
--- a/crates/daemon/src/detour/reach.rs
+++ b/crates/daemon/src/detour/reach.rs
@@ -16,8 +16,8 @@
     RefusesHere,
     /// The server does not answer.
     Silent,
-    /// No instance that reaches other servers of the service was found, so that nothing is known
-    /// about the server.
+    /// No instance that reaches other servers of the service was found, or this instance is late
+    /// itself: nothing is known about the server.
     Unknown,
 }
 
@@ -38,8 +38,16 @@
     pub fn of<C>(dialed: &Result<C, DialError>) -> Reach {
         match dialed {
             Ok(_) => Reach::Accepts,
-            Err(DialError::Refused) => Reach::Refuses,
-            Err(_) => Reach::Silent,
+            Err(error) => Reach::of_failed(error),
+        }
+    }
+
+    /// Returns what a failed direct connection attempt shows.
+    pub fn of_failed(error: &DialError) -> Reach {
+        match error {
+            DialError::Refused => Reach::Refuses,
+            DialError::NoPath(_) => Reach::Unknown,
+            DialError::Silent(_) | DialError::Failed(_) => Reach::Silent,
         }
     }
 }
--- a/crates/daemon/src/detour/server_dialer.rs
+++ b/crates/daemon/src/detour/server_dialer.rs
@@ -14,7 +14,6 @@
 use iristhread_core::DetourPeer;
 use iristhread_core::DetourPeers;
 use iristhread_core::LinkChange;
-use iristhread_core::Now;
 use iristhread_core::PathDelay;
 use iristhread_core::Replica;
 use iristhread_core::ServerLinks;
@@ -36,6 +35,11 @@
 use crate::gateway::gateway_thread::GatewayHandle;
 use crate::process::clock::Clock;
 
+mod direct;
+
+/// Timeout of a probe: it also has to find out that a path that is very slow is no cut.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Maximum number of peers that are asked for one connection.
 const MAX_PEERS_ASKED: usize = 3;
 
@@ -104,7 +108,7 @@
                 Ok(_) => return Reach::Accepts,
                 Err(DialError::Refused) => {}
                 Err(_) if self.is_cut_off(&server.service) => {}
-                Err(_) => return Reach::Silent,
+                Err(error) => return Reach::of_failed(&error),
             }
         }
         match self.dial_through_peers(&server).await {
@@ -137,6 +141,7 @@
         }
         let error = match self.connect(&server).await {
             Ok(stream) => return (DetourReply::Connected, Some(stream)),
+            Err(DialError::NoPath(_)) => return (DetourReply::Full, None),
             Err(error) => error,
         };
         let reply = match error {
@@ -147,8 +152,8 @@
         (reply, None)
     }
 
-    /// Probes one server of each service that is cut off and due for a probe.
-    pub async fn probe_cut_off(&self) {
+    /// Returns one server of each service that is cut off and due for a probe.
+    pub fn due_probes(&self) -> Vec<Arc<Replica>> {
         let now = self.ports.clock.now();
         let due = self.links().due_probes(now);
         let targets = due.into_iter().filter_map(|(service, probes)| {
@@ -157,9 +162,14 @@
             let index = probes % listed.len().max(1);
             listed.get(index).cloned()
         });
-        let targets: Vec<Arc<Replica>> = targets.collect();
-        let probes = targets.iter().map(|server| self.connect(server));
-        futures::future::join_all(probes).await;
+        targets.collect()
+    }
+
+    /// Probes whether a service that is cut off can be reached again.
+    pub async fn probe(&self, server: &Replica) {
+        let now = self.ports.clock.now();
+        // Only what it shows about the link counts.
+        let _ = self.connect_within(now, PROBE_TIMEOUT, server).await;
     }
 
     /// Returns whether another server of the same service accepts connections of this instance.
@@ -185,50 +195,6 @@
         checked.cloned().collect()
     }
 
-    /// Connects directly and records what the result shows about the link.
-    async fn connect(&self, server: &Replica) -> Result<TcpStream, DialError> {
-        let began = self.ports.clock.now();
-        self.path_delay().began(began);
-        let connected = self.ports.direct.dial(server.address).await;
-        let now = self.ports.clock.now();
-        self.record_attempt(server, began, now, &connected);
-        let listed = self
-            .ports
-            .servers
-            .borrow()
-            .of_service(&server.service)
-            .len();
-        let change = match &connected {
-            Ok(_) => self.links().connected(now, &server.service, &server.id),
-            Err(_) => self
-                .links()
-                .failed(now, &server.service, &server.id, listed),
-        };
-        if let Some(change) = change {
-            self.link_changed(server, change, connected.as_ref().err());
-        }
-        connected
-    }
-
-    fn record_attempt(
-        &self,
-        server: &Replica,
-        began: Now,
-        now: Now,
-        connected: &Result<TcpStream, DialError>,
-    ) {
-        let end = match connected {
-            Ok(_) => "accepted",
-            Err(DialError::Refused) => "refused",
-            Err(_) => "silent",
-        };
-        match end {
-            "silent" => self.path_delay().closed(began),
-            _ => self.path_delay().answered(now, began, &server.id),
-        }
-        self.ports.metrics.dialed(end, now.saturating_sub(began));
-    }
-
     fn link_changed(&self, server: &Replica, change: LinkChange, cause: Option<&DialError>) {
         let DialerPorts { log, metrics, .. } = &self.ports;
         match change {
--- a/crates/daemon/src/gateway/gateway_ports.rs
+++ b/crates/daemon/src/gateway/gateway_ports.rs
@@ -10,11 +10,9 @@
 use crate::engines::session_mover::SessionMover;
 use crate::relaying::wire_protocol::WireProtocol;
 
-/// Timeout of a connection attempt to a backend server. A backend server accepts a connection
-/// within a few milliseconds, also from another zone; a lost SYN packet is repeated only after a
-/// second. Without the timeout, a request would wait at an unreachable server until its deadline
-/// and end as if it might have run, although nothing was written.
-const BACKEND_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time after which the operating system is told to give up a connection attempt. How long an
+/// attempt is waited for is decided by its caller, and is shorter.
+const MAX_CONNECT_TIME: Duration = Duration::from_secs(1);
 
 /// Adapters to the systems outside the process.
 pub struct GatewayPorts {
@@ -34,6 +32,6 @@
 /// Returns a [`Dial`] that connects to backend servers directly.
 pub fn direct_dial() -> Arc<dyn Dial> {
     Arc::new(TcpDial {
-        connect_timeout: BACKEND_CONNECT_TIMEOUT,
+        connect_timeout: MAX_CONNECT_TIME,
     })
 }
