Read no more connections than the path and the threads bear

Cause: nothing bounded what is read but max_connections, whatever link and processor bore.

Change: GatedListener accepts all, and reads one more only within a window that follows the delay of the own path (ConnectWindow: in proportion to the delay over 40 ms, once a round trip; 4 at least); fewer in a turn while a thread is late. The others are closed unread after 80 ms and five turns. The window counts connections whose request isn't sent on yet (ReadPermit) and open attempts, but for those at servers that are silent while others answer. A path that is lost after it was slow is left to the probes. Both interfaces.

Ruled out: a listener that is closed while late (worse). Found on the way by the suite, mended before this commit: a window that one silent server fills, a single slow answer that shrinks it to what is in use, and reading nothing while turns take 20 ms, which closed connections of tests whose instances share a thread.

--- a/crates/core/src/servers/path_delay.rs
+++ b/crates/core/src/servers/path_delay.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use crate::BackendId;
+use crate::ConnectWindow;
 use crate::Now;
 use crate::ZoneId;
 
@@ -25,8 +26,12 @@
 /// Longest timeout on a slow path.
 const MAX_CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Multiple of the delay for which a slow path explains that nobody answers.
-const SILENCE_FACTOR: u32 = 4;
+/// Multiple of the delay for which a slow path is given time to answer an attempt.
+const TIMEOUT_FACTOR: u32 = 4;
+
+/// How long after the last answer a slow path explains that nobody answers: a full link may stall
+/// for longer than it delayed the last answers. It is below the time in which a cut must be known.
+const MAX_EXPLAINED_SILENCE: Duration = Duration::from_secs(2);
 
 /// How long an answered attempt tells the current delay.
 const RETENTION: Duration = Duration::from_millis(100);
@@ -45,9 +50,16 @@
 /// delay. Fewer may have met failed servers.
 const MIN_OPEN: usize = 3;
 
+/// Time after which a connection that was read and brought no request counts no longer, unless the
+/// path is slow: its caller may keep it for later.
+const MAX_READ_TIME: Duration = Duration::from_secs(1);
+
 /// Time after which an availability zone may have become more distant.
 const BASELINE_LIFETIME: Duration = Duration::from_secs(30);
 
+/// Number of an attempt, or of a connection that is read.
+pub type AttemptId = u64;
+
 /// An answered connection attempt.
 #[derive(Clone, Debug)]
 struct Answered {
@@ -71,19 +83,36 @@
     /// The latest answered attempts, the last one first.
     answered: VecDeque<Answered>,
     /// When the attempts that are still open began.
-    open: VecDeque<Now>,
+    open: BTreeMap<AttemptId, Now>,
+    /// When the connections of callers whose requests led to no attempt yet were read.
+    reads: BTreeMap<AttemptId, Now>,
+    last_id: AttemptId,
+    window: ConnectWindow,
     baselines: BTreeMap<ZoneId, Baseline>,
 }
 
 impl PathDelay {
+    /// Records that a connection of a caller is read.
+    pub fn read_began(&mut self, now: Now) -> AttemptId {
+        self.last_id += 1;
+        self.reads.insert(self.last_id, now);
+        self.last_id
+    }
+
+    /// Records that the request of a connection is sent on, or that there is none.
+    pub fn read_ended(&mut self, id: AttemptId) {
+        self.reads.remove(&id);
+    }
+
     /// Records that an attempt begins.
-    pub fn began(&mut self, now: Now) {
-        self.open.push_back(now);
+    pub fn began(&mut self, now: Now) -> AttemptId {
+        self.last_id += 1;
+        self.open.insert(self.last_id, now);
+        self.last_id
     }
 
     /// Records that a server answered an attempt, by accepting or refusing the connection.
     pub fn answered(&mut self, now: Now, began: Now, server: &str, zone: &str) {
-        self.closed(began);
         let took = now.saturating_sub(began);
         let least = self.least_time(now, zone, took);
         self.answered.truncate(SAMPLES - 1);
@@ -92,41 +121,72 @@
             at: now,
             delay: took.saturating_sub(least),
         });
+        let delay = self.current(now);
+        self.window.apply(now, began, delay, self.in_use(now));
     }
 
-    /// Records that an attempt is not waited for any longer.
-    pub fn closed(&mut self, began: Now) {
-        if let Some(index) = self.open.iter().position(|open| *open == began) {
-            self.open.remove(index);
+    /// Records that an attempt got no answer in time.
+    pub fn unanswered(&mut self, now: Now, began: Now) {
+        if self.explains_silence(now) {
+            let waited = now.saturating_sub(began);
+            self.window.apply(now, began, waited, self.in_use(now));
         }
     }
 
+    /// Records that an attempt is not waited for any longer.
+    pub fn ended(&mut self, id: AttemptId) {
+        self.open.remove(&id);
+    }
+
     /// Returns the current delay, zero if it is not known.
     pub fn current(&self, now: Now) -> Duration {
         let fastest = self.fastest_within(now, RETENTION);
         fastest.max(self.unanswered_for(now))
     }
 
-    /// Whether requests that are relayed now are delayed.
-    pub fn is_slow(&self, now: Now) -> bool {
-        self.current(now) >= SLOW_PATH
+    /// Whether a request that is read now finds room on the path.
+    pub fn has_room(&self, now: Now) -> bool {
+        self.window.has_room(self.in_use(now))
+    }
+
+    /// Returns the number of requests that are read or being connected.
+    fn in_use(&self, now: Now) -> usize {
+        let was_slow = self.was_slow(now);
+        let counts = |began: &&Now| was_slow || now.saturating_sub(**began) < MAX_READ_TIME;
+        let reads = self.reads.values().filter(counts).count();
+        let is_on_path = |began: &&Now| now.saturating_sub(**began) < self.longest_wait(now);
+        reads + self.open.values().filter(is_on_path).count()
+    }
+
+    /// Returns the time within which the path answers an attempt, judged by the latest answers. An
+    /// attempt that is open for longer waits for its server.
+    fn longest_wait(&self, now: Now) -> Duration {
+        let answered_at = self.answered.front().map(|answered| answered.at);
+        match answered_at {
+            Some(at) if now.saturating_sub(at) <= RETENTION => {
+                SLOW_PATH.max(self.fastest_within(now, RETENTION) * TIMEOUT_FACTOR)
+            }
+            _ => Duration::MAX,
+        }
+    }
+
+    /// Whether the path was too slow for what was read lately.
+    pub fn was_slow(&self, now: Now) -> bool {
+        self.window.shrank_lately(now)
     }
 
     /// Returns the timeout of a connection attempt that begins now.
     pub fn connect_timeout(&self, now: Now) -> Duration {
         let delay = self.fastest_within(now, TIMEOUT_RETENTION);
-        (delay * SILENCE_FACTOR).clamp(CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT)
+        (delay * TIMEOUT_FACTOR).clamp(CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT)
     }
 
     /// Whether the path was so slow at the latest answers that the silence since then shows nothing
     /// about any server.
     pub fn explains_silence(&self, now: Now) -> bool {
-        let last_delay = self.fastest(|_| true);
-        let Some(delay) = last_delay.filter(|delay| *delay >= SLOW_PATH) else {
-            return false;
-        };
+        let was_slow = self.fastest(|_| true) >= Some(SLOW_PATH);
         let answered_at = self.answered.front().map(|answered| answered.at);
-        answered_at.is_some_and(|at| now.saturating_sub(at) < delay * SILENCE_FACTOR)
+        was_slow && answered_at.is_some_and(|at| now.saturating_sub(at) < MAX_EXPLAINED_SILENCE)
     }
 
     /// Returns the delay of the latest answers that are not older than `age`, zero if it is not
@@ -150,7 +210,10 @@
     fn unanswered_for(&self, now: Now) -> Duration {
         let last_answer = self.answered.front().map(|answered| answered.at);
         let since = |began: &Now| last_answer.map_or(*began, |answer| answer.max(*began));
-        let waits = self.open.iter().map(|open| now.saturating_sub(since(open)));
+        let waits = self
+            .open
+            .values()
+            .map(|open| now.saturating_sub(since(open)));
         let mut waits: Vec<Duration> = waits.collect();
         waits.sort_unstable_by(|one, other| other.cmp(one));
         waits.get(MIN_OPEN - 1).copied().unwrap_or_default()
--- a/crates/daemon/src/completion.rs
+++ b/crates/daemon/src/completion.rs
@@ -7,6 +7,7 @@
 pub(crate) mod caller_api;
 pub(crate) mod caller_sink;
 pub(crate) mod config_view;
+pub(crate) mod control_load;
 pub(crate) mod control_message;
 pub(crate) mod control_thread;
 pub(crate) mod daemon;
--- a/crates/daemon/src/completion/control_thread.rs
+++ b/crates/daemon/src/completion/control_thread.rs
@@ -97,6 +97,11 @@
         Ok((ControlHandle { sender }, outputs))
     }
 
+    /// Returns how long messages wait for the thread.
+    pub fn lateness(&self) -> Duration {
+        self.sender.lateness()
+    }
+
     /// Sends an event; does not wait for it to be handled.
     pub fn tell(&self, event: Event) {
         self.sender.tell(ControlMessage::Event(event));
--- a/crates/daemon/src/completion/daemon.rs
+++ b/crates/daemon/src/completion/daemon.rs
@@ -21,6 +21,7 @@
 use crate::completion::app::App;
 use crate::completion::call_store::CallStore;
 use crate::completion::caller_api;
+use crate::completion::control_load::ControlLoad;
 use crate::completion::control_message::Identity;
 use crate::completion::control_thread::ControlHandle;
 use crate::completion::settings::Settings;
@@ -37,6 +38,7 @@
 use crate::platform::platform_port::HttpPlatform;
 use crate::platform::platform_reader::PlatformReader;
 use crate::process::clock::Clock;
+use crate::process::gated_listener::GatedListener;
 use crate::process::http_server;
 use crate::process::http_server::ConnectionLimits;
 use crate::process::metrics::Metrics;
@@ -155,12 +157,17 @@
         };
         let (stop, stopped) = watch::channel(false);
         let limits = connection_limits(&app.settings);
+        let load = Arc::new(ControlLoad {
+            control: app.control.clone(),
+            metrics: app.metrics.clone(),
+        });
+        let caller_connections = GatedListener::new(caller_listener, load, clock, app.log.clone());
         let caller_routes = caller_api::routes(&app);
         let operator_routes = operator_api::routes(&app);
         Ok(Daemon {
             addresses,
             caller_server: tokio::spawn(http_server::serve(
-                caller_listener,
+                caller_connections,
                 caller_routes,
                 limits,
                 stopped.clone(),
--- a/crates/daemon/src/detour/server_dialer.rs
+++ b/crates/daemon/src/detour/server_dialer.rs
@@ -34,6 +34,7 @@
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::gateway::gateway_thread::GatewayHandle;
 use crate::process::clock::Clock;
+use crate::process::read_permit::ReadPermit;
 
 mod direct;
 
@@ -293,7 +294,26 @@
         self.links().is_cut_off(service)
     }
 
-    fn current_path_delay(&self) -> Duration {
+    /// Whether a request that is read now finds room on the path to backend servers. A service that
+    /// seems cut off after the path was slow is left to the probes: requests would only load the path.
+    pub fn has_room(&self) -> bool {
+        let now = self.ports.clock.now();
+        let has_lost_path = !self.cut_off_services().is_empty();
+        let path_delay = self.path_delay();
+        path_delay.has_room(now) && !(has_lost_path && path_delay.was_slow(now))
+    }
+
+    /// Records that a connection of a caller is read; until the permit is dropped it takes a place on
+    /// the path.
+    pub fn read_permit(self: &Arc<Self>) -> ReadPermit {
+        let now = self.ports.clock.now();
+        let id = self.path_delay().read_began(now);
+        let dialer = self.clone();
+        ReadPermit::new(move || dialer.path_delay().read_ended(id))
+    }
+
+    /// Returns the delay of the path of this instance to backend servers.
+    pub fn current_path_delay(&self) -> Duration {
         let now = self.ports.clock.now();
         self.path_delay().current(now)
     }
--- a/crates/daemon/src/detour/server_dialer/direct.rs
+++ b/crates/daemon/src/detour/server_dialer/direct.rs
@@ -5,6 +5,7 @@
 use iristhread_api::DialError;
 use iristhread_api::NoResult;
 use iristhread_api::observed_timeout;
+use iristhread_core::AttemptId;
 use iristhread_core::Now;
 use iristhread_core::Replica;
 use tokio::net::TcpStream;
@@ -16,7 +17,10 @@
     pub(super) async fn connect(&self, server: &Replica) -> Result<TcpStream, DialError> {
         let now = self.ports.clock.now();
         let timeout = self.path_delay().connect_timeout(now);
-        self.path_delay().began(now);
+        let _open = OpenAttempt {
+            id: self.path_delay().began(now),
+            dialer: self,
+        };
         self.connect_within(now, timeout, server).await
     }
 
@@ -63,7 +67,7 @@
         let mut path_delay = self.path_delay();
         match is_answered {
             true => path_delay.answered(now, began, &server.id, &server.availability_zone),
-            false => path_delay.closed(began),
+            false => path_delay.unanswered(now, began),
         }
         drop(path_delay);
         self.ports.metrics.dialed(end, now.saturating_sub(began));
@@ -80,6 +84,18 @@
     }
 }
 
+/// An attempt counts as open until this is dropped, also if its caller leaves.
+struct OpenAttempt<'a> {
+    id: AttemptId,
+    dialer: &'a ServerDialer,
+}
+
+impl Drop for OpenAttempt<'_> {
+    fn drop(&mut self) {
+        self.dialer.path_delay().ended(self.id);
+    }
+}
+
 /// Returns why an attempt without an answer failed.
 fn unanswered(timeout: Duration, none: NoResult) -> DialError {
     match none {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -1,6 +1,8 @@
 //! Starts the components of a gateway instance and stops them in order.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,7 +11,6 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use iristhread_api::ServerClient;
-use iristhread_core::RouteTable;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -32,27 +33,28 @@
 use crate::engines::engine_watch;
 use crate::engines::notices::Notices;
 use crate::engines::notices::RestrictedMover;
-use crate::engines::session_mover::SessionMover;
 use crate::gateway::gateway_answers::GatewayAnswers;
+use crate::gateway::gateway_load::GatewayLoad;
 use crate::gateway::gateway_message::GatewayMessage;
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::gateway::gateway_ports::GatewayPorts;
 use crate::gateway::gateway_settings::GatewaySettings;
-use crate::gateway::gateway_thread::GatewayHandle;
-use crate::gateway::gateway_views::GatewayViews;
 use crate::peers::fleet_link::FleetLink;
 use crate::peers::fleet_link::FleetPorts;
 use crate::peers::peer_port::JsonRpcPeers;
 use crate::peers::peer_server;
 use crate::peers::peer_server::PeerIdentity;
 use crate::process::clock::Clock;
+use crate::process::gated_listener::GatedListener;
 use crate::process::http_server;
 use crate::process::http_server::ConnectionLimits;
+use crate::process::read_permit::ReadPermit;
 use crate::process::thread_lag::ThreadLag;
 use crate::relaying::http_front_end;
-use crate::relaying::wire_protocol::WireProtocol;
 
 pub(crate) mod gateway_answers;
+pub(crate) mod gateway_app;
+pub(crate) mod gateway_load;
 pub(crate) mod gateway_message;
 pub(crate) mod gateway_metrics;
 pub(crate) mod gateway_ports;
@@ -61,6 +63,8 @@
 pub(crate) mod gateway_views;
 pub(crate) mod operator_routes;
 
+pub use gateway_app::GatewayApp;
+
 /// Maximum size in bytes of an answer that the client reads as a whole.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
@@ -79,69 +83,6 @@
 /// ends by itself in time.
 const STOP_MARGIN: Duration = Duration::from_millis(150);
 
-/// State shared by all tasks of a gateway.
-pub struct GatewayApp {
-    /// Settings of the instance.
-    pub settings: GatewaySettings,
-    /// Identity of this process.
-    pub identity: Identity,
-    /// Clock of the process; its time goes on while the machine is suspended.
-    pub clock: Clock,
-    /// Sends messages to the control thread.
-    pub control: GatewayHandle,
-    /// Headers of callers and backend servers.
-    pub wire_protocol: Arc<dyn WireProtocol>,
-    /// Orders to engines.
-    pub mover: Arc<dyn SessionMover>,
-    /// Records server notices and checks send restrictions.
-    pub notices: Notices,
-    /// HTTP client that opens one connection for each request.
-    pub client: ServerClient,
-    /// Opens connections to backend servers.
-    pub dialer: Arc<ServerDialer>,
-    /// Metrics of the gateway.
-    pub metrics: Arc<GatewayMetrics>,
-    /// Logger of the instance.
-    pub log: Logger,
-    views: GatewayViews,
-    stopping: AtomicBool,
-}
-
-impl GatewayApp {
-    /// Returns the configuration in force.
-    pub fn table(&self) -> Option<Arc<RouteTable>> {
-        self.views.tables.borrow().clone()
-    }
-
-    /// Returns the number of tokens in one event of a service's streams.
-    pub fn tokens_per_event(&self, service: &str) -> u32 {
-        let table = self.table();
-        let service = table
-            .as_ref()
-            .and_then(|table| table.config().service(service));
-        let engine = service.and_then(|service| service.engine.as_ref());
-        engine.map_or(1, |engine| engine.tokens_per_event.max(1))
-    }
-
-    /// Whether nothing may be sent to an availability zone because the operators evacuate it.
-    pub fn is_closed(&self, zone: &str) -> bool {
-        let evacuations = self.views.evacuations.borrow();
-        evacuations.is_closed(self.clock.now(), zone)
-    }
-
-    /// Whether a planned stop has begun.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
-    /// Whether the load balancer should send callers here. Without a list of backend servers
-    /// every request would be refused, while another instance may accept it.
-    fn is_ready(&self) -> bool {
-        let has_config = self.views.tables.borrow().is_some();
-        !self.is_stopping() && has_config && *self.views.knows_list.borrow()
-    }
-}
-
 /// A running gateway instance.
 pub struct Gateway {
     app: Arc<GatewayApp>,
@@ -233,7 +174,12 @@
             let listener = listen("detour_address", address)?;
             tokio::spawn(detours.clone().run(listener));
         }
-        tokio::spawn(link_prober::run(dialer));
+        tokio::spawn(link_prober::run(dialer.clone()));
+        let load = Arc::new(GatewayLoad {
+            control: control.clone(),
+            dialer,
+            metrics: metrics.clone(),
+        });
         let configs = ConfigReader {
             directory: ports.directory.clone(),
             control: control.clone(),
@@ -256,16 +202,22 @@
         let (stop, stopped) = watch::channel(false);
         let limits = connection_limits(&app.settings);
         let front = app.clone();
-        let service = move |_| {
+        let service = move |_, permit: Option<ReadPermit>| {
             let app = front.clone();
+            // It belongs to the first request of the connection.
+            let permit = Mutex::new(permit);
             service_fn(move |request: Request<Incoming>| {
                 let app = app.clone();
+                let mut permit = permit.lock().unwrap_or_else(PoisonError::into_inner);
+                let permit = permit.take();
                 async move {
-                    Ok::<_, std::convert::Infallible>(http_front_end::answer(app, request).await)
+                    let answer = http_front_end::answer(app, request, permit).await;
+                    Ok::<_, std::convert::Infallible>(answer)
                 }
             })
         };
-        let callers = http_server::serve_with(caller_listener, service, limits, stopped);
+        let caller_connections = GatedListener::new(caller_listener, load, clock, app.log.clone());
+        let callers = http_server::serve_with(caller_connections, service, limits, stopped);
         operator_routes::serve(operator_listener, &app, limits);
         if let Some(address) = app.settings.metrics_address {
             operator_routes::serve(listen("metrics_address", address)?, &app, limits);
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -92,6 +92,7 @@
     directory_era: Gauge,
     config_age: Histogram,
     config_behind: Histogram,
+    closed_unread: Counter,
     connect_time: Family<Kind, Histogram, fn() -> Histogram>,
     thread_lag: Family<Kind, Histogram, fn() -> Histogram>,
     /// Gauges of the speed of backend servers.
@@ -140,6 +141,7 @@
             directory_era: Gauge::default(),
             config_age: histogram(),
             config_behind: histogram(),
+            closed_unread: Counter::default(),
             connect_time: Family::new_with_constructor(|| Histogram::new(BOUNDS_S)),
             thread_lag: Family::new_with_constructor(|| Histogram::new(BOUNDS_S)),
             speeds: SpeedMetrics::default(),
@@ -238,6 +240,8 @@
             "Time behind peers with the configuration",
             behind,
         );
+        let unread = self.closed_unread.clone();
+        r.register("closed_unread", "Connections closed unread", unread);
         let connect = self.connect_time.clone();
         r.register("connect_seconds", "Direct connection attempts", connect);
         let lag = self.thread_lag.clone();
@@ -327,6 +331,11 @@
         self.config_behind.observe(time.as_secs_f64());
     }
 
+    /// Counts connections of callers that were closed unread.
+    pub fn closed_unread(&self, count: usize) {
+        self.closed_unread.inc_by(count as u64);
+    }
+
     /// Observes a direct connection attempt to a backend server; `kind` is its outcome.
     pub fn dialed(&self, kind: &'static str, took: Duration) {
         let histogram = self.connect_time.get_or_create(&Kind { kind });
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -3,10 +3,12 @@
 pub(crate) mod answered;
 pub(crate) mod clock;
 pub(crate) mod control_sender;
+pub(crate) mod gated_listener;
 pub(crate) mod http_server;
 pub(crate) mod log_limit;
 pub(crate) mod logging;
 pub(crate) mod metrics;
+pub(crate) mod read_permit;
 pub(crate) mod settings_file;
 pub(crate) mod settings_reader;
 pub(crate) mod thread_lag;
--- a/crates/daemon/src/process/control_sender.rs
+++ b/crates/daemon/src/process/control_sender.rs
@@ -1,5 +1,7 @@
 //! Channel to a control thread.
 
+use std::time::Duration;
+
 use iristhread_core::Now;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -15,6 +17,7 @@
 pub struct ControlSender<Message> {
     messages: mpsc::UnboundedSender<SentMessage<Message>>,
     clock: Clock,
+    lag: ThreadLag,
 }
 
 /// Receives the messages of a control thread and measures how long they waited.
@@ -28,6 +31,7 @@
         ControlSender {
             messages: self.messages.clone(),
             clock: self.clock,
+            lag: self.lag.clone(),
         }
     }
 }
@@ -39,9 +43,19 @@
         let (messages, inbox) = mpsc::unbounded_channel();
         let inbox = ControlInbox {
             messages: inbox,
+            lag: lag.clone(),
+        };
+        let sender = ControlSender {
+            messages,
+            clock,
             lag,
         };
-        (ControlSender { messages, clock }, inbox)
+        (sender, inbox)
+    }
+
+    /// Returns how long messages wait for the thread.
+    pub fn lateness(&self) -> Duration {
+        self.lag.latest()
     }
 
     /// Sends a message that needs no answer. It is dropped if the process is stopping.
--- a/crates/daemon/src/process/http_server.rs
+++ b/crates/daemon/src/process/http_server.rs
@@ -1,6 +1,7 @@
 //! Accepts HTTP connections within limits, and drains them at a planned stop.
 
 use std::error::Error;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,12 +16,15 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use viz::Responder;
 use viz::Router;
 use viz::Tree;
 
+use crate::process::read_permit::ReadPermit;
+
 /// Size of the read buffer relative to the limit of headers. Headers above the limit still fit, so
 /// that the request can be refused with an error that states the limit.
 const HEADER_BUFFER_FACTOR: usize = 4;
@@ -36,23 +40,54 @@
     pub header_timeout: Duration,
 }
 
+/// A connection that may be read.
+pub struct Accepted {
+    /// The connection.
+    pub stream: TcpStream,
+    /// Address of the caller.
+    pub address: SocketAddr,
+    /// To be dropped when the first request is sent on; `None` if nothing limits what is read.
+    pub permit: Option<ReadPermit>,
+}
+
+/// A source of connections.
+pub trait AcceptConnections: Send {
+    /// Returns the next connection to be read.
+    ///
+    /// # Errors
+    ///
+    /// If the process is out of file descriptors, or the caller has already disconnected.
+    fn accept(&mut self) -> impl Future<Output = std::io::Result<Accepted>> + Send;
+}
+
+impl AcceptConnections for TcpListener {
+    async fn accept(&mut self) -> std::io::Result<Accepted> {
+        let (stream, address) = TcpListener::accept(self).await?;
+        Ok(Accepted {
+            stream,
+            address,
+            permit: None,
+        })
+    }
+}
+
 /// Serves the routes until `stop` is true, then waits for the requests in progress.
 pub async fn serve(
-    listener: TcpListener,
+    listener: impl AcceptConnections,
     router: Router,
     limits: ConnectionLimits,
     stop: watch::Receiver<bool>,
 ) {
     let tree = Arc::new(Tree::from(router));
-    let service = move |address| Responder::new(tree.clone(), Some(Arc::new(address)));
+    let service = move |address, _| Responder::new(tree.clone(), Some(Arc::new(address)));
     serve_with(listener, service, limits, stop).await;
 }
 
 /// Serves with one service per connection until `stop` is true, then waits for the requests in
 /// progress.
 pub async fn serve_with<S, B>(
-    listener: TcpListener,
-    service: impl Fn(SocketAddr) -> S,
+    mut listener: impl AcceptConnections,
+    service: impl Fn(SocketAddr, Option<ReadPermit>) -> S,
     limits: ConnectionLimits,
     mut stop: watch::Receiver<bool>,
 ) where
@@ -74,7 +109,7 @@
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
         };
-        let Ok((stream, address)) = accepted else {
+        let Ok(accepted) = accepted else {
             // The process is out of file descriptors, or the caller has already disconnected.
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
@@ -83,8 +118,9 @@
             continue;
         };
         // Fails only if the connection is already closed.
-        let _ = stream.set_nodelay(true);
-        let connection = http.serve_connection(TokioIo::new(stream), service(address));
+        let _ = accepted.stream.set_nodelay(true);
+        let service = service(accepted.address, accepted.permit);
+        let connection = http.serve_connection(TokioIo::new(accepted.stream), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // A broken connection is not an error of the server.
--- a/crates/daemon/src/process/metrics.rs
+++ b/crates/daemon/src/process/metrics.rs
@@ -90,6 +90,12 @@
         self.client.gauge_with_tags("running", running).send();
     }
 
+    /// Counts connections of callers that were closed unread.
+    pub fn closed_unread(&self, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.client.count_with_tags("closed_unread", count).send();
+    }
+
     /// Returns what reports how late the control thread is, if it is.
     pub fn lag_observer(self: &Arc<Self>) -> LatenessObserver {
         let metrics = self.clone();
--- a/crates/daemon/src/process/thread_lag.rs
+++ b/crates/daemon/src/process/thread_lag.rs
@@ -3,6 +3,7 @@
 //! A thread is late when the process gets too little processor time. Whatever times out in such a
 //! span says nothing about the other side.
 
+use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -22,6 +23,9 @@
 /// Minimum time between two log lines about one thread.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a measurement tells how late a thread is now.
+const LATEST_RETENTION: Duration = Duration::from_millis(50);
+
 /// Time between two measurements of a thread that does nothing else.
 const BEAT: Duration = Duration::from_millis(100);
 
@@ -35,6 +39,8 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// The latest measurement and its time.
+    latest: Option<(Now, Duration)>,
     unlogged: Unlogged,
     logged_at: Option<Now>,
 }
@@ -52,6 +58,13 @@
     state: Arc<Mutex<State>>,
 }
 
+impl fmt::Debug for ThreadLag {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut debug = formatter.debug_struct("ThreadLag");
+        debug.field("thread", &self.thread).finish_non_exhaustive()
+    }
+}
+
 impl ThreadLag {
     /// Creates the record of a thread that was never late.
     pub fn new(
@@ -74,6 +87,7 @@
         let now = self.clock.now();
         let lateness = now.saturating_sub(due);
         (self.observer)(lateness);
+        self.state().latest = Some((now, lateness));
         if lateness >= MIN_LATENESS {
             self.state().add(lateness);
         }
@@ -81,6 +95,14 @@
         lateness
     }
 
+    /// Returns how late the thread is, zero if it was not measured lately.
+    pub fn latest(&self) -> Duration {
+        let now = self.clock.now();
+        let latest = self.state().latest;
+        let recent = latest.filter(|(at, _)| now.saturating_sub(*at) <= LATEST_RETENTION);
+        recent.map_or(Duration::ZERO, |(_, lateness)| lateness)
+    }
+
     /// Measures this thread until the process ends.
     pub async fn run(self) {
         loop {
--- a/crates/daemon/src/relaying/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -36,6 +38,7 @@
 use crate::gateway::gateway_message::Placed;
 use crate::gateway::gateway_message::Resend;
 use crate::gateway::gateway_thread::waiting::STOPPING_RETRY_AFTER;
+use crate::process::read_permit::ReadPermit;
 use crate::relaying::answer_timeout;
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
@@ -88,6 +91,8 @@
     pub arrived: Now,
     /// Deadline of the final answer.
     pub answer_deadline: Now,
+    /// Held until the request is first sent on.
+    pub read_permit: Mutex<Option<ReadPermit>>,
 }
 
 impl Exchange {
@@ -248,6 +253,7 @@
             Ok(request) => request,
             Err(error) => return SendOutcome::NotConnected(error.to_string()),
         };
+        self.free_read_permit();
         let sent_at = self.app.clock.now();
         let by = self.app.clock.instant(by);
         let outcome = match answer_timeout::until(by, self.app.client.send(request)).await {
@@ -261,6 +267,11 @@
         outcome
     }
 
+    fn free_read_permit(&self) {
+        let permit = self.read_permit.lock();
+        drop(permit.unwrap_or_else(PoisonError::into_inner).take());
+    }
+
     /// Logs a send without an answer: why it failed, how long it took, and whether the server may
     /// have received bytes of the request.
     fn log_failed_send(&self, replica: &Replica, outcome: &SendOutcome, sent_at: Now) {
--- a/crates/daemon/src/relaying/http_front_end.rs
+++ b/crates/daemon/src/relaying/http_front_end.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +27,7 @@
 use slog::info;
 
 use crate::gateway::GatewayApp;
+use crate::process::read_permit::ReadPermit;
 use crate::relaying::buffered_call;
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
@@ -37,13 +39,17 @@
 /// the meantime.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Answers one request of a caller.
-pub async fn answer(app: Arc<GatewayApp>, request: Request<Incoming>) -> CallerAnswer {
+/// Answers one request of a caller. `permit` is that of its connection, if this is its first request.
+pub async fn answer(
+    app: Arc<GatewayApp>,
+    request: Request<Incoming>,
+    permit: Option<ReadPermit>,
+) -> CallerAnswer {
     let Some(table) = app.table() else {
         let message = "no configuration is in force here yet";
         return caller_answer::not_run(NOT_READY_RETRY_AFTER, message);
     };
-    match resolve(&app, &table, request).await {
+    match resolve(&app, &table, request, permit).await {
         Ok(exchange) => match exchange.route.class {
             RequestClass::Stream => stream_call::run(exchange).await,
             RequestClass::Repeatable | RequestClass::Once => buffered_call::run(&exchange).await,
@@ -56,6 +62,7 @@
     app: &Arc<GatewayApp>,
     table: &RouteTable,
     request: Request<Incoming>,
+    permit: Option<ReadPermit>,
 ) -> Result<Exchange, Box<CallerAnswer>> {
     let arrived = app.clock.now();
     let (parts, body) = request.into_parts();
@@ -126,6 +133,7 @@
         after_event,
         arrived,
         answer_deadline,
+        read_permit: Mutex::new(permit),
     })
 }
 
