Hold no answer that is missing against others while this instance is late itself

An attempt of a call without an answer in time is held against its server only if neither the traffic thread (ThreadLag keeps its late spans for 10 s) nor the path was late meanwhile.

The tests of observed_timeout hold with four looks as with 50 ms.

--- a/crates/api/src/observed_timeout.rs
+++ b/crates/api/src/observed_timeout.rs
@@ -12,8 +12,9 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
-/// Time between two looks. No span between two looks counts for more, however late the second is.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of looks within a timeout. No span between two looks counts for more than its part of the
+/// timeout, however late the second is.
+const LOOKS: u32 = 4;
 
 /// Multiple of the timeout after which waiting ends even if this thread rarely looked.
 const MAX_FACTOR: u32 = 4;
@@ -29,7 +30,7 @@
     Observed,
 }
 
-/// Waits for a result for `limit`, of which no more than 50 ms count between two looks.
+/// Waits for a result for `limit`, of which no more than a quarter counts between two looks.
 ///
 /// # Errors
 ///
@@ -40,16 +41,13 @@
 ) -> Result<T, NoResult> {
     let mut result = pin!(result);
     let began = Instant::now();
-    let mut observed = Duration::ZERO;
-    while observed < limit {
+    for _ in 0..LOOKS {
         if began.elapsed() >= limit * MAX_FACTOR {
             return Err(NoResult::Observed);
         }
-        let look = LOOK_INTERVAL.min(limit - observed);
-        if let Ok(result) = timeout(look, &mut result).await {
+        if let Ok(result) = timeout(limit / LOOKS, &mut result).await {
             return Ok(result);
         }
-        observed += look;
     }
     Err(NoResult::InTime)
 }
--- a/crates/daemon/src/detour/detour_client.rs
+++ b/crates/daemon/src/detour/detour_client.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use iristhread_api::observed_timeout;
 use iristhread_core::BackendId;
 use iristhread_core::InstanceId;
 use iristhread_core::Keyring;
@@ -81,14 +82,14 @@
         server: &BackendId,
     ) -> Result<(DetourReply, TcpStream), DetourError> {
         let connecting = TcpStream::connect(peer.address);
-        let mut stream = tokio::time::timeout(PEER_CONNECT_TIMEOUT, connecting)
+        let mut stream = observed_timeout(PEER_CONNECT_TIMEOUT, connecting)
             .await
-            .map_err(|_| DetourError::Unreachable("no answer in time".to_owned()))?
+            .map_err(|none| DetourError::Unreachable(none.to_string()))?
             .map_err(|error| DetourError::Unreachable(error.to_string()))?;
         stream.set_nodelay(true).map_err(DetourFault::from)?;
         keep_alive::enable(&stream).map_err(DetourFault::from)?;
         let exchanged = self.exchange(&mut stream, peer, server);
-        let reply = tokio::time::timeout(REPLY_TIMEOUT, exchanged)
+        let reply = observed_timeout(REPLY_TIMEOUT, exchanged)
             .await
             .map_err(|_| DetourError::Silent)??;
         Ok((reply, stream))
--- a/crates/daemon/src/detour/server_dialer.rs
+++ b/crates/daemon/src/detour/server_dialer.rs
@@ -303,6 +303,12 @@
         path_delay.has_room(now) && !(has_lost_path && path_delay.was_slow(now))
     }
 
+    /// Whether the path of this instance to backend servers was slow lately.
+    pub fn was_path_slow(&self) -> bool {
+        let now = self.ports.clock.now();
+        self.path_delay().was_slow(now)
+    }
+
     /// Records that a connection of a caller is read; until the permit is dropped it takes a place on
     /// the path.
     pub fn read_permit(self: &Arc<Self>) -> ReadPermit {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -127,7 +127,7 @@
             metrics.lag_observer("traffic"),
             log.clone(),
         );
-        tokio::spawn(lag.run());
+        tokio::spawn(lag.clone().run());
         let notices = Notices {
             control: control.clone(),
             restrictions: views.restrictions.clone(),
@@ -164,6 +164,7 @@
             client: ServerClient::dialing(MAX_ANSWER_BYTES, dialer.clone()),
             dialer: dialer.clone(),
             metrics: metrics.clone(),
+            lag,
             log: log.clone(),
             views,
             stopping: AtomicBool::new(false),
--- a/crates/daemon/src/gateway/gateway_app.rs
+++ b/crates/daemon/src/gateway/gateway_app.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 
 use iristhread_api::ServerClient;
+use iristhread_core::Now;
 use iristhread_core::RouteTable;
 use slog::Logger;
 
@@ -17,6 +18,7 @@
 use crate::gateway::gateway_thread::GatewayHandle;
 use crate::gateway::gateway_views::GatewayViews;
 use crate::process::clock::Clock;
+use crate::process::thread_lag::ThreadLag;
 use crate::relaying::wire_protocol::WireProtocol;
 
 /// State shared by all tasks of a gateway.
@@ -41,6 +43,8 @@
     pub dialer: Arc<ServerDialer>,
     /// Metrics of the gateway.
     pub metrics: Arc<GatewayMetrics>,
+    /// Lateness of the thread that relays requests.
+    pub lag: ThreadLag,
     /// Logger of the instance.
     pub log: Logger,
     /// What the control thread publishes.
@@ -71,6 +75,12 @@
         evacuations.is_closed(self.clock.now(), zone)
     }
 
+    /// Whether this instance was late by itself since `at`, so that an answer that is missing shows
+    /// nothing about its server.
+    pub fn was_late_since(&self, at: Now) -> bool {
+        self.dialer.was_path_slow() || !self.lag.late_since(at).is_zero()
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
--- a/crates/daemon/src/process/thread_lag.rs
+++ b/crates/daemon/src/process/thread_lag.rs
@@ -3,6 +3,7 @@
 //! A thread is late when the process gets too little processor time. Whatever times out in such a
 //! span says nothing about the other side.
 
+use std::collections::VecDeque;
 use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -20,6 +21,9 @@
 /// system account for less.
 pub const MIN_LATENESS: Duration = Duration::from_millis(20);
 
+/// How long late spans are kept: longer than the timeouts that are judged by them.
+const RETENTION: Duration = Duration::from_secs(10);
+
 /// Minimum time between two log lines about one thread.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -29,6 +33,13 @@
 /// Time between two measurements of a thread that does nothing else.
 const BEAT: Duration = Duration::from_millis(100);
 
+/// A span in which the thread handled nothing that had arrived.
+#[derive(Clone, Copy, Debug)]
+struct LateSpan {
+    from: Now,
+    until: Now,
+}
+
 /// Late spans since the last log line.
 #[derive(Clone, Copy, Debug, Default)]
 struct Unlogged {
@@ -41,6 +52,7 @@
 struct State {
     /// The latest measurement and its time.
     latest: Option<(Now, Duration)>,
+    spans: VecDeque<LateSpan>,
     unlogged: Unlogged,
     logged_at: Option<Now>,
 }
@@ -89,12 +101,22 @@
         (self.observer)(lateness);
         self.state().latest = Some((now, lateness));
         if lateness >= MIN_LATENESS {
-            self.state().add(lateness);
+            self.state().add(LateSpan {
+                from: due,
+                until: now,
+            });
         }
         self.log_late_spans(now);
         lateness
     }
 
+    /// Returns for how long the thread was late between `since` and now.
+    pub fn late_since(&self, since: Now) -> Duration {
+        let state = self.state();
+        let spans = state.spans.iter().filter(|span| span.until > since);
+        spans.map(|span| span.until - span.from.max(since)).sum()
+    }
+
     /// Returns how late the thread is, zero if it was not measured lately.
     pub fn latest(&self) -> Duration {
         let now = self.clock.now();
@@ -135,9 +157,19 @@
 }
 
 impl State {
-    fn add(&mut self, lateness: Duration) {
+    /// Adds a span that ends now, without what an earlier one covers.
+    fn add(&mut self, span: LateSpan) {
+        let covered_until = self.spans.back().map_or(Now::ZERO, |last| last.until);
+        let from = span.from.max(covered_until);
+        let length = span.until.saturating_sub(from);
         self.unlogged.spans += 1;
-        self.unlogged.total += lateness;
-        self.unlogged.longest = self.unlogged.longest.max(lateness);
+        self.unlogged.total += length;
+        self.unlogged.longest = self.unlogged.longest.max(length);
+        let oldest = span.until.saturating_sub(RETENTION);
+        while self.spans.front().is_some_and(|s| s.until < oldest) {
+            self.spans.pop_front();
+        }
+        let until = span.until;
+        self.spans.push_back(LateSpan { from, until });
     }
 }
--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -190,7 +190,10 @@
 
 async fn attempt(exchange: &Exchange, replica: &Replica, repeatable: bool) -> AttemptResult {
     let by = exchange.attempt_deadline(repeatable);
+    let sent_at = exchange.app.clock.now();
     let sent = exchange.send(replica, None, None, by).await;
+    let is_own_delay =
+        matches!(sent, SendOutcome::TimedOut) && exchange.app.was_late_since(sent_at);
     let is_unsent = matches!(
         sent,
         SendOutcome::NoPath(_)
@@ -199,7 +202,8 @@
             | SendOutcome::DeadlinePassed
     );
     let (result, answer) = classify(exchange, replica, sent, by).await;
-    if matches!(result, SendResult::Lost | SendResult::NotConnected) && !is_unsent {
+    let has_failed = matches!(result, SendResult::Lost | SendResult::NotConnected);
+    if has_failed && !is_unsent && !is_own_delay {
         exchange.app.control.tell(GatewayMessage::Failed {
             replica: replica.server_life(),
         });
