Name the ends of observed timeouts, and judge open attempts once a look

Cause: NoResult::Observed read as its opposite, and the longest wait was worked out anew for each open attempt while a crowd is at the door. No change of behaviour; path_delay, connect_window and observed_timeout pass.

--- a/crates/api/src/observed_timeout.rs
+++ b/crates/api/src/observed_timeout.rs
@@ -24,10 +24,10 @@
 pub enum NoResult {
     /// There was none within the timeout.
     #[error("no answer in time")]
-    InTime,
+    Silent,
     /// This thread looked too rarely to tell.
     #[error("no answer, but this thread rarely looked for one")]
-    Observed,
+    Unobserved,
 }
 
 /// Waits for a result for `limit`, of which no more than a quarter counts between two looks.
@@ -43,11 +43,11 @@
     let began = Instant::now();
     for _ in 0..LOOKS {
         if began.elapsed() >= limit * MAX_FACTOR {
-            return Err(NoResult::Observed);
+            return Err(NoResult::Unobserved);
         }
         if let Ok(result) = timeout(limit / LOOKS, &mut result).await {
             return Ok(result);
         }
     }
-    Err(NoResult::InTime)
+    Err(NoResult::Silent)
 }
--- a/crates/api/tests/observed_timeout.rs
+++ b/crates/api/tests/observed_timeout.rs
@@ -42,13 +42,13 @@
     tokio::task::yield_now().await;
     let result = observed_timeout(LIMIT, std::future::pending::<()>()).await;
     busy.abort();
-    assert_eq!(result, Err(NoResult::Observed));
+    assert_eq!(result, Err(NoResult::Unobserved));
 }
 
 #[tokio::test(start_paused = true)]
 async fn silence_is_noticed_in_time() {
     let began = Instant::now();
     let result = observed_timeout(LIMIT, std::future::pending::<()>()).await;
-    assert_eq!(result, Err(NoResult::InTime));
+    assert_eq!(result, Err(NoResult::Silent));
     assert!(began.elapsed() <= LIMIT + Duration::from_millis(10));
 }
--- a/crates/core/src/servers/path_delay.rs
+++ b/crates/core/src/servers/path_delay.rs
@@ -154,7 +154,8 @@
         let was_slow = self.was_slow(now);
         let counts = |began: &&Now| was_slow || now.saturating_sub(**began) < MAX_READ_TIME;
         let reads = self.reads.values().filter(counts).count();
-        let is_on_path = |began: &&Now| now.saturating_sub(**began) < self.longest_wait(now);
+        let longest_wait = self.longest_wait(now);
+        let is_on_path = |began: &&Now| now.saturating_sub(**began) < longest_wait;
         reads + self.open.values().filter(is_on_path).count()
     }
 
--- a/crates/daemon/src/detour/server_dialer/direct.rs
+++ b/crates/daemon/src/detour/server_dialer/direct.rs
@@ -99,7 +99,7 @@
 /// Returns why an attempt without an answer failed.
 fn unanswered(timeout: Duration, none: NoResult) -> DialError {
     match none {
-        NoResult::InTime => DialError::Silent(timeout),
-        NoResult::Observed => DialError::NoPath(none.to_string()),
+        NoResult::Silent => DialError::Silent(timeout),
+        NoResult::Unobserved => DialError::NoPath(none.to_string()),
     }
 }
