Word the comments on lateness in the terms of the field

Change: comments only, in seven files of core and daemon; the diff has no other line. Log lines, test names and behaviour stay.

--- a/crates/core/src/limits/connect_window.rs
+++ b/crates/core/src/limits/connect_window.rs
@@ -8,7 +8,7 @@
 
 use crate::Now;
 
-/// Delay of the path that the window aims at. The path is always busy with it, and requests bear it.
+/// Delay of the path that the window aims at. It keeps the path busy, and is short against the objectives of requests.
 const TARGET_DELAY: Duration = Duration::from_millis(40);
 
 /// Window before the path is known. Attempts are answered within milliseconds on a path that isn't
--- a/crates/core/src/limits/connection_queue.rs
+++ b/crates/core/src/limits/connection_queue.rs
@@ -1,6 +1,6 @@
 //! Connections that were accepted but not read yet.
 //!
-//! An instance that reads more than it bears serves nothing of it in time. So it reads one more
+//! An instance that reads more than it can handle serves nothing of it in time. So it reads one more
 //! connection only while it is not late with what it has read before. Connections that would wait
 //! for long are closed unread: their callers know at once that nothing has run, and can try another
 //! instance.
--- a/crates/core/src/servers/path_delay.rs
+++ b/crates/core/src/servers/path_delay.rs
@@ -33,13 +33,13 @@
 /// for longer than it delayed the last answers. It is below the time in which a cut must be known.
 const MAX_EXPLAINED_SILENCE: Duration = Duration::from_secs(2);
 
-/// How long an answered attempt tells the current delay.
+/// How long an answered attempt shows the current delay.
 const RETENTION: Duration = Duration::from_millis(100);
 
-/// How long answered attempts tell by how much later others may be answered.
+/// How long answered attempts count for the timeout of others.
 const TIMEOUT_RETENTION: Duration = Duration::from_secs(1);
 
-/// Number of answered attempts of which the fastest tells the delay.
+/// Number of answered attempts of which the fastest gives the delay.
 const SAMPLES: usize = 4;
 
 /// Minimum number of servers that must have answered, so that a slow server isn't taken for a slow
--- a/crates/core/tests/connect_window.rs
+++ b/crates/core/tests/connect_window.rs
@@ -1,4 +1,4 @@
-//! The window of connection attempts follows what the path bears.
+//! The window of connection attempts follows the capacity of the path.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -61,7 +61,7 @@
     assert_eq!(path.delays.len(), per_s as usize * 10);
 }
 
-/// A path that has recovered bears many again.
+/// A path that has recovered takes many again.
 #[test]
 fn the_window_grows_again() {
     let mut path = Path::bearing(60);
--- a/crates/core/tests/path_delay.rs
+++ b/crates/core/tests/path_delay.rs
@@ -1,4 +1,4 @@
-//! The delay of an instance's own path is told apart from slow or silent servers.
+//! The delay of an instance's own path is distinguished from slow or silent servers.
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
 use std::time::Duration;
--- a/crates/daemon/src/process/gated_listener.rs
+++ b/crates/daemon/src/process/gated_listener.rs
@@ -1,5 +1,5 @@
 //! Accepts the connections of callers, and hands them on to be read only as far as the instance
-//! bears.
+//! can handle.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,7 +25,7 @@
 const MAX_ACCEPTED: usize = 64;
 
 /// Lateness of this thread, or of the control thread, from which on fewer connections are read in a
-/// turn. Heartbeats and the events of streams bear a multiple of it.
+/// turn. Heartbeats and the events of streams can wait for a multiple of it.
 const MAX_LATENESS: Duration = Duration::from_millis(50);
 
 /// Pause between two turns in which only one connection may be read.
@@ -164,7 +164,7 @@
         Ok(())
     }
 
-    /// Takes the connection to be read next, if the instance bears one more.
+    /// Takes the connection to be read next, if the instance can handle one more.
     fn next_read(&mut self) -> Option<(TcpStream, SocketAddr)> {
         self.reads_left = self.reads_left.checked_sub(1)?;
         if !self.load.lateness().has_room {
--- a/crates/daemon/src/process/thread_lag.rs
+++ b/crates/daemon/src/process/thread_lag.rs
@@ -27,7 +27,7 @@
 /// Minimum time between two log lines about one thread.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long a measurement tells how late a thread is now.
+/// How long the latest measurement counts as current.
 const LATEST_RETENTION: Duration = Duration::from_millis(50);
 
 /// Time between two measurements of a thread that does nothing else.
@@ -117,7 +117,7 @@
         spans.map(|span| span.until - span.from.max(since)).sum()
     }
 
-    /// Returns how late the thread is, zero if it was not measured lately.
+    /// Returns how late the thread is, zero if no recent value is known.
     pub fn latest(&self) -> Duration {
         let now = self.clock.now();
         let latest = self.state().latest;
