Log how a carried connection ended; open the incident of answers cut on a detour

With the new line the script shows, under each reset, end=broken with 'Connection reset by peer' at the carrier and a 200 at the caller, and no line at all under the killed carriers.

No behaviour changes: the bytes and the order of the closes are as before.

--- a/crates/daemon/src/detour.rs
+++ b/crates/daemon/src/detour.rs
@@ -1,6 +1,7 @@
 //! Paths to backend servers: the direct one, and a detour through one peer while this instance
 //! reaches no server of a service itself.
 
+pub(crate) mod carried_end;
 pub(crate) mod detour_client;
 pub(crate) mod detour_message;
 pub(crate) mod detour_server;
--- a/crates/daemon/src/detour/detour_server.rs
+++ b/crates/daemon/src/detour/detour_server.rs
@@ -14,13 +14,12 @@
 use iristhread_core::PeerGuard;
 use slog::info;
 use slog::warn;
-use tokio::io::AsyncRead;
-use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
+use crate::detour::carried_end::CarriedEnd;
 use crate::detour::detour_message::DetourFault;
 use crate::detour::detour_message::DetourReply;
 use crate::detour::detour_message::DetourRequest;
@@ -107,7 +106,10 @@
             return;
         }
         if let Some((server, _permit)) = server {
-            carry(stream, server).await;
+            let end = carry(stream, server).await;
+            info!(self.app.log, "carried connection ended";
+                "peer" => &message.from, "backend_server" => &request.server,
+                "end" => end.as_str(), "cause" => end.cause());
         }
     }
 
@@ -173,21 +175,20 @@
 /// Forwards bytes in both directions. When the peer closes, the connection to the server closes at
 /// once: a client never closes only its own direction. When the server closes, the peer still
 /// receives everything that the server sent.
-async fn carry(peer: TcpStream, server: TcpStream) {
-    let (peer_in, mut peer_out) = peer.into_split();
-    let (server_in, mut server_out) = server.into_split();
-    let mut requests = pin!(forward(peer_in, &mut server_out));
-    tokio::select! {
-        () = &mut requests => return,
-        () = forward(server_in, &mut peer_out) => {}
-    }
+async fn carry(peer: TcpStream, server: TcpStream) -> CarriedEnd {
+    let (mut peer_in, mut peer_out) = peer.into_split();
+    let (mut server_in, mut server_out) = server.into_split();
+    let mut requests = pin!(tokio::io::copy(&mut peer_in, &mut server_out));
+    let answered = tokio::select! {
+        _ = &mut requests => return CarriedEnd::ByPeer,
+        answered = tokio::io::copy(&mut server_in, &mut peer_out) => answered,
+    };
     // Fails only if the connection is already closed.
     let _ = peer_out.shutdown().await;
     // Closing with unread bytes would discard what the peer has not received yet.
     let _ = tokio::time::timeout(CLOSE_TIMEOUT, requests).await;
-}
-
-/// Forwards until the end of `from`. An error ends the connection like a close.
-async fn forward(mut from: impl AsyncRead + Unpin, to: &mut (impl AsyncWrite + Unpin)) {
-    let _ = tokio::io::copy(&mut from, to).await;
+    match answered {
+        Ok(_) => CarriedEnd::ByServer,
+        Err(error) => CarriedEnd::Broken(error),
+    }
 }
