Confirm the end of an answer on a detour by a record of its carrier

Cause: an answer without a length ends with its connection, and on a detour the reader sees the end that the carrier makes. It made the same one for a close of the server, for a break, and by ending itself; the check that follows asks whether the server still listens, which it does. Ruled out: that a reset passes for an end on every way (C): in the new tests the direct way breaks visibly before the fix, too, as do answers with a length and chunked ones.

Change: the carrier sends records with their length, and an empty one for an orderly close; the reader gets an error for anything else. Why it works: no process that ends, stands still or loses its way can send that record. Dial returns a ServerConnection whose reads end without an error only after an orderly close. An earlier release gets bytes and a reset; from one, no end is confirmed. The testbed's Link passes a reset on in place of a close.

--- a/crates/api/src/dial.rs
+++ b/crates/api/src/dial.rs
@@ -17,6 +17,8 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
+use crate::server_connection::ServerConnection;
+
 /// Why no connection was opened. No byte of a request was written.
 #[derive(Debug, Error)]
 pub enum DialError {
@@ -60,7 +62,7 @@
 /// Opens connections to backend servers.
 pub trait Dial: Send + Sync {
     /// Opens a connection to the server at `address`.
-    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, Result<TcpStream, DialError>>;
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, Result<ServerConnection, DialError>>;
 }
 
 /// Connects directly over TCP.
@@ -71,7 +73,7 @@
 }
 
 impl Dial for TcpDial {
-    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, Result<TcpStream, DialError>> {
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, Result<ServerConnection, DialError>> {
         Box::pin(async move {
             let connected = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address));
             let stream = match connected.await {
@@ -81,7 +83,7 @@
             };
             // Fails only if the connection is already closed, which its first use shows.
             let _ = stream.set_nodelay(true);
-            Ok(stream)
+            Ok(stream.into())
         })
     }
 }
@@ -97,9 +99,9 @@
 }
 
 impl Service<Uri> for DialConnector {
-    type Response = TokioIo<TcpStream>;
+    type Response = TokioIo<ServerConnection>;
     type Error = DialError;
-    type Future = BoxFuture<'static, Result<TokioIo<TcpStream>, DialError>>;
+    type Future = BoxFuture<'static, Result<TokioIo<ServerConnection>, DialError>>;
 
     fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), DialError>> {
         Poll::Ready(Ok(()))
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -11,6 +11,7 @@
 mod observed_timeout;
 mod platform_api;
 mod resource;
+mod server_connection;
 mod service_api;
 
 pub use completion::ChatMessage;
@@ -61,6 +62,8 @@
 pub use resource::ResourceEvent;
 pub use resource::ResourceKind;
 pub use resource::ResourceList;
+pub use server_connection::ByteStream;
+pub use server_connection::ServerConnection;
 pub use service_api::Executions;
 pub use service_api::ServiceAnswer;
 pub use service_api::ServiceFaults;
--- a/crates/daemon/src/detour.rs
+++ b/crates/daemon/src/detour.rs
@@ -2,6 +2,7 @@
 //! reaches no server of a service itself.
 
 pub(crate) mod carried_end;
+pub(crate) mod carried_stream;
 pub(crate) mod detour_client;
 pub(crate) mod detour_message;
 pub(crate) mod detour_server;
--- a/crates/daemon/src/detour/detour_client.rs
+++ b/crates/daemon/src/detour/detour_client.rs
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Requests a connection to `server` from a peer. After [`DetourReply::Connected`] the stream
+    /// Requests a connection to `server` from a peer. After either form of `Connected` the stream
     /// carries the bytes of the connection.
     ///
     /// # Errors
@@ -103,6 +103,7 @@
     ) -> Result<DetourReply, DetourFault> {
         let request = DetourRequest {
             server: server.clone(),
+            reads_records: true,
         };
         let body = serde_json::to_string(&request)?;
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
--- a/crates/daemon/src/detour/detour_message.rs
+++ b/crates/daemon/src/detour/detour_message.rs
@@ -8,6 +8,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::detour::carried_stream::CarriedForm;
 use crate::peers::peer_message::SignedMessage;
 
 /// Maximum size of a message in bytes; a message names one server.
@@ -18,14 +19,29 @@
 pub struct DetourRequest {
     /// Id of the server. The receiver connects to the address in its own list.
     pub server: BackendId,
+    /// Whether the sender reads [`CarriedForm::Records`]; earlier releases omit it.
+    #[serde(default)]
+    pub reads_records: bool,
 }
 
-/// The answer of the peer. After [`DetourReply::Connected`] it forwards bytes in both directions.
+impl DetourRequest {
+    /// Returns the form in which the sender reads what the server sends.
+    pub fn form(&self) -> CarriedForm {
+        match self.reads_records {
+            true => CarriedForm::Records,
+            false => CarriedForm::Bytes,
+        }
+    }
+}
+
+/// The answer of the peer. After either form of `Connected` it forwards bytes in both directions.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DetourReply {
-    /// The server accepted the connection.
+    /// The server accepted the connection; what it sends follows as [`CarriedForm::Bytes`].
     Connected,
+    /// The server accepted the connection; what it sends follows as [`CarriedForm::Records`].
+    ConnectedWithRecords,
     /// The peer reaches other servers of the service, and this one refused the connection.
     ServerRefused,
     /// The peer reaches other servers of the service, and this one did not answer.
@@ -41,10 +57,18 @@
 }
 
 impl DetourReply {
+    /// Returns the reply for a connection that is carried in a form.
+    pub fn connected(form: CarriedForm) -> Self {
+        match form {
+            CarriedForm::Records => DetourReply::ConnectedWithRecords,
+            CarriedForm::Bytes => DetourReply::Connected,
+        }
+    }
+
     /// Returns the form used in metrics and logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            DetourReply::Connected => "connected",
+            DetourReply::Connected | DetourReply::ConnectedWithRecords => "connected",
             DetourReply::ServerRefused => "server_refused",
             DetourReply::ServerSilent => "server_silent",
             DetourReply::CutOff => "cut_off",
--- a/crates/daemon/src/detour/detour_server.rs
+++ b/crates/daemon/src/detour/detour_server.rs
@@ -11,15 +11,17 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use iristhread_api::ServerConnection;
 use iristhread_core::PeerGuard;
 use slog::info;
 use slog::warn;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 
 use crate::detour::carried_end::CarriedEnd;
+use crate::detour::carried_stream::CarriedForm;
 use crate::detour::detour_message::DetourFault;
 use crate::detour::detour_message::DetourReply;
 use crate::detour::detour_message::DetourRequest;
@@ -95,7 +97,12 @@
             Err(_) => return,
         };
         drop(pending);
-        let (reply, server) = self.connect(&request).await;
+        let form = request.form();
+        let connected = self.connect(&request).await;
+        let reply = match &connected {
+            Ok(_) => DetourReply::connected(form),
+            Err(reply) => *reply,
+        };
         self.app.metrics.detour_served(reply.as_str());
         info!(self.app.log, "peer asked for a connection to a backend server";
             "peer" => &message.from, "backend_server" => &request.server,
@@ -105,8 +112,8 @@
                 "peer" => &message.from, "cause" => fault.to_string());
             return;
         }
-        if let Some((server, _permit)) = server {
-            let end = carry(stream, server).await;
+        if let Ok((server, _permit)) = connected {
+            let end = carry(stream, server, form).await;
             info!(self.app.log, "carried connection ended";
                 "peer" => &message.from, "backend_server" => &request.server,
                 "end" => end.as_str(), "cause" => end.cause());
@@ -140,18 +147,13 @@
     async fn connect(
         &self,
         request: &DetourRequest,
-    ) -> (
-        DetourReply,
-        Option<(TcpStream, tokio::sync::SemaphorePermit<'_>)>,
-    ) {
+    ) -> Result<(ServerConnection, SemaphorePermit<'_>), DetourReply> {
         if self.app.is_stopping() {
-            return (DetourReply::Stopping, None);
+            return Err(DetourReply::Stopping);
         }
-        let Ok(permit) = self.carried.try_acquire() else {
-            return (DetourReply::Full, None);
-        };
-        let (reply, server) = self.app.dialer.connect_for_peer(&request.server).await;
-        (reply, server.map(|server| (server, permit)))
+        let permit = self.carried.try_acquire().map_err(|_| DetourReply::Full)?;
+        let server = self.app.dialer.connect_for_peer(&request.server).await?;
+        Ok((server, permit))
     }
 
     async fn answer(
@@ -174,21 +176,19 @@
 
 /// Forwards bytes in both directions. When the peer closes, the connection to the server closes at
 /// once: a client never closes only its own direction. When the server closes, the peer still
-/// receives everything that the server sent.
-async fn carry(peer: TcpStream, server: TcpStream) -> CarriedEnd {
-    let (mut peer_in, mut peer_out) = peer.into_split();
-    let (mut server_in, mut server_out) = server.into_split();
+/// receives everything that the server sent, and that it closed in order.
+async fn carry(peer: TcpStream, server: ServerConnection, form: CarriedForm) -> CarriedEnd {
+    let (mut peer_in, peer_out) = peer.into_split();
+    let (server_in, mut server_out) = tokio::io::split(server);
     let mut requests = pin!(tokio::io::copy(&mut peer_in, &mut server_out));
     let answered = tokio::select! {
         _ = &mut requests => return CarriedEnd::ByPeer,
-        answered = tokio::io::copy(&mut server_in, &mut peer_out) => answered,
+        answered = form.forward(server_in, peer_out) => answered,
     };
-    // Fails only if the connection is already closed.
-    let _ = peer_out.shutdown().await;
+    if let Err(error) = answered {
+        return CarriedEnd::Broken(error);
+    }
     // Closing with unread bytes would discard what the peer has not received yet.
     let _ = tokio::time::timeout(CLOSE_TIMEOUT, requests).await;
-    match answered {
-        Ok(_) => CarriedEnd::ByServer,
-        Err(error) => CarriedEnd::Broken(error),
-    }
+    CarriedEnd::ByServer
 }
--- a/crates/daemon/src/detour/server_dialer.rs
+++ b/crates/daemon/src/detour/server_dialer.rs
@@ -10,6 +10,7 @@
 use futures::future::BoxFuture;
 use iristhread_api::Dial;
 use iristhread_api::DialError;
+use iristhread_api::ServerConnection;
 use iristhread_core::BackendId;
 use iristhread_core::DetourPeer;
 use iristhread_core::DetourPeers;
@@ -21,10 +22,10 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::detour::carried_stream::CarriedForm;
 use crate::detour::detour_client::DetourClient;
 use crate::detour::detour_client::DetourTarget;
 use crate::detour::detour_message::DetourReply;
@@ -132,25 +133,26 @@
     }
 
     /// Connects for a peer, directly only: a detour has one hop.
-    pub async fn connect_for_peer(&self, id: &str) -> (DetourReply, Option<TcpStream>) {
+    ///
+    /// # Errors
+    ///
+    /// The reply for the peer if there is no connection.
+    pub async fn connect_for_peer(&self, id: &str) -> Result<ServerConnection, DetourReply> {
         let server = self.ports.servers.borrow().with_id(id);
-        let Some(server) = server else {
-            return (DetourReply::NotListed, None);
-        };
+        let server = server.ok_or(DetourReply::NotListed)?;
         if self.is_cut_off(&server.service) {
-            return (DetourReply::CutOff, None);
+            return Err(DetourReply::CutOff);
         }
         let error = match self.connect(&server).await {
-            Ok(stream) => return (DetourReply::Connected, Some(stream)),
-            Err(DialError::NoPath(_)) => return (DetourReply::Full, None),
+            Ok(connection) => return Ok(connection),
+            Err(DialError::NoPath(_)) => return Err(DetourReply::Full),
             Err(error) => error,
         };
-        let reply = match error {
+        Err(match error {
             _ if !self.reaches_another(&server).await => DetourReply::CutOff,
             DialError::Refused => DetourReply::ServerRefused,
             _ => DetourReply::ServerSilent,
-        };
-        (reply, None)
+        })
     }
 
     /// Returns one server of each service that is cut off and due for a probe.
@@ -219,7 +221,7 @@
         self.ports.heartbeat_now.notify_one();
     }
 
-    async fn dial_through_peers(&self, server: &Replica) -> Result<TcpStream, DialError> {
+    async fn dial_through_peers(&self, server: &Replica) -> Result<ServerConnection, DialError> {
         for _ in 0..MAX_PEERS_ASKED {
             let Some(peer) = self.choose_peer(&server.service) else {
                 break;
@@ -240,7 +242,7 @@
         &self,
         peer: &DetourTarget,
         server: &Replica,
-    ) -> Option<Result<TcpStream, DialError>> {
+    ) -> Option<Result<ServerConnection, DialError>> {
         let DialerPorts { log, metrics, .. } = &self.ports;
         let began = self.ports.clock.now();
         let opened = self.ports.client.open(peer, &server.id).await;
@@ -260,7 +262,8 @@
             "backend_server" => &server.id, "peer" => &peer.instance,
             "reply" => reply.as_str(), "took_ms" => took.as_millis() as u64);
         match reply {
-            DetourReply::Connected => Some(Ok(stream)),
+            DetourReply::ConnectedWithRecords => Some(Ok(CarriedForm::Records.read_from(stream))),
+            DetourReply::Connected => Some(Ok(CarriedForm::Bytes.read_from(stream))),
             DetourReply::ServerRefused => Some(Err(DialError::Refused)),
             DetourReply::ServerSilent => Some(Err(DialError::Silent(took))),
             DetourReply::CutOff
@@ -339,7 +342,7 @@
         locked.unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<TcpStream, DialError> {
+    async fn open(&self, address: SocketAddr) -> Result<ServerConnection, DialError> {
         let Some(server) = self.server_at(address) else {
             return self.ports.direct.dial(address).await;
         };
@@ -355,7 +358,7 @@
 }
 
 impl Dial for ServerDialer {
-    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, Result<TcpStream, DialError>> {
+    fn dial(&self, address: SocketAddr) -> BoxFuture<'_, Result<ServerConnection, DialError>> {
         Box::pin(self.open(address))
     }
 }
--- a/crates/daemon/src/detour/server_dialer/direct.rs
+++ b/crates/daemon/src/detour/server_dialer/direct.rs
@@ -4,17 +4,17 @@
 
 use iristhread_api::DialError;
 use iristhread_api::NoResult;
+use iristhread_api::ServerConnection;
 use iristhread_api::observed_timeout;
 use iristhread_core::AttemptId;
 use iristhread_core::Now;
 use iristhread_core::Replica;
-use tokio::net::TcpStream;
 
 use super::ServerDialer;
 
 impl ServerDialer {
     /// Connects directly and records what the result shows about the link.
-    pub(super) async fn connect(&self, server: &Replica) -> Result<TcpStream, DialError> {
+    pub(super) async fn connect(&self, server: &Replica) -> Result<ServerConnection, DialError> {
         let now = self.ports.clock.now();
         let timeout = self.path_delay().connect_timeout(now);
         let _open = OpenAttempt {
@@ -29,7 +29,7 @@
         began: Now,
         timeout: Duration,
         server: &Replica,
-    ) -> Result<TcpStream, DialError> {
+    ) -> Result<ServerConnection, DialError> {
         let dialing = self.ports.direct.dial(server.address);
         let dialed = observed_timeout(timeout, dialing).await;
         let dialed = dialed.unwrap_or_else(|none| Err(unanswered(timeout, none)));
@@ -56,7 +56,7 @@
         server: &Replica,
         began: Now,
         now: Now,
-        dialed: &Result<TcpStream, DialError>,
+        dialed: &Result<ServerConnection, DialError>,
     ) {
         let (end, is_answered) = match dialed {
             Ok(_) => ("accepted", true),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub use completion::settings::Limits;
 pub use completion::settings::SeedPeer;
 pub use completion::settings::Settings;
+pub use detour::carried_stream::CarriedForm;
 pub use directory::Directory;
 pub use directory::DirectoryError;
 pub use directory::Listing;
--- a/crates/testbed/src/link.rs
+++ b/crates/testbed/src/link.rs
@@ -1,15 +1,16 @@
-//! A TCP proxy between two processes whose connections a test can delay, stall or close.
+//! A TCP proxy between two processes whose connections a test can delay, stall, close or reset.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::try_join;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
 use tokio::sync::watch;
 
 const BUFFER_BYTES: usize = 16 << 10;
@@ -91,42 +92,59 @@
     }
 }
 
-async fn forward(client: TcpStream, target: SocketAddr, mut condition: watch::Receiver<Condition>) {
+async fn forward(
+    mut client: TcpStream,
+    target: SocketAddr,
+    mut condition: watch::Receiver<Condition>,
+) {
     let stall_count = condition.borrow().stall_count;
-    let Ok(upstream) = TcpStream::connect(target).await else {
+    let Ok(mut upstream) = TcpStream::connect(target).await else {
         return;
     };
-    let (client_in, client_out) = client.into_split();
-    let (target_in, target_out) = upstream.into_split();
     let is_stalled_for_good = move |now: &Condition| now.stall_count != stall_count;
     let stalls_requests =
         move |now: &Condition| is_stalled_for_good(now) || now.state == LinkState::Stalled;
     let stalls_responses = move |now: &Condition| {
         is_stalled_for_good(now) || matches!(now.state, LinkState::Stalled | LinkState::Deaf)
     };
+    let (client_in, client_out) = client.split();
+    let (target_in, target_out) = upstream.split();
     let requests = copy(client_in, target_out, condition.clone(), stalls_requests);
     let responses = copy(target_in, client_out, condition.clone(), stalls_responses);
-    tokio::select! {
-        _ = async { tokio::join!(requests, responses) } => {}
-        _ = wait_for_condition(&mut condition, |now| now.state == LinkState::Cut) => {}
+    let forwarded = tokio::select! {
+        forwarded = try_join(requests, responses) => forwarded.map(|_| ()),
+        _ = wait_for_condition(&mut condition, |now| now.state == LinkState::Cut) => Ok(()),
+    };
+    if forwarded.is_err() {
+        // A break of one side is one of the other, too. Fails only on a closed connection.
+        let _ = client.set_zero_linger();
+        let _ = upstream.set_zero_linger();
     }
 }
 
+/// Copies until the end of `from`, or until `to` takes no more.
+///
+/// # Errors
+///
+/// If the connection `from` breaks.
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut condition: watch::Receiver<Condition>,
     holds: impl Fn(&Condition) -> bool,
-) {
+) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
-    while let Ok(length) = from.read(&mut buffer).await {
+    loop {
+        let length = from.read(&mut buffer).await?;
         let is_slow = condition.borrow().state == LinkState::Slow;
         if is_slow {
             tokio::time::sleep(SLOW_LINK_DELAY).await;
         }
         let passes = wait_for_condition(&mut condition, |now| !holds(now)).await;
         if length == 0 || !passes || to.write_all(&buffer[..length]).await.is_err() {
-            return;
+            // Fails only if the connection is already closed.
+            let _ = to.shutdown().await;
+            return Ok(());
         }
     }
 }
