Decide each try when it is sent, by the list in force

Cause: what a try is decided from is older than the try. A second try took the next server of the ranking of its placement, 3 s later; the check before a send was a list of reasons to refuse, which lacked entries without a start time and removed ones, and forgot unlisted servers after 4 s. Ruled out: that the news was late (it was logged within 2 ms), and that the try travelled long (it arrives 4 ms after the first one ended).

Change: Tries, one for calls and streams, has each later try placed anew (PlaceAgain); a send asks whether the list in force lists that server, at its address and in its life, as accepting work, before the connection and again before the first byte. Why it works: the question is asked of what placements go by, so that no way to leave is missing and no mark lapses. Requests to servers connect and send in two steps now (ServerClient). Restrictions are published after each message of the control thread.

--- a/crates/api/src/dial.rs
+++ b/crates/api/src/dial.rs
@@ -1,21 +1,14 @@
 //! Opening of TCP connections to backend servers, behind a trait so that a caller can choose the
 //! path.
 
-use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
-use http::Uri;
-use hyper_util::rt::TokioIo;
 use nix::errno::Errno;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tower_service::Service;
 
 use crate::server_connection::ServerConnection;
 
@@ -87,34 +80,3 @@
         })
     }
 }
-
-/// Opens the connections of an HTTP client with a [`Dial`].
-#[derive(Clone)]
-pub struct DialConnector(pub Arc<dyn Dial>);
-
-impl fmt::Debug for DialConnector {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("DialConnector")
-    }
-}
-
-impl Service<Uri> for DialConnector {
-    type Response = TokioIo<ServerConnection>;
-    type Error = DialError;
-    type Future = BoxFuture<'static, Result<TokioIo<ServerConnection>, DialError>>;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), DialError>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, uri: Uri) -> Self::Future {
-        let dial = self.0.clone();
-        Box::pin(async move {
-            let address = uri.authority().and_then(|host| host.as_str().parse().ok());
-            let Some(address) = address else {
-                return Err(DialError::Failed(format!("{uri} names no IP address")));
-            };
-            dial.dial(address).await.map(TokioIo::new)
-        })
-    }
-}
--- a/crates/api/src/http_client.rs
+++ b/crates/api/src/http_client.rs
@@ -1,7 +1,6 @@
 //! HTTP client for calls to engines, plain services, the platform and instances.
 
 use std::error::Error as _;
-use std::sync::Arc;
 use std::time::Duration;
 
 use eventsource_stream::Event;
@@ -21,17 +20,12 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::Connect;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::dial::Dial;
-use crate::dial::DialConnector;
-use crate::dial::DialError;
-
 /// Maximum size in bytes of a response body that is not a stream.
 pub type BodyLimit = usize;
 
@@ -118,16 +112,13 @@
 /// Server-sent events of one response.
 pub type EventStream = BoxStream<'static, Result<Event, HttpClientError>>;
 
-/// Sends HTTP requests; cheap to clone. `C` opens its connections.
+/// Sends HTTP requests; cheap to clone.
 #[derive(Clone, Debug)]
-pub struct HttpClient<C = HttpConnector> {
-    client: Client<C, Full<Bytes>>,
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
     limit: BodyLimit,
 }
 
-/// Sends HTTP requests to backend servers over connections that a [`Dial`] opens.
-pub type ServerClient = HttpClient<DialConnector>;
-
 impl HttpClient {
     /// Creates a client that reuses idle connections.
     pub fn pooled(limit: BodyLimit) -> Self {
@@ -158,18 +149,7 @@
     }
 }
 
-impl ServerClient {
-    /// Creates a client that opens a connection per request with `dial` and never retries by
-    /// itself, like [`HttpClient::unpooled`].
-    pub fn dialing(limit: BodyLimit, dial: Arc<dyn Dial>) -> Self {
-        HttpClient {
-            client: unpooled(DialConnector(dial)),
-            limit,
-        }
-    }
-}
-
-impl<C: Connect + Clone + Send + Sync + 'static> HttpClient<C> {
+impl HttpClient {
     /// Sends a request and returns the response before its body is read.
     ///
     /// # Errors
@@ -182,12 +162,9 @@
         let uri = request.uri().to_string();
         self.client.request(request).await.map_err(|error| {
             let cause = error_chain(&error);
-            if has_no_path(&error) {
-                HttpClientError::NoPath { uri, cause }
-            } else if error.is_connect() {
-                HttpClientError::Connect { uri, cause }
-            } else {
-                HttpClientError::Broken { uri, cause }
+            match error.is_connect() {
+                true => HttpClientError::Connect { uri, cause },
+                false => HttpClientError::Broken { uri, cause },
             }
         })
     }
@@ -199,25 +176,8 @@
     /// [`HttpClientError`]; an error status counts as a response, not as an error.
     pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Reply, HttpClientError> {
         let uri = request.uri().to_string();
-        let (parts, body) = self.send(request).await?.into_parts();
-        let body = Limited::new(body, self.limit)
-            .collect()
-            .await
-            .map_err(|error| match error.is::<LengthLimitError>() {
-                true => HttpClientError::TooLarge {
-                    uri,
-                    limit_bytes: self.limit,
-                },
-                false => HttpClientError::Broken {
-                    uri,
-                    cause: error.to_string(),
-                },
-            })?;
-        Ok(Reply {
-            status: parts.status,
-            headers: parts.headers,
-            body: body.to_bytes(),
-        })
+        let response = self.send(request).await?;
+        read_reply(response, self.limit, uri).await
     }
 
     /// Sends a request and decodes the JSON response; returns `None` for 304 and 204.
@@ -327,24 +287,42 @@
     }
 }
 
-fn unpooled<C: Connect + Clone>(connector: C) -> Client<C, Full<Bytes>> {
+/// Reads the complete body of a response.
+///
+/// # Errors
+///
+/// [`HttpClientError::TooLarge`] or [`HttpClientError::Broken`].
+pub(crate) async fn read_reply(
+    response: Response<Incoming>,
+    limit: BodyLimit,
+    uri: String,
+) -> Result<Reply, HttpClientError> {
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, limit).collect().await;
+    let body = body.map_err(|error| match error.is::<LengthLimitError>() {
+        true => HttpClientError::TooLarge {
+            uri,
+            limit_bytes: limit,
+        },
+        false => HttpClientError::Broken {
+            uri,
+            cause: error.to_string(),
+        },
+    })?;
+    Ok(Reply {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.to_bytes(),
+    })
+}
+
+fn unpooled(connector: HttpConnector) -> Client<HttpConnector, Full<Bytes>> {
     let mut builder = Client::builder(TokioExecutor::new());
     builder.pool_max_idle_per_host(0);
     builder.retry_canceled_requests(false);
     builder.build(connector)
 }
 
-fn has_no_path(error: &hyper_util::client::legacy::Error) -> bool {
-    let mut source = error.source();
-    while let Some(cause) = source {
-        if let Some(DialError::NoPath(_)) = cause.downcast_ref() {
-            return true;
-        }
-        source = cause.source();
-    }
-    false
-}
-
 fn connector(timeout: Duration) -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
--- /dev/null
+++ b/crates/api/src/server_client.rs
@@ -0,0 +1,122 @@
+//! Sends HTTP requests to backend servers, each on a connection of its own.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::Uri;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+
+use crate::dial::Dial;
+use crate::dial::DialError;
+use crate::http_client::BodyLimit;
+use crate::http_client::HttpClientError;
+use crate::http_client::Reply;
+use crate::http_client::read_reply;
+
+/// Connects to backend servers with a [`Dial`]; cheap to clone. No connection is used twice and no
+/// request is repeated, so that data of another request never arrives on one.
+#[derive(Clone)]
+pub struct ServerClient {
+    dial: Arc<dyn Dial>,
+    limit: BodyLimit,
+}
+
+impl ServerClient {
+    /// Creates a client that opens its connections with `dial`.
+    pub fn dialing(limit: BodyLimit, dial: Arc<dyn Dial>) -> Self {
+        ServerClient { dial, limit }
+    }
+
+    /// Opens a connection. No byte is sent before [`ServerRequester::send`].
+    ///
+    /// # Errors
+    ///
+    /// [`HttpClientError::Connect`] or [`HttpClientError::NoPath`].
+    pub async fn connect(&self, address: SocketAddr) -> Result<ServerRequester, HttpClientError> {
+        let uri = format!("http://{address}");
+        let connection = self.dial.dial(address).await.map_err(|error| {
+            let (uri, cause) = (uri.clone(), error.to_string());
+            match error {
+                DialError::NoPath(_) => HttpClientError::NoPath { uri, cause },
+                DialError::Refused | DialError::Silent(_) | DialError::Failed(_) => {
+                    HttpClientError::Connect { uri, cause }
+                }
+            }
+        })?;
+        let handshake = http1::handshake(TokioIo::new(connection)).await;
+        let (sender, connection) = handshake.map_err(|error| HttpClientError::Connect {
+            uri,
+            cause: error.to_string(),
+        })?;
+        // Its errors reach the request or the body of its answer, too.
+        tokio::spawn(connection);
+        Ok(ServerRequester { address, sender })
+    }
+
+    /// Connects, sends a request and reads the complete response.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpClientError`]; an error status counts as a response, not as an error.
+    pub async fn fetch(&self, request: Request<Full<Bytes>>) -> Result<Reply, HttpClientError> {
+        let uri = request.uri().to_string();
+        let authority = request.uri().authority();
+        let address = authority.and_then(|host| host.as_str().parse().ok());
+        let Some(address) = address else {
+            let cause = "it names no IP address".to_owned();
+            return Err(HttpClientError::Request { uri, cause });
+        };
+        let response = self.connect(address).await?.send(request).await?;
+        read_reply(response, self.limit, uri).await
+    }
+}
+
+/// An open connection to a backend server for one request.
+pub struct ServerRequester {
+    address: SocketAddr,
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl ServerRequester {
+    /// Sends the request and returns the response before its body is read. The path and query of
+    /// its URI are sent, and the server's address as `Host` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpClientError::Broken`] if the connection broke: the request may have been written.
+    pub async fn send(
+        mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, HttpClientError> {
+        let path = request.uri().path_and_query().cloned();
+        *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+        let host = HeaderValue::from_str(&self.address.to_string());
+        if let (false, Ok(host)) = (request.headers().contains_key(header::HOST), host) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        let sent = self.sender.send_request(request).await;
+        sent.map_err(|error| HttpClientError::Broken {
+            uri: format!("http://{}", self.address),
+            cause: error_chain(&error),
+        })
+    }
+}
+
+fn error_chain(error: &hyper::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- a/crates/api/src/server_connection.rs
+++ b/crates/api/src/server_connection.rs
@@ -6,8 +6,6 @@
 use std::task::Context;
 use std::task::Poll;
 
-use hyper_util::client::legacy::connect::Connected;
-use hyper_util::client::legacy::connect::Connection;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -43,12 +41,6 @@
     }
 }
 
-impl Connection for ServerConnection {
-    fn connected(&self) -> Connected {
-        Connected::new()
-    }
-}
-
 impl AsyncRead for ServerConnection {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/core/src/completion/call_run.rs
+++ b/crates/core/src/completion/call_run.rs
@@ -95,6 +95,17 @@
         self
     }
 
+    /// Whether another try may follow the last one.
+    pub fn may_go_on(&self, now: Now) -> bool {
+        now < self.deadline && self.last.is_none_or(|result| self.may_try_again(result))
+    }
+
+    /// Puts a runner before all others, for the next try.
+    pub fn prefer(&mut self, runner: BackendId) {
+        self.runners.retain(|known| *known != runner);
+        self.runners.push_front(runner);
+    }
+
     /// Records the result of the current try.
     pub fn sent(&mut self, result: SendResult) {
         let may_have_executed = matches!(result, SendResult::Lost | SendResult::Failed);
--- a/crates/core/src/directory/replica.rs
+++ b/crates/core/src/directory/replica.rs
@@ -53,6 +53,12 @@
         }
     }
 
+    /// Whether two entries are of the same incarnation at the same address. Without start times an
+    /// id at another address is another server.
+    pub fn is_same_server(&self, other: &Replica) -> bool {
+        self.life() == other.life() && self.address == other.address
+    }
+
     /// Returns an identifier of this incarnation, derived from the id and the start time.
     pub fn life(&self) -> IncarnationId {
         let born = self.born_ms.map_or(String::new(), |born| born.to_string());
--- a/crates/core/src/directory/replica_list.rs
+++ b/crates/core/src/directory/replica_list.rs
@@ -101,6 +101,8 @@
     unusable: BTreeSet<BackendId>,
     /// Replicas that are new to this list or have begun a new incarnation.
     started: Vec<BackendId>,
+    /// Number of entries that were written or dropped so far.
+    writes: u64,
 }
 
 impl ReplicaList {
@@ -248,9 +250,10 @@
         self.said_leaving.lives(now)
     }
 
-    /// Returns a counter that increases when an incarnation reports that it is draining.
-    pub fn draining_version(&self) -> u64 {
-        self.said_leaving.version()
+    /// Returns a counter that increases when an entry is written or dropped, or an incarnation
+    /// reports that it is draining.
+    pub fn version(&self) -> u64 {
+        self.writes + self.said_leaving.version()
     }
 
     /// Returns the listed incarnations.
@@ -342,6 +345,7 @@
             expires_at: None,
         };
         self.unusable.remove(&entry.replica.id);
+        self.writes += 1;
         self.entries.insert(entry.replica.id.clone(), entry);
     }
 
@@ -360,6 +364,7 @@
 
     fn drop_entry(&mut self, now: Now, id: &str) {
         if let Some(entry) = self.entries.remove(id) {
+            self.writes += 1;
             self.said_leaving.unlisted(now, entry.life);
             self.gone.mark(now, entry.life, false);
         }
--- a/crates/core/src/directory/replica_list/listed.rs
+++ b/crates/core/src/directory/replica_list/listed.rs
@@ -1,6 +1,10 @@
 //! The listed replicas, whether or not they accept new work.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
 use super::ReplicaList;
+use crate::IncarnationId;
 use crate::Replica;
 
 impl ReplicaList {
@@ -20,6 +24,12 @@
         in_zone.count()
     }
 
+    /// Returns the listed incarnations that accept new work, with their addresses.
+    pub fn accepting(&self) -> BTreeMap<IncarnationId, SocketAddr> {
+        let accepting = self.entries.values().filter(|e| !self.is_draining(e));
+        accepting.map(|e| (e.life, e.replica.address)).collect()
+    }
+
     /// Returns a listed replica.
     pub fn replica(&self, id: &str) -> Option<&Replica> {
         self.entries.get(id).map(|entry| &entry.replica)
--- a/crates/core/src/gateway/gateway_control/failover.rs
+++ b/crates/core/src/gateway/gateway_control/failover.rs
@@ -65,6 +65,26 @@
         Some(target)
     }
 
+    /// Chooses the replica of another try of a request that has no part of an answer yet, as if it
+    /// were placed now; `None` if no replica other than those in `tried` accepts it.
+    pub fn place_again(
+        &mut self,
+        now: Now,
+        request: &str,
+        tried: &[Replica],
+    ) -> Option<FailoverTarget> {
+        let ask = self.runs.get(request)?.ask.clone();
+        let limit = self.placement_limit(now, &ask);
+        let scores = self.scores(now, &ask, None).into_iter();
+        let is_tried =
+            |score: &ReplicaScore| tried.iter().any(|t| t.is_same_server(&score.replica));
+        let fitting = scores.filter(|score| score.memory <= limit && !is_tried(score));
+        let (fitting, _) = self.skip_limited(now, fitting.collect());
+        let first = fitting.into_iter().next()?.replica;
+        self.limits.keep_grant(now, request, first.life());
+        self.fail_over_to(now, request, first)
+    }
+
     /// Counts a session as running on `replica` again, since its backup could not be used, and
     /// drops the backup.
     pub fn failover_failed(&mut self, request: &str, replica: BackendId) {
--- a/crates/core/src/gateway/gateway_control/notices.rs
+++ b/crates/core/src/gateway/gateway_control/notices.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand_core::Rng;
@@ -30,7 +31,10 @@
 /// earlier.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct SendRestrictions {
-    /// Incarnations that are draining: nothing new is sent.
+    /// Listed incarnations that accept new work, with their addresses: nothing new is sent to
+    /// others.
+    pub accepting: BTreeMap<IncarnationId, SocketAddr>,
+    /// Incarnations that reported that they are draining.
     pub leaving: BTreeSet<IncarnationId>,
     /// Incarnations that are backing off, with the end of the backoff: nothing is sent.
     pub resting: BTreeMap<IncarnationId, Now>,
@@ -39,6 +43,12 @@
 }
 
 impl SendRestrictions {
+    /// Whether new work may be sent to a replica that was taken from the list earlier: it is still
+    /// listed at its address and not draining.
+    pub fn accepts_new_work(&self, replica: &Replica) -> bool {
+        self.accepting.get(&replica.life()) == Some(&replica.address)
+    }
+
     /// Returns when the backoff of an incarnation ends, if it is backing off now.
     pub fn backoff_until(&self, now: Now, incarnation: IncarnationId) -> Option<Now> {
         self.resting
@@ -108,7 +118,7 @@
 
     /// Increases whenever the send restrictions change, except when a backoff ends.
     pub fn restrictions_version(&self) -> u64 {
-        self.backoffs.version + self.limits.version() + self.list.draining_version()
+        self.backoffs.version + self.limits.version() + self.list.version()
     }
 
     /// Returns the current send restrictions.
@@ -116,6 +126,7 @@
         let backoffs = self.backoffs.by_incarnation.iter();
         let resting = backoffs.filter(|(_, backoff)| !backoff.left(now).is_zero());
         SendRestrictions {
+            accepting: self.list.accepting(),
             leaving: self.list.draining_incarnations(now),
             resting: resting
                 .map(|(incarnation, backoff)| (*incarnation, backoff.until()))
--- a/crates/daemon/src/engines/notices.rs
+++ b/crates/daemon/src/engines/notices.rs
@@ -51,7 +51,7 @@
 /// Why nothing may be sent to a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SendRestriction {
-    /// The server announced that it is draining.
+    /// The server is draining or no longer listed.
     Leaving,
     /// The server asked for a backoff until this time.
     Resting(Now),
@@ -64,7 +64,7 @@
     /// Returns the form used in logs.
     pub fn as_str(self) -> &'static str {
         match self {
-            SendRestriction::Leaving => "it said that it leaves",
+            SendRestriction::Leaving => "it leaves or is no longer listed",
             SendRestriction::Resting(_) => "it asked for rest",
             SendRestriction::Limited => "it declared a limit or is brittle, and takes no more now",
         }
@@ -125,8 +125,8 @@
     }
 
     /// Returns why something may not be sent to a backend server now, if so. Must be checked before
-    /// each send: a server notice may have arrived since the request was placed. A granted send to
-    /// a server that declared a limit counts against the limit.
+    /// each send: the list may have changed, or a server notice arrived, since the request was
+    /// placed. A granted send to a server that declared a limit counts against the limit.
     pub async fn restriction(
         &self,
         replica: &Replica,
@@ -146,19 +146,16 @@
         (!may_send).then_some(SendRestriction::Limited)
     }
 
-    fn known_restriction(&self, replica: &Replica, kind: SendKind) -> Option<SendRestriction> {
+    /// Same as [`Notices::restriction`] for a send that was granted: its connection took a while.
+    pub fn known_restriction(&self, replica: &Replica, kind: SendKind) -> Option<SendRestriction> {
         let restrictions = self.restrictions.borrow();
-        if restrictions.leaving.is_empty() && restrictions.resting.is_empty() {
-            return None;
-        }
-        let incarnation = replica.life();
-        if let Some(until) = restrictions.backoff_until(self.clock.now(), incarnation) {
+        if let Some(until) = restrictions.backoff_until(self.clock.now(), replica.life()) {
             return Some(SendRestriction::Resting(until));
         }
         // A session whose memory is there may still be sent to a draining server: it could not
         // continue anywhere else.
-        let is_draining = kind == SendKind::New && restrictions.leaving.contains(&incarnation);
-        is_draining.then_some(SendRestriction::Leaving)
+        let is_leaving = kind == SendKind::New && !restrictions.accepts_new_work(replica);
+        is_leaving.then_some(SendRestriction::Leaving)
     }
 
     fn count(&self, notice: &ServerNotice) {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -61,6 +61,7 @@
 pub(crate) mod gateway_settings;
 pub(crate) mod gateway_thread;
 pub(crate) mod gateway_views;
+pub(crate) mod instance_state;
 pub(crate) mod operator_routes;
 
 pub use gateway_app::GatewayApp;
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use iristhread_core::AdvertisedEvacuations;
 use iristhread_core::AdvertisedLimit;
 use iristhread_core::AdvertisedList;
 use iristhread_core::AdvertisedLoads;
@@ -11,14 +10,11 @@
 use iristhread_core::AdvertisedSuspect;
 use iristhread_core::AdvertisedTotals;
 use iristhread_core::BackendId;
-use iristhread_core::ConfigVersion;
 use iristhread_core::EngineChecks;
 use iristhread_core::EvacuationUpdate;
 use iristhread_core::FailoverTarget;
 use iristhread_core::GatewayConfig;
 use iristhread_core::GatewayParameters;
-use iristhread_core::KnownVersions;
-use iristhread_core::LoadShares;
 use iristhread_core::ObservedNotice;
 use iristhread_core::PlacementRequest;
 use iristhread_core::Ranking;
@@ -29,77 +25,15 @@
 use iristhread_core::RunEnd;
 use iristhread_core::ServerLife;
 use iristhread_core::SessionSignal;
-use iristhread_core::Totals;
-use iristhread_core::ZoneDigest;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use crate::directory::Listing;
+use crate::gateway::instance_state::Audience;
+use crate::gateway::instance_state::KnownState;
+use crate::gateway::instance_state::OwnState;
 use crate::peers::heartbeat::ListUpdate;
 
-/// State of one instance that it advertises to the others several times a second.
-#[derive(Clone, Debug)]
-pub struct OwnState {
-    /// Version of the configuration in force, 0 for none.
-    pub config_version: ConfigVersion,
-    /// Revision of the list of replicas.
-    pub list_revision: Revision,
-    /// The load that this instance has put on the replicas.
-    pub shares: LoadShares,
-    /// The load that its whole zone has put on them, if this instance is a relay.
-    pub digest: Option<ZoneDigest>,
-    /// Replicas that recently told this instance that they are draining.
-    pub said_leaving: Vec<ServerLife>,
-    /// Limits that replicas declared; empty if the state is not for a heartbeat.
-    pub limits: Vec<AdvertisedLimit>,
-    /// Replicas that recently accepted no connection of this instance.
-    pub unreachable: Vec<ServerLife>,
-    /// The evacuated availability zones.
-    pub evacuations: AdvertisedEvacuations,
-    /// Request fingerprints that are suspected to crash backend servers; empty if the state is
-    /// not for a heartbeat.
-    pub suspects: Vec<AdvertisedSuspect>,
-    /// Totals of this instance; `None` if the state is not for a heartbeat that carries them.
-    pub totals: Option<Totals>,
-    /// Totals of its whole zone, if this instance is a relay.
-    pub zone_totals: Option<Totals>,
-    /// Contents that this instance refused recently; empty if the state is not for a heartbeat.
-    pub refused: Vec<AdvertisedRefusal>,
-    /// Those that its whole zone refused, if this instance is a relay.
-    pub zone_refused: Vec<AdvertisedRefusal>,
-}
-
-impl OwnState {
-    /// Returns the versions of the published configuration and list that the instance has.
-    pub fn versions(&self) -> KnownVersions {
-        KnownVersions {
-            config: self.config_version,
-            list: self.list_revision,
-        }
-    }
-}
-
-/// Recipient of the state of an instance.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Audience {
-    /// A task of the instance itself.
-    Own,
-    /// The peers, in a heartbeat.
-    Peers {
-        /// Whether this instance is a relay, so that the other zones get the sums of its zone.
-        is_relay: bool,
-    },
-}
-
-/// Published state that a peer can fetch from this instance.
-#[derive(Clone, Debug)]
-pub struct KnownState {
-    /// The configuration in force.
-    pub config: Option<Arc<GatewayConfig>>,
-    /// The list of replicas, or its changes since the revision that the peer has.
-    pub list: AdvertisedList,
-}
-
 /// Result of the placement of a request.
 #[derive(Debug)]
 pub enum Placed {
@@ -198,6 +132,16 @@
         /// The answer.
         reply: oneshot::Sender<Option<FailoverTarget>>,
     },
+    /// A request needs another try, before any part of an answer: chooses the backend server by
+    /// what is known now.
+    PlaceAgain {
+        /// The request.
+        request: RequestId,
+        /// The servers that were tried.
+        tried: Vec<Replica>,
+        /// The answer; `None` if no other server accepts it now.
+        reply: oneshot::Sender<Option<FailoverTarget>>,
+    },
     /// The connection to the engine of a restartable stream was lost, and there is no backup:
     /// chooses the engine that restarts it after its last event.
     RestartStream {
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -90,6 +90,7 @@
                         self.publish_suspicion_updates();
                         self.signal_orphaned();
                         self.publish_servers();
+                        self.publish_send_restrictions();
                         if may_end_wait {
                             self.check_waiting_after_message();
                         }
@@ -143,6 +144,13 @@
             GatewayMessage::FailOver { request, reply } => {
                 let _ = reply.send(self.control.fail_over(now, &request));
             }
+            GatewayMessage::PlaceAgain {
+                request,
+                tried,
+                reply,
+            } => {
+                let _ = reply.send(self.place_again(&request, &tried));
+            }
             GatewayMessage::RestartStream { request, reply } => {
                 let _ = reply.send(self.restart_stream(&request));
             }
@@ -232,7 +240,6 @@
             }
             GatewayMessage::ListUpdate { news, source } => {
                 self.apply_list_update(news, &source);
-                self.publish_send_restrictions();
             }
             GatewayMessage::Parameters { parameters } => self.control.set_terms(*parameters),
             GatewayMessage::ListStale { is_lost } => self.set_list_stale(is_lost),
--- a/crates/daemon/src/gateway/gateway_thread/limits.rs
+++ b/crates/daemon/src/gateway/gateway_thread/limits.rs
@@ -21,7 +21,6 @@
         for (server, change) in self.control.apply_peer_limits(now, limits) {
             self.limit_changed(&server, Some(change), Some(source));
         }
-        self.publish_send_restrictions();
     }
 
     /// Logs a changed limit. `source` is the peer that advertised it, `None` for an answer to this
--- a/crates/daemon/src/gateway/gateway_thread/server_events.rs
+++ b/crates/daemon/src/gateway/gateway_thread/server_events.rs
@@ -85,7 +85,6 @@
         if let Some(evacuations) = self.control.report_draining(now, server, is_own_notice) {
             self.server_draining(server, source, evacuations);
         }
-        self.publish_send_restrictions();
     }
 
     /// Logs a new draining notice, advertises it if an answer to this instance contained it, and
@@ -121,10 +120,10 @@
         if let Some(evacuations) = self.control.observe_notice(now, server, notice) {
             self.server_draining(server, None, evacuations);
         }
-        self.publish_send_restrictions();
     }
 
-    /// Publishes changed send restrictions, which tasks check before each send.
+    /// Publishes changed send restrictions, which tasks check before each send. Called after each
+    /// message, so that a request is never placed by a list that its task doesn't know.
     pub(super) fn publish_send_restrictions(&mut self) {
         let version = self.control.restrictions_version();
         if version == self.restrictions_version {
--- a/crates/daemon/src/gateway/gateway_thread/sessions.rs
+++ b/crates/daemon/src/gateway/gateway_thread/sessions.rs
@@ -2,6 +2,7 @@
 
 use iristhread_core::Evacuation;
 use iristhread_core::FailoverTarget;
+use iristhread_core::Replica;
 use iristhread_core::RunEnd;
 use iristhread_core::SessionSignal;
 use slog::info;
@@ -9,6 +10,19 @@
 use super::GatewayThread;
 
 impl GatewayThread {
+    pub(super) fn place_again(
+        &mut self,
+        request: &str,
+        tried: &[Replica],
+    ) -> Option<FailoverTarget> {
+        let target = self.control.place_again(self.clock.now(), request, tried);
+        let server = target.as_ref().map(|target| target.replica.id.clone());
+        info!(self.log, "backend server chosen for another try";
+            "request" => request, "backend_server" => server, "tried" => tried.len(),
+            "list_revision" => %self.control.list().revision());
+        target
+    }
+
     pub(super) fn restart_stream(&mut self, request: &str) -> Option<FailoverTarget> {
         let target = self.control.restart_stream(self.clock.now(), request);
         let engine = target.as_ref().map(|target| target.replica.id.clone());
--- a/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
+++ b/crates/daemon/src/gateway/gateway_thread/state_snapshots.rs
@@ -4,9 +4,9 @@
 use iristhread_core::ToldRefusals;
 
 use super::GatewayThread;
-use crate::gateway::gateway_message::Audience;
-use crate::gateway::gateway_message::KnownState;
-use crate::gateway::gateway_message::OwnState;
+use crate::gateway::instance_state::Audience;
+use crate::gateway::instance_state::KnownState;
+use crate::gateway::instance_state::OwnState;
 
 /// Maximum number of workspaces whose memory use the metrics show: each one adds a time series at
 /// the metrics collector.
--- a/crates/daemon/src/peers/fleet_link/fetching.rs
+++ b/crates/daemon/src/peers/fleet_link/fetching.rs
@@ -13,7 +13,7 @@
 
 use super::FleetLink;
 use crate::gateway::gateway_message::GatewayMessage;
-use crate::gateway::gateway_message::OwnState;
+use crate::gateway::instance_state::OwnState;
 use crate::peers::peer_message::PeerReply;
 use crate::peers::peer_message::PeerRequest;
 
--- a/crates/daemon/src/relaying.rs
+++ b/crates/daemon/src/relaying.rs
@@ -11,4 +11,5 @@
 pub(crate) mod session_signals;
 pub(crate) mod stream_call;
 pub(crate) mod stream_relay;
+pub(crate) mod tries;
 pub(crate) mod wire_protocol;
--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -9,10 +9,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
-use iristhread_core::BackendId;
 use iristhread_core::CallEnd;
-use iristhread_core::CallRun;
-use iristhread_core::CallStep;
 use iristhread_core::Now;
 use iristhread_core::Outcome;
 use iristhread_core::Ranking;
@@ -35,6 +32,8 @@
 use crate::relaying::run_guard::RunGuard;
 use crate::relaying::send_outcome::BackendAnswer;
 use crate::relaying::send_outcome::SendOutcome;
+use crate::relaying::tries::Tries;
+use crate::relaying::tries::TriesEnd;
 
 /// Maximum size of a buffered answer body: the default maximum size of a request body.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -66,7 +65,7 @@
     /// The last answer that may be forwarded.
     answer: Option<BufferedAnswer>,
     /// The backend server of the last attempt.
-    last_server: Option<BackendId>,
+    last_server: Option<Replica>,
 }
 
 /// Relays a request and returns the answer for its caller.
@@ -81,14 +80,14 @@
     let call = drive(exchange, &ranking, &mut guard).await;
     info!(app.log, "call ended";
         "request" => &exchange.head.request,
-        "backend_server" => &call.last_server,
+        "backend_server" => call.last_server.as_ref().map(|server| &server.id),
         "route" => &exchange.route.name,
         "outcome" => call.outcome.as_str(),
         "end" => format!("{:?}", call.end),
         "status" => call.answer.as_ref().map(|answer| answer.status.as_u16()),
         "took_ms" => (app.clock.now() - exchange.arrived).as_millis() as u64);
     let took = app.clock.now() - exchange.arrived;
-    if let Some(server) = unproven_server(&call, &ranking) {
+    if let Some(server) = unproven_server(&call) {
         tokio::spawn(confirm_good_run(app.clone(), server, guard));
     }
     app.metrics.call_ended(call.outcome.as_str(), took);
@@ -100,14 +99,12 @@
 }
 
 /// Returns the server of a successful answer that ended with its connection.
-fn unproven_server(call: &FinishedCall, ranking: &Ranking) -> Option<Replica> {
+fn unproven_server(call: &FinishedCall) -> Option<Replica> {
     let answer = call.answer.as_ref()?;
     if call.end != CallEnd::Answer || !answer.ended_with_connection {
         return None;
     }
-    let mut replicas = ranking.replicas.iter();
-    let server = replicas.find(|r| Some(&r.id) == call.last_server.as_ref());
-    server.cloned()
+    call.last_server.clone()
 }
 
 /// Keeps a run open until it is known that its server has not ended with the answer.
@@ -122,23 +119,14 @@
 async fn drive(exchange: &Exchange, ranking: &Ranking, guard: &mut RunGuard) -> FinishedCall {
     let app = &exchange.app;
     let repeatable = exchange.route.class == RequestClass::Repeatable;
-    let names = ranking.replicas.iter().map(|r| r.id.clone()).collect();
-    let mut decisions = CallRun::new(repeatable, names, exchange.answer_deadline)
-        .with_tries(exchange.route.max_attempts.max(1));
+    let mut tries = Tries::new(exchange, ranking, repeatable);
     let mut last = None;
     let mut last_server = None;
-    let mut previous = None;
     let mut attempts = 0_u32;
     loop {
-        let mut step = decisions.next(app.clock.now());
-        if let (CallStep::Send(name), Some(result)) = (&step, previous)
-            && !exchange.may_retry(name, result).await
-        {
-            step = decisions.give_up();
-        }
-        let name = match step {
-            CallStep::Send(name) => name,
-            CallStep::End { outcome, end } => {
+        let replica = match tries.next().await {
+            Ok(next) => next.replica,
+            Err(TriesEnd { outcome, end }) => {
                 return FinishedCall {
                     outcome,
                     end,
@@ -147,25 +135,21 @@
                 };
             }
         };
-        let Some(replica) = ranking.replicas.iter().find(|r| r.id == name) else {
-            continue;
-        };
-        last_server = Some(replica.id.clone());
         let AttemptResult {
             result,
             answer,
             end,
-        } = attempt(exchange, replica, repeatable).await;
+        } = attempt(exchange, &replica, repeatable).await;
         attempts += 1;
         if result != SendResult::Answered {
             let status = answer.as_ref().map(|answer| answer.status);
-            log_failed_attempt(exchange, replica, attempts, result, status);
+            log_failed_attempt(exchange, &replica, attempts, result, status);
         }
         app.metrics.tried(result.as_str());
         guard.set_end(end);
-        decisions.sent(result);
-        previous = Some(result);
+        tries.sent(result);
         last = answer.or(last);
+        last_server = Some(replica);
     }
 }
 
--- a/crates/daemon/src/relaying/stream_call.rs
+++ b/crates/daemon/src/relaying/stream_call.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use iristhread_core::CallRun;
-use iristhread_core::CallStep;
 use iristhread_core::Outcome;
 use iristhread_core::Ranking;
 use iristhread_core::Replica;
@@ -25,6 +23,8 @@
 use crate::relaying::send_outcome::SendOutcome;
 use crate::relaying::session_signals::SessionSignals;
 use crate::relaying::stream_relay::StreamRelay;
+use crate::relaying::tries::ServerTry;
+use crate::relaying::tries::Tries;
 
 /// Retry-After when an engine refused: approximately the time until a session ends.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -91,39 +91,23 @@
 
 async fn start(exchange: &Exchange, ranking: &Ranking) -> StartResult {
     let app = &exchange.app;
-    let names = ranking.replicas.iter().map(|r| r.id.clone()).collect();
     let may_repeat = exchange.route.can_resume;
-    let mut decisions = CallRun::new(may_repeat, names, exchange.answer_deadline)
-        .with_tries(exchange.route.max_attempts.max(1));
+    let mut tries = Tries::new(exchange, ranking, may_repeat);
     let mut cause = "";
-    let mut previous = None;
     loop {
-        let mut step = decisions.next(app.clock.now());
-        if let (CallStep::Send(name), Some(result)) = (&step, previous)
-            && !exchange.may_retry(name, result).await
-        {
-            step = decisions.give_up();
-        }
-        let name = match step {
-            CallStep::Send(name) => name,
-            CallStep::End {
-                outcome: Outcome::NotRun,
-                ..
-            } => return StartResult::NotRun,
-            CallStep::End { .. } => return StartResult::MayHaveRun(cause),
-        };
-        let Some(replica) = ranking.replicas.iter().find(|r| r.id == name) else {
-            continue;
+        let ServerTry { replica, backup } = match tries.next().await {
+            Ok(next) => next,
+            Err(ended) if ended.outcome == Outcome::NotRun => return StartResult::NotRun,
+            Err(_) => return StartResult::MayHaveRun(cause),
         };
         app.control.tell(GatewayMessage::Moved {
             request: exchange.head.request.clone(),
             replica: replica.id.clone(),
         });
-        let backup = ranking.backup.as_ref().filter(|b| b.id != replica.id);
         let sent = exchange
             .send(
-                replica,
-                backup,
+                &replica,
+                backup.as_ref(),
                 exchange.start_point(),
                 exchange.attempt_deadline(may_repeat),
             )
@@ -131,7 +115,7 @@
         app.metrics.tried(sent.as_str());
         let result = match sent {
             SendOutcome::Answer(answer) if answer.head.is_not_run => SendResult::SaidNotRun,
-            SendOutcome::Answer(answer) => return StartResult::Answered(replica.clone(), answer),
+            SendOutcome::Answer(answer) => return StartResult::Answered(replica, answer),
             SendOutcome::NotConnected(_) => {
                 app.control.tell(GatewayMessage::NotConnected {
                     replica: replica.server_life(),
@@ -147,7 +131,7 @@
                 SendResult::NotConnected
             }
             SendOutcome::Lost(_) => {
-                probe_broken_server(app, &exchange.head.request, replica).await;
+                probe_broken_server(app, &exchange.head.request, &replica).await;
                 cause = "connection to the engine lost before its answer";
                 SendResult::Lost
             }
@@ -156,8 +140,7 @@
                 SendResult::Lost
             }
         };
-        decisions.sent(result);
-        previous = Some(result);
+        tries.sent(result);
     }
 }
 
