Take no answer for whole whose runner ended with it, on the completion interface

What callers saw: nothing yet; found while looking for the class of the cut answers on a detour on related paths. A call to a plain service gets 'ran' and a part of the answer if the answer has neither a length nor chunks and its runner ends in its middle: the kernel closes the connection in order.

Cause: service_call took each answer without an error for whole. The gateway looks whether the server still listens after such an answer; this interface didn't. Ruled out for its token streams: they end with an event of their own.

Change: Reply says whether its body ended with the connection, and for such an answer the runner is looked at once; if nothing listens there, the answer is lost, so the call is 'unknown', or tried again where it may be. The rule of what has no framing stands once, in the api crate.

Test seen failing before: calls::an_answer_that_ends_with_its_connection, the case in which the runner ends ('ran' for 'unknown'); the case in which it lives passed before and after. calls: 21 passed.

--- a/crates/api/src/http_client.rs
+++ b/crates/api/src/http_client.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -107,6 +108,16 @@
     pub headers: http::HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether the body had neither a length nor chunks: it ended with its connection, and looks the
+    /// same if its server ended in its middle.
+    pub ended_with_connection: bool,
+}
+
+/// Whether a body has neither a length nor chunks, so that it ends with its connection.
+pub fn ends_with_connection(headers: &http::HeaderMap, body: &Incoming) -> bool {
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    let is_framed = framing.iter().any(|name| headers.contains_key(name));
+    !is_framed && !body.is_end_stream()
 }
 
 /// Server-sent events of one response.
@@ -298,6 +309,7 @@
     uri: String,
 ) -> Result<Reply, HttpClientError> {
     let (parts, body) = response.into_parts();
+    let ended_with_connection = ends_with_connection(&parts.headers, &body);
     let body = Limited::new(body, limit).collect().await;
     let body = body.map_err(|error| match error.is::<LengthLimitError>() {
         true => HttpClientError::TooLarge {
@@ -313,6 +325,7 @@
         status: parts.status,
         headers: parts.headers,
         body: body.to_bytes(),
+        ended_with_connection,
     })
 }
 
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -51,6 +51,7 @@
 pub use http_client::HttpClient;
 pub use http_client::HttpClientError;
 pub use http_client::Reply;
+pub use http_client::ends_with_connection;
 pub use observed_timeout::NoResult;
 pub use observed_timeout::observed_timeout;
 pub use platform_api::ConfigReply;
--- a/crates/daemon/src/completion/service_call.rs
+++ b/crates/daemon/src/completion/service_call.rs
@@ -41,6 +41,9 @@
 use crate::peers::peer_message::PeerRequest;
 use crate::relaying::answer_timeout;
 
+/// Why an answer that ended with its connection is not complete.
+const RUNNER_ENDED: &str = "the runner ended with the connection of its answer";
+
 /// Runs a call that may be repeated; retries at another runner after a failure.
 pub async fn run_repeatable(app: &App, call: &ForwardedCall) -> CallAnswer {
     let deadline = deadline_of(app, call);
@@ -255,7 +258,14 @@
     let due = tokio::time::Instant::now() + left;
     let fetched = answer_timeout::until(due, app.services.fetch(request)).await;
     let backend = runner.name.clone();
+    let is_cut = match &fetched {
+        Some(Ok(reply)) if reply.ended_with_connection => {
+            has_stopped_listening(runner.address, false).await
+        }
+        _ => false,
+    };
     let (result, cause) = match &fetched {
+        Some(Ok(_)) if is_cut => (SendResult::Lost, Some(RUNNER_ENDED.to_owned())),
         Some(Ok(reply)) => (classify_reply(reply), None),
         Some(Err(error @ HttpClientError::Connect { .. })) => {
             (SendResult::NotConnected, Some(error.to_string()))
@@ -271,7 +281,7 @@
             "request" => &call.request, "backend_server" => &backend,
             "result" => result.as_str(), "cause" => cause);
     }
-    let reply = fetched.and_then(Result::ok);
+    let reply = fetched.and_then(Result::ok).filter(|_| !is_cut);
     let notice = reply
         .as_ref()
         .map(|reply| parse_server_notice(reply.status, &reply.headers));
--- a/crates/daemon/src/relaying/send_outcome.rs
+++ b/crates/daemon/src/relaying/send_outcome.rs
@@ -2,9 +2,8 @@
 
 use http::HeaderMap;
 use http::StatusCode;
-use http::header;
-use hyper::body::Body;
 use hyper::body::Incoming;
+use iristhread_api::ends_with_connection;
 
 use crate::engines::notices::SendRestriction;
 use crate::relaying::wire_protocol::AnswerHead;
@@ -62,9 +61,7 @@
     /// Whether the answer has neither a length nor chunks, so that it ends with its connection: an
     /// answer that was cut looks like a whole one.
     pub fn ends_with_connection(&self) -> bool {
-        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-        let is_framed = framing.iter().any(|name| self.headers.contains_key(name));
-        !is_framed && !self.body.is_end_stream()
+        ends_with_connection(&self.headers, &self.body)
     }
 
     /// Whether the status implies that the request was not run although the backend server did
--- a/crates/testbed/tests/calls.rs
+++ b/crates/testbed/tests/calls.rs
@@ -16,6 +16,9 @@
 use support::error_of;
 use support::header;
 use test_case::test_case;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 const PATH: &str = "/v1/services/delivery-slots/book";
 const BODY: &str = "thursday 14:00";
@@ -87,6 +90,42 @@
     );
 }
 
+/// Takes the address of a runner and answers one call without a length, up to `body`. With `ends`
+/// nothing listens there afterwards.
+async fn answer_once_without_length(scene: &mut Scene, body: &'static str, ends: bool) {
+    scene.process("orders-1").kill().await;
+    let address = scene.standin_address("orders-1");
+    let listener = TcpListener::bind(address).await.unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut request = vec![0; 1 << 14];
+        let mut length = 0;
+        while !request[..length].ends_with(BODY.as_bytes()) {
+            length += stream.read(&mut request[length..]).await.unwrap();
+        }
+        let answer = format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{body}");
+        stream.write_all(answer.as_bytes()).await.unwrap();
+        let kept = (!ends).then_some(listener);
+        drop(stream);
+        if kept.is_some() {
+            std::future::pending::<()>().await;
+        }
+    });
+}
+
+/// Guards against an answer without a length that looks whole though its runner ended in its middle.
+#[test_case("half an ans", true, "unknown"; "the runner ends")]
+#[test_case("a whole answer", false, "ran"; "the runner lives on")]
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection(body: &'static str, ends: bool, expected: &str) {
+    let mut scene = Scene::builder(1).start().await.unwrap();
+    let ticket = ticket(&scene, "a1").await;
+    answer_once_without_length(&mut scene, body, ends).await;
+    let reply = scene.ask("a1", &booking(&ticket)).await.unwrap();
+    assert_eq!(outcome(&reply), expected);
+    assert_eq!(reply.body == body.as_bytes(), !ends);
+}
+
 /// Returns the number of runners of the service that accept a connection.
 async fn reachable_runners(scene: &Scene) -> usize {
     let mut reachable = 0;
