Move the program of a gateway from the adapter to the daemon

Cause: moved it from main.rs into the platform library for the soak's second binary. the_adapter_only_translates forbids the library to wait, and the program's loop looks at its settings file once a second.

Change: the loop, the signals and the exit codes belong to the daemon (run_gateway), which gets the command line and the adapters as functions; the adapter's library only says what its adapters are. The test is as it was.

Ruled out: an exception in the test for the new file. No behaviour changes: border and operating (9 tests) pass.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -58,6 +58,7 @@
 pub(crate) mod gateway_message;
 pub(crate) mod gateway_metrics;
 pub(crate) mod gateway_ports;
+pub(crate) mod gateway_program;
 pub(crate) mod gateway_settings;
 pub(crate) mod gateway_thread;
 pub(crate) mod gateway_views;
--- a/platform/src/gateway_program.rs
+++ b/crates/daemon/src/gateway/gateway_program.rs
@@ -1,27 +1,23 @@
-//! The program of a gateway: the daemon with the adapter to the users' platform.
+//! The program of a gateway: reads its settings, runs it until a signal stops it, and reloads changed
+//! settings.
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 use std::time::Duration;
 
-use iristhread_api::Dial;
-use iristhread_daemon::DaemonError;
-use iristhread_daemon::Gateway;
-use iristhread_daemon::GatewayPorts;
-use iristhread_daemon::GatewaySettings;
-use iristhread_daemon::logger;
-use iristhread_daemon::read_settings;
 use nix::sys::signal::SigSet;
 use nix::sys::signal::Signal as BlockedSignal;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
-use crate::flags::IristhreaddGateway;
-use crate::headers::PlatformProtocol;
-use crate::http_session_mover::HttpSessionMover;
-use crate::store::StoreDirectory;
+use crate::completion::daemon::DaemonError;
+use crate::gateway::Gateway;
+use crate::gateway::gateway_ports::GatewayPorts;
+use crate::gateway::gateway_settings::GatewaySettings;
+use crate::process::logging::logger;
+use crate::process::settings_file::read_settings;
 
 /// Exit code if the daemon can't start.
 const COULD_NOT_START: u8 = 1;
@@ -30,32 +26,43 @@
 /// Exit code if requests were unfinished at the end of `stop_grace_ms`.
 const REQUESTS_LEFT: u8 = 3;
 
-/// Runs the gateway of the command line until it is stopped, with `dial` for its connections to
-/// backend servers. Returns the exit code of the process.
-pub fn run_gateway(dial: Arc<dyn Dial>) -> ExitCode {
+/// What the command line of a gateway asks for.
+pub struct GatewayCommand {
+    /// Path of the settings file.
+    pub settings: PathBuf,
+    /// Whether to list the faults of the settings and exit.
+    pub is_check: bool,
+}
+
+/// Runs a gateway until it is stopped and returns the exit code of the process. `command` reads
+/// the command line, and `ports` creates the adapters for the settings.
+pub fn run_gateway(
+    command: impl FnOnce() -> GatewayCommand,
+    ports: impl FnOnce(&GatewaySettings) -> GatewayPorts,
+) -> ExitCode {
     // A signal that arrives before the handlers are installed stays pending until then.
     let blocked = blocked_signals();
     if let Err(error) = blocked.thread_block() {
         eprintln!("failed to block signals: {error}");
         return ExitCode::from(COULD_NOT_START);
     }
-    let flags = IristhreaddGateway::from_env_or_exit();
-    let settings = match read_settings(&flags.settings, GatewaySettings::parse) {
+    let command = command();
+    let settings = match read_settings(&command.settings, GatewaySettings::parse) {
         Ok(settings) => settings,
         Err(faults) => {
             faults.iter().for_each(|fault| eprintln!("{fault}"));
             return ExitCode::from(SETTINGS_FAULTS);
         }
     };
-    if flags.check {
-        println!("{}: no faults", flags.settings.display());
+    if command.is_check {
+        println!("{}: no faults", command.settings.display());
         return ExitCode::SUCCESS;
     }
-    match run(settings, &flags.settings, dial) {
+    match run(settings, &command.settings, ports) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(REQUESTS_LEFT),
         Err(error) => {
-            eprintln!("{}: {error}", flags.settings.display());
+            eprintln!("{}: {error}", command.settings.display());
             ExitCode::from(COULD_NOT_START)
         }
     }
@@ -63,18 +70,17 @@
 
 /// Runs the gateway until it is stopped, on one traffic thread, since a machine has only a share
 /// of one core. Returns whether all requests finished in time.
-fn run(settings: GatewaySettings, file: &Path, dial: Arc<dyn Dial>) -> Result<bool, DaemonError> {
+fn run(
+    settings: GatewaySettings,
+    file: &Path,
+    ports: impl FnOnce(&GatewaySettings) -> GatewayPorts,
+) -> Result<bool, DaemonError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     let (log, pending_lines) = logger(&settings.instance, &settings.zone, settings.log_level);
     let finished = runtime.block_on(async {
-        let ports = GatewayPorts {
-            wire_protocol: Arc::new(PlatformProtocol),
-            directory: Arc::new(StoreDirectory::new(settings.directory_address)),
-            dial,
-            mover: Box::new(|dial| Arc::new(HttpSessionMover::new(dial))),
-        };
+        let ports = ports(&settings);
         let mut signals = Signals::listen()?;
         blocked_signals()
             .thread_unblock()
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -44,6 +44,8 @@
 pub use gateway::gateway_ports::GatewayPorts;
 pub use gateway::gateway_ports::MoverFactory;
 pub use gateway::gateway_ports::direct_dial;
+pub use gateway::gateway_program::GatewayCommand;
+pub use gateway::gateway_program::run_gateway;
 pub use gateway::gateway_settings::GatewaySettings;
 pub use gateway::gateway_thread::waiting::AdmissionQueue;
 pub use gateway::gateway_thread::waiting::AskedLimits;
