--- a/crates/daemon/src/detour/detour_server.rs
+++ b/crates/daemon/src/detour/detour_server.rs
@@ -175,7 +175,8 @@
 }
 
 /// Forwards bytes in both directions. When the peer closes, the connection to the server closes at
-/// once: a client never closes only its own direction. When the server closes, the peer still
+/// once: a client never closes only its own direction, and a request that was cut lacks a part of its
+/// length. When the server closes, the peer still
 /// receives everything that the server sent, and that it closed in order.
 async fn carry(peer: TcpStream, server: ServerConnection, form: CarriedForm) -> CarriedEnd {
     let (mut peer_in, peer_out) = peer.into_split();
