Log which crashes count against no request, and why suspected ones are sent

No decision changes here.

Change: runs that are left before they ran well are remembered for 10 s; a line when their server ends, or when a broken run is never confirmed; the verdict of a broken run tells 'ran well' from 'not known'; a line for each send of a suspected content with its reason. The checks before a send moved to a file of their own; 'moved' to the failovers.

--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -40,6 +40,7 @@
 use crate::own_shares;
 
 mod admission;
+mod attribution_notices;
 mod brittle;
 mod cold;
 mod configuration;
@@ -49,10 +50,12 @@
 mod evacuation;
 mod failover;
 mod incarnations;
+mod left_runs;
 mod limits;
 mod move_room;
 mod notices;
 mod placement_limit;
+mod quarantine_checks;
 mod rank_headroom;
 mod ranking;
 mod retry_time;
@@ -64,6 +67,11 @@
 
 pub use admission::Admission;
 pub use admission::WaitForecast;
+pub use attribution_notices::AttributionNotice;
+pub use attribution_notices::SendReason;
+pub use attribution_notices::SuspectedSend;
+pub use attribution_notices::UnattributedCause;
+pub use attribution_notices::UnattributedRun;
 pub use configuration::ConfigVerdict;
 pub use crash_attribution::BrokenRunVerdict;
 pub use engine_watch::EngineChecks;
@@ -212,6 +220,7 @@
         };
         evacuations.extend(self.retry_moves(now));
         self.suspicions.expire(now);
+        self.expire_broken_runs(now);
         self.forget_backoffs(now);
         self.forget_limits(now);
         self.forget_moves(now);
@@ -226,7 +235,7 @@
     /// Ranks the replicas for a request whose arrival is counted, and counts it as sent to the
     /// first.
     fn place_arrived(&mut self, now: Now, ask: PlacementRequest) -> Result<Ranking, NotPlaced> {
-        self.check_quarantine(now, &ask)?;
+        let reason = self.check_quarantine(now, &ask)?;
         let scores = self.scores(now, &ask, None);
         if scores.is_empty() {
             return Err(self.no_replica_refusal(now, &ask).into());
@@ -245,6 +254,7 @@
         let first = first.replica.clone();
         let incarnation = first.life();
         self.note_placed(&ask);
+        self.note_suspected_send(&ask, reason);
         self.note_send(now, &first.id);
         self.backoffs.sent(now, incarnation, &ask.request);
         self.limits.keep_grant(now, &ask.request, incarnation);
@@ -275,28 +285,6 @@
         })
     }
 
-    /// Counts a request as sent to a replica other than the first of its ranking.
-    pub fn moved(&mut self, now: Now, request: &str, replica: BackendId) {
-        self.note_send(now, &replica);
-        let incarnation = self.list.replica(&replica).map(Replica::life);
-        self.backoffs.gone(request);
-        // The first send is reported as well; its timing began with the placement.
-        let is_resent = |run: &OwnRun| run.has_begun || run.replica != replica;
-        if self.runs.get(request).is_some_and(is_resent) {
-            self.speeds.runs.forget(request);
-        }
-        if let Some(incarnation) = incarnation {
-            self.backoffs.sent(now, incarnation, request);
-        }
-        if let Some(run) = self.runs.get_mut(request) {
-            run.replica = replica;
-            run.life = incarnation;
-            run.sent_at = now;
-            run.has_begun = false;
-            run.begun_at = None;
-        }
-    }
-
     /// Takes one retry from the budget of a service; returns whether one was left.
     pub fn spend_retry(&mut self, service: &str) -> bool {
         self.budget.spend(&[service])
@@ -341,6 +329,9 @@
         let Some(run) = self.runs.remove(request) else {
             return;
         };
+        if end == RunEnd::Withdrawn {
+            self.note_left_run(now, &run);
+        }
         if end.is_answer() {
             self.backoffs.served(request);
         }
--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -1,10 +1,12 @@
-//! Attributes crashes of backend servers to the requests that ran there, and stops sending requests
-//! that are suspected to cause them.
+//! Attributes crashes of backend servers to the requests that ran there.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::AttributionNotice;
 use super::GatewayControl;
+use super::UnattributedCause;
+use super::left_runs::LeftRuns;
 use crate::AdvertisedSuspect;
 use crate::BackendId;
 use crate::Fingerprint;
@@ -12,18 +14,15 @@
 use crate::KNOWN_GOOD_AFTER;
 use crate::ListedState;
 use crate::Now;
+use crate::OwnRun;
 use crate::PlacementRequest;
-use crate::PromptPart;
 use crate::PromptParts;
-use crate::QuarantineCause;
-use crate::Refusal;
 use crate::Replica;
 use crate::RequestId;
 use crate::ServerCrash;
 use crate::ServerLife;
 use crate::SuspectedRequest;
 use crate::SuspicionUpdate;
-use crate::rendezvous_rank;
 
 /// Time for which a broken run waits for the confirmation that its server has crashed: its entry is
 /// removed after three heartbeats of 1.2 s, or changes when the server restarts some seconds later.
@@ -33,21 +32,35 @@
 /// when an availability zone fails.
 const MAX_UNCONFIRMED: usize = 1_024;
 
-/// Time within which a request that is sent as a probe should end or prove to run well.
-const PROBE: Duration = Duration::from_secs(10);
-
 /// A run whose connection was lost or stalled; its server may have crashed.
 #[derive(Clone, Debug)]
-struct BrokenRun {
-    fingerprint: Fingerprint,
+pub(super) struct BrokenRun {
+    pub(super) request: RequestId,
+    pub(super) fingerprint: Fingerprint,
     parts: PromptParts,
-    replica: BackendId,
-    incarnation: IncarnationId,
-    at: Now,
+    pub(super) replica: BackendId,
+    pub(super) incarnation: IncarnationId,
+    pub(super) at: Now,
 }
 
 impl BrokenRun {
-    fn request(&self) -> SuspectedRequest<'_> {
+    pub(super) fn new(now: Now, ask: &PlacementRequest, replica: &Replica) -> Self {
+        BrokenRun {
+            request: ask.request.clone(),
+            fingerprint: ask.fingerprint,
+            parts: ask.parts.clone(),
+            replica: replica.id.clone(),
+            incarnation: replica.life(),
+            at: now,
+        }
+    }
+
+    /// Whether another run was of the same content on the same incarnation of a server.
+    pub(super) fn is_repeated_by(&self, other: &BrokenRun) -> bool {
+        (self.fingerprint, self.incarnation) == (other.fingerprint, other.incarnation)
+    }
+
+    fn suspected(&self) -> SuspectedRequest<'_> {
         SuspectedRequest {
             fingerprint: self.fingerprint,
             parts: &self.parts,
@@ -58,8 +71,10 @@
 /// What became of a report that the connection of a run was lost or stalled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BrokenRunVerdict {
-    /// The run had ended already, or has run well: it crashed nothing.
-    NotSuspected,
+    /// The run is not known any more: nobody waits for it.
+    NotKnown,
+    /// The run had made progress for long enough: it crashed nothing.
+    RanWell,
     /// The server was draining and closed its connections as announced.
     ServerDrains,
     /// The server is known to have crashed.
@@ -74,7 +89,8 @@
     /// Text for log lines.
     pub fn as_str(self) -> &'static str {
         match self {
-            BrokenRunVerdict::NotSuspected => "not_suspected",
+            BrokenRunVerdict::NotKnown => "not_known",
+            BrokenRunVerdict::RanWell => "ran_well",
             BrokenRunVerdict::ServerDrains => "server_drains",
             BrokenRunVerdict::Crashed => "crashed",
             BrokenRunVerdict::Unconfirmed => "unconfirmed",
@@ -87,10 +103,12 @@
 #[derive(Debug, Default)]
 pub(super) struct BrokenRuns {
     unconfirmed: Vec<BrokenRun>,
+    left: LeftRuns,
+    pub(super) notices: Vec<AttributionNotice>,
     /// Until when a request is being sent as a probe after its quarantine.
-    probed_until: Option<Now>,
+    pub(super) probed_until: Option<Now>,
     /// Contents that are sent one at a time, each with the request that is under way.
-    last_chances: BTreeMap<Fingerprint, RequestId>,
+    pub(super) last_chances: BTreeMap<Fingerprint, RequestId>,
 }
 
 impl GatewayControl {
@@ -102,17 +120,13 @@
         request: &str,
         replica: &Replica,
     ) -> BrokenRunVerdict {
-        let run = self.runs.get(request);
-        let Some(run) = run.filter(|run| !run.has_run_well(now)) else {
-            return BrokenRunVerdict::NotSuspected;
-        };
-        let broken = BrokenRun {
-            fingerprint: run.ask.fingerprint,
-            parts: run.ask.parts.clone(),
-            replica: replica.id.clone(),
-            incarnation: replica.life(),
-            at: now,
+        let Some(run) = self.runs.get(request) else {
+            return BrokenRunVerdict::NotKnown;
         };
+        if run.has_run_well(now) {
+            return BrokenRunVerdict::RanWell;
+        }
+        let broken = BrokenRun::new(now, &run.ask, replica);
         let listed = self.list.replica(&replica.id);
         if listed.is_some_and(|listed| listed.life() != broken.incarnation) {
             // The replica has restarted already.
@@ -123,10 +137,7 @@
             return BrokenRunVerdict::ServerDrains;
         }
         let waiting = &self.broken_runs.unconfirmed;
-        let is_same_run = |known: &BrokenRun| {
-            (known.fingerprint, known.incarnation) == (broken.fingerprint, broken.incarnation)
-        };
-        if waiting.iter().any(is_same_run) {
+        if waiting.iter().any(|known| known.is_repeated_by(&broken)) {
             return BrokenRunVerdict::Unconfirmed;
         }
         if waiting.len() >= MAX_UNCONFIRMED {
@@ -157,15 +168,46 @@
     }
 
     fn confirm(&mut self, now: Now, is_confirmed: impl Fn(&Self, &BrokenRun) -> bool) {
+        self.expire_broken_runs(now);
+        let mut left = std::mem::take(&mut self.broken_runs.left);
+        let ended_left = left.take_ended(|run| is_confirmed(self, run));
+        self.broken_runs.left = left;
         let unconfirmed = std::mem::take(&mut self.broken_runs.unconfirmed);
         let (ended, open): (Vec<BrokenRun>, Vec<BrokenRun>) = unconfirmed
             .into_iter()
-            .filter(|broken| now.saturating_sub(broken.at) < CONFIRMATION_TIMEOUT)
             .partition(|broken| is_confirmed(self, broken));
         self.broken_runs.unconfirmed = open;
         for broken in &ended {
             self.attribute(now, broken);
         }
+        for run in ended_left {
+            self.note_unattributed(now, run, UnattributedCause::Left);
+        }
+    }
+
+    /// Remembers a run that this instance no longer waits for, unless it ran well.
+    pub(super) fn note_left_run(&mut self, now: Now, run: &OwnRun) {
+        let listed = self.list.replica(&run.replica);
+        let Some(server) = listed.filter(|server| Some(server.life()) == run.life) else {
+            return;
+        };
+        if !run.has_run_well(now) {
+            let left = BrokenRun::new(now, &run.ask, server);
+            self.broken_runs.left.add(left);
+        }
+    }
+
+    /// Forgets the runs whose servers have not been confirmed to have ended.
+    pub(super) fn expire_broken_runs(&mut self, now: Now) {
+        self.broken_runs.left.expire(now);
+        let is_open = |broken: &BrokenRun| now.saturating_sub(broken.at) < CONFIRMATION_TIMEOUT;
+        let unconfirmed = std::mem::take(&mut self.broken_runs.unconfirmed);
+        let (open, expired): (Vec<BrokenRun>, Vec<BrokenRun>) =
+            unconfirmed.into_iter().partition(is_open);
+        self.broken_runs.unconfirmed = open;
+        for broken in expired {
+            self.note_unattributed(now, broken, UnattributedCause::NotConfirmed);
+        }
     }
 
     fn attribute(&mut self, now: Now, broken: &BrokenRun) {
@@ -175,7 +217,7 @@
         };
         let known_good_at = |fingerprint| self.known_good.at(fingerprint);
         self.suspicions
-            .server_crashed_under(now, broken.request(), known_good_at, end);
+            .server_crashed_under(now, broken.suspected(), known_good_at, end);
     }
 
     /// Applies the suspicions that a peer advertises.
@@ -238,98 +280,9 @@
         };
         run.is_proven || self.suspicions.causes(run.ask.suspected()).is_empty()
     }
-
-    /// Refuses a request while its content or a part of its prompt is quarantined. After the
-    /// quarantine, one instance of all sends one such request as a probe.
-    pub(super) fn check_quarantine(
-        &mut self,
-        now: Now,
-        ask: &PlacementRequest,
-    ) -> Result<(), Refusal> {
-        let causes = self.suspicions.causes(ask.suspected());
-        let Some(last) = causes.iter().max_by_key(|cause| cause.until) else {
-            return self.check_last_chance(now, ask);
-        };
-        let is_probed = self
-            .broken_runs
-            .probed_until
-            .is_some_and(|until| now < until);
-        if now >= last.until && !is_probed && self.probes(ask, &causes) {
-            self.broken_runs.probed_until = Some(now + PROBE);
-            return Ok(());
-        }
-        Err(Refusal::quarantined(last, last.until.saturating_sub(now)))
-    }
-
-    /// Refuses a request whose content would be quarantined after one more crash, unless this instance
-    /// is the one to send such requests and sends none now. Zones that don't hear each other have one
-    /// each.
-    fn check_last_chance(&mut self, now: Now, ask: &PlacementRequest) -> Result<(), Refusal> {
-        let cause = self.suspicions.last_chance(ask.fingerprint);
-        let Some(cause) = cause.filter(|cause| now < cause.until) else {
-            return Ok(());
-        };
-        let sent = self.broken_runs.last_chances.get(&ask.fingerprint);
-        let is_under_way = sent.is_some_and(|request| self.runs.contains_key(request));
-        let topic = format!("{:032x}", ask.fingerprint.content);
-        let may_send = match self.hears_other_zones() {
-            true => self.is_first_for(&topic),
-            false => self.is_first_in_zone_for(&topic),
-        };
-        if is_under_way || !may_send {
-            return Err(Refusal::quarantined(&cause, cause.until - now));
-        }
-        let runs = &self.runs;
-        let last_chances = &mut self.broken_runs.last_chances;
-        last_chances.retain(|_, request| runs.contains_key(request));
-        last_chances.insert(ask.fingerprint, ask.request.clone());
-        Ok(())
-    }
-
-    /// Returns whether this instance is the one to probe a request after its quarantines. All
-    /// instances that receive each other's heartbeats agree on one; an instance that receives fewer
-    /// than half of the other zones probes none. A part is probed by the same instance for all
-    /// workspaces.
-    fn probes(&self, ask: &PlacementRequest, causes: &[QuarantineCause]) -> bool {
-        let is_cause = |part: &&PromptPart| {
-            let mut causes = causes.iter().map(|cause| cause.fingerprint);
-            causes.any(|cause| cause == part.in_workspace || cause == part.in_fleet)
-        };
-        let parts = ask.parts.iter().filter(is_cause);
-        let topic = parts.map(|part| part.in_fleet.content).min();
-        let topic = topic.unwrap_or(ask.fingerprint.content);
-        self.is_first_for(&format!("{topic:032x}"))
-    }
-
-    /// Returns whether this instance is the one of all that acts on a topic, as for `probes`.
-    pub(super) fn is_first_for(&self, topic: &str) -> bool {
-        let own = &self.parameters.zone;
-        let zones = self.parameters.regions.keys().map(String::as_str);
-        let first = rendezvous_rank(topic, zones).first().copied();
-        self.hears_other_zones()
-            && first.is_none_or(|zone| zone == own)
-            && self.is_first_in_zone_for(topic)
-    }
-
-    /// Returns whether this instance receives heartbeats of at least half of the other zones.
-    fn hears_other_zones(&self) -> bool {
-        let own = &self.parameters.zone;
-        let zones = self.parameters.regions.keys();
-        let others = zones.filter(|zone| *zone != own);
-        let live = others.clone().filter(|zone| self.peers.knows_zone(zone));
-        live.count() * 2 >= others.count()
-    }
-
-    /// Returns whether this instance is the one of its zone that acts on a topic.
-    fn is_first_in_zone_for(&self, topic: &str) -> bool {
-        let instance = self.parameters.instance.as_str();
-        let names = self.peers.neighbours().map(String::as_str);
-        let rank = rendezvous_rank(topic, names.chain([instance]));
-        rank.first() == Some(&instance)
-    }
 }
 
-impl crate::OwnRun {
+impl OwnRun {
     /// Returns whether the run has made progress for at least `KNOWN_GOOD_AFTER` on its current
     /// replica, or is confirmed to run well already.
     pub(super) fn has_run_well(&self, now: Now) -> bool {
--- a/crates/core/src/gateway/gateway_control/failover.rs
+++ b/crates/core/src/gateway/gateway_control/failover.rs
@@ -10,6 +10,7 @@
 use crate::ListedState;
 use crate::Moving;
 use crate::Now;
+use crate::OwnRun;
 use crate::PlacementRequest;
 use crate::Replica;
 use crate::ReplicaScore;
@@ -21,6 +22,29 @@
 const MOVE_MEMORY_LIMIT: f64 = 1.0;
 
 impl GatewayControl {
+    /// Counts a request as sent to a replica other than the first of its ranking.
+    pub fn moved(&mut self, now: Now, request: &str, replica: BackendId) {
+        self.note_send(now, &replica);
+        let incarnation = self.list.replica(&replica).map(Replica::life);
+        self.backoffs.gone(request);
+        // The first send is reported as well; its timing began with the placement.
+        let is_resent = |run: &OwnRun| run.has_begun || run.replica != replica;
+        if self.runs.get(request).is_some_and(is_resent) {
+            self.speeds.runs.forget(request);
+            self.note_suspected_resend(request);
+        }
+        if let Some(incarnation) = incarnation {
+            self.backoffs.sent(now, incarnation, request);
+        }
+        if let Some(run) = self.runs.get_mut(request) {
+            run.replica = replica;
+            run.life = incarnation;
+            run.sent_at = now;
+            run.has_begun = false;
+            run.begun_at = None;
+        }
+    }
+
     /// Fails a session over to its backup engine; `None` if it has no usable backup.
     pub fn fail_over(&mut self, now: Now, request: &str) -> Option<FailoverTarget> {
         let run = self
--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -21,6 +21,7 @@
 pub(crate) mod server_speeds;
 pub(crate) mod speed_class;
 pub(crate) mod suspect;
+pub(crate) mod suspect_standing;
 pub(crate) mod suspect_store;
 pub(crate) mod suspected_request;
 pub(crate) mod suspicions;
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -13,6 +13,7 @@
 use crate::ServerCrash;
 use crate::Suspect;
 use crate::SuspectKind;
+use crate::SuspectStanding;
 use crate::SuspectedRequest;
 use crate::servers::crash_reasons;
 use crate::servers::crash_reasons::QUARANTINE_CRASHES;
@@ -262,6 +263,21 @@
         })
     }
 
+    /// Returns the number of crashes of a suspect, and why they don't quarantine it; `None` if it has
+    /// none.
+    pub fn standing(&self, fingerprint: Fingerprint) -> Option<(usize, SuspectStanding)> {
+        let suspect = self.suspects.get(fingerprint)?;
+        let ends = suspect.crashes().len();
+        let standing = match ends {
+            0 => return None,
+            _ if self.quarantine(suspect).is_some() => SuspectStanding::Quarantined,
+            _ if ends < QUARANTINE_CRASHES => SuspectStanding::FewCrashes,
+            _ if suspect.lately_good_at().is_some() => SuspectStanding::RanWellLately,
+            _ => SuspectStanding::Explained,
+        };
+        Some((ends, standing))
+    }
+
     fn quarantine(&self, suspect: &Suspect) -> Option<Quarantine> {
         if suspect.crashes().len() < QUARANTINE_CRASHES {
             return None;
--- a/crates/daemon/src/engines/suspicion_log.rs
+++ b/crates/daemon/src/engines/suspicion_log.rs
@@ -1,5 +1,6 @@
 //! Log lines of suspicions that requests crash the backend servers that run them.
 
+use iristhread_core::AttributionNotice;
 use iristhread_core::Now;
 use iristhread_core::SuspectKind;
 use iristhread_core::SuspicionUpdate;
@@ -47,6 +48,23 @@
     }
 }
 
+/// Logs what the attribution of crashes reports.
+pub fn log_attribution(log: &Logger, notice: &AttributionNotice) {
+    match notice {
+        AttributionNotice::Unattributed(run) => {
+            info!(log, "possible crash of a backend server counts against no request";
+                "request" => &run.request, "content" => run.fingerprint.to_string(),
+                "backend_server" => &run.backend_server, "cause" => run.cause.as_str(),
+                "age_ms" => run.age.as_millis() as u64);
+        }
+        AttributionNotice::Sent(sent) => {
+            info!(log, "sending a suspected request";
+                "request" => &sent.request, "content" => sent.fingerprint.to_string(),
+                "ends" => sent.ends, "reason" => sent.reason.as_str());
+        }
+    }
+}
+
 /// A crash concerns one content, and each part of its prompt in the workspace and in the fleet: the
 /// latter two say the same.
 fn log_crash(log: &Logger, fingerprint: &str, kind: SuspectKind, ends: usize) {
--- a/crates/daemon/src/gateway/gateway_thread/server_events.rs
+++ b/crates/daemon/src/gateway/gateway_thread/server_events.rs
@@ -22,6 +22,7 @@
 use slog::warn;
 
 use super::GatewayThread;
+use crate::engines::suspicion_log::log_attribution;
 use crate::engines::suspicion_log::log_suspicion;
 use crate::peers::heartbeat::ListUpdate;
 
@@ -278,6 +279,9 @@
 
     /// Logs changed suspicions and advertises them at once.
     pub(super) fn publish_suspicion_updates(&mut self) {
+        for notice in self.control.attribution_notices() {
+            log_attribution(&self.log, &notice);
+        }
         let updates = self.control.suspicion_updates();
         if !updates.is_empty() {
             self.immediate_heartbeat.notify_one();
