Count the end of a server under a request whose caller has left

Cause: what is concluded from a run ended with the caller's interest in it. The task of a request is dropped with its caller, and with it the connection; the run is forgotten. A server that ends afterwards is put down to nothing, however often. Callers saw: servers of order-svc ended one after the other, 503 for everybody else. Change: a run that is left before it ran well is remembered for 10 s. Its server is probed 0.1, 0.4 and 1.2 s later, once for all that were left there. A refusal or the list puts the end down to the run, like any other; a server that accepts a connection after 1.2 s has survived it. A draining server ends as announced. While the outcome of a run is open, no other with its content is sent as the last chance.

--- a/crates/core/src/gateway/gateway_control.rs
+++ b/crates/core/src/gateway/gateway_control.rs
@@ -74,6 +74,7 @@
 pub use attribution_notices::UnattributedRun;
 pub use configuration::ConfigVerdict;
 pub use crash_attribution::BrokenRunVerdict;
+pub use crash_attribution::LeftRunProbes;
 pub use engine_watch::EngineChecks;
 pub use move_room::MoveHeadroom;
 pub use move_room::UnplacedMove;
--- a/crates/core/src/gateway/gateway_control/attribution_notices.rs
+++ b/crates/core/src/gateway/gateway_control/attribution_notices.rs
@@ -42,8 +42,8 @@
 /// Why a crash counts against no request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UnattributedCause {
-    /// The caller had disconnected, or the deadline had passed, before the server ended.
-    Left,
+    /// The run was left, and the server was draining: it ended as announced.
+    ServerDrained,
     /// Nothing showed in time that the server had ended.
     NotConfirmed,
 }
@@ -52,7 +52,7 @@
     /// Text for log lines.
     pub fn as_str(self) -> &'static str {
         match self {
-            UnattributedCause::Left => "left_before",
+            UnattributedCause::ServerDrained => "server_drained",
             UnattributedCause::NotConfirmed => "not_confirmed",
         }
     }
--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -32,6 +32,9 @@
 /// when an availability zone fails.
 const MAX_UNCONFIRMED: usize = 1_024;
 
+/// Time for which it is remembered that a server was draining: longer than runs are remembered.
+const DRAINED_RETENTION: Duration = Duration::from_secs(30);
+
 /// A run whose connection was lost or stalled; its server may have crashed.
 #[derive(Clone, Debug)]
 pub(super) struct BrokenRun {
@@ -99,11 +102,22 @@
     }
 }
 
+/// The probes for runs that were left.
+#[derive(Clone, Debug, Default)]
+pub struct LeftRunProbes {
+    /// Backend servers to probe now.
+    pub due: Vec<Replica>,
+    /// Whether further probes become due.
+    pub awaits_more: bool,
+}
+
 /// Broken runs that wait for the confirmation of a crash, and the current probe.
 #[derive(Debug, Default)]
 pub(super) struct BrokenRuns {
     unconfirmed: Vec<BrokenRun>,
     left: LeftRuns,
+    /// Incarnations that were draining, and when they last were.
+    drained: BTreeMap<IncarnationId, Now>,
     pub(super) notices: Vec<AttributionNotice>,
     /// Until when a request is being sent as a probe after its quarantine.
     pub(super) probed_until: Option<Now>,
@@ -159,6 +173,7 @@
 
     /// Confirms the crashes of broken runs whose server was replaced or removed in the list.
     pub(super) fn confirm_by_list(&mut self, now: Now) {
+        self.note_draining(now);
         self.confirm(now, |control, broken| {
             match control.list.replica(&broken.replica) {
                 Some(listed) => listed.life() != broken.incarnation,
@@ -181,7 +196,7 @@
             self.attribute(now, broken);
         }
         for run in ended_left {
-            self.note_unattributed(now, run, UnattributedCause::Left);
+            self.attribute_left(now, run);
         }
     }
 
@@ -193,10 +208,56 @@
         };
         if !run.has_run_well(now) {
             let left = BrokenRun::new(now, &run.ask, server);
-            self.broken_runs.left.add(left);
+            let server = server.clone();
+            self.broken_runs.left.add(left, server);
         }
     }
 
+    /// Remembers which servers are draining: afterwards, their entries are removed.
+    fn note_draining(&mut self, now: Now) {
+        let drained = &mut self.broken_runs.drained;
+        drained.retain(|_, at| now.saturating_sub(*at) < DRAINED_RETENTION);
+        let listed = self.list.listed();
+        let draining = listed.filter(|server| self.list.state(&server.id) == ListedState::Leaving);
+        drained.extend(draining.map(|server| (server.life(), now)));
+    }
+
+    /// Attributes the end of a server to a run that was left, unless the server was draining: it then
+    /// ends as announced.
+    fn attribute_left(&mut self, now: Now, run: BrokenRun) {
+        match self.broken_runs.drained.contains_key(&run.incarnation) {
+            true => self.note_unattributed(now, run, UnattributedCause::ServerDrained),
+            false => self.attribute(now, &run),
+        }
+    }
+
+    /// Returns the servers to probe for runs that were left.
+    pub fn left_run_probes(&mut self, now: Now) -> LeftRunProbes {
+        let left = &mut self.broken_runs.left;
+        LeftRunProbes {
+            due: left.due_probes(now),
+            awaits_more: left.awaits_probes(),
+        }
+    }
+
+    /// Returns whether servers are to be probed, now or later, for runs that were left.
+    pub fn awaits_left_run_probes(&self) -> bool {
+        self.broken_runs.left.awaits_probes()
+    }
+
+    /// Records that a backend server accepted a connection that was opened at `at`.
+    pub fn server_accepted(&mut self, server: &ServerLife, at: Now) {
+        self.broken_runs.left.server_accepted(server, at);
+    }
+
+    /// Whether the outcome of a run with this content is still open: its server may have crashed, or
+    /// may crash yet.
+    pub(super) fn has_open_outcome(&self, content: Fingerprint) -> bool {
+        let broken = &self.broken_runs;
+        let mut unconfirmed = broken.unconfirmed.iter();
+        broken.left.has(content) || unconfirmed.any(|run| run.fingerprint == content)
+    }
+
     /// Forgets the runs whose servers have not been confirmed to have ended.
     pub(super) fn expire_broken_runs(&mut self, now: Now) {
         self.broken_runs.left.expire(now);
--- a/crates/core/src/gateway/gateway_control/quarantine_checks.rs
+++ b/crates/core/src/gateway/gateway_control/quarantine_checks.rs
@@ -51,7 +51,8 @@
             return Ok(None);
         };
         let sent = self.broken_runs.last_chances.get(&ask.fingerprint);
-        let is_under_way = sent.is_some_and(|request| self.runs.contains_key(request));
+        let is_under_way = sent.is_some_and(|request| self.runs.contains_key(request))
+            || self.has_open_outcome(ask.fingerprint);
         let topic = format!("{:032x}", ask.fingerprint.content);
         let may_send = match self.hears_other_zones() {
             true => self.is_first_for(&topic),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -107,6 +107,7 @@
 pub use gateway::gateway_control::EngineChecks;
 pub use gateway::gateway_control::Evacuation;
 pub use gateway::gateway_control::GatewayControl;
+pub use gateway::gateway_control::LeftRunProbes;
 pub use gateway::gateway_control::MoveHeadroom;
 pub use gateway::gateway_control::SendReason;
 pub use gateway::gateway_control::SendRestrictions;
--- a/crates/core/tests/gateway_ending.rs
+++ b/crates/core/tests/gateway_ending.rs
@@ -168,14 +168,17 @@
         }
         control.note_broken_run(now + ms(100), &request, &replica);
         control.ended(now + ms(100), &request, RunEnd::Failed);
-        // The third crash is confirmed only when the list has changed.
-        let is_confirmed = is_first && number == 2;
-        let refused = is_confirmed.then_some(RefusalKind::Quarantined);
+        // The third crash is confirmed only when the list has changed. Until then its outcome is
+        // open, and none like it is sent beside it.
+        let is_third = number == 2;
+        assert_eq!(control.quarantined(), usize::from(is_first && is_third));
+        let refused = is_third.then_some(RefusalKind::Quarantined);
         assert_eq!(refusal(&mut control, now + ms(200)), refused);
-        control.ended(now + ms(200), "one more", RunEnd::Withdrawn);
+        control.ended(now + ms(200), "one more", RunEnd::Refused);
         control.change_replicas(now + ms(3_700), 10 + number, vec![change]);
     }
     let now = NOW + ms(12_000);
+    assert_eq!(control.quarantined(), 1);
     assert_eq!(refusal(&mut control, now), Some(RefusalKind::Quarantined));
 }
 
--- a/crates/daemon/src/engines.rs
+++ b/crates/daemon/src/engines.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod engine_port;
 pub(crate) mod engine_watch;
+pub(crate) mod left_run_watch;
 pub(crate) mod load_poller;
 pub(crate) mod notices;
 pub(crate) mod session_move;
--- a/crates/daemon/src/engines/engine_watch.rs
+++ b/crates/daemon/src/engines/engine_watch.rs
@@ -65,7 +65,8 @@
     }
 }
 
-async fn probe(app: &GatewayApp, engine: Replica) -> Reach {
+/// Probes a backend server and reports what the probe shows.
+pub async fn probe(app: &GatewayApp, engine: Replica) -> Reach {
     let reach = app.dialer.reach(engine.address).await;
     let replica = engine.server_life();
     if reach != Reach::Accepts {
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -31,6 +31,7 @@
 use crate::directory::config_reader::ConfigReader;
 use crate::directory::list_reader::ListReader;
 use crate::engines::engine_watch;
+use crate::engines::left_run_watch;
 use crate::engines::notices::Notices;
 use crate::engines::notices::RestrictedMover;
 use crate::gateway::gateway_answers::GatewayAnswers;
@@ -193,6 +194,7 @@
         };
         tokio::spawn(configs.run());
         tokio::spawn(engine_watch::run(app.clone()));
+        tokio::spawn(left_run_watch::run(app.clone()));
         let reader = ListReader {
             directory: ports.directory,
             control,
--- a/crates/daemon/src/gateway/gateway_app.rs
+++ b/crates/daemon/src/gateway/gateway_app.rs
@@ -69,6 +69,11 @@
         engine.map_or(1, |engine| engine.tokens_per_event.max(1))
     }
 
+    /// Waits until a run is left whose backend server is to be probed.
+    pub async fn run_left(&self) {
+        self.views.run_left.notified().await;
+    }
+
     /// Whether nothing may be sent to an availability zone because the operators evacuate it.
     pub fn is_closed(&self, zone: &str) -> bool {
         let evacuations = self.views.evacuations.borrow();
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -15,6 +15,8 @@
 use iristhread_core::FailoverTarget;
 use iristhread_core::GatewayConfig;
 use iristhread_core::GatewayParameters;
+use iristhread_core::LeftRunProbes;
+use iristhread_core::Now;
 use iristhread_core::ObservedNotice;
 use iristhread_core::PlacementRequest;
 use iristhread_core::Ranking;
@@ -108,6 +110,18 @@
         /// The replica.
         replica: ServerLife,
     },
+    /// A replica accepted a connection.
+    ServerAccepted {
+        /// The replica.
+        replica: ServerLife,
+        /// When the connection was opened.
+        at: Now,
+    },
+    /// Returns the replicas to probe because runs there were left.
+    LeftRunProbes {
+        /// The answer.
+        reply: oneshot::Sender<LeftRunProbes>,
+    },
     /// A peer advertised the request fingerprints that it suspects to crash backend servers.
     SuspectsReceived {
         /// The suspected fingerprints.
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -72,6 +72,8 @@
     limits_counted_at: Now,
     metrics: Arc<GatewayMetrics>,
     immediate_heartbeat: Arc<Notify>,
+    /// Notified when a run was left whose server is to be probed.
+    run_left: Arc<Notify>,
     suspensions: SuspensionDetector,
 }
 
@@ -130,6 +132,12 @@
             GatewayMessage::ServerCrashed { replica } => {
                 self.control.server_ended(now, &replica);
             }
+            GatewayMessage::ServerAccepted { replica, at } => {
+                self.control.server_accepted(&replica, at);
+            }
+            GatewayMessage::LeftRunProbes { reply } => {
+                let _ = reply.send(self.control.left_run_probes(now));
+            }
             GatewayMessage::SuspectsReceived { suspects } => {
                 self.control.apply_peer_suspects(now, &suspects);
             }
--- a/crates/daemon/src/gateway/gateway_thread/admission.rs
+++ b/crates/daemon/src/gateway/gateway_thread/admission.rs
@@ -190,6 +190,8 @@
         GatewayMessage::Place { .. }
             | GatewayMessage::Resend { .. }
             | GatewayMessage::EngineChecks { .. }
+            | GatewayMessage::LeftRunProbes { .. }
+            | GatewayMessage::ServerAccepted { .. }
             | GatewayMessage::MaySend { .. }
             | GatewayMessage::CallerRetryAfter { .. }
             | GatewayMessage::OwnState { .. }
--- a/crates/daemon/src/gateway/gateway_thread/sessions.rs
+++ b/crates/daemon/src/gateway/gateway_thread/sessions.rs
@@ -40,6 +40,9 @@
         }
         self.signals.remove(request);
         self.control.ended(self.clock.now(), request, end);
+        if self.control.awaits_left_run_probes() {
+            self.run_left.notify_one();
+        }
     }
 
     pub(super) fn evacuate(&mut self, evacuations: Vec<Evacuation>) {
--- a/crates/daemon/src/gateway/gateway_thread/start.rs
+++ b/crates/daemon/src/gateway/gateway_thread/start.rs
@@ -68,6 +68,7 @@
     let (evacuations, evacuations_view) = watch::channel(ZoneEvacuations::default());
     let (restrictions, restrictions_view) = watch::channel(Arc::default());
     let (servers, servers_view) = watch::channel(Arc::default());
+    let run_left = Arc::new(Notify::new());
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .build()?;
@@ -88,6 +89,7 @@
         limits_counted_at: clock.now(),
         metrics,
         immediate_heartbeat,
+        run_left: run_left.clone(),
         suspensions: SuspensionDetector::new(clock),
     };
     std::thread::Builder::new()
@@ -99,6 +101,7 @@
         servers: servers_view,
         evacuations: evacuations_view,
         restrictions: restrictions_view,
+        run_left,
     };
     Ok((sender, views))
 }
--- a/crates/daemon/src/gateway/gateway_views.rs
+++ b/crates/daemon/src/gateway/gateway_views.rs
@@ -5,6 +5,7 @@
 use iristhread_core::RouteTable;
 use iristhread_core::SendRestrictions;
 use iristhread_core::ZoneEvacuations;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::detour::known_servers::KnownServers;
@@ -25,4 +26,6 @@
     pub evacuations: watch::Receiver<ZoneEvacuations>,
     /// Backend servers that are draining, backing off or limited.
     pub restrictions: watch::Receiver<Arc<SendRestrictions>>,
+    /// Notified when a run was left whose server is to be probed.
+    pub run_left: Arc<Notify>,
 }
