Let a caller that leaves during a later try count as leaving

Cause: a call kept the end of its previous try until the next one had ended. A caller that left during the second try ended the run as 'failed', so it wasn't remembered, and the end of its server was put down to nothing. Callers saw: a fourth server ended under a request where three are allowed. Ruled out: the remembered runs' bound and the probes (both lines are there for all others). Change: the end is reset before each try.

--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -135,6 +135,8 @@
                 };
             }
         };
+        // If the caller leaves during this attempt, the previous one is not what ended the run.
+        guard.set_end(RunEnd::Withdrawn);
         let AttemptResult {
             result,
             answer,
