Hold later tries and failovers to the last chance of a content, too

Cause: after two ends a content is sent one at a time by one instance, but only placements asked for that. A second try of a call, a failover or a restart went out while the end of the try before it was not confirmed, or beside the one instance's own. Evidence: a_call_is_not_tried_again_while_its_third_end_is_open (may_retry, which asks for the last chance, is new; grant_resend granted the try before). Ruled out: the same request as its own rival: its own last chance doesn't stop its tries while nothing of it was sent. Change: may_retry, asked by further tries, failovers and restarts. Moves of sessions that run well are not held up.

--- a/crates/core/src/gateway/gateway_control/failover.rs
+++ b/crates/core/src/gateway/gateway_control/failover.rs
@@ -47,10 +47,10 @@
 
     /// Fails a session over to its backup engine; `None` if it has no usable backup.
     pub fn fail_over(&mut self, now: Now, request: &str) -> Option<FailoverTarget> {
-        let run = self
-            .runs
-            .get(request)
-            .filter(|_| self.may_resend(request))?;
+        if !self.may_retry(now, request) {
+            return None;
+        }
+        let run = self.runs.get(request)?;
         if run.moving != Moving::Stays {
             // The copy to the target of the move was never completed.
             return None;
@@ -62,10 +62,10 @@
     /// Restarts a stream without a backup on another engine after its engine failed; `None` if no
     /// engine takes it or the retry budget is spent.
     pub fn restart_stream(&mut self, now: Now, request: &str) -> Option<FailoverTarget> {
-        let run = self
-            .runs
-            .get(request)
-            .filter(|_| self.may_resend(request))?;
+        if !self.may_retry(now, request) {
+            return None;
+        }
+        let run = self.runs.get(request)?;
         let from = run.replica.clone();
         let mut ask = run.ask.clone();
         ask.prompt_tokens += run.generated;
--- a/crates/core/src/gateway/gateway_control/quarantine_checks.rs
+++ b/crates/core/src/gateway/gateway_control/quarantine_checks.rs
@@ -9,6 +9,7 @@
 use crate::PromptPart;
 use crate::QuarantineCause;
 use crate::Refusal;
+use crate::RequestId;
 use crate::rendezvous_rank;
 
 /// Time within which a request that is sent as a probe should end or prove to run well.
@@ -25,7 +26,7 @@
     ) -> Result<Option<SendReason>, Refusal> {
         let causes = self.suspicions.causes(ask.suspected());
         let Some(last) = causes.iter().max_by_key(|cause| cause.until) else {
-            return self.check_last_chance(now, ask);
+            return self.check_last_chance(now, ask, false);
         };
         let is_probed = self
             .broken_runs
@@ -38,6 +39,19 @@
         Err(Refusal::quarantined(last, last.until.saturating_sub(now)))
     }
 
+    /// Returns whether a request in progress may be sent to another backend server after its attempt at
+    /// one has failed. Other than for a move, the outcome of that attempt may be open.
+    pub fn may_retry(&mut self, now: Now, request: &str) -> bool {
+        let Some(run) = self.runs.get(request) else {
+            return true;
+        };
+        if run.is_proven {
+            return true;
+        }
+        let ask = run.ask.clone();
+        self.may_resend(request) && self.check_last_chance(now, &ask, true).is_ok()
+    }
+
     /// Refuses a request whose content would be quarantined after one more crash, unless this instance
     /// is the one to send such requests and sends none now. Zones that don't hear each other have one
     /// each.
@@ -45,14 +59,17 @@
         &mut self,
         now: Now,
         ask: &PlacementRequest,
+        is_retry: bool,
     ) -> Result<Option<SendReason>, Refusal> {
         let cause = self.suspicions.last_chance(ask.fingerprint);
         let Some(cause) = cause.filter(|cause| now < cause.until) else {
             return Ok(None);
         };
         let sent = self.broken_runs.last_chances.get(&ask.fingerprint);
-        let is_under_way = sent.is_some_and(|request| self.runs.contains_key(request))
-            || self.has_open_outcome(ask.fingerprint);
+        let is_running = |request: &RequestId| self.runs.contains_key(request);
+        let is_own = is_retry && sent == Some(&ask.request);
+        let is_under_way = !is_own && sent.is_some_and(is_running);
+        let is_under_way = is_under_way || self.has_open_outcome(ask.fingerprint);
         let topic = format!("{:032x}", ask.fingerprint.content);
         let may_send = match self.hears_other_zones() {
             true => self.is_first_for(&topic),
--- a/crates/core/tests/gateway_left_runs.rs
+++ b/crates/core/tests/gateway_left_runs.rs
@@ -133,3 +133,23 @@
     assert_eq!(probed(&mut control, 400), (1, true));
     assert_eq!(probed(&mut control, 1_200), (1, false));
 }
+
+/// A second try would be the fourth end: the outcome of the first is not known yet.
+#[test]
+fn a_call_is_not_tried_again_while_its_third_end_is_open() {
+    let mut control = control_with(&ENGINES);
+    for number in 0..2 {
+        ending_scene::crash_engine(&mut control, NOW + ms(number * 200), &format!("r{number}"));
+    }
+    let ranking = control.place(NOW + ms(400), poison("third")).unwrap();
+    assert!(
+        control.may_retry(NOW + ms(410), "third"),
+        "nothing was sent"
+    );
+    let server = &ranking.replicas[0];
+    control.note_broken_run(NOW + ms(500), "third", server);
+    assert!(!control.may_retry(NOW + ms(500), "third"));
+    assert!(control.restart_stream(NOW + ms(500), "third").is_none());
+    control.server_ended(NOW + ms(600), &server.server_life());
+    assert_eq!(control.quarantined(), 1);
+}
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -266,7 +266,7 @@
     }
 
     fn grant_resend(&mut self, request: &str, service: &str, spends_budget: bool) -> Resend {
-        if !self.control.may_resend(request) {
+        if !self.control.may_retry(self.clock.now(), request) {
             return Resend::Quarantined;
         }
         match !spends_budget || self.control.spend_retry(service) {
