Count ends that show after the time of an attempt, after the entry is gone, or late

And the report of a broken stream came from a spawned task, so that it could come after the end of its request: it is sent first now, and only the probe is spawned. Ruled out: servers that were draining before their entry went still count for nothing.

--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -28,6 +28,9 @@
 /// removed after three heartbeats of 1.2 s, or changes when the server restarts some seconds later.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The same while the list is not confirmed, or has not settled since.
+const OUTAGE_CONFIRMATION_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Maximum number of broken runs that wait for confirmation: enough for all runs of an instance
 /// when an availability zone fails.
 const MAX_UNCONFIRMED: usize = 1_024;
@@ -141,15 +144,18 @@
             return BrokenRunVerdict::RanWell;
         }
         let broken = BrokenRun::new(now, &run.ask, replica);
+        let drained = &self.broken_runs.drained;
+        if self.list.state(&replica.id) == ListedState::Leaving
+            || drained.contains_key(&broken.incarnation)
+        {
+            return BrokenRunVerdict::ServerDrains;
+        }
         let listed = self.list.replica(&replica.id);
-        if listed.is_some_and(|listed| listed.life() != broken.incarnation) {
-            // The replica has restarted already.
+        if listed.is_none_or(|listed| listed.life() != broken.incarnation) {
+            // The replica has ended or restarted already.
             self.attribute(now, &broken);
             return BrokenRunVerdict::Crashed;
         }
-        if self.list.state(&replica.id).is_leaving() {
-            return BrokenRunVerdict::ServerDrains;
-        }
         let waiting = &self.broken_runs.unconfirmed;
         if waiting.iter().any(|known| known.is_repeated_by(&broken)) {
             return BrokenRunVerdict::Unconfirmed;
@@ -183,7 +189,6 @@
     }
 
     fn confirm(&mut self, now: Now, is_confirmed: impl Fn(&Self, &BrokenRun) -> bool) {
-        self.expire_broken_runs(now);
         let mut left = std::mem::take(&mut self.broken_runs.left);
         let ended_left = left.take_ended(|run| is_confirmed(self, run));
         self.broken_runs.left = left;
@@ -222,6 +227,16 @@
         drained.extend(draining.map(|server| (server.life(), now)));
     }
 
+    /// Remembers an attempt that this instance no longer waits for while its request goes on: the time
+    /// of the attempt is over.
+    pub fn note_left_attempt(&mut self, now: Now, request: &str, server: &Replica) {
+        let run = self.runs.get(request);
+        if let Some(run) = run.filter(|run| !run.has_run_well(now)) {
+            let left = BrokenRun::new(now, &run.ask, server);
+            self.broken_runs.left.add(left, server.clone());
+        }
+    }
+
     /// Attributes the end of a server to a run that was left, unless the server was draining: it then
     /// ends as announced.
     fn attribute_left(&mut self, now: Now, run: BrokenRun) {
@@ -260,8 +275,12 @@
 
     /// Forgets the runs whose servers have not been confirmed to have ended.
     pub(super) fn expire_broken_runs(&mut self, now: Now) {
-        self.broken_runs.left.expire(now);
-        let is_open = |broken: &BrokenRun| now.saturating_sub(broken.at) < CONFIRMATION_TIMEOUT;
+        let timeout = match self.is_list_uncertain(now) {
+            true => OUTAGE_CONFIRMATION_TIMEOUT,
+            false => CONFIRMATION_TIMEOUT,
+        };
+        self.broken_runs.left.expire(now, timeout);
+        let is_open = |broken: &BrokenRun| now.saturating_sub(broken.at) < timeout;
         let unconfirmed = std::mem::take(&mut self.broken_runs.unconfirmed);
         let (open, expired): (Vec<BrokenRun>, Vec<BrokenRun>) =
             unconfirmed.into_iter().partition(is_open);
--- a/crates/core/src/gateway/gateway_control/engine_watch.rs
+++ b/crates/core/src/gateway/gateway_control/engine_watch.rs
@@ -199,7 +199,7 @@
         }
     }
 
-    fn is_list_uncertain(&self, now: Now) -> bool {
+    pub(super) fn is_list_uncertain(&self, now: Now) -> bool {
         self.is_list_stale || self.list.is_settling(now)
     }
 
--- a/crates/core/src/gateway/gateway_control/left_runs.rs
+++ b/crates/core/src/gateway/gateway_control/left_runs.rs
@@ -17,10 +17,6 @@
 /// within some seconds.
 const MAX_LEFT: usize = 1_024;
 
-/// Time for which a run is remembered: a crash is confirmed at the latest by the list of backend
-/// servers.
-const LEFT_RUN_LIFETIME: Duration = Duration::from_secs(10);
-
 /// Times at which the server of a run is probed after the run was left. A server that accepts
 /// connections at the last one did not crash under the run: it has stopped it long ago.
 const PROBE_TIMES: [Duration; 3] = [
@@ -115,9 +111,9 @@
         ended.into_iter().map(|left| left.run).collect()
     }
 
-    /// Removes the runs that have been remembered for long enough.
-    pub(super) fn expire(&mut self, now: Now) {
-        let is_remembered = |left: &LeftRun| now.saturating_sub(left.run.at) < LEFT_RUN_LIFETIME;
+    /// Removes the runs that have been remembered for `timeout`.
+    pub(super) fn expire(&mut self, now: Now, timeout: Duration) {
+        let is_remembered = |left: &LeftRun| now.saturating_sub(left.run.at) < timeout;
         self.runs.retain(is_remembered);
     }
 }
--- a/crates/core/tests/gateway_left_runs.rs
+++ b/crates/core/tests/gateway_left_runs.rs
@@ -153,3 +153,53 @@
     control.server_ended(NOW + ms(600), &server.server_life());
     assert_eq!(control.quarantined(), 1);
 }
+
+/// The list may be faster than the silent path on which the run broke off.
+#[test]
+fn a_break_that_is_seen_after_the_entry_is_gone_counts() {
+    let mut control = control_with(&ENGINES);
+    for number in 0..3 {
+        let (now, request) = (NOW + ms(number * 3_000), format!("r{number}"));
+        let server = control.place(now, poison(&request)).unwrap().replicas[0].clone();
+        end(&mut control, number * 3_000 + 100, &server, Seen::Removed);
+        control.note_broken_run(now + ms(600), &request, &server);
+        control.ended(now + ms(600), &request, RunEnd::Failed);
+    }
+    assert_eq!(control.quarantined(), 1);
+}
+
+/// The request goes on elsewhere while its first server still executes it.
+#[test]
+fn an_end_after_the_time_of_an_attempt_counts() {
+    let mut control = control_with(&ENGINES);
+    for number in 0..3 {
+        let (now, request) = (NOW + ms(number * 3_000), format!("r{number}"));
+        let ranking = control.place(now, poison(&request)).unwrap();
+        control.note_left_attempt(now + ms(300), &request, &ranking.replicas[0]);
+        control.moved(now + ms(300), &request, ranking.replicas[1].id.clone());
+        end(
+            &mut control,
+            number * 3_000 + 900,
+            &ranking.replicas[0],
+            Seen::Refused,
+        );
+        control.ended(now + ms(950), &request, RunEnd::Refused);
+    }
+    assert_eq!(control.quarantined(), 1);
+}
+
+/// Without the platform's list, nothing else shows the end of a server behind a silent path.
+#[test]
+fn an_end_that_the_list_shows_after_an_outage_counts() {
+    let mut control = control_with(&ENGINES);
+    control.set_list_stale(true);
+    let servers: Vec<Replica> = (0..3)
+        .map(|number| leave(&mut control, number * 3_000, poison(&format!("r{number}"))))
+        .collect();
+    control.tick(NOW + ms(25_000));
+    control.set_list_stale(false);
+    for (number, server) in (0..).zip(&servers) {
+        end(&mut control, 25_100 + number, server, Seen::Removed);
+    }
+    assert_eq!(control.quarantined(), 1);
+}
--- a/crates/daemon/src/engines/engine_watch.rs
+++ b/crates/daemon/src/engines/engine_watch.rs
@@ -87,13 +87,23 @@
 }
 
 /// Reports the lost connection of a request at a backend server and probes whether the server has
-/// crashed, so that the next decision takes it into account. If something still listens there, a
-/// second probe follows.
+/// crashed, so that the next decision takes it into account.
 pub async fn probe_broken_server(app: &Arc<GatewayApp>, request: &str, server: &Replica) {
+    report_broken_run(app, request, server);
+    probe_twice(app, server).await;
+}
+
+/// Reports the lost connection of a request at a backend server. The report has to come before that of
+/// the end of the request, after which nothing is known of it.
+pub fn report_broken_run(app: &GatewayApp, request: &str, server: &Replica) {
     app.control.tell(GatewayMessage::RunBroken {
         request: request.to_owned(),
         replica: server.clone(),
     });
+}
+
+/// Probes a backend server; if something still listens there, a second probe follows.
+pub async fn probe_twice(app: &Arc<GatewayApp>, server: &Replica) {
     if probe(app, server.clone()).await == Reach::Accepts {
         let (app, server) = (app.clone(), server.clone());
         tokio::spawn(async move {
--- a/crates/daemon/src/gateway/gateway_message.rs
+++ b/crates/daemon/src/gateway/gateway_message.rs
@@ -105,6 +105,13 @@
         /// The replica as listed when the request was sent.
         replica: Replica,
     },
+    /// The time of an attempt is over; its replica may still execute the request.
+    AttemptLeft {
+        /// The request.
+        request: RequestId,
+        /// The replica.
+        replica: Replica,
+    },
     /// Nothing listens at the address of a replica any more.
     ServerCrashed {
         /// The replica.
--- a/crates/daemon/src/gateway/gateway_thread.rs
+++ b/crates/daemon/src/gateway/gateway_thread.rs
@@ -129,6 +129,9 @@
             GatewayMessage::RunBroken { request, replica } => {
                 self.run_broken(&request, &replica);
             }
+            GatewayMessage::AttemptLeft { request, replica } => {
+                self.attempt_left(&request, &replica);
+            }
             GatewayMessage::ServerCrashed { replica } => {
                 self.control.server_ended(now, &replica);
             }
--- a/crates/daemon/src/gateway/gateway_thread/sessions.rs
+++ b/crates/daemon/src/gateway/gateway_thread/sessions.rs
@@ -40,6 +40,16 @@
         }
         self.signals.remove(request);
         self.control.ended(self.clock.now(), request, end);
+        self.start_left_run_probes();
+    }
+
+    pub(super) fn attempt_left(&mut self, request: &str, server: &Replica) {
+        self.control
+            .note_left_attempt(self.clock.now(), request, server);
+        self.start_left_run_probes();
+    }
+
+    fn start_left_run_probes(&self) {
         if self.control.awaits_left_run_probes() {
             self.run_left.notify_one();
         }
--- a/crates/daemon/src/relaying/exchange/send.rs
+++ b/crates/daemon/src/relaying/exchange/send.rs
@@ -60,7 +60,13 @@
         let by = self.app.clock.instant(by);
         let sent = self.connect_and_send(replica, backup, resume);
         let outcome = match answer_timeout::until(by, sent).await {
-            None => SendOutcome::TimedOut,
+            None => {
+                self.app.control.tell(GatewayMessage::AttemptLeft {
+                    request: self.head.request.clone(),
+                    replica: replica.clone(),
+                });
+                SendOutcome::TimedOut
+            }
             Some(Err(failed)) => failed,
             Some(Ok(response)) => self.validate_answer(replica, response, sent_at),
         };
--- a/crates/daemon/src/relaying/stream_relay/failover.rs
+++ b/crates/daemon/src/relaying/stream_relay/failover.rs
@@ -12,7 +12,8 @@
 use super::End;
 use super::StreamRelay;
 use super::next_frame;
-use crate::engines::engine_watch::probe_broken_server;
+use crate::engines::engine_watch::probe_twice;
+use crate::engines::engine_watch::report_broken_run;
 use crate::engines::session_mover::MoveError;
 use crate::gateway::gateway_message::FailedMove;
 use crate::gateway::gateway_message::GatewayMessage;
@@ -87,9 +88,9 @@
     /// crashed it, so its failover waits for the result. Other streams are not delayed.
     async fn check_broken_engine(&self) {
         let app = self.exchange.app.clone();
-        let request = self.exchange.head.request.clone();
         let replica = self.replica.clone();
-        let check = async move { probe_broken_server(&app, &request, &replica).await };
+        report_broken_run(&app, &self.exchange.head.request, &replica);
+        let check = async move { probe_twice(&app, &replica).await };
         match self.engine_events {
             0 => check.await,
             _ => drop(tokio::spawn(check)),
@@ -108,10 +109,8 @@
                 "moving" => self.moving.is_some());
         }
         // The replica list shows later whether the engine has ended.
-        self.exchange.app.control.tell(GatewayMessage::RunBroken {
-            request: self.exchange.head.request.clone(),
-            replica: self.replica.clone(),
-        });
+        let app = &self.exchange.app;
+        report_broken_run(app, &self.exchange.head.request, &self.replica);
         match self.fail_over_or_restart(LostBy::Engine).await {
             FailoverOutcome::Continues => None,
             FailoverOutcome::Ended(end) => Some(end),
