Watch runs whose callers have left on the completion interface, too

Cause: the same on the other interface: a repeatable call and a generation are dropped with their caller, and a runner that ends afterwards is put down to nothing. A lost call whose runner could not be seen to have ended at once was never looked at again. Callers saw: runners ending one after the other; nobody refused. Ruled out: unrepeatable calls run in a task of their own, which sees the end. The stand-in's crash is no longer stopped by its caller's leaving.

--- a/crates/daemon/src/completion.rs
+++ b/crates/daemon/src/completion.rs
@@ -12,6 +12,7 @@
 pub(crate) mod control_thread;
 pub(crate) mod daemon;
 pub(crate) mod generation;
+pub(crate) mod left_run;
 pub(crate) mod request_guard;
 pub(crate) mod service_api;
 pub(crate) mod service_call;
--- a/crates/daemon/src/completion/generation.rs
+++ b/crates/daemon/src/completion/generation.rs
@@ -12,6 +12,7 @@
 use iristhread_core::Cursor;
 use iristhread_core::EndVerdict;
 use iristhread_core::Event;
+use iristhread_core::KNOWN_GOOD_AFTER;
 use iristhread_core::Outcome;
 use iristhread_core::Placement;
 use iristhread_core::Session;
@@ -23,6 +24,8 @@
 use crate::completion::app::App;
 use crate::completion::caller_sink::AnswerFormat;
 use crate::completion::caller_sink::CallerSink;
+use crate::completion::left_run;
+use crate::completion::left_run::RunAtServer;
 use crate::completion::validated_completion::ValidatedCompletion;
 use crate::engines::engine_port::EngineStream;
 
@@ -255,7 +258,7 @@
         let delivered = self.session.delivered();
         self.note(TimelineEvent::CallerLost { delivered });
         tokio::time::sleep(self.app.settings.limits.caller_grace).await;
-        self.cancel();
+        self.leave_run();
         self.app.control.tell(Event::AttemptLost {
             request: self.completion.request.clone(),
             engine_failed: false,
@@ -263,6 +266,23 @@
         self.close(Outcome::Unknown, "caller left");
     }
 
+    /// Cancels the attempt, and watches its engine unless the attempt ran well.
+    fn leave_run(&self) {
+        self.cancel();
+        let now = self.app.clock.now();
+        let ran_for = self.first_token_at.map(|at| now.saturating_sub(at));
+        if self.placement.engine.is_empty() || ran_for >= Some(KNOWN_GOOD_AFTER) {
+            return;
+        }
+        let run = RunAtServer {
+            backend: self.placement.engine.clone(),
+            address: self.placement.address,
+            fingerprint: self.completion.fingerprint(),
+            parts: self.completion.parts(),
+        };
+        left_run::watch(&self.app, run);
+    }
+
     fn close(&mut self, outcome: Outcome, reason: &str) {
         self.is_closed = true;
         self.note(TimelineEvent::Ended {
@@ -287,7 +307,7 @@
 impl Drop for Generation {
     fn drop(&mut self) {
         if !self.is_closed {
-            self.cancel();
+            self.leave_run();
             self.close(Outcome::Unknown, "caller left before the start");
         }
     }
--- a/crates/daemon/src/completion/service_call.rs
+++ b/crates/daemon/src/completion/service_call.rs
@@ -23,7 +23,6 @@
 use iristhread_core::Now;
 use iristhread_core::ObservedNotice;
 use iristhread_core::Outcome;
-use iristhread_core::PromptParts;
 use iristhread_core::SendResult;
 use iristhread_core::SpendVerdict;
 use iristhread_core::Ticket;
@@ -35,6 +34,9 @@
 use crate::completion::call_answer::CallAnswer;
 use crate::completion::call_store::AnswerSlot;
 use crate::completion::control_message::ControlMessage;
+use crate::completion::left_run;
+use crate::completion::left_run::OpenRun;
+use crate::completion::left_run::RunAtServer;
 use crate::engines::engine_watch::has_stopped_listening;
 use crate::peers::peer_message::ForwardedCall;
 use crate::peers::peer_message::PeerReply;
@@ -45,7 +47,7 @@
 const RUNNER_ENDED: &str = "the runner ended with the connection of its answer";
 
 /// Runs a call that may be repeated; retries at another runner after a failure.
-pub async fn run_repeatable(app: &App, call: &ForwardedCall) -> CallAnswer {
+pub async fn run_repeatable(app: &Arc<App>, call: &ForwardedCall) -> CallAnswer {
     let deadline = deadline_of(app, call);
     run(app, call, true, &call.request, deadline).await
 }
@@ -113,7 +115,7 @@
 
 /// Sends the call to the runners that a [`CallRun`] chooses, and returns the final answer.
 async fn run(
-    app: &App,
+    app: &Arc<App>,
     call: &ForwardedCall,
     repeatable: bool,
     key: &str,
@@ -139,8 +141,11 @@
                     };
                     return final_answer(outcome, end, last);
                 }
+                let open = OpenRun::new(app, RunAtServer::of_call(call, runner));
                 let (result, reply) = send(app, call, runner, key, deadline).await;
-                report_result(app, call, runner, result).await;
+                if report_result(app, call, runner, result).await {
+                    open.end();
+                }
                 decisions.sent(result);
                 last = reply.or(last);
             }
@@ -198,30 +203,23 @@
     matches!(app.control.ask(ask).await, Some(Ok(())))
 }
 
-/// Reports to the control thread whether the runner answered, or crashed during the call.
+/// Reports to the control thread whether the runner answered, or crashed during the call. Returns
+/// false if the runner may still execute the call.
 async fn report_result(
     app: &App,
     call: &ForwardedCall,
     runner: &BackendServer,
     result: SendResult,
-) {
+) -> bool {
     let fingerprint = call.fingerprint();
     match result {
         SendResult::Answered => app.control.tell(Event::CallAnswered { fingerprint }),
-        SendResult::Lost if has_stopped_listening(runner.address, true).await => {
-            app.control.tell(Event::ServerCrashed {
-                backend: runner.name.clone(),
-                fingerprint,
-                parts: PromptParts::default(),
-                ran_for: Duration::ZERO,
-            });
-        }
+        SendResult::Lost if !has_stopped_listening(runner.address, true).await => return false,
+        SendResult::Lost => left_run::report_crash(app, RunAtServer::of_call(call, runner)),
         // An error of the runner's own shows nothing of the call.
-        SendResult::Failed
-        | SendResult::Lost
-        | SendResult::NotConnected
-        | SendResult::SaidNotRun => {}
+        SendResult::Failed | SendResult::NotConnected | SendResult::SaidNotRun => {}
     }
+    true
 }
 
 fn final_answer(outcome: Outcome, end: CallEnd, reply: Option<Reply>) -> CallAnswer {
--- a/crates/standin/src/service_server.rs
+++ b/crates/standin/src/service_server.rs
@@ -130,16 +130,23 @@
         return Ok(json_reply::json(&answer));
     }
     let answer = execute(&mut lock(&state), key, body);
-    tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+    let delay = Duration::from_millis(faults.delay_ms);
     if faults.die {
-        std::process::exit(CRASH_EXIT_CODE);
+        // Its caller's leaving doesn't stop it.
+        let _ = tokio::spawn(exit_after(delay)).await;
     }
+    tokio::time::sleep(delay).await;
     if consume_fault(&mut lock(&state).faults.drop_after) {
         return Ok(cut_before_body());
     }
     Ok(json_reply::json(&answer))
 }
 
+async fn exit_after(delay: Duration) {
+    tokio::time::sleep(delay).await;
+    std::process::exit(CRASH_EXIT_CODE);
+}
+
 /// A refusal whose outcome header says that the call was not run.
 fn refused() -> Response {
     let mut response = json_reply::status(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/testbed/tests/ending_requests.rs
+++ b/crates/testbed/tests/ending_requests.rs
@@ -85,3 +85,26 @@
         "{left} of {ENGINES} are left"
     );
 }
+
+/// Guards against a call that ends runner after runner because each of its callers leaves before.
+#[tokio::test]
+async fn a_call_whose_callers_leave_ends_no_runner_after_the_third() {
+    let scene = Scene::builder(1).services(ENGINES).start().await.unwrap();
+    let runners: Vec<String> = (1..=ENGINES).map(|n| format!("orders-{n}")).collect();
+    for runner in &runners {
+        let fault = json!({ "die": true, "delay_ms": 150 });
+        scene.fault(runner, fault).await.unwrap();
+    }
+    let request = TestRequest::post("/v1/services/stock/check", "the call at fault");
+    for _ in 0..ENGINES {
+        let patience = Duration::from_millis(75);
+        let left = tokio::time::timeout(patience, scene.ask("a1", &request)).await;
+        assert!(left.is_err() || left.unwrap().unwrap().status != 200);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+    }
+    let left = count_reachable(&scene, &runners).await;
+    assert!(
+        left >= ENGINES - MAX_CRASHES,
+        "{left} of {ENGINES} are left"
+    );
+}
