Give up a stream whose event has no end

Cause: the bytes of an event are kept until its blank line; nothing bounded them, and each frame was searched from the start of the event again. Callers saw: nothing until their deadline, and an instance whose processor and memory were spent on it. Evidence: answers_without_end, case 'event of a stream', on the code before: the server was still being read 5 s after the caller's deadline; now its stream ends as lost by its engine. Heads, bodies, chunks, chunk extensions and trailers of calls and streams were bounded already (7 cases, green before and after). Change: an event of over 256 KiB breaks the stream, as for a server that fails.

--- a/crates/daemon/src/relaying/event_splitter.rs
+++ b/crates/daemon/src/relaying/event_splitter.rs
@@ -2,6 +2,16 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use thiserror::Error;
+
+/// Maximum size of one event: far more than any generated text, and far less than what an instance
+/// has for all of its streams.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// An event is longer than any that is relayed.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("an event has no end within {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
 
 /// One complete event, byte for byte as received, including its closing blank line.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -21,7 +31,11 @@
 
 impl EventSplitter {
     /// Adds bytes and returns the events that are now complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Vec<RawEvent> {
+    ///
+    /// # Errors
+    ///
+    /// [`EventTooLong`] if the event after them is longer than any that is relayed.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<RawEvent>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
         while let Some(end) = event_end(&self.buffer) {
@@ -29,7 +43,10 @@
             let id = event_id(&bytes);
             events.push(RawEvent { bytes, id });
         }
-        events
+        match self.buffer.len() {
+            0..=MAX_EVENT_BYTES => Ok(events),
+            _ => Err(EventTooLong),
+        }
     }
 
     /// Number of buffered bytes of an event that is not complete yet.
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -213,7 +213,10 @@
         let now = self.exchange.app.clock.now();
         let mut piece = BytesMut::new();
         let events_before = self.events;
-        for event in self.splitter.push(&data) {
+        let Ok(events) = self.splitter.push(&data) else {
+            return Step::Broken("an event has no end");
+        };
+        for event in events {
             match self.order.next(event.id) {
                 EventVerdict::Deliver => {
                     self.events += 1;
