Close the connection of a server whose interim answers have no end

Cause: the task of a connection went on reading while interim answers came, also after its request was given up; and it read up to 400 KB at once, so that one turn of it held up the thread that relays all requests. Callers saw: their own answer in time; everybody else a slow instance, for as long as the server went on. Evidence: answers_without_end, 'interim answers to a call': before, the server could still send 5 s after the answer (20 s, the end of the test); with the abort alone as well (one turn parses too much); with both it is closed. Change: a request that is dropped before its answer ends the connection's task; a head, and what is read at once, is at most 64 KiB.

--- a/crates/api/src/server_client.rs
+++ b/crates/api/src/server_client.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::task::AbortHandle;
 
 use crate::dial::Dial;
 use crate::dial::DialError;
@@ -21,6 +22,10 @@
 use crate::http_client::Reply;
 use crate::http_client::read_reply;
 
+/// Maximum size of the head of a response. It is also the most that is read at once, so that a server
+/// that sends one interim response after the other does not hold up the thread.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Connects to backend servers with a [`Dial`]; cheap to clone. No connection is used twice and no
 /// request is repeated, so that data of another request never arrives on one.
 #[derive(Clone)]
@@ -51,14 +56,20 @@
                 }
             }
         })?;
-        let handshake = http1::handshake(TokioIo::new(connection)).await;
+        let mut http = http1::Builder::new();
+        http.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = http.handshake(TokioIo::new(connection)).await;
         let (sender, connection) = handshake.map_err(|error| HttpClientError::Connect {
             uri,
             cause: error.to_string(),
         })?;
         // Its errors reach the request or the body of its answer, too.
-        tokio::spawn(connection);
-        Ok(ServerRequester { address, sender })
+        let task = tokio::spawn(connection).abort_handle();
+        Ok(ServerRequester {
+            address,
+            sender,
+            task: AbortOnDrop { task: Some(task) },
+        })
     }
 
     /// Connects, sends a request and reads the complete response.
@@ -83,6 +94,28 @@
 pub struct ServerRequester {
     address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
+    task: AbortOnDrop,
+}
+
+/// Closes a connection when dropped: a server that goes on sending interim responses would keep it
+/// open after nobody waits for the answer.
+struct AbortOnDrop {
+    task: Option<AbortHandle>,
+}
+
+impl AbortOnDrop {
+    /// Leaves the connection to the body of its answer, which closes it when dropped.
+    fn disarm(&mut self) {
+        self.task = None;
+    }
+}
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        if let Some(task) = self.task.take() {
+            task.abort();
+        }
+    }
 }
 
 impl ServerRequester {
@@ -103,10 +136,12 @@
             request.headers_mut().insert(header::HOST, host);
         }
         let sent = self.sender.send_request(request).await;
-        sent.map_err(|error| HttpClientError::Broken {
+        let response = sent.map_err(|error| HttpClientError::Broken {
             uri: format!("http://{}", self.address),
             cause: error_chain(&error),
-        })
+        })?;
+        self.task.disarm();
+        Ok(response)
     }
 }
 
