Count ends under left runs against contents only, not parts of prompts

Cause: sound requests share parts of their prompts, and runs that are left prove none of them sound. Ends of servers for other causes beside many callers that leave quarantined such a part. Evidence: the refused contents have no ends of their own; the new test of gateway_left_runs. Ruled out: last chances of contents. Change: the end of a server under a run that was left counts against its content alone, on both interfaces. A part that ends engines whose callers all leave is not found: open.

--- a/crates/core/src/gateway/gateway_control/crash_attribution.rs
+++ b/crates/core/src/gateway/gateway_control/crash_attribution.rs
@@ -237,13 +237,15 @@
         }
     }
 
-    /// Attributes the end of a server to a run that was left, unless the server was draining: it then
-    /// ends as announced.
+    /// Attributes the end of a server to the content of a run that was left, unless the server was
+    /// draining: it then ends as announced. Parts of prompts are spared: sound requests share them, and
+    /// runs that are left prove none of them sound.
     fn attribute_left(&mut self, now: Now, run: BrokenRun) {
-        match self.broken_runs.drained.contains_key(&run.incarnation) {
-            true => self.note_unattributed(now, run, UnattributedCause::ServerDrained),
-            false => self.attribute(now, &run),
+        if self.broken_runs.drained.contains_key(&run.incarnation) {
+            return self.note_unattributed(now, run, UnattributedCause::ServerDrained);
         }
+        let parts = PromptParts::default();
+        self.attribute(now, &BrokenRun { parts, ..run });
     }
 
     /// Returns the servers to probe for runs that were left.
--- a/crates/core/tests/gateway_left_runs.rs
+++ b/crates/core/tests/gateway_left_runs.rs
@@ -8,6 +8,7 @@
 use iristhread_core::AttributionNotice;
 use iristhread_core::GatewayControl;
 use iristhread_core::PlacementRequest;
+use iristhread_core::PromptParts;
 use iristhread_core::RefusalKind;
 use iristhread_core::Replica;
 use iristhread_core::ReplicaChange;
@@ -203,3 +204,18 @@
     }
     assert_eq!(control.quarantined(), 1);
 }
+
+/// Guards against sound requests that are refused for a part that many left runs share.
+#[test]
+fn ends_under_left_runs_count_against_no_part_of_a_prompt() {
+    let mut control = control_with(&ENGINES);
+    for number in 0..4 {
+        let request = PlacementRequest {
+            parts: PromptParts::of(Some("serra"), ["shared"], Some(&number.to_string())),
+            ..gateway_scene::ask(&format!("r{number}"))
+        };
+        let server = leave(&mut control, number * 3_000, request);
+        end(&mut control, number * 3_000 + 100, &server, Seen::Refused);
+    }
+    assert_eq!(control.quarantined_parts(), 0);
+}
--- a/crates/daemon/src/completion/generation.rs
+++ b/crates/daemon/src/completion/generation.rs
@@ -15,6 +15,7 @@
 use iristhread_core::KNOWN_GOOD_AFTER;
 use iristhread_core::Outcome;
 use iristhread_core::Placement;
+use iristhread_core::PromptParts;
 use iristhread_core::Session;
 use iristhread_core::TimelineEvent;
 use iristhread_core::TokenVerdict;
@@ -278,7 +279,8 @@
             backend: self.placement.engine.clone(),
             address: self.placement.address,
             fingerprint: self.completion.fingerprint(),
-            parts: self.completion.parts(),
+            // Sound requests share them, and runs that are left prove none of them sound.
+            parts: PromptParts::default(),
         };
         left_run::watch(&self.app, run);
     }
--- a/crates/daemon/src/relaying/event_splitter.rs
+++ b/crates/daemon/src/relaying/event_splitter.rs
@@ -34,7 +34,7 @@
     ///
     /// # Errors
     ///
-    /// [`EventTooLong`] if the event after them is longer than any that is relayed.
+    /// An error if the event after them is longer than any that is relayed.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<RawEvent>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
