Say by which suspect the ends of a request that is sent are explained

Change: the line names the suspect that explains most of the ends, its kind, ends, weight and whether it is held. A suspect with three ends that nothing explains and that ran well lately is 'ran_well_lately' as before. No decision changes. Checked: cargo check of all targets.

--- a/crates/core/src/gateway/gateway_control/attribution_notices.rs
+++ b/crates/core/src/gateway/gateway_control/attribution_notices.rs
@@ -6,6 +6,7 @@
 use super::GatewayControl;
 use super::crash_attribution::BrokenRun;
 use crate::BackendId;
+use crate::Explanation;
 use crate::Fingerprint;
 use crate::Now;
 use crate::PlacementRequest;
@@ -94,6 +95,14 @@
             SendReason::Proven => "proven",
         }
     }
+
+    /// Returns the suspect that explains the crashes of the content, if that is the reason.
+    pub fn explanation(self) -> Option<Explanation> {
+        match self {
+            SendReason::Standing(SuspectStanding::Explained(explanation)) => Some(explanation),
+            _ => None,
+        }
+    }
 }
 
 impl GatewayControl {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -230,6 +230,7 @@
 pub use servers::suspect::ServerCrash;
 pub use servers::suspect::Suspect;
 pub use servers::suspect::SuspectKind;
+pub use servers::suspect_standing::Explanation;
 pub use servers::suspect_standing::SuspectStanding;
 pub use servers::suspected_request::SuspectedRequest;
 pub use servers::suspicions::QuarantineCause;
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -8,6 +8,7 @@
 use crate::AdvertisedPart;
 use crate::AdvertisedQuarantine;
 use crate::AdvertisedSuspect;
+use crate::Explanation;
 use crate::Fingerprint;
 use crate::Now;
 use crate::ServerCrash;
@@ -272,12 +273,35 @@
             0 => return None,
             _ if self.quarantine(suspect).is_some() => SuspectStanding::Quarantined,
             _ if ends < QUARANTINE_CRASHES => SuspectStanding::FewCrashes,
-            _ if suspect.lately_good_at().is_some() => SuspectStanding::RanWellLately,
-            _ => SuspectStanding::Explained,
+            _ => match self.explanation(suspect) {
+                Some(explanation) => SuspectStanding::Explained(explanation),
+                None => SuspectStanding::RanWellLately,
+            },
         };
         Some((ends, standing))
     }
 
+    /// Returns the suspect that explains most crashes of another one, if any does.
+    fn explanation(&self, suspect: &Suspect) -> Option<Explanation> {
+        let explained = |other: &Suspect| {
+            let (crashes, count) = (suspect.crashes().iter(), suspect.crashes().len());
+            crashes
+                .filter(|crash| other.explains(suspect, crash, count, Now::MAX))
+                .count()
+        };
+        let others = self.suspects.iter();
+        let others = others.map(|(fingerprint, other)| (explained(other), fingerprint, other));
+        let explaining = others.filter(|(explained, ..)| *explained > 0);
+        let (_, fingerprint, most) = explaining.max_by_key(|(explained, ..)| *explained)?;
+        Some(Explanation {
+            fingerprint,
+            kind: most.kind(),
+            ends: most.crashes().len(),
+            weight: most.weight(most.crashes()),
+            is_held: self.quarantine(most).is_some(),
+        })
+    }
+
     fn quarantine(&self, suspect: &Suspect) -> Option<Quarantine> {
         if suspect.crashes().len() < QUARANTINE_CRASHES {
             return None;
--- a/crates/daemon/src/engines/suspicion_log.rs
+++ b/crates/daemon/src/engines/suspicion_log.rs
@@ -3,6 +3,7 @@
 use iristhread_core::AttributionNotice;
 use iristhread_core::Now;
 use iristhread_core::SuspectKind;
+use iristhread_core::SuspectedSend;
 use iristhread_core::SuspicionUpdate;
 use slog::Logger;
 use slog::debug;
@@ -57,11 +58,21 @@
                 "backend_server" => &run.backend_server, "cause" => run.cause.as_str(),
                 "age_ms" => run.age.as_millis() as u64);
         }
-        AttributionNotice::Sent(sent) => {
-            info!(log, "sending a suspected request";
-                "request" => &sent.request, "content" => sent.fingerprint.to_string(),
-                "ends" => sent.ends, "reason" => sent.reason.as_str());
-        }
+        AttributionNotice::Sent(sent) => log_suspected_send(log, sent),
+    }
+}
+
+fn log_suspected_send(log: &Logger, sent: &SuspectedSend) {
+    let (content, reason) = (sent.fingerprint.to_string(), sent.reason.as_str());
+    match sent.reason.explanation() {
+        Some(by) => info!(log, "sending a suspected request";
+            "request" => &sent.request, "content" => content, "ends" => sent.ends,
+            "reason" => reason, "explained_by" => by.fingerprint.to_string(),
+            "explained_by_kind" => key_of(by.kind), "explained_by_ends" => by.ends,
+            "explained_by_weight" => by.weight, "explained_by_held" => by.is_held),
+        None => info!(log, "sending a suspected request";
+            "request" => &sent.request, "content" => content, "ends" => sent.ends,
+            "reason" => reason),
     }
 }
 
