Let a crash be explained only by a suspect that is quarantined

Cause: the suspect with more crashes explained those of another one, though nothing followed for itself. A part of a prompt, for which the crashes of one content count little, excused that content without end, and wasn't held.

Change: conclusions are drawn for all suspects together, crash by crash, the likeliest cause first; only one that is quarantined by then explains. A quarantine ends by others only if those that explain all of it stay quarantined. They are kept until something changes. Nothing follows for, or from, suspects with one crash, so crowds of them cost nothing.

--- a/crates/core/src/servers.rs
+++ b/crates/core/src/servers.rs
@@ -3,7 +3,7 @@
 
 pub(crate) mod advertised_suspect;
 pub(crate) mod brittle_servers;
-pub(crate) mod crash_reasons;
+pub(crate) mod conclusions;
 pub(crate) mod draining_marks;
 pub(crate) mod failure_backoff;
 pub(crate) mod fingerprint;
@@ -24,4 +24,5 @@
 pub(crate) mod suspect_standing;
 pub(crate) mod suspect_store;
 pub(crate) mod suspected_request;
+pub(crate) mod suspicion_update;
 pub(crate) mod suspicions;
--- a/crates/core/src/servers/suspect.rs
+++ b/crates/core/src/servers/suspect.rs
@@ -33,10 +33,6 @@
 /// Number of requests or workspaces that have to share a part for it to be the cause.
 const PART_SOURCES: usize = 2;
 
-/// Number of crashes from which on a suspect without good runs explains those of a suspect with
-/// them, also if that one has more.
-const FEW_CRASHES: usize = 2;
-
 /// The crash of one incarnation of a backend server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ServerCrash {
@@ -72,6 +68,8 @@
     changed_at: Now,
     /// The longest quarantine that other instances advertised.
     received_quarantine: Option<AdvertisedQuarantine>,
+    /// Number of changes from which something may follow.
+    revision: u64,
 }
 
 impl Suspect {
@@ -84,9 +82,15 @@
             known_good_at,
             changed_at: now,
             received_quarantine: None,
+            revision: 0,
         }
     }
 
+    /// Number of changes from which something may follow.
+    pub(super) fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// What is suspected.
     pub fn kind(&self) -> SuspectKind {
         self.kind
@@ -107,7 +111,10 @@
             .find(|known| known.life == crash.life)
         {
             // An instance that receives it later estimates a later time.
-            known.at = known.at.min(crash.at);
+            if crash.at < known.at {
+                known.at = crash.at;
+                self.revision += 1;
+            }
             return false;
         }
         let index = self.crashes.partition_point(|known| known.at <= crash.at);
@@ -116,6 +123,7 @@
             self.crashes.remove(0);
         }
         self.changed_at = now;
+        self.revision += 1;
         true
     }
 
@@ -123,8 +131,10 @@
     /// instances keep the same one.
     pub fn add_source(&mut self, life: IncarnationId, source: u32) {
         if self.has_crashed(life) {
-            let known = self.sources.entry(life).or_insert(source);
-            *known = source.min(*known);
+            let known = self.sources.insert(life, source);
+            let least = known.map_or(source, |known| known.min(source));
+            self.sources.insert(life, least);
+            self.revision += u64::from(known != Some(least));
         }
     }
 
@@ -143,8 +153,11 @@
             // Those who advertised it may not have known of this run.
             self.received_quarantine = None;
         }
-        self.known_good_at = self.known_good_at.max(Some(at));
         let before = self.crashes.len();
+        if self.known_good_at < Some(at) {
+            self.known_good_at = Some(at);
+            self.revision += u64::from(before > 0);
+        }
         self.crashes
             .retain(|crash| Some(crash.at) > self.known_good_at);
         let is_cleared = self.crashes.len() < before;
@@ -169,6 +182,7 @@
         if !self.known_good_at.is_none_or(is_informed) {
             return;
         }
+        let before = self.received_quarantine;
         let known = self.received_quarantine();
         self.received_quarantine = Some(advertised);
         if known.map(|known| known.until()) > self.received_quarantine().map(|new| new.until()) {
@@ -177,6 +191,7 @@
                 life: known.last.life,
             });
         }
+        self.revision += u64::from(self.received_quarantine != before);
     }
 
     /// The longest quarantine that other instances advertised, unless its crash no longer counts.
@@ -190,29 +205,9 @@
         })
     }
 
-    /// Whether this suspect explains a crash of another one, of which `count` crashes were known at
-    /// `until`. Of those that were there, the one that has run well least is the cause; among
-    /// equals the one with more crashes by then, and last the more special one.
-    pub(crate) fn explains(
-        &self,
-        other: &Suspect,
-        crash: &ServerCrash,
-        count: usize,
-        until: Now,
-    ) -> bool {
-        // It was there whenever its parts in the workspaces were, which are distinguished.
-        let is_sum = matches!(self.kind, SuspectKind::PartInFleet(_));
-        if is_sum || !self.has_crashed(crash.life) {
-            return false;
-        }
-        let known = self.crashes.partition_point(|own| own.at <= until);
-        match self.lately_good_at().cmp(&other.lately_good_at()) {
-            std::cmp::Ordering::Less => known >= count.min(FEW_CRASHES),
-            std::cmp::Ordering::Equal => {
-                known > count || (known == count && self.kind > other.kind)
-            }
-            std::cmp::Ordering::Greater => false,
-        }
+    /// Number of crashes that were known at `until`.
+    pub(crate) fn crashes_by(&self, until: Now) -> usize {
+        self.crashes.partition_point(|crash| crash.at <= until)
     }
 
     /// When a request last ran well, if that was recently before the crashes.
--- a/crates/core/src/servers/suspect_store.rs
+++ b/crates/core/src/servers/suspect_store.rs
@@ -73,8 +73,9 @@
         suspect.or_insert_with(|| Suspect::new(now, kind, known_good_at))
     }
 
-    /// Removes suspects whose lifetime has passed.
-    pub fn expire(&mut self, now: Now) {
+    /// Removes suspects whose lifetime has passed; returns whether there were any.
+    pub fn expire(&mut self, now: Now) -> bool {
+        let before = self.iter().count();
         for suspects in self.workspaces.values_mut() {
             suspects.retain(|_, suspect| {
                 let lifetime = match suspect.crashes().len() {
@@ -85,6 +86,7 @@
             });
         }
         self.workspaces.retain(|_, suspects| !suspects.is_empty());
+        self.iter().count() < before
     }
 
     /// Removes the weakest suspect of `workspace` if it has reached its maximum, or of the
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -2,6 +2,7 @@
 //! (poison requests), from the observations of this instance and those that other instances
 //! advertise.
 
+use std::cell::OnceCell;
 use std::time::Duration;
 
 use crate::AdvertisedCrash;
@@ -11,13 +12,18 @@
 use crate::Explanation;
 use crate::Fingerprint;
 use crate::Now;
+use crate::QuarantineCause;
 use crate::ServerCrash;
 use crate::Suspect;
 use crate::SuspectKind;
 use crate::SuspectStanding;
 use crate::SuspectedRequest;
-use crate::servers::crash_reasons;
-use crate::servers::crash_reasons::QUARANTINE_CRASHES;
+use crate::SuspicionUpdate;
+use crate::Verdict;
+use crate::servers::conclusions::Conclusion;
+use crate::servers::conclusions::Conclusions;
+use crate::servers::conclusions::FEWEST_CRASHES;
+use crate::servers::conclusions::QUARANTINE_CRASHES;
 use crate::servers::quarantine::Quarantine;
 use crate::servers::suspect_store;
 use crate::servers::suspect_store::SuspectStore;
@@ -40,73 +46,12 @@
 /// run that is forwarded would appear younger with each hop and clear later crashes.
 const HEARTBEAT_TRANSIT: Duration = Duration::from_millis(100);
 
-/// Whether requests with a fingerprint may be sent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// They may be sent.
-    Allowed,
-    /// They are not sent until the quarantine ends.
-    Quarantined {
-        /// Number of crashes that count.
-        ends: usize,
-        /// When the quarantine ends.
-        until: Now,
-    },
-}
-
-/// A change of the state of a suspect.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum SuspicionUpdate {
-    /// A server crashed while it ran a request of this instance.
-    Ended {
-        /// The fingerprint.
-        fingerprint: Fingerprint,
-        /// What is suspected.
-        kind: SuspectKind,
-        /// Number of known crashes that count.
-        ends: usize,
-    },
-    /// A fingerprint is quarantined from now on.
-    Quarantined {
-        /// The fingerprint.
-        fingerprint: Fingerprint,
-        /// What is quarantined.
-        kind: SuspectKind,
-        /// Number of crashes that count.
-        ends: usize,
-        /// When the quarantine ends.
-        until: Now,
-        /// When a request with it last ran well.
-        known_good_at: Option<Now>,
-        /// Number of other suspects that were at some of the crashes and explain none of them.
-        beside: usize,
-    },
-    /// A request with a suspected fingerprint ran well.
-    Cleared {
-        /// The fingerprint.
-        fingerprint: Fingerprint,
-        /// What was suspected.
-        kind: SuspectKind,
-    },
-}
-
-/// Why requests are quarantined.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct QuarantineCause {
-    /// The quarantined fingerprint: of the content of the requests, or of a part of their prompts.
-    pub fingerprint: Fingerprint,
-    /// What is quarantined.
-    pub kind: SuspectKind,
-    /// Number of crashes that count.
-    pub ends: usize,
-    /// When the quarantine ends.
-    pub until: Now,
-}
-
 /// The suspects and their state.
 #[derive(Debug, Default)]
 pub struct Suspicions {
     suspects: SuspectStore,
+    /// What follows from their state; empty after a change.
+    conclusions: OnceCell<Conclusions>,
     readvertised_at: Option<Now>,
     updates: Vec<SuspicionUpdate>,
 }
@@ -137,13 +82,14 @@
         let before = self.verdicts(request.fingerprints());
         for (fingerprint, kind, source) in request.suspects() {
             let known_good_at = known_good_at(fingerprint);
-            let suspect = self.suspects.entry(now, fingerprint, kind, known_good_at);
-            let is_new = suspect.add_crash(now, crash);
-            if kind != SuspectKind::Content {
-                suspect.add_source(crash.life, source);
-            }
-            if is_new {
-                let ends = suspect.crashes().len();
+            let added = self.change(now, fingerprint, kind, known_good_at, |suspect| {
+                let is_new = suspect.add_crash(now, crash);
+                if kind != SuspectKind::Content {
+                    suspect.add_source(crash.life, source);
+                }
+                is_new.then(|| suspect.crashes().len())
+            });
+            if let Some(ends) = added {
                 self.updates.push(SuspicionUpdate::Ended {
                     fingerprint,
                     kind,
@@ -161,6 +107,7 @@
         };
         if suspect.record_good_run(now, now) {
             let kind = suspect.kind();
+            self.conclusions.take();
             self.updates
                 .push(SuspicionUpdate::Cleared { fingerprint, kind });
         }
@@ -173,21 +120,24 @@
         let fingerprint = advertised.fingerprint;
         let kind = advertised.kind();
         let before = self.verdicts(std::iter::once(fingerprint));
-        let suspect = self.suspects.entry(now, fingerprint, kind, known_good_at);
         let received = advertised.proof_age_ms.map(at);
         let received = received.map(|good_at| good_at.saturating_sub(HEARTBEAT_TRANSIT));
-        let known_good_at = received.max(known_good_at);
-        let is_cleared = known_good_at.is_some_and(|good_at| suspect.record_good_run(now, good_at));
-        for crash in &advertised.ends {
-            let (life, at) = (crash.life, at(crash.age_ms));
-            suspect.add_crash(now, ServerCrash { life, at });
-        }
-        for (life, source) in advertised.sources() {
-            suspect.add_source(life, source);
-        }
-        if let Some(quarantine) = advertised.quarantine {
-            suspect.receive_quarantine(quarantine, received);
-        }
+        let latest_good_at = received.max(known_good_at);
+        let is_cleared = self.change(now, fingerprint, kind, known_good_at, |suspect| {
+            let is_cleared =
+                latest_good_at.is_some_and(|good_at| suspect.record_good_run(now, good_at));
+            for crash in &advertised.ends {
+                let (life, at) = (crash.life, at(crash.age_ms));
+                suspect.add_crash(now, ServerCrash { life, at });
+            }
+            for (life, source) in advertised.sources() {
+                suspect.add_source(life, source);
+            }
+            if let Some(quarantine) = advertised.quarantine {
+                suspect.receive_quarantine(quarantine, received);
+            }
+            is_cleared
+        });
         if is_cleared {
             self.updates
                 .push(SuspicionUpdate::Cleared { fingerprint, kind });
@@ -195,6 +145,40 @@
         self.note_quarantines(before);
     }
 
+    /// Changes a suspect, which is added if it is new.
+    fn change<T>(
+        &mut self,
+        now: Now,
+        fingerprint: Fingerprint,
+        kind: SuspectKind,
+        known_good_at: Option<Now>,
+        change: impl FnOnce(&mut Suspect) -> T,
+    ) -> T {
+        let before = self.suspects.get(fingerprint).map(Suspect::revision);
+        let suspect = self.suspects.entry(now, fingerprint, kind, known_good_at);
+        let result = change(suspect);
+        if before != Some(suspect.revision()) {
+            self.conclusions.take();
+        }
+        result
+    }
+
+    /// Returns what follows for a suspect from the state of all.
+    fn conclusion(&self, fingerprint: Fingerprint) -> Conclusion {
+        let suspect = self.suspects.get(fingerprint);
+        if suspect.is_none_or(|suspect| suspect.crashes().len() < FEWEST_CRASHES) {
+            return Conclusion::default();
+        }
+        let conclusions = self
+            .conclusions
+            .get_or_init(|| Conclusions::of(self.suspects.iter()));
+        conclusions.get(fingerprint)
+    }
+
+    fn quarantine(&self, fingerprint: Fingerprint) -> Option<Quarantine> {
+        self.conclusion(fingerprint).quarantine
+    }
+
     fn verdicts(
         &self,
         fingerprints: impl Iterator<Item = Fingerprint>,
@@ -213,7 +197,7 @@
 
     fn begun_quarantine(&self, fingerprint: Fingerprint) -> Option<SuspicionUpdate> {
         let suspect = self.suspects.get(fingerprint)?;
-        let quarantine = self.quarantine(suspect)?;
+        let quarantine = self.quarantine(fingerprint)?;
         Some(SuspicionUpdate::Quarantined {
             fingerprint,
             kind: suspect.kind(),
@@ -227,8 +211,7 @@
     /// Whether requests with this fingerprint may be sent.
     pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
         let suspect = self.suspects.get(fingerprint);
-        let quarantine = suspect.and_then(|suspect| self.quarantine(suspect));
-        match (suspect, quarantine) {
+        match (suspect, self.quarantine(fingerprint)) {
             (Some(suspect), Some(quarantine)) => Verdict::Quarantined {
                 ends: suspect.crashes().len(),
                 until: quarantine.until(),
@@ -245,7 +228,7 @@
                 fingerprint,
                 kind: suspect.kind(),
                 ends: suspect.crashes().len(),
-                until: self.quarantine(suspect)?.until(),
+                until: self.quarantine(fingerprint)?.until(),
             })
         });
         causes.collect()
@@ -255,12 +238,11 @@
     /// would quarantine them.
     pub fn last_chance(&self, fingerprint: Fingerprint) -> Option<QuarantineCause> {
         let suspect = self.suspects.get(fingerprint)?;
-        let until = crash_reasons::last_chance_until(suspect, &self.sharing_crashes(suspect))?;
         Some(QuarantineCause {
             fingerprint,
             kind: suspect.kind(),
             ends: suspect.crashes().len(),
-            until,
+            until: self.conclusion(fingerprint).last_chance_until?,
         })
     }
 
@@ -271,9 +253,9 @@
         let ends = suspect.crashes().len();
         let standing = match ends {
             0 => return None,
-            _ if self.quarantine(suspect).is_some() => SuspectStanding::Quarantined,
+            _ if self.quarantine(fingerprint).is_some() => SuspectStanding::Quarantined,
             _ if ends < QUARANTINE_CRASHES => SuspectStanding::FewCrashes,
-            _ => match self.explanation(suspect) {
+            _ => match self.explanation(fingerprint) {
                 Some(explanation) => SuspectStanding::Explained(explanation),
                 None => SuspectStanding::RanWellLately,
             },
@@ -282,33 +264,18 @@
     }
 
     /// Returns the suspect that explains most crashes of another one, if any does.
-    fn explanation(&self, suspect: &Suspect) -> Option<Explanation> {
-        let explained = |other: &Suspect| {
-            let (crashes, count) = (suspect.crashes().iter(), suspect.crashes().len());
-            crashes
-                .filter(|crash| other.explains(suspect, crash, count, Now::MAX))
-                .count()
-        };
-        let others = self.suspects.iter();
-        let others = others.map(|(fingerprint, other)| (explained(other), fingerprint, other));
-        let explaining = others.filter(|(explained, ..)| *explained > 0);
-        let (_, fingerprint, most) = explaining.max_by_key(|(explained, ..)| *explained)?;
+    fn explanation(&self, fingerprint: Fingerprint) -> Option<Explanation> {
+        let explained_by = self.conclusion(fingerprint).explained_by?;
+        let suspect = self.suspects.get(explained_by)?;
         Some(Explanation {
-            fingerprint,
-            kind: most.kind(),
-            ends: most.crashes().len(),
-            weight: most.weight(most.crashes()),
-            is_held: self.quarantine(most).is_some(),
+            fingerprint: explained_by,
+            kind: suspect.kind(),
+            ends: suspect.crashes().len(),
+            weight: suspect.weight(suspect.crashes()),
+            is_held: self.quarantine(explained_by).is_some(),
         })
     }
 
-    fn quarantine(&self, suspect: &Suspect) -> Option<Quarantine> {
-        if suspect.crashes().len() < QUARANTINE_CRASHES {
-            return None;
-        }
-        crash_reasons::quarantine(suspect, &self.sharing_crashes(suspect))
-    }
-
     /// Returns the other suspects that were at one of the crashes of a suspect.
     fn sharing_crashes(&self, suspect: &Suspect) -> Vec<&Suspect> {
         let all = self.suspects.iter().map(|(_, other)| other);
@@ -363,14 +330,18 @@
     }
 
     fn count_quarantined(&self, is_counted: impl Fn(SuspectKind) -> bool) -> usize {
-        let suspects = self.suspects.iter().map(|(_, suspect)| suspect);
-        let suspects = suspects.filter(|suspect| is_counted(suspect.kind()));
-        suspects.filter(|s| self.quarantine(s).is_some()).count()
+        let suspects = self.suspects.iter();
+        let suspects = suspects.filter(|(_, suspect)| is_counted(suspect.kind()));
+        suspects
+            .filter(|(f, _)| self.quarantine(*f).is_some())
+            .count()
     }
 
     /// Removes suspects whose lifetime has passed.
     pub fn expire(&mut self, now: Now) {
-        self.suspects.expire(now);
+        if self.suspects.expire(now) {
+            self.conclusions.take();
+        }
     }
 
     fn prioritized(
@@ -397,7 +368,7 @@
             age_ms: age_ms(crash.at),
         });
         let sources = latest.map(|crash| suspect.source(crash.life));
-        let quarantine = self.quarantine(suspect);
+        let quarantine = self.quarantine(fingerprint);
         AdvertisedSuspect {
             fingerprint,
             ends: ends.collect(),
