Give suspects with few ends their turn in heartbeats

Cause: a heartbeat has room for twelve suspects, those with most ends first and parts before contents. Beside a crowd (79 to 109 suspects after a loss of power) a content with one end never had its turn while it was new, and after that nobody advertised it again.

Change: half of the room goes by rank as before, the other half to those advertised least since they changed; what was never advertised stays due. The size of heartbeats is as before.

Test seen failing before: an_end_beside_a_crowd_of_suspects_is_advertised (None instead of one end at the other instance).

--- a/crates/core/src/servers/suspect.rs
+++ b/crates/core/src/servers/suspect.rs
@@ -66,6 +66,8 @@
     known_good_at: Option<Now>,
     /// When this state last changed.
     changed_at: Now,
+    /// How often it was advertised since.
+    advertised_since: u32,
     /// The longest quarantine that other instances advertised.
     received_quarantine: Option<AdvertisedQuarantine>,
     /// Number of changes from which something may follow.
@@ -81,6 +83,7 @@
             sources: BTreeMap::new(),
             known_good_at,
             changed_at: now,
+            advertised_since: 0,
             received_quarantine: None,
             revision: 0,
         }
@@ -122,7 +125,7 @@
         if self.crashes.len() > MAX_CRASHES {
             self.crashes.remove(0);
         }
-        self.changed_at = now;
+        self.note_change(now);
         self.revision += 1;
         true
     }
@@ -165,7 +168,7 @@
             let crashes = &self.crashes;
             self.sources
                 .retain(|life, _| crashes.iter().any(|crash| crash.life == *life));
-            self.changed_at = now;
+            self.note_change(now);
         }
         is_cleared
     }
@@ -232,6 +235,21 @@
         self.changed_at
     }
 
+    fn note_change(&mut self, now: Now) {
+        self.changed_at = now;
+        self.advertised_since = 0;
+    }
+
+    /// How often this state was advertised since it last changed.
+    pub(super) fn advertised_since(&self) -> u32 {
+        self.advertised_since
+    }
+
+    /// Records that this state is advertised.
+    pub(super) fn note_advertised(&mut self) {
+        self.advertised_since = self.advertised_since.saturating_add(1);
+    }
+
     /// Whether an incarnation crashed while it ran a request with this fingerprint.
     pub fn has_crashed(&self, life: IncarnationId) -> bool {
         self.crashes.iter().any(|crash| crash.life == life)
--- a/crates/core/src/servers/suspect_store.rs
+++ b/crates/core/src/servers/suspect_store.rs
@@ -1,5 +1,6 @@
 //! The suspects that an instance knows, a bounded number per workspace.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -122,3 +123,22 @@
     let is_part = suspect.kind() != SuspectKind::Content;
     (suspect.crashes().len(), is_part, suspect.changed_at())
 }
+
+/// Sorts suspects by rank, the first to advertise first.
+pub(super) fn by_rank(mut suspects: Vec<(Fingerprint, &Suspect)>) -> Vec<(Fingerprint, &Suspect)> {
+    suspects.sort_by_key(|(_, suspect)| Reverse(rank(suspect)));
+    suspects
+}
+
+/// Chooses up to `max` suspects to advertise: half of them by rank, and of the others those that were
+/// advertised least since they changed, so that none waits for as long as there are stronger ones.
+pub(super) fn with_waiting(
+    suspects: Vec<(Fingerprint, &Suspect)>,
+    max: usize,
+) -> Vec<(Fingerprint, &Suspect)> {
+    let mut chosen = by_rank(suspects);
+    let mut others = chosen.split_off(chosen.len().min(max / 2));
+    others.sort_by_key(|(_, suspect)| suspect.advertised_since());
+    chosen.extend(others.into_iter().take(max - max / 2));
+    chosen
+}
--- a/crates/core/src/servers/suspicions.rs
+++ b/crates/core/src/servers/suspicions.rs
@@ -290,7 +290,10 @@
     /// Returns the known suspects for an instance that requests them, those with most crashes
     /// first, and at most as many as one heartbeat carries.
     pub fn known(&self, now: Now) -> Vec<AdvertisedSuspect> {
-        self.prioritized(now, self.suspects.iter().collect())
+        let all = suspect_store::by_rank(self.suspects.iter().collect());
+        let strongest = all.into_iter().take(MAX_ADVERTISED_PER_HEARTBEAT);
+        let advertised = strongest.map(|(f, s)| self.advertised(now, f, s));
+        advertised.collect()
     }
 
     /// Returns the suspects to advertise to the other instances now.
@@ -302,9 +305,18 @@
         }
         let due = self.suspects.iter().filter(|(_, suspect)| {
             let is_recent = now.saturating_sub(suspect.changed_at()) < UPDATE_ADVERTISED_FOR;
-            is_recent || (readvertises && suspect.crashes().len() > 1)
+            let is_new = suspect.advertised_since() == 0;
+            is_recent || is_new || (readvertises && suspect.crashes().len() > 1)
         });
-        self.prioritized(now, due.collect())
+        let chosen = suspect_store::with_waiting(due.collect(), MAX_ADVERTISED_PER_HEARTBEAT);
+        let advertised = chosen.iter().map(|(f, s)| self.advertised(now, *f, s));
+        let advertised: Vec<AdvertisedSuspect> = advertised.collect();
+        for suspect in &advertised {
+            if let Some(suspect) = self.suspects.get_mut(suspect.fingerprint) {
+                suspect.note_advertised();
+            }
+        }
+        advertised
     }
 
     /// Returns and clears the updates since the last call.
@@ -344,17 +356,6 @@
         }
     }
 
-    fn prioritized(
-        &self,
-        now: Now,
-        mut suspects: Vec<(Fingerprint, &Suspect)>,
-    ) -> Vec<AdvertisedSuspect> {
-        suspects.sort_by_key(|(_, suspect)| std::cmp::Reverse(suspect_store::rank(suspect)));
-        suspects.truncate(MAX_ADVERTISED_PER_HEARTBEAT);
-        let suspects = suspects.into_iter();
-        suspects.map(|(f, s)| self.advertised(now, f, s)).collect()
-    }
-
     fn advertised(
         &self,
         now: Now,
--- a/crates/core/tests/suspicions.rs
+++ b/crates/core/tests/suspicions.rs
@@ -257,6 +257,24 @@
     assert_eq!(suspicions.count(), 0);
 }
 
+/// Guards against ends that no other instance received, since a crowd of suspects left them no room in
+/// heartbeats for as long as they were new.
+#[test]
+fn an_end_beside_a_crowd_of_suspects_is_advertised() {
+    const CROWD: u128 = 60;
+    let (mut here, mut there) = (Suspicions::default(), Suspicions::default());
+    crash(&mut here, poison(), 0, START);
+    for number in 0..CROWD {
+        for life in 1..3 {
+            crash(&mut here, fingerprint(2, number), life, START + ms(life));
+        }
+    }
+    for step in 1..20 {
+        advertise(START + ms(200 * step), &mut here, &mut there);
+    }
+    assert_eq!(there.standing(poison()).map(|(ends, _)| ends), Some(1));
+}
+
 proptest! {
     /// Instances that receive the same advertisements reach the same verdicts, in whatever order
     /// and however often these arrive.
