Send what ran well lately one at a time after three crashes

Cause: of a content that ran well lately, crashes count once a burst, since many callers send it and several of its requests may be on servers that are lost together. Until the third burst nothing followed: with three and more ends all instances sent it at once.

Change: after three crashes that nobody who is quarantined explains, it is sent one at a time, for 5 s or until it runs well; after fewer as ever. The schedules now let contents run well before they turn poison.

--- a/crates/core/src/servers/conclusions.rs
+++ b/crates/core/src/servers/conclusions.rs
@@ -31,8 +31,9 @@
 pub(super) struct Conclusion {
     /// Its quarantine, if it has one.
     pub quarantine: Option<Quarantine>,
-    /// Until when requests are sent one at a time, because one more crash would quarantine them:
-    /// instances that send at one moment would crash a server each before they hear of each other.
+    /// Until when requests are sent one at a time, because one more crash would quarantine them, or
+    /// because their crashes would have if no request had run well lately: instances that send at one
+    /// moment would crash a server each before they hear of each other.
     pub last_chance_until: Option<Now>,
     /// The suspect that explains most of its crashes.
     pub explained_by: Option<Fingerprint>,
@@ -174,15 +175,17 @@
         }
     }
 
-    /// What ran well lately is sent by many callers and soon runs well again; it is sent as ever.
+    /// What ran well lately is sent by many callers, and several of their requests may be at one burst
+    /// of crashes: it is sent as ever after fewer than three crashes, and one at a time after more,
+    /// until it runs well again.
     fn last_chance_until(&self, index: usize) -> Option<Now> {
         let suspect = self.suspect(index);
-        if suspect.lately_good_at().is_some() {
-            return None;
-        }
         let reasons = self.unexplained(index, suspect.crashes(), Now::MAX);
         let last = reasons.last()?;
-        let is_close = suspect.weight(&reasons) + 1 == QUARANTINE_CRASHES;
+        let is_close = match suspect.lately_good_at() {
+            Some(_) => reasons.len() >= QUARANTINE_CRASHES,
+            None => suspect.weight(&reasons) + 1 == QUARANTINE_CRASHES,
+        };
         is_close.then(|| last.at + INITIAL_QUARANTINE)
     }
 
--- a/crates/core/tests/explanation_schedules.rs
+++ b/crates/core/tests/explanation_schedules.rs
@@ -96,13 +96,13 @@
     now: Now,
     instances: Vec<Instance>,
     parts: Vec<PromptParts>,
-    /// Contents that crash each server, from the first step on.
+    /// Contents that crash each server.
     poison: Vec<usize>,
     crashes: u64,
 }
 
 impl Fleet {
-    fn new(poison: Vec<usize>) -> Self {
+    fn new() -> Self {
         let parts = PARTS.iter().enumerate().map(|(content, shared)| {
             let own = format!("own {content}");
             PromptParts::of(Some("one"), shared.iter().copied(), Some(&own))
@@ -111,7 +111,7 @@
             now: START,
             instances: (0..INSTANCES).map(|_| Instance::default()).collect(),
             parts: parts.collect(),
-            poison,
+            poison: Vec::new(),
             crashes: 0,
         }
     }
@@ -126,19 +126,26 @@
         }
     }
 
+    fn is_one_at_a_time(&self, content: usize, instance: usize) -> bool {
+        let suspicions = &self.instances[instance].suspicions;
+        let cause = suspicions.last_chance(self.request(content).fingerprint);
+        cause.is_some_and(|cause| self.now < cause.until)
+    }
+
     /// Whether an instance sends a content. One at a time, only the first instance does.
     fn sends(&self, content: usize, instance: usize) -> bool {
-        let request = self.request(content);
         let suspicions = &self.instances[instance].suspicions;
-        let is_one_at_a_time = suspicions.last_chance(request.fingerprint).is_some();
-        suspicions.causes(request).is_empty() && (instance == 0 || !is_one_at_a_time)
+        let is_held = !suspicions.causes(self.request(content)).is_empty();
+        !is_held && (instance == 0 || !self.is_one_at_a_time(content, instance))
     }
 
+    /// Counts a send after enough ends, unless such requests are sent one at a time.
     fn count_send(&mut self, content: usize, instance: usize) {
+        let is_one_at_a_time = self.is_one_at_a_time(content, instance);
         let fingerprint = self.request(content).fingerprint;
         let state = &mut self.instances[instance];
         let ends = state.suspicions.standing(fingerprint);
-        if ends.is_some_and(|(ends, _)| ends >= ENOUGH_ENDS) {
+        if ends.is_some_and(|(ends, _)| ends >= ENOUGH_ENDS) && !is_one_at_a_time {
             *state.sends_after.entry(content).or_default() += 1;
         }
     }
@@ -214,7 +221,9 @@
                 let is_held = !state.suspicions.causes(request).is_empty();
                 let is_excused = match standing {
                     SuspectStanding::Explained(explanation) => explanation.is_held,
-                    SuspectStanding::RanWellLately => true,
+                    SuspectStanding::RanWellLately => {
+                        state.suspicions.last_chance(request.fingerprint).is_some()
+                    }
                     SuspectStanding::FewCrashes | SuspectStanding::Quarantined => false,
                 };
                 assert!(
@@ -234,13 +243,17 @@
         ..ProptestConfig::default()
     })]
 
-    /// Guards against contents that are sent on and on since what explains their ends is held by nobody.
+    /// Guards against contents that are sent on and on since what explains their ends is held by nobody,
+    /// or since they ran well before and their ends count once a burst.
     #[test]
     fn no_content_is_sent_on_and_on(
         poison in vec(0..CONTENTS, 1..4),
+        sound_steps in vec(step(), 0..20),
         steps in vec(step(), 0..300),
     ) {
-        let mut fleet = Fleet::new(poison.clone());
+        let mut fleet = Fleet::new();
+        sound_steps.into_iter().for_each(|step| fleet.play(step));
+        fleet.poison = poison.clone();
         for step in steps {
             fleet.play(step);
             fleet.assert_somebody_is_held();
--- a/crates/core/tests/suspicions.rs
+++ b/crates/core/tests/suspicions.rs
@@ -257,6 +257,23 @@
     assert_eq!(suspicions.count(), 0);
 }
 
+/// Guards against a content that several instances send at one moment, again and again, since its ends
+/// count once a burst.
+#[test_case(2, false)]
+#[test_case(3, true)]
+#[test_case(9, true)]
+fn what_ran_well_lately_is_sent_one_at_a_time_after_three_crashes(count: u64, is_single: bool) {
+    let mut suspicions = Suspicions::default();
+    for life in 0..count {
+        let crash = ServerCrash { life, at: START };
+        suspicions.server_ended(START, poison(), Some(START - ms(500)), crash);
+    }
+    assert!(is_allowed(&suspicions, poison()));
+    assert_eq!(suspicions.last_chance(poison()).is_some(), is_single);
+    suspicions.ran_well(START + ms(100), poison());
+    assert_eq!(suspicions.last_chance(poison()), None);
+}
+
 /// Guards against ends that no other instance received, since a crowd of suspects left them no room in
 /// heartbeats for as long as they were new.
 #[test]
