--- a/crates/core/src/servers/conclusions.rs
+++ b/crates/core/src/servers/conclusions.rs
@@ -1,8 +1,7 @@
 //! Concludes from crashes which of several suspects caused them, for all suspects together.
 //!
-//! Crash by crash, those that were there are judged, the likeliest cause first. A crash doesn't count
-//! against a suspect if a likelier one that was there is quarantined: of whatever crashes, somebody
-//! is held for them.
+//! Crash by crash, those that were there are evaluated, the likeliest cause first. A crash doesn't count
+//! against a suspect only if a likelier one that was there is quarantined.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -49,12 +48,12 @@
     /// Concludes from all that is known of the suspects.
     pub fn of<'a>(suspects: impl Iterator<Item = (Fingerprint, &'a Suspect)>) -> Self {
         let suspects = suspects.filter(|(_, suspect)| suspect.crashes().len() >= FEWEST_CRASHES);
-        let mut inquiry = Inquiry::new(suspects.collect());
-        inquiry.judge_crash_by_crash();
-        inquiry.release_explained();
-        let suspects = inquiry.suspects.iter().enumerate();
+        let mut evaluation = Evaluation::new(suspects.collect());
+        evaluation.evaluate_crash_by_crash();
+        evaluation.release_explained();
+        let suspects = evaluation.suspects.iter().enumerate();
         let by_suspect =
-            suspects.map(|(index, (fingerprint, _))| (*fingerprint, inquiry.conclusion(index)));
+            suspects.map(|(index, (fingerprint, _))| (*fingerprint, evaluation.conclusion(index)));
         Conclusions {
             by_suspect: by_suspect.collect(),
         }
@@ -70,40 +69,40 @@
 }
 
 /// A crash with the suspects that were there, by their position.
-struct Scene {
+struct CrashRecord {
     at: Now,
     present: Vec<usize>,
 }
 
-/// The state of a conclusion.
-struct Inquiry<'a> {
+/// The suspects, and what has been concluded so far.
+struct Evaluation<'a> {
     suspects: Vec<(Fingerprint, &'a Suspect)>,
-    scenes: BTreeMap<IncarnationId, Scene>,
+    records: BTreeMap<IncarnationId, CrashRecord>,
     /// The quarantines by the position of the suspects: those concluded, and those received.
     quarantines: Vec<Option<Quarantine>>,
 }
 
-impl<'a> Inquiry<'a> {
+impl<'a> Evaluation<'a> {
     fn new(suspects: Vec<(Fingerprint, &'a Suspect)>) -> Self {
-        let mut scenes: BTreeMap<IncarnationId, Scene> = BTreeMap::new();
+        let mut records: BTreeMap<IncarnationId, CrashRecord> = BTreeMap::new();
         for (index, (_, suspect)) in suspects.iter().enumerate() {
             for crash in suspect.crashes() {
-                let scene = scenes.entry(crash.life).or_insert(Scene {
+                let record = records.entry(crash.life).or_insert(CrashRecord {
                     at: crash.at,
                     present: Vec::new(),
                 });
-                scene.at = scene.at.min(crash.at);
-                scene.present.push(index);
+                record.at = record.at.min(crash.at);
+                record.present.push(index);
             }
         }
         let received = suspects.iter().map(|(_, suspect)| {
             let is_enough = suspect.crashes().len() >= QUARANTINE_CRASHES;
             suspect.received_quarantine().filter(|_| is_enough)
         });
-        Inquiry {
+        Evaluation {
             quarantines: received.collect(),
             suspects,
-            scenes,
+            records,
         }
     }
 
@@ -111,17 +110,17 @@
         self.suspects[index].1
     }
 
-    /// Judges those that were at each crash by what was known by then.
-    fn judge_crash_by_crash(&mut self) {
+    /// Evaluates those that were at each crash by what was known by then.
+    fn evaluate_crash_by_crash(&mut self) {
         let mut concluded = vec![false; self.suspects.len()];
         let mut order: Vec<(Now, IncarnationId)> = Vec::new();
-        order.extend(self.scenes.iter().map(|(life, scene)| (scene.at, *life)));
+        order.extend(self.records.iter().map(|(life, record)| (record.at, *life)));
         order.sort_unstable();
         for (at, life) in order {
             let until = at + CRASH_BURST_WINDOW;
-            let mut present = self.scenes[&life].present.clone();
+            let mut present = self.records[&life].present.clone();
             present.retain(|index| !concluded[*index]);
-            present.sort_by_key(|index| likelihood(self.suspect(*index), until));
+            present.sort_by_key(|index| likelihood_order(self.suspect(*index), until));
             for index in present {
                 if let Some(quarantine) = self.concluded_quarantine(index, until) {
                     concluded[index] = true;
@@ -154,7 +153,7 @@
     /// led to it stay its reason.
     fn release_explained(&mut self) {
         let mut order: Vec<usize> = (0..self.suspects.len()).collect();
-        order.sort_by_key(|index| likelihood(self.suspect(*index), Now::MAX));
+        order.sort_by_key(|index| likelihood_order(self.suspect(*index), Now::MAX));
         for index in order {
             let crashes = self.suspect(index).crashes();
             if self.unexplained(index, crashes, Now::MAX).is_empty() {
@@ -205,15 +204,15 @@
         until: Now,
     ) -> impl Iterator<Item = usize> + '_ {
         let suspect = self.suspect(index);
-        let present = self.scenes.get(&crash.life).into_iter();
-        let present = present.flat_map(|scene| scene.present.iter().copied());
+        let present = self.records.get(&crash.life).into_iter();
+        let present = present.flat_map(|record| record.present.iter().copied());
         let held = present.filter(|other| self.quarantines[*other].is_some());
         held.filter(move |other| {
             let other = self.suspect(*other);
             // A part in the fleet was there whenever its parts in the workspaces were, which are
             // distinguished.
             let is_sum = matches!(other.kind(), SuspectKind::PartInFleet(_));
-            !is_sum && likelihood(other, until) < likelihood(suspect, until)
+            !is_sum && likelihood_order(other, until) < likelihood_order(suspect, until)
         })
     }
 
@@ -231,7 +230,7 @@
 
 /// Order of suspects by what was known at `until`, the likeliest cause first: the one that ran well
 /// longest ago; among equals the one with more crashes, and last the more special one.
-fn likelihood(
+fn likelihood_order(
     suspect: &Suspect,
     until: Now,
 ) -> (Option<Now>, Reverse<usize>, Reverse<SuspectKind>) {
