--- a/crates/core/src/servers/suspect.rs
+++ b/crates/core/src/servers/suspect.rs
@@ -134,10 +134,12 @@
     /// instances keep the same one.
     pub fn add_source(&mut self, life: IncarnationId, source: u32) {
         if self.has_crashed(life) {
-            let known = self.sources.insert(life, source);
+            let known = self.sources.get(&life).copied();
             let least = known.map_or(source, |known| known.min(source));
-            self.sources.insert(life, least);
-            self.revision += u64::from(known != Some(least));
+            if known != Some(least) {
+                self.sources.insert(life, least);
+                self.revision += 1;
+            }
         }
     }
 
