Show two ways in which a stream that was cut ends as complete

Cases review/6 and review/7 (ORDER), scripts with stand-ins of their own; both need streams that end with their connections.

--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -306,10 +306,18 @@
 }
 
 /// The entry of a server.
-pub fn entry(service: &str, address: SocketAddr, zone: &str, slots: u32, state: &str) -> String {
+pub fn entry(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    state: &str,
+    born_ms: u64,
+) -> String {
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
-         \"slots\":{slots},\"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":1790000000000}}"
+         \"slots\":{slots},\"state\":\"{state}\",\"coldRemainingMs\":0,\"sequence\":1,\"born\":{}}}",
+        1_790_000_000_000 + born_ms
     )
 }
 
@@ -514,6 +522,12 @@
     runs: HashMap<String, Arc<Run>>,
     copies: HashMap<String, KvCopy>,
     moved: HashMap<String, u64>,
+    /// Number of requests and orders that it took.
+    pub taken: u64,
+    /// Loses the answer of the next order to stop and copy a run, once it has taken so many.
+    pub loses_answer_after: Option<u64>,
+    /// Runs whose order lost its answer.
+    pub lost_answers: Vec<String>,
 }
 
 pub struct Engine {
@@ -522,6 +536,8 @@
     pub address: SocketAddr,
     pub state: Mutex<EngineState>,
     is_up: AtomicBool,
+    /// Time of its start since that of the case.
+    born_ms: u64,
     connections: Mutex<Vec<TcpStream>>,
     terms: EngineTerms,
 }
@@ -535,6 +551,8 @@
     pub event_bytes: usize,
     pub first_copy_ms: u64,
     pub next_copy_ms: u64,
+    /// Whether streams have neither a length nor chunks and end with their connections.
+    pub is_unframed: bool,
 }
 
 static ENGINES: Mutex<Vec<Arc<Engine>>> = Mutex::new(Vec::new());
@@ -547,7 +565,25 @@
 
 impl Engine {
     pub fn start(id: &str, zone: &str, service: &str, store: &Store, terms: EngineTerms) -> Arc<Engine> {
-        let listener = TcpListener::bind((new_host(), 8743)).expect("engine");
+        let address = SocketAddr::new(new_host(), 8743);
+        Engine::start_at(address, id, zone, service, store, terms)
+    }
+
+    /// Starts another life of an engine that has ended, under its id and at its address.
+    pub fn start_again(&self, service: &str, store: &Store) -> Arc<Engine> {
+        ENGINES.lock().unwrap().retain(|engine| engine.address != self.address);
+        Engine::start_at(self.address, &self.id, &self.zone, service, store, self.terms)
+    }
+
+    fn start_at(
+        address: SocketAddr,
+        id: &str,
+        zone: &str,
+        service: &str,
+        store: &Store,
+        terms: EngineTerms,
+    ) -> Arc<Engine> {
+        let listener = TcpListener::bind(address).expect("engine");
         let engine = Arc::new(Engine {
             id: id.to_owned(),
             zone: zone.to_owned(),
@@ -557,8 +593,12 @@
                 runs: HashMap::new(),
                 copies: HashMap::new(),
                 moved: HashMap::new(),
+                taken: 0,
+                loses_answer_after: None,
+                lost_answers: Vec::new(),
             }),
             is_up: AtomicBool::new(true),
+            born_ms: at(),
             connections: Mutex::default(),
             terms,
         });
@@ -583,7 +623,7 @@
     }
 
     pub fn list(&self, service: &str, store: &Store, state: &str) {
-        let value = entry(service, self.address, &self.zone, 24, state);
+        let value = entry(service, self.address, &self.zone, 24, state, self.born_ms);
         store.put(&format!("servers/{}", self.id), &value);
     }
 
@@ -612,7 +652,13 @@
         let mut rest = Vec::new();
         while let Ok(request) = read_request(&mut stream, &mut rest) {
             let answered = match request.path() {
-                "/kv-move" => self.copy(&String::from_utf8_lossy(&request.body)),
+                "/kv-move" => match self.copy(&String::from_utf8_lossy(&request.body)) {
+                    Some(answered) => answered,
+                    None => {
+                        let _ = stream.shutdown(Shutdown::Both);
+                        return;
+                    }
+                },
                 "/report" => answer(
                     "200 OK",
                     "Content-Type: application/json\r\n",
@@ -632,13 +678,15 @@
         }
     }
 
-    fn copy(&self, body: &str) -> Vec<u8> {
+    /// Copies a run; `None` if the answer is lost.
+    fn copy(&self, body: &str) -> Option<Vec<u8>> {
+        self.state.lock().unwrap().taken += 1;
         let request = text_field(body, "id");
         let last = body.replace(' ', "").contains("\"last\":true");
         let target = engine_at(&text_field(body, "targetVersion"));
         let find = || self.state.lock().unwrap().runs.get(&request).cloned();
         let (Some(run), Some(target)) = (find(), target) else {
-            return answer("404 Not Found", "", "");
+            return Some(answer("404 Not Found", "", ""));
         };
         let is_first = self.state.lock().unwrap().moved.insert(request.clone(), 1).is_none();
         let made = match last {
@@ -652,14 +700,23 @@
         if last {
             self.state.lock().unwrap().runs.remove(&request);
         } else if find().is_none() {
-            return answer("404 Not Found", "", "");
+            return Some(answer("404 Not Found", "", ""));
         }
         let handle = format!("h-{request}");
         let mut state = target.state.lock().unwrap();
         state.copies.insert(handle.clone(), KvCopy::Made(made));
         drop(state);
+        let mut own = self.state.lock().unwrap();
+        let taken = own.taken;
+        if last && own.loses_answer_after.is_some_and(|after| taken > after) {
+            own.loses_answer_after = None;
+            own.lost_answers.push(request.clone());
+            note(&format!("{} stopped {request} after {made} events; the answer to the order is lost", self.id));
+            return None;
+        }
+        drop(own);
         let body = format!("{{\"handle\":\"{handle}\",\"made\":{made}}}");
-        answer("200 OK", "Content-Type: application/json\r\n", &body)
+        Some(answer("200 OK", "Content-Type: application/json\r\n", &body))
     }
 
     fn run(self: Arc<Engine>, message: Message, mut stream: TcpStream) {
@@ -675,6 +732,7 @@
             let _ = stream.write_all(&answer("421 Misdirected Request", "", ""));
             return;
         }
+        self.state.lock().unwrap().taken += 1;
         if self.state.lock().unwrap().mode == Mode::Hang {
             // Until the caller closes the connection.
             let _ = stream.read(&mut [0; 64]);
@@ -723,8 +781,14 @@
     fn send_events(&self, run: &Run, after: u64, stream: &mut TcpStream) -> std::io::Result<()> {
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {}\r\n\
-             Server-Stamp: stamp.{}.{}\r\nTransfer-Encoding: chunked\r\n\r\n",
-            run.request, self.id, run.request
+             Server-Stamp: stamp.{}.{}\r\n{}\r\n",
+            run.request,
+            self.id,
+            run.request,
+            match self.terms.is_unframed {
+                true => "Connection: close\r\n",
+                false => "Transfer-Encoding: chunked\r\n",
+            }
         );
         stream.write_all(head.as_bytes())?;
         let mut sent = after;
@@ -732,12 +796,18 @@
             while sent < run.made() && run.stopped.lock().unwrap().is_none() {
                 sent += 1;
                 let event = event_text(&run.request, sent, self.terms.event_bytes);
-                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                let chunk = match self.terms.is_unframed {
+                    true => event,
+                    false => format!("{:x}\r\n{event}\r\n", event.len()),
+                };
                 stream.write_all(chunk.as_bytes())?;
             }
             if run.stopped.lock().unwrap().is_some() {
                 return Ok(());
             }
+            if sent >= run.total && self.terms.is_unframed {
+                return Ok(());
+            }
             if sent >= run.total {
                 return stream.write_all(b"0\r\n\r\n");
             }
