--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -816,6 +816,83 @@
     }
 }
 
+/// An engine that is a process of its own. It keeps no copies of the runs of others.
+pub struct EngineProcess {
+    pub id: String,
+    pub address: SocketAddr,
+    pid: u32,
+    born_ms: u64,
+    /// Requests that have arrived there.
+    pub arrived: Arc<Mutex<Vec<String>>>,
+}
+
+impl EngineProcess {
+    /// Starts this program once more, as an engine, and lists it.
+    pub fn start(id: &str, address: SocketAddr, zone: &str, service: &str, store: &Store) -> EngineProcess {
+        let mut child = Command::new(std::env::current_exe().expect("this program"))
+            .args(["engine", id, &address.to_string()])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the engine starts");
+        let arrived: Arc<Mutex<Vec<String>>> = Arc::default();
+        let lines = std::io::BufReader::new(child.stdout.take().expect("its output"));
+        let seen = arrived.clone();
+        thread::spawn(move || {
+            for line in std::io::BufRead::lines(lines).map_while(Result::ok) {
+                seen.lock().unwrap().push(line);
+            }
+        });
+        let engine = EngineProcess {
+            id: id.to_owned(),
+            address,
+            pid: child.id(),
+            born_ms: at(),
+            arrived,
+        };
+        CHILDREN.lock().unwrap().push(child);
+        for _ in 0..500 {
+            if TcpStream::connect_timeout(&address, ms(100)).is_ok() {
+                break;
+            }
+            pause(2);
+        }
+        let value = entry(service, address, zone, 24, "ready", engine.born_ms);
+        store.put(&format!("servers/{id}"), &value);
+        engine
+    }
+
+    /// Kills the process.
+    pub fn kill(&self) {
+        let mut children = CHILDREN.lock().unwrap();
+        if let Some(child) = children.iter_mut().find(|child| child.id() == self.pid) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        children.retain(|child| child.id() != self.pid);
+    }
+}
+
+/// Runs as an engine until the process is killed, if the command line says so.
+pub fn serve_if_engine(terms: EngineTerms) {
+    let words: Vec<String> = std::env::args().collect();
+    if words.get(1).map(String::as_str) != Some("engine") {
+        return;
+    }
+    let store = Store::start();
+    let address = words[3].parse().expect("an address");
+    Engine::start_at(address, &words[2], "", "", &store, terms);
+    let mut told = 0;
+    loop {
+        pause(20);
+        let arrivals = ARRIVALS.lock().unwrap();
+        for arrival in &arrivals[told..] {
+            println!("{}", arrival.request);
+        }
+        told = arrivals.len();
+    }
+}
+
 /// An event of a stream, the same at every engine.
 pub fn event_text(request: &str, id: u64, bytes: usize) -> String {
     let start = format!("id: {id}\ndata: {request}/{id} ");
