--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -524,10 +524,12 @@
     moved: HashMap<String, u64>,
     /// Number of requests and orders that it took.
     pub taken: u64,
-    /// Loses the answer of the next order to stop and copy a run, once it has taken so many.
-    pub loses_answer_after: Option<u64>,
+    /// Number of answers to orders to stop and copy a run that it still loses.
+    pub answers_to_lose: u32,
     /// Runs whose order lost its answer.
     pub lost_answers: Vec<String>,
+    /// Number of runs that began here with no copy of theirs elsewhere.
+    pub without_copy: usize,
 }
 
 pub struct Engine {
@@ -594,8 +596,9 @@
                 copies: HashMap::new(),
                 moved: HashMap::new(),
                 taken: 0,
-                loses_answer_after: None,
+                answers_to_lose: 0,
                 lost_answers: Vec::new(),
+                without_copy: 0,
             }),
             is_up: AtomicBool::new(true),
             born_ms: at(),
@@ -707,9 +710,8 @@
         state.copies.insert(handle.clone(), KvCopy::Made(made));
         drop(state);
         let mut own = self.state.lock().unwrap();
-        let taken = own.taken;
-        if last && own.loses_answer_after.is_some_and(|after| taken > after) {
-            own.loses_answer_after = None;
+        if last && own.answers_to_lose > 0 {
+            own.answers_to_lose -= 1;
             own.lost_answers.push(request.clone());
             note(&format!("{} stopped {request} after {made} events; the answer to the order is lost", self.id));
             return None;
@@ -765,6 +767,9 @@
             connection: stream.try_clone().unwrap(),
         });
         self.state.lock().unwrap().runs.insert(request.clone(), run.clone());
+        if message.header("kv-backup").is_none() {
+            self.state.lock().unwrap().without_copy += 1;
+        }
         if let Some(backup) = message.header("kv-backup").and_then(engine_at) {
             let mut state = backup.state.lock().unwrap();
             state.copies.insert(request.clone(), KvCopy::Grows(run.clone()));
