--- a/review/kit-2/kit.rs
+++ b/review/kit-2/kit.rs
@@ -14,6 +14,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::os::fd::FromRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -326,8 +327,25 @@
 /// The gateways of a case, ended when it ends.
 static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
-pub fn signal(pid: u32, name: &str) {
-    let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+/// Signals that cases send.
+pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+pub fn signal(pid: u32, signal: i32) {
+    unsafe { kill(pid as i32, signal) };
+}
+
+/// Lets a child end with this process, however that ends.
+fn ends_with_this(command: &mut Command) -> &mut Command {
+    const SET_SIGNAL_OF_PARENTS_END: i32 = 1;
+    const SIGKILL: usize = 9;
+    unsafe {
+        command.pre_exec(|| {
+            prctl(SET_SIGNAL_OF_PARENTS_END, SIGKILL, 0, 0, 0);
+            Ok(())
+        })
+    }
 }
 
 /// Ends all processes that were started, and this one.
@@ -404,7 +422,8 @@
 fn spawn_gateway(name: &str, ip: IpAddr, settings: PathBuf) -> Gateway {
     let log = File::options().append(true).create(true).open(temporary().join(format!("{name}.log")));
     let log = log.expect("log");
-    let child = Command::new("target/release/iristhreadd-gateway")
+    let mut command = Command::new("target/release/iristhreadd-gateway");
+    let child = ends_with_this(&mut command)
         .arg("--settings")
         .arg(&settings)
         .stdin(Stdio::null())
@@ -834,7 +853,8 @@
 impl EngineProcess {
     /// Starts this program once more, as an engine, and lists it.
     pub fn start(id: &str, address: SocketAddr, zone: &str, service: &str, store: &Store) -> EngineProcess {
-        let mut child = Command::new(std::env::current_exe().expect("this program"))
+        let mut command = Command::new(std::env::current_exe().expect("this program"));
+        let mut child = ends_with_this(&mut command)
             .args(["engine", id, &address.to_string()])
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
@@ -913,6 +933,8 @@
 // ---------------------------------------------------------------- clients
 
 unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+    fn prctl(option: i32, one: usize, two: usize, three: usize, four: usize) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(socket: i32, address: *const u8, length: u32) -> i32;
