Show the bytes that a gateway holds, by kind

Nothing told what a process over its memory holds. Bodies of requests and answers of calls count from when they are whole until their last copy is dropped, and held_bytes shows the sums.

--- /dev/null
+++ b/crates/core/src/memory.rs
@@ -0,0 +1,3 @@
+//! What a process holds in memory for others, and the budget that it stays within.
+
+pub(crate) mod held_memory;
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -49,6 +49,7 @@
 use crate::process::gated_listener::GatedListener;
 use crate::process::http_server;
 use crate::process::http_server::ConnectionLimits;
+use crate::process::memory::Memory;
 use crate::process::read_permit::ReadPermit;
 use crate::process::thread_lag::ThreadLag;
 use crate::relaying::http_front_end;
@@ -167,6 +168,7 @@
             client: ServerClient::dialing(MAX_ANSWER_BYTES, dialer.clone()),
             dialer: dialer.clone(),
             metrics: metrics.clone(),
+            memory: Memory::new(metrics.clone()),
             lag,
             log: log.clone(),
             views,
--- a/crates/daemon/src/gateway/gateway_app.rs
+++ b/crates/daemon/src/gateway/gateway_app.rs
@@ -18,6 +18,7 @@
 use crate::gateway::gateway_thread::GatewayHandle;
 use crate::gateway::gateway_views::GatewayViews;
 use crate::process::clock::Clock;
+use crate::process::memory::Memory;
 use crate::process::thread_lag::ThreadLag;
 use crate::relaying::wire_protocol::WireProtocol;
 
@@ -43,6 +44,8 @@
     pub dialer: Arc<ServerDialer>,
     /// Metrics of the gateway.
     pub metrics: Arc<GatewayMetrics>,
+    /// The bytes that are held for requests and connections.
+    pub memory: Arc<Memory>,
     /// Lateness of the thread that relays requests.
     pub lag: ThreadLag,
     /// Logger of the instance.
--- a/crates/daemon/src/gateway/gateway_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics.rs
@@ -19,12 +19,14 @@
 use crate::process::thread_lag::LatenessObserver;
 
 mod admission_metrics;
+mod memory_metrics;
 mod move_metrics;
 mod retry_metrics;
 mod server_metrics;
 mod speed_metrics;
 
 use admission_metrics::AdmissionMetrics;
+use memory_metrics::MemoryMetrics;
 use move_metrics::MoveMetrics;
 use retry_metrics::RetryMetrics;
 use speed_metrics::SpeedMetrics;
@@ -56,6 +58,8 @@
 pub struct GatewayMetrics {
     /// Metrics of the admission of requests.
     pub admission: AdmissionMetrics,
+    /// Metrics of the memory that is held for requests and connections.
+    pub memory: MemoryMetrics,
     registry: Mutex<Registry>,
     requests: Family<KindAndEnd, Counter>,
     refusals: Family<Kind, Counter>,
@@ -105,6 +109,7 @@
         let histogram = || Histogram::new(BOUNDS_S);
         let metrics = GatewayMetrics {
             admission: AdmissionMetrics::default(),
+            memory: MemoryMetrics::default(),
             registry: Mutex::new(Registry::with_prefix("iristhread")),
             requests: Family::default(),
             refusals: Family::default(),
@@ -157,6 +162,7 @@
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let r = &mut *registry;
         self.admission.register(r);
+        self.memory.register(r);
         r.register("requests", "Requests that ended", self.requests.clone());
         r.register("refusals", "Requests refused unsent", self.refusals.clone());
         self.retries.register(r);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -7,6 +7,7 @@
 pub(crate) mod http_server;
 pub(crate) mod log_limit;
 pub(crate) mod logging;
+pub(crate) mod memory;
 pub(crate) mod metrics;
 pub(crate) mod read_permit;
 pub(crate) mod settings_file;
--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use iristhread_core::CallEnd;
+use iristhread_core::MemoryKind;
 use iristhread_core::Now;
 use iristhread_core::Outcome;
 use iristhread_core::Ranking;
@@ -270,7 +271,11 @@
     Some(BufferedAnswer {
         status: answer.status,
         headers: answer.headers,
-        body: body.to_bytes(),
+        body: exchange.app.memory.counted(
+            MemoryKind::Answer,
+            exchange.workspace.as_deref().unwrap_or_default(),
+            body.to_bytes(),
+        ),
         ended_with_connection,
     })
 }
--- a/crates/daemon/src/relaying/http_front_end.rs
+++ b/crates/daemon/src/relaying/http_front_end.rs
@@ -18,6 +18,7 @@
 use iristhread_core::Fingerprint;
 use iristhread_core::FingerprintInput;
 use iristhread_core::GatewayWorkspace;
+use iristhread_core::MemoryKind;
 use iristhread_core::PromptParts;
 use iristhread_core::RegionId;
 use iristhread_core::RequestClass;
@@ -106,6 +107,11 @@
             Err(refuse(StatusCode::REQUEST_TIMEOUT, message))
         })?;
     let workspace_name = workspace.map(|workspace| workspace.name.clone());
+    let body = app.memory.counted(
+        MemoryKind::RequestBody,
+        workspace_name.as_deref().unwrap_or_default(),
+        body,
+    );
     let fingerprint = Fingerprint::of(&FingerprintInput {
         workspace: workspace_name.as_deref(),
         method: parts.method.as_str(),
