Keep what a process holds for others below its limit of memory

Cause: each limit is of one thing, none of the sum; a body was held until its stream ended, though it is needed again only if the session moves.

Change: a budget of the process (crates/core, memory) from its new setting process_memory_mb. Bodies, answers, connections and large heads claim their bytes before they are read. Bodies of running streams are retained at most, and given up for others; large ones wait while memory comes back; the rest is refused with a 503 and a time, its unread body is read and dropped. Why it works: whoever reads has a claim first, and claims are granted only within the budget.

--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -46,11 +46,12 @@
 use crate::peers::peer_server;
 use crate::peers::peer_server::PeerIdentity;
 use crate::process::clock::Clock;
+use crate::process::connection_memory::ConnectionMemory;
 use crate::process::gated_listener::GatedListener;
 use crate::process::http_server;
+use crate::process::http_server::ConnectionContext;
 use crate::process::http_server::ConnectionLimits;
 use crate::process::memory::Memory;
-use crate::process::read_permit::ReadPermit;
 use crate::process::thread_lag::ThreadLag;
 use crate::relaying::http_front_end;
 
@@ -157,6 +158,12 @@
             mover: (ports.mover)(dialer.clone()),
             notices: notices.clone(),
         });
+        let memory = Memory::new(
+            settings.process_memory_bytes,
+            clock,
+            metrics.clone(),
+            log.clone(),
+        );
         let app = Arc::new(GatewayApp {
             settings,
             identity,
@@ -168,7 +175,7 @@
             client: ServerClient::dialing(MAX_ANSWER_BYTES, dialer.clone()),
             dialer: dialer.clone(),
             metrics: metrics.clone(),
-            memory: Memory::new(metrics.clone()),
+            memory: memory.clone(),
             lag,
             log: log.clone(),
             views,
@@ -184,6 +191,7 @@
         let load = Arc::new(GatewayLoad {
             control: control.clone(),
             dialer,
+            memory,
             metrics: metrics.clone(),
         });
         let configs = ConfigReader {
@@ -209,16 +217,18 @@
         let (stop, stopped) = watch::channel(false);
         let limits = connection_limits(&app.settings);
         let front = app.clone();
-        let service = move |_, permit: Option<ReadPermit>| {
+        let service = move |connection: ConnectionContext| {
             let app = front.clone();
+            let memory = connection.memory;
             // It belongs to the first request of the connection.
-            let permit = Mutex::new(permit);
+            let permit = Mutex::new(connection.permit);
             service_fn(move |request: Request<Incoming>| {
                 let app = app.clone();
+                let head_pause = ConnectionMemory::pause(memory.as_ref());
                 let mut permit = permit.lock().unwrap_or_else(PoisonError::into_inner);
                 let permit = permit.take();
                 async move {
-                    let answer = http_front_end::answer(app, request, permit).await;
+                    let answer = http_front_end::answer(app, request, permit, head_pause).await;
                     Ok::<_, std::convert::Infallible>(answer)
                 }
             })
@@ -265,6 +275,10 @@
                 "directory_address",
                 old.directory_address != settings.directory_address,
             ),
+            (
+                "process_memory_mb",
+                old.process_memory_bytes != settings.process_memory_bytes,
+            ),
         ];
         let changed: Vec<&str> = fixed
             .iter()
@@ -279,6 +293,11 @@
             .tell(GatewayMessage::Parameters { parameters });
     }
 
+    /// Takes over a measurement of the resident memory of this process.
+    pub fn observe_resident(&self, resident_bytes: u64) {
+        self.app.memory.observe_resident(resident_bytes);
+    }
+
     /// Logs that changed settings are invalid; the old ones stay in force.
     pub fn reload_failed(&self, faults: &[String]) {
         warn!(self.app.log, "changed settings are invalid; the old ones stay in force";
--- a/crates/daemon/src/gateway/gateway_app.rs
+++ b/crates/daemon/src/gateway/gateway_app.rs
@@ -72,6 +72,16 @@
         engine.map_or(1, |engine| engine.tokens_per_event.max(1))
     }
 
+    /// Whether a session of a service may go on at another engine than its own.
+    pub fn engines_pass_sessions_on(&self, service: &str) -> bool {
+        let table = self.table();
+        let service = table
+            .as_ref()
+            .and_then(|table| table.config().service(service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.is_some_and(|engine| engine.can_move || engine.can_back_up)
+    }
+
     /// Waits until a run is left whose backend server is to be probed.
     pub async fn run_left(&self) {
         self.views.run_left.notified().await;
--- a/crates/daemon/src/gateway/gateway_program.rs
+++ b/crates/daemon/src/gateway/gateway_program.rs
@@ -8,6 +8,8 @@
 
 use nix::sys::signal::SigSet;
 use nix::sys::signal::Signal as BlockedSignal;
+use nix::unistd::SysconfVar;
+use nix::unistd::sysconf;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -123,6 +125,14 @@
     }
 }
 
+/// Returns the resident memory of this process; `None` where the system doesn't tell it.
+fn resident_bytes() -> Option<u64> {
+    let sizes = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = sizes.split_whitespace().nth(1)?.parse().ok()?;
+    let page_bytes = sysconf(SysconfVar::PAGE_SIZE).ok()??;
+    Some(pages * u64::try_from(page_bytes).ok()?)
+}
+
 /// Interval between two checks of the settings file. The file may change without a signal, and
 /// changes must be in force within seconds.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -145,6 +155,9 @@
             _ = signals.hang_up.recv() => true,
             () = tokio::time::sleep(SETTINGS_POLL_INTERVAL) => false,
         };
+        if let Some(resident_bytes) = resident_bytes() {
+            gateway.observe_resident(resident_bytes);
+        }
         // A file that is just being replaced is read at the next check.
         let Ok(text) = std::fs::read_to_string(file) else {
             continue;
--- a/crates/daemon/src/gateway/gateway_settings.rs
+++ b/crates/daemon/src/gateway/gateway_settings.rs
@@ -17,6 +17,7 @@
 use crate::process::settings_reader::read_name;
 
 const HOUR_MS: u64 = 3_600_000;
+const MIB: u64 = 1 << 20;
 
 /// Validated settings of one gateway instance.
 #[derive(Clone)]
@@ -48,6 +49,8 @@
     /// Thousandths of a processor core that the instance may use. The instances of a zone with
     /// the largest share relay heartbeats for the others.
     pub core_millis: u32,
+    /// Bytes of memory beyond which the platform ends the process.
+    pub process_memory_bytes: u64,
     /// Keys shared by all instances.
     pub keyring: Keyring,
     /// Lowest level that is logged.
@@ -103,6 +106,8 @@
             seed_peers: read_seeds(&mut reader),
             regions: read_regions(&mut reader),
             core_millis: (reader.share("processor_share", 1.0, 0.001..=1_000.0) * 1_000.0) as u32,
+            // An instance that isn't told its limit assumes that of the smallest machine.
+            process_memory_bytes: reader.number("process_memory_mb", 110, 48..=1_048_576) * MIB,
             keyring: read_keyring(&mut reader),
             log_level: read_level(&mut reader),
             // Leaves a quarter of the file descriptors of the smallest machine for connections
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -1,7 +1,10 @@
 //! Code that every daemon process needs: clocks, settings files, logs, metrics, HTTP connections.
 
 pub(crate) mod answered;
+pub(crate) mod claimed_body;
+pub(crate) mod claimed_buffer;
 pub(crate) mod clock;
+pub(crate) mod connection_memory;
 pub(crate) mod control_sender;
 pub(crate) mod gated_listener;
 pub(crate) mod http_server;
--- a/crates/daemon/src/process/gated_listener.rs
+++ b/crates/daemon/src/process/gated_listener.rs
@@ -7,6 +7,7 @@
 
 use futures::FutureExt;
 use iristhread_core::ConnectionQueue;
+use iristhread_core::MemoryShortage;
 use iristhread_core::Now;
 use slog::Logger;
 use slog::warn;
@@ -14,6 +15,7 @@
 use tokio::net::TcpStream;
 
 use crate::process::clock::Clock;
+use crate::process::connection_memory::ConnectionMemory;
 use crate::process::http_server::AcceptConnections;
 use crate::process::http_server::Accepted;
 use crate::process::read_permit::ReadPermit;
@@ -62,6 +64,15 @@
     /// Records that a connection is read. It counts as being read until the permit is dropped.
     fn read_permit(&self) -> Option<ReadPermit>;
 
+    /// Claims the memory of one more connection; `None` if it is not counted.
+    ///
+    /// # Errors
+    ///
+    /// [`MemoryShortage`] if connections hold all that they may.
+    fn connection_memory(&self) -> Result<Option<Arc<ConnectionMemory>>, MemoryShortage> {
+        Ok(None)
+    }
+
     /// Counts connections that were closed unread.
     fn closed_unread(&self, count: usize);
 }
@@ -200,10 +211,15 @@
     async fn accept(&mut self) -> std::io::Result<Accepted> {
         loop {
             if let Some((stream, address)) = self.next_read() {
+                let Ok(memory) = self.load.connection_memory() else {
+                    self.count_closed(1);
+                    continue;
+                };
                 return Ok(Accepted {
                     stream,
                     address,
                     permit: self.load.read_permit(),
+                    memory,
                 });
             }
             if let Err(error) = self.begin_turn().await {
--- a/crates/daemon/src/process/http_server.rs
+++ b/crates/daemon/src/process/http_server.rs
@@ -23,6 +23,8 @@
 use viz::Router;
 use viz::Tree;
 
+use crate::process::connection_memory::ClaimedStream;
+use crate::process::connection_memory::ConnectionMemory;
 use crate::process::read_permit::ReadPermit;
 
 /// Size of the read buffer relative to the limit of headers. Headers above the limit still fit, so
@@ -48,6 +50,18 @@
     pub address: SocketAddr,
     /// To be dropped when the first request is sent on; `None` if nothing limits what is read.
     pub permit: Option<ReadPermit>,
+    /// The memory of the connection; `None` if it is not counted.
+    pub memory: Option<Arc<ConnectionMemory>>,
+}
+
+/// What the service of one connection knows of it.
+pub struct ConnectionContext {
+    /// Address of the caller.
+    pub address: SocketAddr,
+    /// To be dropped when the first request is sent on.
+    pub permit: Option<ReadPermit>,
+    /// The memory of the connection.
+    pub memory: Option<Arc<ConnectionMemory>>,
 }
 
 /// A source of connections.
@@ -67,6 +81,7 @@
             stream,
             address,
             permit: None,
+            memory: None,
         })
     }
 }
@@ -79,7 +94,9 @@
     stop: watch::Receiver<bool>,
 ) {
     let tree = Arc::new(Tree::from(router));
-    let service = move |address, _| Responder::new(tree.clone(), Some(Arc::new(address)));
+    let service = move |connection: ConnectionContext| {
+        Responder::new(tree.clone(), Some(Arc::new(connection.address)))
+    };
     serve_with(listener, service, limits, stop).await;
 }
 
@@ -87,7 +104,7 @@
 /// progress.
 pub async fn serve_with<S, B>(
     mut listener: impl AcceptConnections,
-    service: impl Fn(SocketAddr, Option<ReadPermit>) -> S,
+    service: impl Fn(ConnectionContext) -> S,
     limits: ConnectionLimits,
     mut stop: watch::Receiver<bool>,
 ) where
@@ -119,8 +136,13 @@
         };
         // Fails only if the connection is already closed.
         let _ = accepted.stream.set_nodelay(true);
-        let service = service(accepted.address, accepted.permit);
-        let connection = http.serve_connection(TokioIo::new(accepted.stream), service);
+        let stream = ClaimedStream::new(accepted.stream, accepted.memory.clone());
+        let service = service(ConnectionContext {
+            address: accepted.address,
+            permit: accepted.permit,
+            memory: accepted.memory,
+        });
+        let connection = http.serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // A broken connection is not an error of the server.
--- a/crates/daemon/src/relaying/buffered_call.rs
+++ b/crates/daemon/src/relaying/buffered_call.rs
@@ -7,8 +7,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use iristhread_core::CallEnd;
 use iristhread_core::MemoryKind;
 use iristhread_core::Now;
@@ -26,6 +24,7 @@
 use crate::engines::engine_watch::probe_broken_server;
 use crate::gateway::GatewayApp;
 use crate::gateway::gateway_message::GatewayMessage;
+use crate::process::claimed_body::BodyReader;
 use crate::relaying::answer_timeout;
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
@@ -187,6 +186,7 @@
             | SendOutcome::ZoneEvacuated
             | SendOutcome::Withheld(_)
             | SendOutcome::DeadlinePassed
+            | SendOutcome::BodyGivenUp
     );
     let (result, answer) = classify(exchange, replica, sent, by).await;
     let has_failed = matches!(result, SendResult::Lost | SendResult::NotConnected);
@@ -217,7 +217,8 @@
         | SendOutcome::NoPath(_)
         | SendOutcome::ZoneEvacuated
         | SendOutcome::Withheld(_)
-        | SendOutcome::DeadlinePassed => (SendResult::NotConnected, None),
+        | SendOutcome::DeadlinePassed
+        | SendOutcome::BodyGivenUp => (SendResult::NotConnected, None),
         SendOutcome::Lost(_) => {
             probe_broken_server(&exchange.app, &exchange.head.request, replica).await;
             (SendResult::Lost, None)
@@ -266,16 +267,26 @@
 ) -> Option<BufferedAnswer> {
     let by = exchange.app.clock.instant(by);
     let ended_with_connection = answer.ends_with_connection();
-    let body = Limited::new(answer.body, MAX_ANSWER_BYTES).collect();
-    let body = answer_timeout::until(by, body).await?.ok()?;
+    let mut body = answer.body;
+    let reader = BodyReader {
+        memory: &exchange.app.memory,
+        kind: MemoryKind::Answer,
+        owner: exchange.memory_owner(),
+        max_bytes: MAX_ANSWER_BYTES,
+        max_wait: exchange.time_left(),
+    };
+    let body = match answer_timeout::until(by, reader.read(&mut body)).await? {
+        Ok(body) => body.bytes,
+        Err(fault) => {
+            info!(exchange.app.log, "answer of a backend server was not read";
+                "request" => &exchange.head.request, "cause" => fault.to_string());
+            return None;
+        }
+    };
     Some(BufferedAnswer {
         status: answer.status,
         headers: answer.headers,
-        body: exchange.app.memory.counted(
-            MemoryKind::Answer,
-            exchange.workspace.as_deref().unwrap_or_default(),
-            body.to_bytes(),
-        ),
+        body,
         ended_with_connection,
     })
 }
--- a/crates/daemon/src/relaying/exchange.rs
+++ b/crates/daemon/src/relaying/exchange.rs
@@ -5,12 +5,12 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
 use iristhread_core::FailoverTarget;
 use iristhread_core::Fingerprint;
+use iristhread_core::MemoryOwner;
 use iristhread_core::Now;
 use iristhread_core::PlacementRequest;
 use iristhread_core::PromptParts;
@@ -33,6 +33,7 @@
 use crate::process::read_permit::ReadPermit;
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
+use crate::relaying::request_body::RequestBody;
 use crate::relaying::run_guard::RunGuard;
 use crate::relaying::wire_protocol::CallerHead;
 use crate::relaying::wire_protocol::ResumePoint;
@@ -55,8 +56,8 @@
     pub uri: Uri,
     /// Request headers as received.
     pub headers: HeaderMap,
-    /// Complete request body.
-    pub body: Bytes,
+    /// Complete request body, for as long as it may be sent again.
+    pub body: RequestBody,
     /// Digest of the request, by which crashes under equal requests are recognised.
     pub fingerprint: Fingerprint,
     /// The parts of the prompt that other requests may share.
@@ -116,6 +117,30 @@
         Err(Box::new(refused))
     }
 
+    /// Holds the body of a stream that runs only in case it is sent again, and not at all if its
+    /// engine can neither move the session nor back it up and the route allows no other run.
+    pub fn stream_began(&self) {
+        match self.route.can_resume || self.app.engines_pass_sessions_on(&self.service) {
+            true => self.body.retain(),
+            false => self.body.discard(),
+        }
+    }
+
+    /// Returns for whom memory of this request is held.
+    pub fn memory_owner(&self) -> MemoryOwner {
+        MemoryOwner {
+            workspace: self.workspace.clone().unwrap_or_default(),
+            rank: self.rank(),
+        }
+    }
+
+    fn rank(&self) -> RequestRank {
+        RequestRank {
+            workspace: self.workspace_rank,
+            route: self.route.rank,
+        }
+    }
+
     /// Builds the placement request. Events that the caller has already received count as prompt
     /// tokens and no longer as output tokens, since they are prefilled and not generated again.
     fn placement_request(&self) -> PlacementRequest {
@@ -137,10 +162,7 @@
             level: ServiceLevel {
                 route: self.route.name.clone(),
                 workspace: self.workspace.clone(),
-                rank: RequestRank {
-                    workspace: self.workspace_rank,
-                    route: self.route.rank,
-                },
+                rank: self.rank(),
                 objective: self.route.objective,
                 pause_objective: self.route.pause_objective,
                 arrived: self.arrived,
--- a/crates/daemon/src/relaying/exchange/send.rs
+++ b/crates/daemon/src/relaying/exchange/send.rs
@@ -105,7 +105,8 @@
             backup: backup.map(|replica| replica.address),
             resume,
         };
-        let request = self.build_request(replica, &parameters);
+        let body = self.body.bytes().ok_or(SendOutcome::BodyGivenUp)?;
+        let request = self.build_request(replica, &parameters, body);
         let request = request.map_err(|error| SendOutcome::NotConnected(error.to_string()))?;
         requester.send(request).await.map_err(failed_send)
     }
@@ -127,7 +128,8 @@
             SendOutcome::Answer(_)
             | SendOutcome::ZoneEvacuated
             | SendOutcome::Withheld(_)
-            | SendOutcome::DeadlinePassed => return,
+            | SendOutcome::DeadlinePassed
+            | SendOutcome::BodyGivenUp => return,
         };
         info!(self.app.log, "send to a backend server failed";
             "request" => &self.head.request,
@@ -143,13 +145,14 @@
         &self,
         replica: &Replica,
         parameters: &SendParameters,
+        body: Bytes,
     ) -> Result<Request<Full<Bytes>>, http::Error> {
         let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = format!("http://{}{path}", replica.address);
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(uri)
-            .body(Full::new(self.body.clone()))?;
+            .body(Full::new(body))?;
         let headers = end_to_end_headers(&self.headers);
         *request.headers_mut() = self.app.wire_protocol.write_headers(&headers, parameters);
         Ok(request)
--- a/crates/daemon/src/relaying/http_front_end.rs
+++ b/crates/daemon/src/relaying/http_front_end.rs
@@ -6,51 +6,69 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::HeaderMap;
 use http::Request;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
+use http::request::Parts;
 use hyper::body::Incoming;
 use iristhread_core::Fingerprint;
 use iristhread_core::FingerprintInput;
 use iristhread_core::GatewayWorkspace;
 use iristhread_core::MemoryKind;
+use iristhread_core::MemoryOwner;
 use iristhread_core::PromptParts;
 use iristhread_core::RegionId;
 use iristhread_core::RequestClass;
+use iristhread_core::RequestRank;
 use iristhread_core::Route;
 use iristhread_core::RouteFault;
 use iristhread_core::RouteTable;
 use slog::info;
 
 use crate::gateway::GatewayApp;
+use crate::process::claimed_body::BodyFault;
+use crate::process::claimed_body::BodyReader;
+use crate::process::connection_memory::HeadPause;
 use crate::process::read_permit::ReadPermit;
 use crate::relaying::buffered_call;
 use crate::relaying::caller_answer;
 use crate::relaying::caller_answer::CallerAnswer;
 use crate::relaying::exchange::Exchange;
+use crate::relaying::request_body::RequestBody;
 use crate::relaying::stream_call;
+use crate::relaying::unread_body;
 use crate::relaying::wire_protocol::LastEvent;
 
+/// Maximum wait for memory that is about to come back.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(500);
+
 /// Retry-After while no configuration is known. Peers and the platform are queried repeatedly in
 /// the meantime.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Answers one request of a caller. `permit` is that of its connection, if this is its first request.
+/// `head_pause` ends when the request is answered and its body was read.
 pub async fn answer(
     app: Arc<GatewayApp>,
     request: Request<Incoming>,
     permit: Option<ReadPermit>,
+    head_pause: HeadPause,
 ) -> CallerAnswer {
-    let Some(table) = app.table() else {
-        let message = "no configuration is in force here yet";
-        return caller_answer::not_run(NOT_READY_RETRY_AFTER, message);
+    let (parts, mut body) = request.into_parts();
+    let is_sent_on_demand = unread_body::is_sent_on_demand(&parts.headers);
+    let exchange = match app.table() {
+        Some(table) => resolve(&app, &table, parts, &mut body, permit).await,
+        None => {
+            let message = "no configuration is in force here yet";
+            let answer = caller_answer::not_run(NOT_READY_RETRY_AFTER, message);
+            Err(Box::new(answer))
+        }
     };
-    match resolve(&app, &table, request, permit).await {
+    if exchange.is_err() && !is_sent_on_demand {
+        unread_body::discard(body, head_pause);
+    }
+    match exchange {
         Ok(exchange) => match exchange.route.class {
             RequestClass::Stream => stream_call::run(exchange).await,
             RequestClass::Repeatable | RequestClass::Once => buffered_call::run(&exchange).await,
@@ -62,11 +80,11 @@
 async fn resolve(
     app: &Arc<GatewayApp>,
     table: &RouteTable,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Incoming,
     permit: Option<ReadPermit>,
 ) -> Result<Exchange, Box<CallerAnswer>> {
     let arrived = app.clock.now();
-    let (parts, body) = request.into_parts();
     let limits = &table.config().limits;
     if header_bytes(&parts.headers) > limits.max_header_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
@@ -99,25 +117,36 @@
         .unwrap_or(route.timeout)
         .min(route.timeout);
     let answer_deadline = arrived + answer_timeout;
-    let read = read_body(body, limits.max_body_bytes);
-    let body = tokio::time::timeout_at(app.clock.instant(answer_deadline), read)
-        .await
-        .unwrap_or_else(|_| {
-            let message = "the body did not arrive in time";
-            Err(refuse(StatusCode::REQUEST_TIMEOUT, message))
-        })?;
     let workspace_name = workspace.map(|workspace| workspace.name.clone());
-    let body = app.memory.counted(
-        MemoryKind::RequestBody,
-        workspace_name.as_deref().unwrap_or_default(),
-        body,
-    );
+    let workspace_rank = workspace.map_or(0, |workspace| workspace.rank);
+    let reader = BodyReader {
+        memory: &app.memory,
+        kind: MemoryKind::RequestBody,
+        owner: MemoryOwner {
+            workspace: workspace_name.clone().unwrap_or_default(),
+            rank: RequestRank {
+                workspace: workspace_rank,
+                route: route.rank,
+            },
+        },
+        max_bytes: limits.max_body_bytes,
+        max_wait: MAX_MEMORY_WAIT,
+    };
+    let read = tokio::time::timeout_at(app.clock.instant(answer_deadline), reader.read(body));
+    let body = match read.await {
+        Ok(Ok(body)) => body,
+        Ok(Err(fault)) => return Err(refuse_unread(app, &head.request, &fault)),
+        Err(_) => {
+            let message = "the body did not arrive in time";
+            return Err(refuse(StatusCode::REQUEST_TIMEOUT, message));
+        }
+    };
     let fingerprint = Fingerprint::of(&FingerprintInput {
         workspace: workspace_name.as_deref(),
         method: parts.method.as_str(),
         host,
         path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
-        body: &body,
+        body: &body.bytes,
     });
     let shared_parts = head.shared_parts.iter().map(String::as_str);
     let own_part = head.own_part.as_deref();
@@ -128,11 +157,11 @@
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
-        body,
+        body: RequestBody::new(body, app.memory.clone()),
         service: service.to_owned(),
         workspace: workspace_name,
         hides_key: table.config().workspaces.is_some(),
-        workspace_rank: workspace.map_or(0, |workspace| workspace.rank),
+        workspace_rank,
         homes: allowed_home_regions(route, workspace),
         route: route.clone(),
         head,
@@ -176,20 +205,28 @@
     Box::new(caller_answer::from_gateway(status, message))
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Box<CallerAnswer>> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
+fn refuse_unread(app: &GatewayApp, request: &str, fault: &BodyFault) -> Box<CallerAnswer> {
+    info!(app.log, "body of a request was not read";
+        "request" => request, "cause" => fault.to_string());
+    match fault {
+        BodyFault::TooLarge => {
             let message = "the body is too large";
-            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, message))
+            refuse(StatusCode::PAYLOAD_TOO_LARGE, message)
         }
-        Err(_) => {
+        BodyFault::Broken(_) => {
             let message = "the body can't be read";
-            Err(refuse(StatusCode::BAD_REQUEST, message))
+            refuse(StatusCode::BAD_REQUEST, message)
         }
+        BodyFault::NoMemory(shortage) => refuse_for_memory(shortage.retry_after),
+        BodyFault::System(_) => refuse_for_memory(NOT_READY_RETRY_AFTER),
     }
 }
 
+fn refuse_for_memory(retry_after: Duration) -> Box<CallerAnswer> {
+    let message = "this instance has no memory for the body now; the request was not run";
+    Box::new(caller_answer::not_run(retry_after, message))
+}
+
 fn header_bytes(headers: &HeaderMap) -> usize {
     // Each header line also has a colon, a space and CR LF: 4 bytes.
     let lines = headers.iter();
--- a/crates/daemon/src/relaying/send_outcome.rs
+++ b/crates/daemon/src/relaying/send_outcome.rs
@@ -34,6 +34,8 @@
     Withheld(SendRestriction),
     /// Nothing was sent: the deadline of the answer has passed.
     DeadlinePassed,
+    /// Nothing was sent: the body was given up for other requests.
+    BodyGivenUp,
     /// The connection was lost, or the answer is not an answer to this request.
     Lost(String),
     /// No answer arrived before the deadline.
@@ -51,6 +53,7 @@
             SendOutcome::ZoneEvacuated => "zone_closed",
             SendOutcome::Withheld(_) => "withheld",
             SendOutcome::DeadlinePassed => "deadline_passed",
+            SendOutcome::BodyGivenUp => "body_given_up",
             SendOutcome::Lost(_) => "lost",
             SendOutcome::TimedOut => "timed_out",
         }
--- a/crates/daemon/src/relaying/stream_call.rs
+++ b/crates/daemon/src/relaying/stream_call.rs
@@ -127,9 +127,10 @@
                     "request" => &exchange.head.request, "backend_server" => &replica.id);
                 SendResult::NotConnected
             }
-            SendOutcome::NoPath(_) | SendOutcome::Withheld(_) | SendOutcome::DeadlinePassed => {
-                SendResult::NotConnected
-            }
+            SendOutcome::NoPath(_)
+            | SendOutcome::Withheld(_)
+            | SendOutcome::DeadlinePassed
+            | SendOutcome::BodyGivenUp => SendResult::NotConnected,
             SendOutcome::Lost(_) => {
                 probe_broken_server(app, &exchange.head.request, &replica).await;
                 cause = "connection to the engine lost before its answer";
@@ -152,6 +153,7 @@
     signals: SessionSignals,
 ) -> CallerAnswer {
     let (status, headers) = (answer.status, answer.headers.clone());
+    exchange.stream_began();
     let (relay, pieces) = StreamRelay::new(exchange, guard, replica, answer, signals);
     tokio::spawn(relay.run());
     caller_answer::forwarded(status, &headers, caller_answer::stream_body(pieces))
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -312,6 +312,12 @@
     }
 
     fn move_to(&mut self, target: Replica) {
+        if !self.exchange.body.keep() {
+            self.log_given_up_body();
+            let request = self.exchange.head.request.clone();
+            let message = GatewayMessage::MoveDelayed { request };
+            return self.exchange.app.control.tell(message);
+        }
         let order = MoveOrder {
             source: self.replica.clone(),
             request: self.exchange.head.request.clone(),
--- a/crates/daemon/src/relaying/stream_relay/failover.rs
+++ b/crates/daemon/src/relaying/stream_relay/failover.rs
@@ -158,13 +158,23 @@
         if let Some(end) = self.finish_pending_move().await {
             return FailoverOutcome::of(end);
         }
-        let request = self.exchange.head.request.clone();
-        let control = &self.exchange.app.control;
         if lost_by == LostBy::Engine {
-            control.tell(GatewayMessage::Failed {
-                replica: self.replica.server_life(),
-            });
+            let replica = self.replica.server_life();
+            let control = &self.exchange.app.control;
+            control.tell(GatewayMessage::Failed { replica });
+        }
+        if !self.exchange.body.keep() {
+            self.log_given_up_body();
+            return FailoverOutcome::NoTarget;
         }
+        let outcome = self.fail_over_with_body().await;
+        self.exchange.body.retain();
+        outcome
+    }
+
+    async fn fail_over_with_body(&mut self) -> FailoverOutcome {
+        let request = self.exchange.head.request.clone();
+        let control = &self.exchange.app.control;
         let asked = control.ask(|reply| GatewayMessage::FailOver { request, reply });
         let Some(target) = asked.await.flatten() else {
             return self.restart_elsewhere().await;
@@ -246,7 +256,9 @@
                     "backend_server" => &self.replica.id,
                     "cause" => error.to_string());
                 self.report_failed_move(replica, &error);
-                return self.return_to_source(error).await;
+                let end = self.return_to_source(error).await;
+                self.exchange.body.retain();
+                return end;
             }
         };
         // Nothing arrives on a connection that has been silent for long.
@@ -273,6 +285,14 @@
         self.tell_failed_move(self.tried.clone(), without_room);
     }
 
+    /// Logs that a session can't leave its engine.
+    pub(super) fn log_given_up_body(&self) {
+        info!(self.exchange.app.log, "session stays: its body was given up for other requests";
+            "request" => &self.exchange.head.request,
+            "backend_server" => &self.replica.id,
+            "last_event" => self.order.last());
+    }
+
     fn tell_failed_move(&self, tried: Vec<BackendId>, without_room: Option<BackendId>) {
         let failed = FailedMove {
             request: self.exchange.head.request.clone(),
--- a/crates/daemon/src/relaying/stream_relay/resume.rs
+++ b/crates/daemon/src/relaying/stream_relay/resume.rs
@@ -71,6 +71,10 @@
             SendOutcome::DeadlinePassed => {
                 ("the deadline has passed".to_owned(), ResumeOutcome::NotRun)
             }
+            SendOutcome::BodyGivenUp => (
+                "its body was given up for other requests".to_owned(),
+                ResumeOutcome::NotRun,
+            ),
             SendOutcome::Lost(cause) => {
                 probe_broken_server(&app, &self.exchange.head.request, &target.replica).await;
                 (cause, ResumeOutcome::Lost)
@@ -134,6 +138,7 @@
         self.engine_events = 0;
         self.engine_restarted = false;
         self.resumptions += 1;
+        self.exchange.body.retain();
         if target_is_new {
             self.tried.clear();
         }
