Claim the memory of events, of carried connections and of callers that read nothing

Events for callers that read slowly were bounded by number, up to 32 of 256 KiB for each stream, and a caller that never reads held its connection and what waits for it for good.

Change: events are claimed before they are copied, long incomplete ones and full buffers of the engine's connection too; the relay waits, and its engine with it. A buffer of a long event is given back. A carried connection claims 48 KiB or is refused as full. A connection whose caller reads nothing for the idle timeout (the completion interface: write_timeout_ms) is closed. The end of an event is searched once, not again for each part of it.

Large ones may fill 0.8 of the capacity, bodies 0.7: with 0.875, and the buffers of engines' connections not claimed, a measured shrinking of the capacity left no room for a new connection (seen in the test of slow readers, traced by its log: capacity 51 MB, held 54 MB).

--- a/crates/core/src/memory/memory_budget.rs
+++ b/crates/core/src/memory/memory_budget.rs
@@ -39,11 +39,11 @@
 const SMALL_BYTES: u64 = 64 << 10;
 
 /// Part of the capacity up to which large bodies of requests are read.
-const BODIES_PART: f64 = 0.75;
+const BODIES_PART: f64 = 0.7;
 
 /// Part of the capacity up to which other large holders are granted: what has run already goes
 /// before what has not begun.
-const LARGE_PART: f64 = 0.875;
+const LARGE_PART: f64 = 0.8;
 
 /// Part of the capacity that one kind of connection buffers may hold.
 const CONNECTIONS_PART: f64 = 0.25;
--- a/crates/daemon/src/completion/daemon.rs
+++ b/crates/daemon/src/completion/daemon.rs
@@ -259,5 +259,6 @@
         max_connections: settings.limits.max_connections,
         max_header_bytes: settings.limits.max_header_bytes,
         header_timeout: settings.limits.header_timeout,
+        write_timeout: settings.limits.write_timeout,
     }
 }
--- a/crates/daemon/src/detour/detour_server.rs
+++ b/crates/daemon/src/detour/detour_server.rs
@@ -12,6 +12,9 @@
 use std::time::Duration;
 
 use iristhread_api::ServerConnection;
+use iristhread_core::MemoryAsk;
+use iristhread_core::MemoryKind;
+use iristhread_core::MemoryOwner;
 use iristhread_core::PeerGuard;
 use slog::info;
 use slog::warn;
@@ -31,6 +34,7 @@
 use crate::gateway::GatewayApp;
 use crate::peers::peer_message::SignedMessage;
 use crate::peers::peer_port::sign;
+use crate::process::memory::MemoryClaim;
 
 /// Time within which a peer sends its request after it has connected.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
@@ -44,6 +48,9 @@
 /// Maximum number of connections whose request has not arrived yet.
 const MAX_PENDING: usize = 64;
 
+/// Memory of one carried connection: buffers of both directions and a record.
+const CARRIED_BYTES: u64 = 48 << 10;
+
 /// Accepts detours of peers.
 pub struct DetourServer {
     app: Arc<GatewayApp>,
@@ -52,6 +59,12 @@
     pending: Semaphore,
 }
 
+/// A place among the carried connections, with its memory.
+struct CarriedPermit<'a> {
+    _place: SemaphorePermit<'a>,
+    _memory: MemoryClaim,
+}
+
 impl DetourServer {
     /// Creates a server that carries at most `max_detours` connections of the settings.
     pub fn new(app: Arc<GatewayApp>) -> Arc<Self> {
@@ -147,15 +160,28 @@
     async fn connect(
         &self,
         request: &DetourRequest,
-    ) -> Result<(ServerConnection, SemaphorePermit<'_>), DetourReply> {
+    ) -> Result<(ServerConnection, CarriedPermit<'_>), DetourReply> {
         if self.app.is_stopping() {
             return Err(DetourReply::Stopping);
         }
-        let permit = self.carried.try_acquire().map_err(|_| DetourReply::Full)?;
+        let permit = self.permit().ok_or(DetourReply::Full)?;
         let server = self.app.dialer.connect_for_peer(&request.server).await?;
         Ok((server, permit))
     }
 
+    /// Returns the permit for one more connection if its memory fits, too.
+    fn permit(&self) -> Option<CarriedPermit<'_>> {
+        let ask = MemoryAsk {
+            kind: MemoryKind::Carried,
+            bytes: CARRIED_BYTES,
+            owner: MemoryOwner::default(),
+        };
+        Some(CarriedPermit {
+            _place: self.carried.try_acquire().ok()?,
+            _memory: self.app.memory.try_claim(&ask).ok()?,
+        })
+    }
+
     async fn answer(
         &self,
         stream: &mut TcpStream,
--- a/crates/daemon/src/gateway.rs
+++ b/crates/daemon/src/gateway.rs
@@ -366,5 +366,6 @@
         max_header_bytes: MAX_HEADER_BYTES,
         // The HTTP library applies this timeout to the idle time between two requests as well.
         header_timeout: IDLE_TIMEOUT,
+        write_timeout: IDLE_TIMEOUT,
     }
 }
--- a/crates/daemon/src/process/connection_memory.rs
+++ b/crates/daemon/src/process/connection_memory.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use iristhread_core::MemoryAsk;
 use iristhread_core::MemoryKind;
@@ -17,6 +18,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Sleep;
 
 use crate::process::memory::Memory;
 use crate::process::memory::MemoryClaim;
@@ -112,16 +114,49 @@
     }
 }
 
-/// A connection whose large heads are claimed. It breaks if there is no memory for one.
+/// A connection whose large heads are claimed. It breaks if there is no memory for one, or if its
+/// caller reads nothing for `write_timeout`.
 pub struct ClaimedStream {
     stream: TcpStream,
     memory: Option<Arc<ConnectionMemory>>,
+    write_timeout: Duration,
+    /// Runs while the caller reads nothing.
+    stalled: Option<Pin<Box<Sleep>>>,
 }
 
 impl ClaimedStream {
     /// Takes over a connection.
-    pub fn new(stream: TcpStream, memory: Option<Arc<ConnectionMemory>>) -> Self {
-        ClaimedStream { stream, memory }
+    pub fn new(
+        stream: TcpStream,
+        memory: Option<Arc<ConnectionMemory>>,
+        write_timeout: Duration,
+    ) -> Self {
+        ClaimedStream {
+            stream,
+            memory,
+            write_timeout,
+            stalled: None,
+        }
+    }
+
+    /// Passes on the result of a write, unless writes have been pending for too long.
+    fn check_progress(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.stalled = None;
+            return written;
+        }
+        let write_timeout = self.write_timeout;
+        let stalled = self
+            .stalled
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(write_timeout)));
+        match stalled.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
     }
 }
 
@@ -149,7 +184,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check_progress(context, written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -165,7 +201,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.check_progress(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/daemon/src/process/http_server.rs
+++ b/crates/daemon/src/process/http_server.rs
@@ -40,6 +40,8 @@
     pub max_header_bytes: usize,
     /// Maximum time in which a caller must send the headers.
     pub header_timeout: Duration,
+    /// Maximum time in which a caller may read nothing of an answer.
+    pub write_timeout: Duration,
 }
 
 /// A connection that may be read.
@@ -136,7 +138,11 @@
         };
         // Fails only if the connection is already closed.
         let _ = accepted.stream.set_nodelay(true);
-        let stream = ClaimedStream::new(accepted.stream, accepted.memory.clone());
+        let stream = ClaimedStream::new(
+            accepted.stream,
+            accepted.memory.clone(),
+            limits.write_timeout,
+        );
         let service = service(ConnectionContext {
             address: accepted.address,
             permit: accepted.permit,
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -4,14 +4,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures::Stream;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use iristhread_core::BackendId;
 use iristhread_core::EventOrder;
-use iristhread_core::EventVerdict;
 use iristhread_core::Now;
 use iristhread_core::Replica;
 use iristhread_core::RunEnd;
@@ -26,6 +24,7 @@
 use crate::engines::session_mover::MoveError;
 use crate::engines::session_mover::MoveOrder;
 use crate::gateway::gateway_message::GatewayMessage;
+use crate::process::memory::MemoryClaim;
 use crate::relaying::caller_answer::StreamBroken;
 use crate::relaying::event_splitter::EventSplitter;
 use crate::relaying::exchange::Exchange;
@@ -33,6 +32,7 @@
 use crate::relaying::send_outcome::BackendAnswer;
 use crate::relaying::session_signals::SessionSignals;
 
+mod delivery;
 mod failover;
 mod resume;
 mod unframed_end;
@@ -98,6 +98,10 @@
     signals: SessionSignals,
     to_caller: mpsc::Sender<Piece>,
     splitter: EventSplitter,
+    /// Allows an incomplete event that is longer than usual ones.
+    long_event: Option<MemoryClaim>,
+    /// Allows the buffers of the engine's connection to be full.
+    full_buffers: Option<MemoryClaim>,
     order: EventOrder,
     events: u32,
     /// Events received from the current engine.
@@ -148,6 +152,8 @@
             signals,
             to_caller,
             splitter: EventSplitter::default(),
+            long_event: None,
+            full_buffers: None,
             events: 0,
             engine_events: 0,
             last_event_at: Now::ZERO,
@@ -206,50 +212,6 @@
         }
     }
 
-    async fn take(&mut self, frame: Frame<Bytes>) -> Step {
-        let Ok(data) = frame.into_data() else {
-            return Step::Continue;
-        };
-        let now = self.exchange.app.clock.now();
-        let mut piece = BytesMut::new();
-        let events_before = self.events;
-        let Ok(events) = self.splitter.push(&data) else {
-            return Step::Broken("an event has no end");
-        };
-        for event in events {
-            match self.order.next(event.id) {
-                EventVerdict::Deliver => {
-                    self.events += 1;
-                    self.engine_events += 1;
-                    piece.extend_from_slice(&event.bytes);
-                }
-                EventVerdict::Repeated => {}
-                EventVerdict::Missing => return Step::Broken("events are missing"),
-            }
-        }
-        if piece.is_empty() {
-            return Step::Continue;
-        }
-        self.record_delivery(now, events_before);
-        if events_before == 0 || events_before / PROGRESS_EVERY != self.events / PROGRESS_EVERY {
-            self.report_progress();
-        }
-        if self.to_caller.capacity() == 0 {
-            self.report_interruption();
-        }
-        let deadline = self
-            .exchange
-            .app
-            .clock
-            .instant(self.exchange.answer_deadline);
-        let sent = self.to_caller.send(Ok(Frame::data(piece.freeze())));
-        match tokio::time::timeout_at(deadline, sent).await {
-            Ok(Ok(())) => Step::Continue,
-            Ok(Err(_)) => Step::CallerDisconnected,
-            Err(_) => Step::DeadlineExceeded,
-        }
-    }
-
     fn record_delivery(&mut self, now: Now, events_before: u32) {
         self.silent_since = now;
         self.is_waiting_for_engine = false;
