Let large bodies that still arrive take no place on the path to servers

Callers saw: of 28 that send large bodies at once some had their connections closed unread, also usual ones beside them. Cause: a request counted against the window of the path to servers from its connection on, for up to a second, though its body had not arrived; 16 of them filled the window. A request with a body of more than 64 KiB or without a length now takes its place once the body is there.

--- a/crates/daemon/src/relaying/http_front_end.rs
+++ b/crates/daemon/src/relaying/http_front_end.rs
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use http::header;
 use http::request::Parts;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use iristhread_core::Fingerprint;
 use iristhread_core::FingerprintInput;
@@ -40,6 +41,9 @@
 use crate::relaying::unread_body;
 use crate::relaying::wire_protocol::LastEvent;
 
+/// Size up to which a body arrives with its head or right after it.
+const MAX_PROMPT_BYTES: u64 = 64 << 10;
+
 /// Maximum wait for memory that is about to come back.
 const MAX_MEMORY_WAIT: Duration = Duration::from_millis(500);
 
@@ -82,7 +86,7 @@
     table: &RouteTable,
     parts: Parts,
     body: &mut Incoming,
-    permit: Option<ReadPermit>,
+    mut permit: Option<ReadPermit>,
 ) -> Result<Exchange, Box<CallerAnswer>> {
     let arrived = app.clock.now();
     let limits = &table.config().limits;
@@ -132,8 +136,18 @@
         max_bytes: limits.max_body_bytes,
         max_wait: MAX_MEMORY_WAIT,
     };
+    let announced = body.size_hint().exact();
+    let is_large = announced.is_none_or(|bytes| bytes > MAX_PROMPT_BYTES);
+    if is_large {
+        // Its body may arrive slowly; until then the request takes no place on the path to servers.
+        drop(permit.take());
+    }
     let read = tokio::time::timeout_at(app.clock.instant(answer_deadline), reader.read(body));
-    let body = match read.await {
+    let read = read.await;
+    if is_large {
+        permit = Some(app.dialer.read_permit());
+    }
+    let body = match read {
         Ok(Ok(body)) => body,
         Ok(Err(fault)) => return Err(refuse_unread(app, &head.request, &fault)),
         Err(_) => {
