Keep events that were counted until their caller has a place for them

Cause: the relay counts the events of a frame and then waits for the caller's queue; the timeout of a stopped stream dropped the wait and the events with it, and the session resumed after the last one counted.

Counted events stay in the relay until the queue has a place for them, whatever drops the wait. A claim of memory for events ends with the deadline or when the caller leaves.

--- a/crates/core/src/memory/memory_budget.rs
+++ b/crates/core/src/memory/memory_budget.rs
@@ -48,7 +48,7 @@
 /// Part of the capacity that one kind of connection buffers may hold.
 const CONNECTIONS_PART: f64 = 0.25;
 
-/// Maximum number of claims that wait.
+/// Number of claims that wait from which on no body does.
 const MAX_WAITING: usize = 256;
 
 /// For whom bytes are held.
@@ -302,11 +302,11 @@
 
     /// Whether room for a claim is about to come back. What has run already waits in any case.
     fn is_worth_waiting(&self, now: Now, ask: &MemoryAsk) -> bool {
-        if self.waiting.len() >= MAX_WAITING {
-            return false;
+        if ask.kind != MemoryKind::RequestBody {
+            return true;
         }
         let needed = self.queued_bytes() + ask.bytes;
-        ask.kind != MemoryKind::RequestBody || self.turnover.comes_back(now) >= needed
+        self.waiting.len() < MAX_WAITING && self.turnover.comes_back(now) >= needed
     }
 
     fn queued_bytes(&self) -> u64 {
--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -98,6 +98,8 @@
     signals: SessionSignals,
     to_caller: mpsc::Sender<Piece>,
     splitter: EventSplitter,
+    /// Events that are counted and not handed over to the caller yet.
+    undelivered: Vec<Bytes>,
     /// Allows an incomplete event that is longer than usual ones.
     long_event: Option<MemoryClaim>,
     /// Allows the buffers of the engine's connection to be full.
@@ -152,6 +154,7 @@
             signals,
             to_caller,
             splitter: EventSplitter::default(),
+            undelivered: Vec::new(),
             long_event: None,
             full_buffers: None,
             events: 0,
@@ -191,6 +194,9 @@
     }
 
     async fn step(&mut self) -> Step {
+        if !self.undelivered.is_empty() {
+            return self.deliver().await;
+        }
         let clock = self.exchange.app.clock;
         let deadline = clock.instant(self.exchange.answer_deadline);
         let silent_at = clock.instant(self.silent_since + SILENCE_BEFORE_CHECK);
--- a/crates/daemon/src/relaying/stream_relay/delivery.rs
+++ b/crates/daemon/src/relaying/stream_relay/delivery.rs
@@ -5,6 +5,7 @@
 use iristhread_core::EventVerdict;
 use iristhread_core::MemoryAsk;
 use iristhread_core::MemoryKind;
+use tokio::time::timeout_at;
 
 use super::PROGRESS_EVERY;
 use super::Step;
@@ -33,21 +34,20 @@
         let Ok(events) = self.splitter.push(&data) else {
             return Step::Broken("an event has no end");
         };
-        let mut next_events = Vec::new();
+        let had_events = self.undelivered.len();
         for event in events {
             match self.order.next(event.id) {
                 EventVerdict::Deliver => {
                     self.events += 1;
                     self.engine_events += 1;
-                    next_events.push(event.bytes);
+                    self.undelivered.push(event.bytes);
                 }
                 EventVerdict::Repeated => {}
                 EventVerdict::Missing => return Step::Broken("events are missing"),
             }
         }
-        self.claim_buffers().await;
-        if next_events.is_empty() {
-            return Step::Continue;
+        if self.undelivered.len() == had_events {
+            return self.claim_buffers().await.err().unwrap_or(Step::Continue);
         }
         self.record_delivery(now, events_before);
         if events_before == 0 || events_before / PROGRESS_EVERY != self.events / PROGRESS_EVERY {
@@ -56,62 +56,71 @@
         if self.to_caller.capacity() == 0 {
             self.report_interruption();
         }
-        let deadline = self
-            .exchange
-            .app
-            .clock
-            .instant(self.exchange.answer_deadline);
-        let sent = self.send_to_caller(next_events);
-        match tokio::time::timeout_at(deadline, sent).await {
-            Ok(step) => step,
-            Err(_) => Step::DeadlineExceeded,
+        match self.claim_buffers().await {
+            Ok(()) => self.deliver().await,
+            Err(step) => step,
+        }
+    }
+
+    /// Hands the events over that were counted and are not delivered yet. They stay where they are if
+    /// this is dropped while it waits for memory or for the caller.
+    pub(super) async fn deliver(&mut self) -> Step {
+        let clock = self.exchange.app.clock;
+        let deadline = clock.instant(self.exchange.answer_deadline);
+        let length = self.undelivered.iter().map(Bytes::len).sum();
+        let claim = match self.claim_events(length).await {
+            Ok(claim) => claim,
+            Err(step) => return step,
+        };
+        let place = match timeout_at(deadline, self.to_caller.reserve()).await {
+            Ok(Ok(place)) => place,
+            Ok(Err(_)) => return Step::CallerDisconnected,
+            Err(_) => return Step::DeadlineExceeded,
+        };
+        let Ok(mut piece) = ClaimedBuffer::new(length, claim) else {
+            return Step::Broken("the system has no memory for an event");
+        };
+        for event in self.undelivered.drain(..) {
+            piece.fill(&event);
         }
+        place.send(Ok(Frame::data(piece.freeze())));
+        Step::Continue
     }
 
     /// Claims memory for an incomplete event that outgrows usual ones, and for the buffers of the
     /// engine's connection, which grow with long events and while the caller reads slowly.
-    async fn claim_buffers(&mut self) {
+    async fn claim_buffers(&mut self) -> Result<(), Step> {
         let is_long = self.splitter.pending() > USUAL_EVENT_BYTES;
         if !is_long {
             self.long_event = None;
         } else if self.long_event.is_none() {
-            self.long_event = Some(self.claim_events(LONG_EVENT_BYTES).await);
+            self.long_event = Some(self.claim_events(LONG_EVENT_BYTES).await?);
         }
         let is_full = is_long || self.to_caller.capacity() == 0;
         if is_full && self.full_buffers.is_none() {
-            self.full_buffers = Some(self.claim_events(FULL_BUFFERS_BYTES).await);
+            self.full_buffers = Some(self.claim_events(FULL_BUFFERS_BYTES).await?);
         }
+        Ok(())
     }
 
-    /// Waits until there is memory for events and their caller has read some of those before.
-    async fn send_to_caller(&self, events: Vec<Bytes>) -> Step {
-        let length = events.iter().map(Bytes::len).sum();
-        let claim = self.claim_events(length).await;
-        let Ok(mut piece) = ClaimedBuffer::new(length, claim) else {
-            return Step::Broken("the system has no memory for an event");
-        };
-        for event in &events {
-            piece.fill(event);
-        }
-        // They share the memory of the engine's frames.
-        drop(events);
-        match self.to_caller.send(Ok(Frame::data(piece.freeze()))).await {
-            Ok(()) => Step::Continue,
-            Err(_) => Step::CallerDisconnected,
-        }
-    }
-
-    /// Claims memory for events; does not complete if there is none until the deadline.
-    async fn claim_events(&self, bytes: usize) -> MemoryClaim {
+    /// Claims memory for events; waits until there is some.
+    ///
+    /// # Errors
+    ///
+    /// The step that ends the stream: the caller has left, or there is no memory until the deadline.
+    async fn claim_events(&self, bytes: usize) -> Result<MemoryClaim, Step> {
         let ask = MemoryAsk {
             kind: MemoryKind::Events,
             bytes: bytes as u64,
             owner: self.exchange.memory_owner(),
         };
         let max_wait = self.exchange.time_left();
-        match self.exchange.app.memory.claim(&ask, max_wait).await {
-            Ok(claim) => claim,
-            Err(_) => std::future::pending().await,
+        tokio::select! {
+            biased;
+            claim = self.exchange.app.memory.claim(&ask, max_wait) => {
+                claim.map_err(|_| Step::DeadlineExceeded)
+            }
+            () = self.to_caller.closed() => Err(Step::CallerDisconnected),
         }
     }
 }
