Break off a stream that an order without an answer may have stopped

Cause: the end of the connection counts as the end of the stream unless a move is under way; a move that ended without an answer was forgotten. A relay now remembers it until the stream goes on at an engine.

--- a/crates/daemon/src/relaying/stream_relay.rs
+++ b/crates/daemon/src/relaying/stream_relay.rs
@@ -120,6 +120,8 @@
     /// Number of runs placed without a copy: the first one and restarts.
     fresh_runs: u32,
     moving: Option<SessionMove>,
+    /// Whether an order that got no answer may have stopped the session at its engine.
+    may_be_stopped: bool,
     /// Engines that did not accept the session when it was moved; cleared when it resumes at
     /// another engine.
     tried: Vec<BackendId>,
@@ -165,6 +167,7 @@
             resumptions: 0,
             fresh_runs: 1,
             moving: None,
+            may_be_stopped: false,
             tried: Vec::new(),
             engine_restarted: false,
             is_waiting_for_engine: false,
--- a/crates/daemon/src/relaying/stream_relay/failover.rs
+++ b/crates/daemon/src/relaying/stream_relay/failover.rs
@@ -243,7 +243,12 @@
         outcome: Result<String, MoveError>,
     ) -> Option<End> {
         let app = self.exchange.app.clone();
-        let replica = self.moving.take()?.target().clone();
+        let moving = self.moving.take()?;
+        let replica = moving.target().clone();
+        if matches!(outcome, Err(MoveError::NoAnswer(_))) {
+            // The order that stops a session follows its first copy.
+            self.may_be_stopped |= moving.partial_copy().is_some();
+        }
         app.metrics.moved(match &outcome {
             Ok(_) => "moved",
             Err(error) => error.as_str(),
--- a/crates/daemon/src/relaying/stream_relay/resume.rs
+++ b/crates/daemon/src/relaying/stream_relay/resume.rs
@@ -137,6 +137,7 @@
         self.silent_since = app.clock.now();
         self.engine_events = 0;
         self.engine_restarted = false;
+        self.may_be_stopped = false;
         self.resumptions += 1;
         self.exchange.body.retain();
         if target_is_new {
--- a/crates/daemon/src/relaying/stream_relay/unframed_end.rs
+++ b/crates/daemon/src/relaying/stream_relay/unframed_end.rs
@@ -10,10 +10,12 @@
 /// Why a stream that ended with its connection is not complete.
 const ENGINE_ENDED: &str = "the engine ended with the connection";
 const MOVE_PENDING: &str = "the connection ended and its move has no result";
+const MAY_BE_STOPPED: &str =
+    "the connection ended, and an order without an answer may have stopped the run";
 
 impl StreamRelay {
     /// Decides whether a stream that ended with its connection is complete: it is not if its engine
-    /// has ended as well, has sent nothing, or has stopped the session in order to move it.
+    /// has ended as well, has sent nothing, or may have stopped the session in order to move it.
     pub(super) async fn check_unframed_end(&mut self) -> Step {
         if self.events == 0 {
             return Step::Broken("the connection ended before the first event");
@@ -42,6 +44,9 @@
     }
 
     async fn check_engine_after_end(&self) -> Step {
+        if self.may_be_stopped {
+            return Step::Broken(MAY_BE_STOPPED);
+        }
         match has_ended_soon_after_answer(&self.exchange.app, &self.replica).await {
             true => Step::Broken(ENGINE_ENDED),
             false => Step::Completed,
