--- a/crates/daemon/src/process/claimed_body.rs
+++ b/crates/daemon/src/process/claimed_body.rs
@@ -27,6 +27,9 @@
     /// It is longer than the limit.
     #[error("the body is too large")]
     TooLarge,
+    /// It did not arrive in time.
+    #[error("the body did not arrive in time")]
+    Late,
     /// Its connection broke.
     #[error("the body can't be read: {0}")]
     Broken(#[from] hyper::Error),
--- a/crates/daemon/src/relaying/http_front_end.rs
+++ b/crates/daemon/src/relaying/http_front_end.rs
@@ -18,6 +18,7 @@
 use iristhread_core::GatewayWorkspace;
 use iristhread_core::MemoryKind;
 use iristhread_core::MemoryOwner;
+use iristhread_core::Now;
 use iristhread_core::PromptParts;
 use iristhread_core::RegionId;
 use iristhread_core::RequestClass;
@@ -30,6 +31,7 @@
 use crate::gateway::GatewayApp;
 use crate::process::claimed_body::BodyFault;
 use crate::process::claimed_body::BodyReader;
+use crate::process::claimed_body::ClaimedBody;
 use crate::process::connection_memory::HeadPause;
 use crate::process::read_permit::ReadPermit;
 use crate::relaying::buffered_call;
@@ -123,38 +125,24 @@
     let answer_deadline = arrived + answer_timeout;
     let workspace_name = workspace.map(|workspace| workspace.name.clone());
     let workspace_rank = workspace.map_or(0, |workspace| workspace.rank);
-    let reader = BodyReader {
-        memory: &app.memory,
-        kind: MemoryKind::RequestBody,
-        owner: MemoryOwner {
-            workspace: workspace_name.clone().unwrap_or_default(),
-            rank: RequestRank {
-                workspace: workspace_rank,
-                route: route.rank,
-            },
+    let owner = MemoryOwner {
+        workspace: workspace_name.clone().unwrap_or_default(),
+        rank: RequestRank {
+            workspace: workspace_rank,
+            route: route.rank,
         },
-        max_bytes: limits.max_body_bytes,
-        max_wait: MAX_MEMORY_WAIT,
     };
-    let announced = body.size_hint().exact();
-    let is_large = announced.is_none_or(|bytes| bytes > MAX_PROMPT_BYTES);
+    let is_large = is_large(body);
     if is_large {
         // Its body may arrive slowly; until then the request takes no place on the path to servers.
         drop(permit.take());
     }
-    let read = tokio::time::timeout_at(app.clock.instant(answer_deadline), reader.read(body));
-    let read = read.await;
+    let body = read_body(app, body, owner, limits.max_body_bytes, answer_deadline)
+        .await
+        .map_err(|fault| refuse_unread(app, &head.request, &fault))?;
     if is_large {
         permit = Some(app.dialer.read_permit());
     }
-    let body = match read {
-        Ok(Ok(body)) => body,
-        Ok(Err(fault)) => return Err(refuse_unread(app, &head.request, &fault)),
-        Err(_) => {
-            let message = "the body did not arrive in time";
-            return Err(refuse(StatusCode::REQUEST_TIMEOUT, message));
-        }
-    };
     let fingerprint = Fingerprint::of(&FingerprintInput {
         workspace: workspace_name.as_deref(),
         method: parts.method.as_str(),
@@ -219,6 +207,31 @@
     Box::new(caller_answer::from_gateway(status, message))
 }
 
+/// Whether a body is longer than what arrives with its head, or may be.
+fn is_large(body: &Incoming) -> bool {
+    let announced = body.size_hint().exact();
+    announced.is_none_or(|bytes| bytes > MAX_PROMPT_BYTES)
+}
+
+async fn read_body(
+    app: &GatewayApp,
+    body: &mut Incoming,
+    owner: MemoryOwner,
+    max_bytes: usize,
+    answer_deadline: Now,
+) -> Result<ClaimedBody, BodyFault> {
+    let reader = BodyReader {
+        memory: &app.memory,
+        kind: MemoryKind::RequestBody,
+        owner,
+        max_bytes,
+        max_wait: MAX_MEMORY_WAIT,
+    };
+    let until = app.clock.instant(answer_deadline);
+    let read = tokio::time::timeout_at(until, reader.read(body));
+    read.await.unwrap_or(Err(BodyFault::Late))
+}
+
 fn refuse_unread(app: &GatewayApp, request: &str, fault: &BodyFault) -> Box<CallerAnswer> {
     info!(app.log, "body of a request was not read";
         "request" => request, "cause" => fault.to_string());
@@ -231,6 +244,10 @@
             let message = "the body can't be read";
             refuse(StatusCode::BAD_REQUEST, message)
         }
+        BodyFault::Late => {
+            let message = "the body did not arrive in time";
+            refuse(StatusCode::REQUEST_TIMEOUT, message)
+        }
         BodyFault::NoMemory(shortage) => refuse_for_memory(shortage.retry_after),
         BodyFault::System(_) => refuse_for_memory(NOT_READY_RETRY_AFTER),
     }
