Give up bodies only for claims that they make room for

Callers saw nothing yet; found by reading. A claim whose own kind was full, such as one connection too many, or one that only had to go behind others, made the budget give up all retained bodies one after the other: their sessions could no longer leave their engines, and the claim was refused all the same. Bodies are given up now only if the sum is what a claim lacks.

--- a/crates/core/src/memory/memory_budget.rs
+++ b/crates/core/src/memory/memory_budget.rs
@@ -166,7 +166,7 @@
         if missing == 0 && !self.is_after_a_waiter(&ask) {
             return ClaimVerdict::Granted(self.grant(now, ask));
         }
-        if let Some(retained) = self.retained_of(missing.max(1)) {
+        if let Some(retained) = self.retained_for(&ask) {
             return ClaimVerdict::GiveUp(retained);
         }
         if may_wait && self.is_worth_waiting(now, &ask) {
@@ -205,12 +205,8 @@
         let Some(index) = self.next_waiter() else {
             return Vec::new();
         };
-        let ask = &self.waiting[index].ask;
-        let missing = ask.bytes.saturating_sub(self.free_for(ask));
-        match missing {
-            0 => Vec::new(),
-            _ => self.retained_of(missing).unwrap_or_default(),
-        }
+        let ask = self.waiting[index].ask.clone();
+        self.retained_for(&ask).unwrap_or_default()
     }
 
     /// Grants the claims that wait and fit now, in order. Small ones pass large ones that don't fit.
@@ -255,10 +251,20 @@
 
     /// Returns the bytes that are free for a claim.
     fn free_for(&self, ask: &MemoryAsk) -> u64 {
-        let capacity = self.capacity_bytes();
-        let free = part(capacity, sum_part(ask)).saturating_sub(self.held.total_bytes());
-        let of_kind = self.held.of_kind(ask.kind);
-        free.min(part(capacity, kind_part(ask.kind)).saturating_sub(of_kind))
+        self.free_in_sum(ask).min(self.free_of_kind(ask.kind))
+    }
+
+    fn free_in_sum(&self, ask: &MemoryAsk) -> u64 {
+        let most = part(self.capacity_bytes(), sum_part(ask));
+        most.saturating_sub(self.held.total_bytes())
+    }
+
+    fn free_of_kind(&self, kind: MemoryKind) -> u64 {
+        let Some(kind_part) = kind_part(kind) else {
+            return u64::MAX;
+        };
+        let most = part(self.capacity_bytes(), kind_part);
+        most.saturating_sub(self.held.of_kind(kind))
     }
 
     /// Whether a claim that goes first waits already. Small claims pass all that wait.
@@ -319,9 +325,13 @@
         id
     }
 
-    /// Returns retained claims of `missing` bytes in sum, `None` if there are not as many: those of
-    /// the least urgent rank first, then of the workspace that holds most, then the largest.
-    fn retained_of(&mut self, missing: u64) -> Option<Vec<ClaimId>> {
+    /// Returns the retained claims that make room for a claim, `None` if they can't or need not:
+    /// those of the least urgent rank first, then of the workspace that holds most, then the largest.
+    fn retained_for(&mut self, ask: &MemoryAsk) -> Option<Vec<ClaimId>> {
+        let missing = ask.bytes.saturating_sub(self.free_in_sum(ask));
+        if missing == 0 || ask.bytes > self.free_of_kind(ask.kind) {
+            return None;
+        }
         let retained = self.claims.iter().filter(|(_, claim)| claim.is_retained);
         let mut retained: Vec<(ClaimId, &Claim)> = retained.map(|(id, c)| (*id, c)).collect();
         retained.sort_by_key(|(id, claim)| {
@@ -366,11 +376,11 @@
     }
 }
 
-/// Part of the capacity that all holders of a kind may have.
-fn kind_part(kind: MemoryKind) -> f64 {
+/// Part of the capacity that all holders of a kind may have, `None` if only their sum is limited.
+fn kind_part(kind: MemoryKind) -> Option<f64> {
     match kind {
-        MemoryKind::Connection | MemoryKind::Head | MemoryKind::Carried => CONNECTIONS_PART,
-        MemoryKind::RequestBody | MemoryKind::Answer | MemoryKind::Events => 1.0,
+        MemoryKind::Connection | MemoryKind::Head | MemoryKind::Carried => Some(CONNECTIONS_PART),
+        MemoryKind::RequestBody | MemoryKind::Answer | MemoryKind::Events => None,
     }
 }
 
--- a/crates/core/tests/memory_schedules.rs
+++ b/crates/core/tests/memory_schedules.rs
@@ -316,6 +316,34 @@
     assert_eq!(next, ClaimVerdict::GiveUp(vec![large[0]]));
 }
 
+/// Guards against bodies that are given up for claims that they make no room for.
+#[test]
+fn connections_beyond_their_part_cost_no_body() {
+    let mut budget = MemoryBudget::new(LIMIT_BYTES);
+    let held = filled(&mut budget, "a");
+    held.iter().for_each(|id| budget.retain(*id));
+    let connection = MemoryAsk {
+        kind: MemoryKind::Connection,
+        ..body(12 << 10, "", 0)
+    };
+    loop {
+        match budget.claim(Now::ZERO, connection.clone(), false) {
+            ClaimVerdict::Granted(_) => {}
+            ClaimVerdict::GiveUp(claims) => {
+                let connections = budget.held().of_kind(MemoryKind::Connection);
+                assert!(
+                    connections < budget.capacity_bytes() / 4 - (12 << 10),
+                    "{claims:?}"
+                );
+                claims.iter().for_each(|id| budget.release(Now::ZERO, *id));
+            }
+            ClaimVerdict::Refused(_) => break,
+            ClaimVerdict::Waits(_) => panic!("it may not wait"),
+        }
+    }
+    assert!(budget.held().of_kind(MemoryKind::RequestBody) > 0);
+}
+
 #[test]
 fn a_large_body_waits_only_while_memory_comes_back() {
     let mut budget = MemoryBudget::new(LIMIT_BYTES);
