--- a/crates/daemon/src/gateway/gateway_metrics/memory_metrics.rs
+++ b/crates/daemon/src/gateway/gateway_metrics/memory_metrics.rs
@@ -34,28 +34,37 @@
         let given_up = self.given_up.clone();
         registry.register("bodies_given_up", "Retained bodies given up", given_up);
     }
-}
 
-impl MemoryObserver for GatewayMetrics {
-    fn changed(&self, budget: &MemoryBudget, kind: MemoryKind) {
-        let metrics = &self.memory;
+    /// Sets what is held of one kind, and the capacity.
+    pub fn changed(&self, budget: &MemoryBudget, kind: MemoryKind) {
         let signed = |bytes: u64| i64::try_from(bytes).unwrap_or(i64::MAX);
         let held = budget.held();
-        let labels = Kind {
-            kind: kind.as_str(),
-        };
-        let of_kind = metrics.held_bytes.get_or_create(&labels);
+        let of_kind = self.held_bytes.get_or_create(&label(kind));
         of_kind.set(signed(held.of_kind(kind)));
-        metrics.capacity_bytes.set(signed(budget.capacity_bytes()));
-        let most = signed(held.total_bytes()).max(metrics.most_held_bytes.get());
-        metrics.most_held_bytes.set(most);
+        self.capacity_bytes.set(signed(budget.capacity_bytes()));
+        let most = signed(held.total_bytes()).max(self.most_held_bytes.get());
+        self.most_held_bytes.set(most);
+    }
+
+    /// Counts a claim that was refused.
+    pub fn refused(&self, kind: MemoryKind) {
+        self.refusals.get_or_create(&label(kind)).inc();
+    }
+}
+
+fn label(kind: MemoryKind) -> Kind {
+    Kind {
+        kind: kind.as_str(),
+    }
+}
+
+impl MemoryObserver for GatewayMetrics {
+    fn changed(&self, budget: &MemoryBudget, kind: MemoryKind) {
+        self.memory.changed(budget, kind);
     }
 
     fn refused(&self, kind: MemoryKind) {
-        let labels = Kind {
-            kind: kind.as_str(),
-        };
-        self.memory.refusals.get_or_create(&labels).inc();
+        self.memory.refused(kind);
     }
 
     fn given_up(&self, count: usize) {
