Word three comments by what they mean

Cause: read once more, "tell" and "told" stand for a setting and a figure of the system, and a comment spoke of a measurement where a sum is taken.

--- a/crates/core/src/memory/memory_turnover.rs
+++ b/crates/core/src/memory/memory_turnover.rs
@@ -8,7 +8,7 @@
 /// Time in which large holders that make progress give their memory back.
 const TURNOVER: Duration = Duration::from_secs(1);
 
-/// Time over which the rate of returned memory is measured.
+/// Time over which returned memory is summed for its rate.
 const RATE_WINDOW: Duration = Duration::from_secs(5);
 
 /// Bounds of the time after which refused callers come back.
--- a/crates/daemon/src/gateway/gateway_program.rs
+++ b/crates/daemon/src/gateway/gateway_program.rs
@@ -125,7 +125,7 @@
     }
 }
 
-/// Returns the resident memory of this process; `None` where the system doesn't tell it.
+/// Returns the resident memory of this process; `None` where the system doesn't provide it.
 fn resident_bytes() -> Option<u64> {
     let sizes = std::fs::read_to_string("/proc/self/statm").ok()?;
     let pages: u64 = sizes.split_whitespace().nth(1)?.parse().ok()?;
--- a/crates/daemon/src/gateway/gateway_settings.rs
+++ b/crates/daemon/src/gateway/gateway_settings.rs
@@ -106,7 +106,7 @@
             seed_peers: read_seeds(&mut reader),
             regions: read_regions(&mut reader),
             core_millis: (reader.share("processor_share", 1.0, 0.001..=1_000.0) * 1_000.0) as u32,
-            // An instance that isn't told its limit assumes that of the smallest machine.
+            // Without the setting, the limit of the smallest machine.
             process_memory_bytes: reader.number("process_memory_mb", 110, 48..=1_048_576) * MIB,
             keyring: read_keyring(&mut reader),
             log_level: read_level(&mut reader),
